--- /dev/null
+++ b/cmd/limpethubctl/main.go
@@ -0,0 +1,4 @@
+// Command limpethubctl is built in a later commit.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/kernel/lifecycle.go
@@ -0,0 +1,114 @@
+package kernel
+
+import (
+	"context"
+	"errors"
+	"fmt"
+)
+
+// Provisioner is a plug-in that prepares itself before use. It must not start
+// goroutines or open listeners.
+type Provisioner interface {
+	Provision(ctx context.Context) error
+}
+
+// Validator is a plug-in that checks its settings after Provision.
+type Validator interface {
+	Validate() error
+}
+
+// Starter is a plug-in that starts background work.
+type Starter interface {
+	Start(ctx context.Context) error
+}
+
+// Drainer is a plug-in that finishes the work it has and takes no more.
+type Drainer interface {
+	Drain(ctx context.Context) error
+}
+
+// Stopper is a plug-in that releases what it holds.
+type Stopper interface {
+	Stop(ctx context.Context) error
+}
+
+// Part is a named plug-in or component under the life cycle.
+type Part struct {
+	Name   string
+	Plugin any
+}
+
+// Lifecycle starts parts in order and stops them in reverse order.
+type Lifecycle struct {
+	parts   []Part
+	started int
+}
+
+// Add appends a part. Parts are started in the order in which they were added.
+func (l *Lifecycle) Add(name string, plugin any) {
+	l.parts = append(l.parts, Part{Name: name, Plugin: plugin})
+}
+
+// Start provisions and validates all parts, then starts them. When one fails,
+// those already started are stopped.
+func (l *Lifecycle) Start(ctx context.Context) error {
+	if err := l.provision(ctx); err != nil {
+		return err
+	}
+	for _, part := range l.parts {
+		starter, ok := part.Plugin.(Starter)
+		if ok {
+			if err := starter.Start(ctx); err != nil {
+				return errors.Join(fmt.Errorf("kernel: start %s: %w", part.Name, err), l.Stop(ctx))
+			}
+		}
+		l.started++
+	}
+	return nil
+}
+
+func (l *Lifecycle) provision(ctx context.Context) error {
+	for _, part := range l.parts {
+		if p, ok := part.Plugin.(Provisioner); ok {
+			if err := p.Provision(ctx); err != nil {
+				return fmt.Errorf("kernel: provision %s: %w", part.Name, err)
+			}
+		}
+	}
+	for _, part := range l.parts {
+		if v, ok := part.Plugin.(Validator); ok {
+			if err := v.Validate(); err != nil {
+				return fmt.Errorf("kernel: validate %s: %w", part.Name, err)
+			}
+		}
+	}
+	return nil
+}
+
+// Drain drains the started parts, the last started first.
+func (l *Lifecycle) Drain(ctx context.Context) error {
+	var errs []error
+	for i := l.started - 1; i >= 0; i-- {
+		part := l.parts[i]
+		if d, ok := part.Plugin.(Drainer); ok {
+			if err := d.Drain(ctx); err != nil {
+				errs = append(errs, fmt.Errorf("kernel: drain %s: %w", part.Name, err))
+			}
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// Stop stops the started parts, the last started first.
+func (l *Lifecycle) Stop(ctx context.Context) error {
+	var errs []error
+	for ; l.started > 0; l.started-- {
+		part := l.parts[l.started-1]
+		if s, ok := part.Plugin.(Stopper); ok {
+			if err := s.Stop(ctx); err != nil {
+				errs = append(errs, fmt.Errorf("kernel: stop %s: %w", part.Name, err))
+			}
+		}
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,38 @@
+// Package logging makes the loggers of the system's parts.
+package logging
+
+import (
+	"io"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Part is the fixed prefix of a part's log lines.
+type Part string
+
+// Parts of the system.
+const (
+	Daemon     Part = "daemon"
+	Gateway    Part = "gateway"
+	Routing    Part = "routing"
+	Placement  Part = "placement"
+	Membership Part = "membership"
+	Config     Part = "config"
+	Store      Part = "store"
+	Peers      Part = "peers"
+	Operator   Part = "operator"
+)
+
+// New makes a logger that writes JSON lines to w at the given level.
+func New(w io.Writer, level logrus.Level) *logrus.Logger {
+	logger := logrus.New()
+	logger.SetOutput(w)
+	logger.SetLevel(level)
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	return logger
+}
+
+// For returns a logger for one part of one instance.
+func For(logger *logrus.Logger, part Part, instance string) *logrus.Entry {
+	return logger.WithFields(logrus.Fields{"part": string(part), "instance": instance})
+}
