scheduling: simple Scheduler, for the gateway to wire to

The gateway needs a correct scheduler before the stages exist.

Interface: SetDocument added; ObserveRemote returns decisions, since a digest may show room; Retry's last.Verdict is the least certain one of all attempts, so that a refused retry of a request that may have run doesn't say NotRun.

--- a/internal/scheduling/core.go
+++ b/internal/scheduling/core.go
@@ -8,6 +8,7 @@
 
 	"limpethub/internal/engine"
 	"limpethub/internal/request"
+	"limpethub/internal/site"
 	"limpethub/internal/verdict"
 )
 
@@ -20,7 +21,8 @@
 	Dispatch Action = iota + 1
 	// Queue keeps the request waiting; a later decision ends the wait.
 	Queue
-	// Refuse answers the caller with Decision.Err, whose verdict is NotRun.
+	// Refuse answers the caller with Decision.Err. Its verdict is NotRun, but for a
+	// retried request of which an earlier attempt may have run.
 	Refuse
 )
 
@@ -92,8 +94,11 @@
 	ObserveReport(now time.Time, server string, report engine.Report) []Decision
 	// ObserveUnreachable notes that a server didn't answer a report in time.
 	ObserveUnreachable(now time.Time, server string) []Decision
-	// ObserveRemote takes a peer's digest.
-	ObserveRemote(now time.Time, remote Remote)
+	// SetDocument takes a new configuration: its classes, adapters and budgets.
+	// Waiting requests keep their class by name.
+	SetDocument(now time.Time, document *site.Document) []Decision
+	// ObserveRemote takes a peer's digest. It may free waiting work.
+	ObserveRemote(now time.Time, remote Remote) []Decision
 	// ForgetRemote drops what a dead peer last said.
 	ForgetRemote(instance string)
 	// Arrive takes a new request.
@@ -103,6 +108,8 @@
 	Finish(now time.Time, o Outcome) []Decision
 	// Retry asks for another dispatch of a request whose last one ended. It is
 	// refused without budget, without time or without a proof that it may repeat.
+	// last.Verdict is the least certain one of all attempts so far: once an attempt
+	// may have run, a later refusal carries that verdict and not NotRun.
 	Retry(now time.Time, r request.Request, last Outcome) []Decision
 	// Progress notes that events of a dispatched request arrived.
 	Progress(now time.Time, id request.ID, tokens int)
--- /dev/null
+++ b/internal/scheduling/scheduler_test.go
@@ -0,0 +1,112 @@
+package scheduling
+
+import (
+	"testing"
+	"time"
+
+	"limpethub/internal/engine"
+	"limpethub/internal/modelref"
+	"limpethub/internal/request"
+	"limpethub/internal/site"
+	"limpethub/internal/verdict"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func testDocument() *site.Document {
+	return &site.Document{
+		Site:           "test",
+		FailureDomains: []string{"a", "b"},
+		Classes: []site.Class{
+			{Name: "urgent", TimeoutMillis: 10_000, Weight: 10, QueueLimit: 10},
+			{Name: "overnight", TimeoutMillis: 600_000, Weight: 1, QueueLimit: 10},
+		},
+		Models:   []site.Model{{Name: "m", Version: "1", Class: "urgent", MemoryMB: 1}},
+		Adapters: []site.Adapter{{Name: "x", Version: "1", Base: "m@1", Class: "urgent", MemoryMB: 1}},
+		Budgets:  site.Budgets{RetryShare: 0.1},
+	}
+}
+
+func newScheduler(t *testing.T, names ...string) Scheduler {
+	t.Helper()
+	s, err := New(Options{Instance: "i1", FailureDomain: "a", Document: testDocument()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var servers []Server
+	for _, name := range names {
+		servers = append(servers, Server{Name: name, FailureDomain: "a", Near: true})
+	}
+	s.SetServers(epoch, servers)
+	return s
+}
+
+func testRequest(id request.ID) request.Request {
+	return request.Request{
+		ID: id, Model: "m@1", Arrived: epoch, Deadline: epoch.Add(10 * time.Second),
+		PromptTokens: 10, MaxTokens: 10,
+	}
+}
+
+func report(resident ...modelref.Ref) engine.Report {
+	return engine.Report{Sequence: 1, Taken: epoch, MaxBatch: 4, StepMillis: 10, Resident: resident}
+}
+
+func only(t *testing.T, decisions []Decision, action Action) Decision {
+	t.Helper()
+	if len(decisions) != 1 || decisions[0].Action != action {
+		t.Fatalf("decisions = %+v, want one with action %d", decisions, action)
+	}
+	return decisions[0]
+}
+
+func TestWaitsUntilTheModelIsResident(t *testing.T) {
+	s := newScheduler(t, "s1")
+	only(t, s.Arrive(epoch, testRequest("r")), Queue)
+	d := only(t, s.ObserveReport(epoch.Add(time.Second), "s1", report("m@1")), Dispatch)
+	if d.Server != "s1" {
+		t.Fatalf("dispatched to %q", d.Server)
+	}
+}
+
+func TestRefusesAtTheDeadline(t *testing.T) {
+	s := newScheduler(t, "s1")
+	only(t, s.Arrive(epoch, testRequest("r")), Queue)
+	d := only(t, s.Tick(epoch.Add(10*time.Second)), Refuse)
+	if d.Err.Verdict != verdict.NotRun || d.Err.RetryAfter == 0 {
+		t.Fatalf("refusal = %+v", d.Err)
+	}
+}
+
+func TestAnAdapterNeedsItselfAndItsBase(t *testing.T) {
+	s := newScheduler(t, "s1")
+	r := testRequest("r")
+	r.Model = "x@1"
+	only(t, s.Arrive(epoch, r), Queue)
+	if got := s.ObserveReport(epoch, "s1", report("m@1")); len(got) != 0 {
+		t.Fatalf("decisions with only the base resident: %+v", got)
+	}
+	only(t, s.ObserveReport(epoch, "s1", report("m@1", "x@1")), Dispatch)
+}
+
+func TestUnreachableAndLeavingServersGetNothing(t *testing.T) {
+	s := newScheduler(t, "s1", "s2")
+	s.ObserveReport(epoch, "s1", report("m@1"))
+	s.ObserveReport(epoch, "s2", report("m@1"))
+	s.ObserveUnreachable(epoch, "s1")
+	s.SetServers(epoch, []Server{{Name: "s1"}, {Name: "s2", Leaving: true}})
+	only(t, s.Arrive(epoch, testRequest("r")), Queue)
+}
+
+func TestAnUnclearRequestIsNotRetried(t *testing.T) {
+	s := newScheduler(t, "s1")
+	s.ObserveReport(epoch, "s1", report("m@1"))
+	r := testRequest("r")
+	only(t, s.Arrive(epoch, r), Dispatch)
+	last := Outcome{ID: "r", Server: "s1", Verdict: verdict.MayHaveRun, Err: verdict.Unclear(verdict.CodeServerFailed, nil, "reset")}
+	s.Finish(epoch, last)
+	d := only(t, s.Retry(epoch, r, last), Refuse)
+	if d.Err.Verdict != verdict.MayHaveRun {
+		t.Fatalf("verdict = %v, want %v", d.Err.Verdict, verdict.MayHaveRun)
+	}
+}
