scheduling: stages predict, load, limit, flowcontrol, admission, retry, routing

The simple scheduler scanned all servers and its whole queue for each decision, knew no durations and had no retry budget. The stages are packages of their own; the scheduler composes them around an index from model or service to servers. Baselines dispatch at once, without limit or admission, as a plain balancer does.

--- /dev/null
+++ b/internal/scheduling/finish.go
@@ -0,0 +1,123 @@
+package scheduling
+
+import (
+	"errors"
+	"time"
+
+	"limpethub/internal/request"
+	"limpethub/internal/scheduling/limit"
+	"limpethub/internal/scheduling/predict"
+	"limpethub/internal/scheduling/retry"
+	"limpethub/internal/verdict"
+)
+
+// Finish implements Scheduler.
+func (c *core) Finish(now time.Time, o Outcome) []Decision {
+	d := c.running[o.ID]
+	if d == nil {
+		return nil
+	}
+	delete(c.running, o.ID)
+	d.target.running--
+	s := d.replica.server
+	s.load.Finished(now)
+	if o.Err == nil {
+		c.learn(now, d, o)
+	} else {
+		c.learnFailure(now, d, o)
+	}
+	if !s.listed && s.load.Own() == 0 {
+		delete(c.servers, s.Name)
+		delete(c.busy, s)
+	}
+	return c.drainAfterExpiry(now, s)
+}
+
+// learn takes a whole answer into the predictions and the limit.
+func (c *core) learn(now time.Time, d *dispatched, o Outcome) {
+	s := d.replica.server
+	c.budget.Success(now)
+	s.failures = 0
+	d.replica.speed.Observe(now, predict.Sample{
+		PromptTokens: d.prompt, MaxTokens: d.max, Tokens: o.Tokens,
+		Cached: d.cached, Waited: d.waited,
+		FirstToken: o.FirstToken, Duration: o.Duration,
+	})
+	s.limit.Observe(now, limit.Observation{
+		Expected: d.estimate.For(o.Tokens), Actual: o.Duration, Full: d.full,
+	})
+	if s.service == 0 {
+		s.service = o.Duration
+	}
+	s.service += (o.Duration - s.service) / 8
+}
+
+// learnFailure keeps new work away from a server that is leaving or that refuses or
+// fails requests.
+func (c *core) learnFailure(now time.Time, d *dispatched, o Outcome) {
+	s := d.replica.server
+	if o.ServerLeaving {
+		s.refusedUntil = now.Add(leavingHold)
+		return
+	}
+	var e *verdict.Error
+	if !errors.As(o.Err, &e) {
+		s.failed(now)
+		return
+	}
+	switch e.Code {
+	case verdict.CodeCanceled, verdict.CodeDeadlineExpired, verdict.CodeBadRequest:
+		// The server isn't to blame.
+	case verdict.CodeServerRefused:
+		d.replica.backoff = now.Add(firstBackoff)
+	default:
+		s.failed(now)
+	}
+}
+
+// Progress implements Scheduler.
+func (c *core) Progress(_ time.Time, id request.ID, tokens int) {
+	if d := c.running[id]; d != nil {
+		d.tokens = tokens
+	}
+}
+
+// Retry implements Scheduler. A request that a leaving server refused costs no
+// budget: the server gets no more, so such refusals can't multiply.
+func (c *core) Retry(now time.Time, r request.Request, last Outcome) []Decision {
+	if c.running[r.ID] != nil || c.queue.Has(r.ID) {
+		return []Decision{refuse(&attempt{request: r, unclear: true}, verdict.CodeDuplicate, 0,
+			"a request with this ID is in progress")}
+	}
+	r.Class = min(max(r.Class, 0), len(c.document.Classes)-1)
+	a := attempt{request: r, unclear: last.Verdict != verdict.NotRun, avoid: last.Server}
+	if !retry.MayRepeat(last.Verdict, r.Idempotent) {
+		return []Decision{giveUp(&a, last, "the request may have run and must not repeat")}
+	}
+	if !last.ServerLeaving && !c.budget.Take(now) {
+		return []Decision{giveUp(&a, last, "the retry budget is used up")}
+	}
+	a.avoid = c.avoidable(now, &r, last.Server)
+	return c.place(now, a)
+}
+
+// avoidable returns the last server if another one can take the request.
+func (c *core) avoidable(now time.Time, r *request.Request, last string) string {
+	for _, other := range c.target(keyOf(r)).replicas {
+		if other.usable(now, last) {
+			return last
+		}
+	}
+	return ""
+}
+
+// giveUp refuses a retry with the code and verdict of the last attempt.
+func giveUp(a *attempt, last Outcome, why string) Decision {
+	code := verdict.CodeServerFailed
+	var e *verdict.Error
+	if errors.As(last.Err, &e) {
+		code = e.Code
+	}
+	err := &verdict.Error{Verdict: last.Verdict, Code: code, Message: why, RetryAfter: soonest, Err: last.Err}
+	return Decision{ID: a.request.ID, Action: Refuse, Reason: why, Err: err}
+}
--- a/internal/scheduling/options.go
+++ b/internal/scheduling/options.go
@@ -17,6 +17,9 @@
 	Seed uint64
 	// Policy is the dotted name of the routing policy; empty means DefaultPolicy.
 	Policy string
+	// Admission is the dotted name of the admission policy; empty means the one that
+	// goes with the routing policy.
+	Admission string
 	// Document is the configuration in force.
 	Document *site.Document
 }
--- /dev/null
+++ b/internal/scheduling/predict/speed.go
@@ -0,0 +1,177 @@
+package predict
+
+import "time"
+
+// halfLife is how long it takes for what was learned of one target on one server
+// to lose half of its weight against what is known more generally.
+const halfLife = 10 * time.Second
+
+// cachedShare is the prefill time with a cached prefix, as a share of that without,
+// while none was seen.
+const cachedShare = 0.5
+
+// Server is what is learned of a server whatever it runs.
+type Server struct {
+	step average
+}
+
+// ObserveStep takes the duration of a decode step from a server's report.
+func (s *Server) ObserveStep(now time.Time, step time.Duration) {
+	if step > 0 {
+		s.step.add(now, float64(step))
+	}
+}
+
+// Target is what is learned of a model, adapter or service on all servers.
+type Target struct {
+	decode  average
+	prefill average
+	whole   average
+	length  average
+}
+
+// Speed is what is learned of one target on one server. Durations are in
+// nanoseconds, per token where there are tokens.
+type Speed struct {
+	server *Server
+	target *Target
+	decode average
+	cold   average
+	warm   average
+	whole  average
+}
+
+// NewSpeed makes the speed of a target on a server.
+func NewSpeed(server *Server, target *Target) *Speed {
+	return &Speed{server: server, target: target}
+}
+
+// Sample is a whole answer as it was seen.
+type Sample struct {
+	PromptTokens int
+	// MaxTokens is the most that the answer might have had; 0 for a service call.
+	MaxTokens int
+	// Tokens is how many came.
+	Tokens int
+	// Cached is true when the prompt's prefix was expected in the server's cache.
+	Cached bool
+	// Waited is true when the server was full at dispatch, so that the time to the
+	// first token holds a wait.
+	Waited bool
+	// FirstToken is the time from dispatch to the first token.
+	FirstToken time.Duration
+	// Duration is the time from dispatch to the end.
+	Duration time.Duration
+}
+
+// Observe learns from a whole answer.
+func (s *Speed) Observe(now time.Time, sample Sample) {
+	s.whole.add(now, float64(sample.Duration))
+	s.target.whole.add(now, float64(sample.Duration))
+	if sample.MaxTokens > 0 {
+		s.target.length.add(now, float64(sample.Tokens)/float64(sample.MaxTokens))
+	}
+	if sample.Tokens > 1 {
+		perToken := float64(sample.Duration-sample.FirstToken) / float64(sample.Tokens-1)
+		s.decode.add(now, perToken)
+		s.target.decode.add(now, perToken)
+	}
+	s.observePrefill(now, sample)
+}
+
+func (s *Speed) observePrefill(now time.Time, sample Sample) {
+	if sample.PromptTokens <= 0 || sample.FirstToken <= 0 {
+		return
+	}
+	perToken := float64(sample.FirstToken) / float64(sample.PromptTokens)
+	learned := &s.cold
+	if sample.Cached {
+		learned = &s.warm
+	}
+	// A wait in the engine says nothing of prefill, unless even with it the time is
+	// below what was thought.
+	if sample.Waited && (!learned.known() || perToken > learned.mean) {
+		return
+	}
+	learned.add(now, perToken)
+	if !sample.Cached {
+		s.target.prefill.add(now, perToken)
+	}
+}
+
+// Estimate is a prediction for one request on one server that has room at once.
+type Estimate struct {
+	// FirstToken is the time to the first token.
+	FirstToken time.Duration
+	// PerToken is the time between tokens.
+	PerToken time.Duration
+	// Total is the time to the end.
+	Total time.Duration
+	// Known is false while nothing was learned that the estimate could rest on.
+	Known bool
+}
+
+// Estimate predicts the duration of a request without a wait.
+func (s *Speed) Estimate(now time.Time, promptTokens, maxTokens int, cached bool) Estimate {
+	if maxTokens <= 0 {
+		return s.estimateWhole(now)
+	}
+	decode := s.decodePerToken(now)
+	prefill := s.prefillPerToken(cached)
+	first := time.Duration(prefill * float64(promptTokens))
+	rest := time.Duration(decode * s.target.tokens(maxTokens))
+	return Estimate{
+		FirstToken: first,
+		PerToken:   time.Duration(decode),
+		Total:      first + rest,
+		Known:      decode > 0 && s.target.length.known(),
+	}
+}
+
+// For is the predicted time to the end of an answer of the given length.
+func (e Estimate) For(tokens int) time.Duration {
+	if e.PerToken == 0 || !e.Known {
+		return e.Total
+	}
+	return e.FirstToken + time.Duration(tokens)*e.PerToken
+}
+
+func (s *Speed) estimateWhole(now time.Time) Estimate {
+	trust := s.whole.trust(now, halfLife)
+	mean := trust*s.whole.mean + (1-trust)*s.target.whole.mean
+	total := time.Duration(mean)
+	return Estimate{FirstToken: total, Total: total, Known: s.target.whole.known()}
+}
+
+// decodePerToken blends what was seen here with the server's reported step, or
+// with the target's mean elsewhere when the server reports none.
+func (s *Speed) decodePerToken(now time.Time) float64 {
+	general := s.server.step.mean
+	if !s.server.step.known() {
+		general = s.target.decode.mean
+	}
+	trust := s.decode.trust(now, halfLife)
+	return trust*s.decode.mean + (1-trust)*general
+}
+
+func (s *Speed) prefillPerToken(cached bool) float64 {
+	cold := s.cold.mean
+	if !s.cold.known() {
+		cold = s.target.prefill.mean
+	}
+	if !cached {
+		return cold
+	}
+	if !s.warm.known() {
+		return cold * cachedShare
+	}
+	return min(s.warm.mean, cold)
+}
+
+// tokens predicts the length of an answer: the mean plus its deviation.
+func (t *Target) tokens(maxTokens int) float64 {
+	if !t.length.known() {
+		return float64(maxTokens)
+	}
+	return float64(maxTokens) * min(1, t.length.mean+t.length.deviation)
+}
--- /dev/null
+++ b/internal/scheduling/routing/intime.go
@@ -0,0 +1,20 @@
+package routing
+
+import "limpethub/internal/kernel"
+
+// inTime keeps servers that are predicted to finish by the deadline.
+type inTime struct{}
+
+var _ Filter = inTime{}
+
+func init() {
+	kernel.Register(kernel.Module{Name: "routing.filter-in-time", New: func() any { return inTime{} }})
+}
+
+// Keep implements Filter.
+func (inTime) Keep(q *Query, c *Candidate) bool {
+	if c.Probe || !c.Estimate.Known {
+		return true
+	}
+	return !q.Now.Add(c.Finish()).After(q.Deadline)
+}
--- /dev/null
+++ b/internal/scheduling/routing/inturn.go
@@ -0,0 +1,15 @@
+package routing
+
+import "limpethub/internal/kernel"
+
+// inTurn picks the servers one after the other.
+type inTurn struct{}
+
+var _ Picker = inTurn{}
+
+func init() {
+	kernel.Register(kernel.Module{Name: "routing.pick-in-turn", New: func() any { return inTurn{} }})
+}
+
+// Pick implements Picker.
+func (inTurn) Pick(q *Query, scored []Scored) int { return int(q.Turn % uint64(len(scored))) }
--- /dev/null
+++ b/internal/scheduling/routing/routing.go
@@ -0,0 +1,128 @@
+// Package routing chooses a server among the candidates for a request. A policy
+// filters the candidates, scores those left and picks one; each step is a plug-in
+// registered with the kernel under "routing.<name>", and so are the policies.
+//
+// What must hold for every policy isn't decided here: candidates are always live,
+// not leaving and hold what the request needs.
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"limpethub/internal/kernel"
+	"limpethub/internal/scheduling/predict"
+)
+
+// Query is the request for which a server is sought.
+type Query struct {
+	// Now is the time of the decision.
+	Now time.Time
+	// Deadline is when the whole answer must have been delivered.
+	Deadline time.Time
+	// Random is the source of random choices.
+	Random *rand.Rand
+	// Turn counts the decisions about the same target.
+	Turn uint64
+}
+
+// Candidate is a server that could take the request.
+type Candidate struct {
+	// Name is the server's name.
+	Name string
+	// Near is true in the instance's own failure domain.
+	Near bool
+	// Own is how many requests this instance has on the server.
+	Own int
+	// Total estimates how many requests the server has from all instances.
+	Total int
+	// Limit is the adaptive limit of Total for the request's class.
+	Limit int
+	// Cached is true when the server is expected to hold the prompt's prefix.
+	Cached bool
+	// Probe lets the request through where nothing else would show the server's
+	// present speed.
+	Probe bool
+	// Wait is the predicted wait in the server.
+	Wait time.Duration
+	// Estimate is the predicted duration without a wait.
+	Estimate predict.Estimate
+}
+
+// Finish is the predicted time until the end of the request.
+func (c *Candidate) Finish() time.Duration { return c.Wait + c.Estimate.Total }
+
+// Filter drops candidates.
+type Filter interface {
+	// Keep reports whether the candidate stays.
+	Keep(q *Query, c *Candidate) bool
+}
+
+// Scorer rates candidates.
+type Scorer interface {
+	// Score returns the cost of the candidate in seconds; lower is better.
+	Score(q *Query, c *Candidate) float64
+}
+
+// Scored is a candidate that passed the filters.
+type Scored struct {
+	*Candidate
+	// Index is the candidate's place among those offered.
+	Index int
+	// Score is the scorer's cost.
+	Score float64
+}
+
+// Picker chooses among scored candidates.
+type Picker interface {
+	// Pick returns a position in scored, which isn't empty.
+	Pick(q *Query, scored []Scored) int
+}
+
+// Policy is a named composition of steps.
+type Policy struct {
+	// Filters apply in order.
+	Filters []Filter
+	// Scorer rates what the filters left.
+	Scorer Scorer
+	// Picker makes the choice.
+	Picker Picker
+	// Admission is the dotted name of the admission policy that goes with it.
+	Admission string
+
+	scratch []Scored
+}
+
+// Choose returns the position of the chosen candidate, or -1 when none is left.
+func (p *Policy) Choose(q *Query, candidates []Candidate) int {
+	p.scratch = p.scratch[:0]
+	for i := range candidates {
+		c := &candidates[i]
+		if p.keep(q, c) {
+			p.scratch = append(p.scratch, Scored{Candidate: c, Index: i, Score: p.Scorer.Score(q, c)})
+		}
+	}
+	if len(p.scratch) == 0 {
+		return -1
+	}
+	return p.scratch[p.Picker.Pick(q, p.scratch)].Index
+}
+
+func (p *Policy) keep(q *Query, c *Candidate) bool {
+	for _, f := range p.Filters {
+		if !f.Keep(q, c) {
+			return false
+		}
+	}
+	return true
+}
+
+// NewPolicy makes the policy with the given dotted name.
+func NewPolicy(name string) (*Policy, error) {
+	p, err := kernel.New[*Policy](name)
+	if err != nil {
+		return nil, fmt.Errorf("routing: policy: %w", err)
+	}
+	return p, nil
+}
