Dispatcher and forwarder: one run, resumed on new connections, ended once

Cause: the whole path needs the shell that carries out scheduling decisions. The verdict codes server_leaving and run_unknown are new: adapters use the first for a refusal by a leaving server (NotRun) and the second when a server doesn't know a run (MayHaveRun: the request's bytes may still be on their way). Ruled out: resuming through the pooled connection that went silent. Not measured yet.

--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,260 @@
+// Package dispatch is the shell around scheduling: it feeds events to a
+// scheduling.Scheduler under a lock, logs each decision, and wakes the goroutine
+// that waits for it.
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"limpethub/internal/engine"
+	"limpethub/internal/request"
+	"limpethub/internal/scheduling"
+	"limpethub/internal/verdict"
+)
+
+// Observer is told of each decision, for metrics.
+type Observer interface {
+	ObserveDecision(r request.Request, d scheduling.Decision, waited time.Duration)
+}
+
+// Options are the parts that a Dispatcher works with.
+type Options struct {
+	Scheduler scheduling.Scheduler
+	Observer  Observer
+	Logger    *logrus.Entry
+	// Now returns the current time.
+	Now func() time.Time
+}
+
+// Dispatcher hands requests to a Scheduler and waits for its decisions.
+type Dispatcher struct {
+	scheduler scheduling.Scheduler
+	observer  Observer
+	logger    *logrus.Entry
+	now       func() time.Time
+
+	mu      sync.Mutex
+	waiters map[request.ID]*waiter
+	timer   *time.Timer
+	closed  bool
+}
+
+// waiter is one request that waits for its Dispatch or Refuse decision.
+type waiter struct {
+	request request.Request
+	since   time.Time
+	ready   chan scheduling.Decision
+}
+
+// New makes a Dispatcher.
+func New(options Options) *Dispatcher {
+	return &Dispatcher{
+		scheduler: options.Scheduler,
+		observer:  options.Observer,
+		logger:    options.Logger,
+		now:       options.Now,
+		waiters:   make(map[request.ID]*waiter),
+	}
+}
+
+// Admit gives a new request to the scheduler and waits until it may be dispatched.
+// A refusal is a *verdict.Error with the verdict NotRun.
+func (d *Dispatcher) Admit(ctx context.Context, r request.Request) (scheduling.Decision, error) {
+	return d.await(ctx, r, func(now time.Time) []scheduling.Decision {
+		return d.scheduler.Arrive(now, r)
+	})
+}
+
+// Retry asks for another dispatch of a request whose last one ended with last.
+func (d *Dispatcher) Retry(ctx context.Context, r request.Request, last scheduling.Outcome) (scheduling.Decision, error) {
+	return d.await(ctx, r, func(now time.Time) []scheduling.Decision {
+		return d.scheduler.Retry(now, r, last)
+	})
+}
+
+func (d *Dispatcher) await(ctx context.Context, r request.Request, event func(time.Time) []scheduling.Decision) (scheduling.Decision, error) {
+	w := &waiter{request: r, since: d.now(), ready: make(chan scheduling.Decision, 1)}
+	d.mu.Lock()
+	d.waiters[r.ID] = w
+	d.apply(event(d.now()))
+	d.mu.Unlock()
+
+	select {
+	case decision := <-w.ready:
+		return conclude(decision)
+	case <-ctx.Done():
+		return d.abandon(w)
+	}
+}
+
+// abandon ends the wait of a request whose caller has gone. A dispatch that was
+// decided meanwhile is undone, since nothing was sent.
+func (d *Dispatcher) abandon(w *waiter) (scheduling.Decision, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	gone := verdict.Refused(verdict.CodeCanceled, "the caller canceled the request before it was dispatched")
+	select {
+	case decision := <-w.ready:
+		if decision.Action == scheduling.Dispatch {
+			d.apply(d.scheduler.Finish(d.now(), scheduling.Outcome{
+				ID: w.request.ID, Server: decision.Server, Verdict: verdict.NotRun, Err: gone,
+			}))
+		}
+	default:
+		delete(d.waiters, w.request.ID)
+		d.apply(d.scheduler.Cancel(d.now(), w.request.ID))
+	}
+	return scheduling.Decision{}, gone
+}
+
+func conclude(decision scheduling.Decision) (scheduling.Decision, error) {
+	if decision.Action == scheduling.Refuse {
+		return decision, decision.Err
+	}
+	return decision, nil
+}
+
+// Finish reports the end of a dispatched request.
+func (d *Dispatcher) Finish(outcome scheduling.Outcome) {
+	d.event(func(now time.Time) []scheduling.Decision { return d.scheduler.Finish(now, outcome) })
+}
+
+// Progress reports that tokens of a dispatched request arrived.
+func (d *Dispatcher) Progress(id request.ID, tokens int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.Progress(d.now(), id, tokens)
+}
+
+// SetServers replaces the set of known servers.
+func (d *Dispatcher) SetServers(servers []scheduling.Server) {
+	d.event(func(now time.Time) []scheduling.Decision { return d.scheduler.SetServers(now, servers) })
+}
+
+// ObserveReport passes on a server's report.
+func (d *Dispatcher) ObserveReport(server string, report engine.Report) {
+	d.event(func(now time.Time) []scheduling.Decision { return d.scheduler.ObserveReport(now, server, report) })
+}
+
+// ObserveUnreachable passes on that a server didn't answer.
+func (d *Dispatcher) ObserveUnreachable(server string) {
+	d.event(func(now time.Time) []scheduling.Decision { return d.scheduler.ObserveUnreachable(now, server) })
+}
+
+// ObserveRemote passes on a peer's digest.
+func (d *Dispatcher) ObserveRemote(remote scheduling.Remote) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.ObserveRemote(d.now(), remote)
+}
+
+// ForgetRemote drops what a dead peer last said.
+func (d *Dispatcher) ForgetRemote(instance string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.ForgetRemote(instance)
+}
+
+// Digest lists this instance's outstanding work per server.
+func (d *Dispatcher) Digest() []scheduling.Remote {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.Digest()
+}
+
+// Do runs a function on the scheduler under the lock, for events that only some
+// schedulers have, and applies the decisions that it returns.
+func (d *Dispatcher) Do(event func(now time.Time, s scheduling.Scheduler) []scheduling.Decision) {
+	d.event(func(now time.Time) []scheduling.Decision { return event(now, d.scheduler) })
+}
+
+// Waiting is the number of requests that wait for a dispatch.
+func (d *Dispatcher) Waiting() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.waiters)
+}
+
+// Close stops the timer. Waiting requests end with their contexts.
+func (d *Dispatcher) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed = true
+	if d.timer != nil {
+		d.timer.Stop()
+	}
+}
+
+func (d *Dispatcher) event(f func(now time.Time) []scheduling.Decision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.apply(f(d.now()))
+}
+
+// apply carries out decisions and arms the timer for the next tick. The lock is held.
+func (d *Dispatcher) apply(decisions []scheduling.Decision) {
+	for _, decision := range decisions {
+		d.applyOne(decision)
+	}
+	d.arm()
+}
+
+func (d *Dispatcher) applyOne(decision scheduling.Decision) {
+	w, ok := d.waiters[decision.ID]
+	if !ok {
+		return
+	}
+	waited := d.now().Sub(w.since)
+	d.log(w.request, decision, waited)
+	if d.observer != nil {
+		d.observer.ObserveDecision(w.request, decision, waited)
+	}
+	if decision.Action == scheduling.Queue {
+		return
+	}
+	delete(d.waiters, decision.ID)
+	w.ready <- decision
+}
+
+func (d *Dispatcher) arm() {
+	next := d.scheduler.NextTick()
+	if next.IsZero() || d.closed {
+		return
+	}
+	wait := max(next.Sub(d.now()), 0)
+	if d.timer == nil {
+		d.timer = time.AfterFunc(wait, d.tick)
+		return
+	}
+	d.timer.Reset(wait)
+}
+
+func (d *Dispatcher) tick() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return
+	}
+	d.apply(d.scheduler.Tick(d.now()))
+}
+
+var actionWords = [...]string{scheduling.Dispatch: "dispatch", scheduling.Queue: "queue", scheduling.Refuse: "refuse"}
+
+func (d *Dispatcher) log(r request.Request, decision scheduling.Decision, waited time.Duration) {
+	if !d.logger.Logger.IsLevelEnabled(logrus.InfoLevel) {
+		return
+	}
+	d.logger.WithFields(logrus.Fields{
+		"request":   r.ID,
+		"model":     r.Model,
+		"service":   r.Service,
+		"class":     r.Class,
+		"server":    decision.Server,
+		"reason":    decision.Reason,
+		"waited_ms": waited.Milliseconds(),
+	}).Info(actionWords[decision.Action])
+}
--- /dev/null
+++ b/internal/forward/stream.go
@@ -0,0 +1,162 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"limpethub/internal/engine"
+	"limpethub/internal/verdict"
+)
+
+// run is the state of one run of a request on one server.
+type run struct {
+	server engine.Server
+	call   engine.Call
+	sink   Sink
+	start  time.Time
+	// delivered is how many events reached the sink; the next offset expected.
+	delivered  int
+	firstToken time.Duration
+}
+
+// streamOnce makes one attempt: it generates, and resumes the same run on new
+// connections when the stream breaks.
+func (f *Forwarder) streamOnce(ctx context.Context, server engine.Server, call engine.Call, sink Sink) attemptResult {
+	r := &run{server: server, call: call, sink: sink, start: f.now()}
+	err := f.generateAndResume(ctx, r)
+	if err != nil && verdict.Of(err) != verdict.NotRun {
+		f.cancelRun(r)
+	}
+	return attemptResult{err: err, firstToken: r.firstToken, tokens: r.delivered, repeatable: r.delivered == 0}
+}
+
+func (f *Forwarder) generateAndResume(ctx context.Context, r *run) error {
+	stream, err := f.plane.Generate(ctx, r.server, r.call)
+	if err == nil {
+		err = f.copyEvents(stream, r)
+	}
+	for tries := 0; tries < maxResumes && resumable(ctx, err); tries++ {
+		f.logger.WithFields(logrus.Fields{"request": r.call.Request.ID, "server": r.server.Name, "offset": r.delivered, "error": err.Error()}).Info("resume")
+		stream, resumeErr := f.plane.Resume(ctx, r.server, r.call.Request.ID, r.delivered-1)
+		if resumeErr != nil {
+			err = f.afterFailedResume(ctx, r, err, resumeErr)
+			continue
+		}
+		err = f.copyEvents(stream, r)
+	}
+	return r.settle(err)
+}
+
+// afterFailedResume decides what a failed resume proves. A server that never saw the
+// request says so explicitly, which is a refusal; all else leaves the first error.
+func (f *Forwarder) afterFailedResume(ctx context.Context, r *run, first, resumeErr error) error {
+	if verdict.Of(resumeErr) == verdict.Ran || isFinal(resumeErr) {
+		return resumeErr
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(resumePause):
+	}
+	return first
+}
+
+// resumable reports whether a broken stream may continue on a new connection.
+func resumable(ctx context.Context, err error) bool {
+	if err == nil || ctx.Err() != nil || isSinkError(err) {
+		return false
+	}
+	return verdict.Of(err) != verdict.NotRun && !isFinal(err)
+}
+
+// isFinal reports failures that no new connection to the same run can mend.
+func isFinal(err error) bool {
+	var e *verdict.Error
+	if !errors.As(err, &e) {
+		return false
+	}
+	switch e.Code {
+	case verdict.CodeWrongAnswer, verdict.CodeServerRefused, verdict.CodeServerFailed, verdict.CodeRunUnknown:
+		return true
+	}
+	return false
+}
+
+// settle gives the final failure of a run its verdict: a run of which events were
+// delivered has run.
+func (r *run) settle(err error) error {
+	if err == nil || r.delivered == 0 {
+		return err
+	}
+	var e *verdict.Error
+	if errors.As(err, &e) && e.Code == verdict.CodeCanceled {
+		return &verdict.Error{Verdict: verdict.Ran, Code: e.Code, Message: e.Message, Err: e.Err}
+	}
+	return &verdict.Error{Verdict: verdict.Ran, Code: verdict.CodeStreamCut, Message: "the answer broke off and could not be resumed", Err: err}
+}
+
+// copyEvents delivers events in order until the end. A resumed stream may repeat
+// events that were delivered; those are skipped. A gap is a cut.
+func (f *Forwarder) copyEvents(stream engine.Stream, r *run) error {
+	defer stream.Close()
+	for {
+		event, err := stream.Next()
+		if err != nil {
+			return err
+		}
+		if event.End {
+			return nil
+		}
+		if event.Offset < r.delivered {
+			continue
+		}
+		if event.Offset > r.delivered {
+			return verdict.Unclear(verdict.CodeStreamCut, nil, "the server skipped from event %d to %d", r.delivered, event.Offset)
+		}
+		if err := f.deliver(event, r); err != nil {
+			return err
+		}
+	}
+}
+
+func (f *Forwarder) deliver(event engine.Event, r *run) error {
+	if r.delivered == 0 {
+		r.firstToken = f.now().Sub(r.start)
+	}
+	if err := r.sink.Event(event); err != nil {
+		return &sinkError{err: err}
+	}
+	r.delivered++
+	f.dispatcher.Progress(callerRequestID(r.call.Request.ID), 1)
+	return nil
+}
+
+// sinkError marks a failure on the caller's side.
+type sinkError struct{ err error }
+
+// Error implements error.
+func (e *sinkError) Error() string { return "forward: caller gone: " + e.err.Error() }
+
+// Unwrap returns the canceled verdict that callers' departures carry.
+func (e *sinkError) Unwrap() error {
+	return &verdict.Error{Verdict: verdict.Ran, Code: verdict.CodeCanceled, Message: "the caller went away or read too slowly", Err: e.err}
+}
+
+func isSinkError(err error) bool {
+	var e *sinkError
+	return errors.As(err, &e)
+}
+
+// cancelRun tells the server to stop a run that nobody waits for any more. It uses a
+// context of its own, since the request's has often ended.
+func (f *Forwarder) cancelRun(r *run) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		if err := f.plane.Cancel(ctx, r.server, r.call.Request.ID); err != nil {
+			f.logger.WithFields(logrus.Fields{"request": r.call.Request.ID, "server": r.server.Name, "error": err.Error()}).Warn("cancel failed")
+		}
+	}()
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -65,6 +65,8 @@
 	CodeNoServer        Code = "no_server"
 	CodeStopping        Code = "instance_stopping"
 	CodeServerRefused   Code = "server_refused"
+	CodeServerLeaving   Code = "server_leaving"
+	CodeRunUnknown      Code = "run_unknown"
 	CodeServerFailed    Code = "server_failed"
 	CodeServerSilent    Code = "server_silent"
 	CodeStreamCut       Code = "stream_cut"
