Gateway: completions, services, entries, errors with verdicts

Cause: callers' side of the whole path. A failure keeps its own HTTP status until the first event was sent; after that it is an event of its own without the end marker. Ruled out: keep-alive comments before the first event (a refusal could not have its status any more). Not measured yet.

--- /dev/null
+++ b/internal/gateway/services.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"limpethub/internal/engine"
+	"limpethub/internal/request"
+	"limpethub/internal/site"
+	"limpethub/internal/verdict"
+)
+
+func (g *Gateway) handleService(w http.ResponseWriter, r *http.Request) {
+	leave, failure := g.enter()
+	if failure != nil {
+		writeError(w, failure)
+		return
+	}
+	defer leave()
+	call, failure := g.serviceCall(w, r)
+	if failure != nil {
+		g.refuse(w, call.Request, failure)
+		return
+	}
+	w.Header().Set(request.HeaderID, string(call.Request.ID))
+	var response engine.Response
+	err := g.once(r, call, func(ctx context.Context, unique engine.Call) error {
+		var err error
+		response, err = g.options.Forwarder.Invoke(ctx, unique)
+		return err
+	})
+	if err != nil {
+		writeError(w, asVerdictError(err))
+	} else {
+		writeResponse(w, response)
+	}
+	g.observe(call.Request, err, time.Time{})
+}
+
+// serviceCall builds the call of a plain service from the caller's HTTP request.
+func (g *Gateway) serviceCall(w http.ResponseWriter, r *http.Request) (engine.Call, *verdict.Error) {
+	var call engine.Call
+	accepted, ok := g.options.Configuration.Current()
+	if !ok {
+		return call, notReady()
+	}
+	name := mux.Vars(r)["service"]
+	service, ok := accepted.Document.Service(name)
+	if !ok {
+		return call, verdict.Refused(verdict.CodeUnknownService, "no service %q is configured", name)
+	}
+	body, failure := g.readBody(w, r)
+	if failure != nil {
+		return call, failure
+	}
+	path := strings.TrimPrefix(r.URL.RequestURI(), "/v1/services/"+name)
+	class := accepted.Document.ClassIndex(service.Class)
+	req, failure := g.commonRequest(r, &accepted.Document, class, repeatable(service, r.Method, path))
+	req.Service = name
+	return engine.Call{Request: req, Method: r.Method, Path: path, Header: passedHeaders(r.Header), Body: body}, failure
+}
+
+// repeatable says whether a call may run more than once when the caller doesn't say.
+func repeatable(service site.Service, method, path string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	for _, prefix := range service.IdempotentPaths {
+		if strings.HasPrefix(path, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+func writeResponse(w http.ResponseWriter, response engine.Response) {
+	h := w.Header()
+	if contentType := response.Header.Get("Content-Type"); contentType != "" {
+		h.Set("Content-Type", contentType)
+	}
+	h.Set(verdict.Header, verdict.Ran.String())
+	w.WriteHeader(response.Status)
+	_, _ = w.Write(response.Body)
+}
--- /dev/null
+++ b/internal/gateway/whole_answer.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"limpethub/internal/engine"
+	"limpethub/internal/request"
+	"limpethub/internal/verdict"
+)
+
+// wholeAnswer joins the events of a run into one JSON answer.
+type wholeAnswer struct {
+	w      http.ResponseWriter
+	path   string
+	model  string
+	id     request.ID
+	first  time.Time
+	text   strings.Builder
+	tokens int
+	reason string
+}
+
+var _ answer = (*wholeAnswer)(nil)
+
+func newWholeAnswer(w http.ResponseWriter, path, model string, id request.ID) *wholeAnswer {
+	return &wholeAnswer{w: w, path: path, model: model, id: id}
+}
+
+// chunk is one streamed OpenAI-style event.
+type chunk struct {
+	Choices []chunkChoice `json:"choices"`
+}
+
+type chunkChoice struct {
+	Text         string       `json:"text"`
+	Delta        chunkMessage `json:"delta"`
+	FinishReason string       `json:"finish_reason"`
+}
+
+type chunkMessage struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// FirstEvent implements answer.
+func (a *wholeAnswer) FirstEvent() time.Time { return a.first }
+
+// Event implements answer.
+func (a *wholeAnswer) Event(event engine.Event) error {
+	if a.first.IsZero() {
+		a.first = time.Now()
+	}
+	var c chunk
+	if err := json.Unmarshal(event.Data, &c); err != nil {
+		return verdict.Unclear(verdict.CodeServerFailed, err, "the server sent an event that is not JSON")
+	}
+	a.tokens++
+	for _, choice := range c.Choices {
+		a.text.WriteString(choice.Text)
+		a.text.WriteString(choice.Delta.Content)
+		if choice.FinishReason != "" {
+			a.reason = choice.FinishReason
+		}
+	}
+	return nil
+}
+
+// Completion is a whole OpenAI-style answer.
+type Completion struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Created int64              `json:"created"`
+	Model   string             `json:"model"`
+	Choices []CompletionChoice `json:"choices"`
+	Usage   Usage              `json:"usage"`
+}
+
+// CompletionChoice is the one choice of an answer: text for completions, a message
+// for chat.
+type CompletionChoice struct {
+	Index        int           `json:"index"`
+	Text         string        `json:"text,omitempty"`
+	Message      *chunkMessage `json:"message,omitempty"`
+	FinishReason string        `json:"finish_reason"`
+}
+
+// Usage counts tokens.
+type Usage struct {
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// Finish implements answer.
+func (a *wholeAnswer) Finish() {
+	choice := CompletionChoice{FinishReason: a.reason}
+	object := "text_completion"
+	if strings.Contains(a.path, "/chat/") {
+		object = "chat.completion"
+		choice.Message = &chunkMessage{Role: "assistant", Content: a.text.String()}
+	} else {
+		choice.Text = a.text.String()
+	}
+	a.w.Header().Set(verdict.Header, verdict.Ran.String())
+	writeJSON(a.w, http.StatusOK, Completion{
+		ID: string(a.id), Object: object, Created: time.Now().Unix(), Model: a.model,
+		Choices: []CompletionChoice{choice}, Usage: Usage{CompletionTokens: a.tokens},
+	})
+}
+
+// Fail implements answer: a whole answer is never sent in part.
+func (a *wholeAnswer) Fail(e *verdict.Error) { writeError(a.w, e) }
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -18,6 +18,8 @@
 	HeaderTimeout = "Limpethub-Timeout-Ms"
 	// HeaderIdempotent carries "true" or "false".
 	HeaderIdempotent = "Limpethub-Idempotent"
+	// HeaderDomain names the failure domain that the caller is near to.
+	HeaderDomain = "Limpethub-Failure-Domain"
 	// HeaderFirstInstance names the instance that a repeated request was first sent to.
 	HeaderFirstInstance = "Limpethub-First-Instance"
 	// HeaderInstance names, in each answer, the instance that gave it.
