--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -99,23 +99,26 @@
 	repeatable bool
 }
 
-// run admits the request and makes attempts until one ends it.
+// run admits the request and makes attempts until one ends it. The verdict of a
+// failure covers all attempts, not just the last one.
 func (f *Forwarder) run(ctx context.Context, call engine.Call, attempt func(engine.Server, engine.Call) attemptResult) error {
 	decision, err := f.dispatcher.Admit(ctx, call.Request)
+	if err != nil {
+		return f.explainEnd(ctx, err)
+	}
+	overall := verdict.NotRun
 	for number := 1; ; number++ {
-		if err != nil {
-			return f.explainEnd(ctx, err)
-		}
 		outcome, result := f.attempt(call, decision, number, attempt)
 		f.dispatcher.Finish(outcome)
 		if result.err == nil {
 			return nil
 		}
-		failure := f.explainEnd(ctx, result.err)
+		overall = verdict.Combine(overall, outcome.Verdict)
+		failure := f.explainEnd(ctx, result.err).With(overall)
 		if !f.mayRetry(ctx, call.Request, failure, result) {
 			return failure
 		}
-		f.logger.WithFields(logrus.Fields{"request": call.Request.ID, "server": decision.Server, "verdict": verdict.Of(failure).String(), "error": failure.Error()}).Info("retry")
+		f.logger.WithFields(logrus.Fields{"request": call.Request.ID, "server": decision.Server, "verdict": overall.String(), "error": failure.Error()}).Info("retry")
 		decision, err = f.dispatcher.Retry(ctx, call.Request, outcome)
 		if err != nil {
 			return retryRefused(failure, err)
@@ -143,7 +146,7 @@
 	outcome.Verdict = verdict.Ran
 	if result.err != nil {
 		outcome.Verdict = verdict.Of(result.err)
-		outcome.ServerLeaving = isLeaving(result.err)
+		outcome.ServerLeaving = engine.IsLeaving(result.err)
 	}
 	return outcome, result
 }
@@ -160,8 +163,8 @@
 	return failure.Verdict == verdict.NotRun || r.Idempotent
 }
 
-// retryRefused merges the failure of the last attempt with the refusal to retry.
-// The verdict is that of the attempt: the refusal proves nothing about it.
+// retryRefused merges the failure of the attempts with the refusal to retry. The
+// verdict is that of the attempts: the refusal proves nothing about them.
 func retryRefused(failure *verdict.Error, refusal error) *verdict.Error {
 	merged := *failure
 	var e *verdict.Error
@@ -188,12 +191,6 @@
 	return e
 }
 
-// isLeaving reports whether a server refused because it takes no new work.
-func isLeaving(err error) bool {
-	var e *verdict.Error
-	return errors.As(err, &e) && e.Code == verdict.CodeServerLeaving
-}
-
 // callerRequestID strips the attempt number from a run's id.
 func callerRequestID(id request.ID) request.ID {
 	if i := strings.LastIndexByte(string(id), '.'); i >= 0 {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -49,6 +49,18 @@
 	return fmt.Errorf("verdict: unknown verdict %q", text)
 }
 
+// Combine gives the verdict on a request that was attempted more than once: NotRun
+// only if every attempt was NotRun, and Ran as soon as one attempt ran.
+func Combine(a, b Verdict) Verdict {
+	switch {
+	case a == Ran || b == Ran:
+		return Ran
+	case a == NotRun && b == NotRun:
+		return NotRun
+	}
+	return MayHaveRun
+}
+
 // Code names the cause of a failed request. Codes are stable and documented for callers.
 type Code string
 
@@ -65,7 +77,6 @@
 	CodeNoServer        Code = "no_server"
 	CodeStopping        Code = "instance_stopping"
 	CodeServerRefused   Code = "server_refused"
-	CodeServerLeaving   Code = "server_leaving"
 	CodeRunUnknown      Code = "run_unknown"
 	CodeServerFailed    Code = "server_failed"
 	CodeServerSilent    Code = "server_silent"
@@ -90,6 +101,13 @@
 	Err error
 }
 
+// With returns a copy of the error with another verdict.
+func (e *Error) With(v Verdict) *Error {
+	copied := *e
+	copied.Verdict = v
+	return &copied
+}
+
 // Error implements error.
 func (e *Error) Error() string {
 	if e.Err == nil {
