--- a/internal/scheduling/finish.go
+++ b/internal/scheduling/finish.go
@@ -26,10 +26,7 @@
 	} else {
 		c.learnFailure(now, d, o)
 	}
-	if !s.listed && s.load.Own() == 0 {
-		delete(c.servers, s.Name)
-		delete(c.busy, s)
-	}
+	c.forgetServer(now, s)
 	return c.drainAfterExpiry(now, s)
 }
 
--- a/internal/scheduling/flowcontrol/reclass.go
+++ b/internal/scheduling/flowcontrol/rebuild.go
@@ -1,6 +1,9 @@
 package flowcontrol
 
-import "sort"
+import (
+	"container/heap"
+	"sort"
+)
 
 // All lists the waiting items in the order in which they came.
 func (q *Queue) All() []*Item {
@@ -12,6 +15,16 @@
 	return out
 }
 
+// SetAside hides an item from its lane until PutBack; it still waits.
+func (q *Queue) SetAside(item *Item) {
+	heap.Remove(&item.lane.classes[item.Request.Class], item.inLane)
+}
+
+// PutBack ends SetAside.
+func (q *Queue) PutBack(item *Item) {
+	heap.Push(&item.lane.classes[item.Request.Class], item)
+}
+
 // Restore adds an item of an earlier queue, also above the limit of its class: a
 // request that was accepted isn't dropped by a new configuration.
 func (q *Queue) Restore(lane *Lane, item *Item) { q.add(lane, item) }
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -43,6 +43,8 @@
 	ticked     time.Time
 	candidates []routing.Candidate
 	choices    []*replica
+	// aside holds waiting requests that one pass has passed over.
+	aside []*flowcontrol.Item
 }
 
 var _ Scheduler = (*core)(nil)
--- a/internal/scheduling/server.go
+++ b/internal/scheduling/server.go
@@ -76,9 +76,9 @@
 	for _, described := range servers {
 		c.setServer(described)
 	}
-	for name, s := range c.servers {
+	for _, s := range c.servers {
 		if !s.listed {
-			c.unlist(name, s)
+			c.unlist(now, s)
 		}
 	}
 	return c.advance(now)
@@ -98,16 +98,22 @@
 	}
 }
 
-// unlist takes a server that left the list out of the index, and forgets it once
-// nothing of this instance runs on it.
-func (c *core) unlist(name string, s *server) {
+// unlist takes a server that left the list out of the index.
+func (c *core) unlist(now time.Time, s *server) {
 	c.unindex(s)
 	s.resident = nil
 	s.Services = nil
-	if s.load.Own() == 0 {
-		delete(c.servers, name)
-		delete(c.busy, s)
+	c.forgetServer(now, s)
+}
+
+// forgetServer forgets an unlisted server once nothing of this instance runs on it.
+// A refusal as leaving is remembered longer, since a list may waver.
+func (c *core) forgetServer(now time.Time, s *server) {
+	if s.listed || s.load.Own() > 0 || now.Before(s.refusedUntil) {
+		return
 	}
+	delete(c.servers, s.Name)
+	delete(c.busy, s)
 }
 
 // ObserveReport implements Scheduler. A report older than the last one is ignored.
--- a/internal/scheduling/waiting.go
+++ b/internal/scheduling/waiting.go
@@ -90,17 +90,41 @@
 	for {
 		r, item := c.nextFor(now, s)
 		if item == nil {
-			return out
+			break
 		}
-		chosen, candidate := c.chooseOne(now, r, item)
-		if chosen == nil {
-			r.target.blocked[item.Request.Class] = c.round
+		candidate, ok := c.chooseOne(now, r, item)
+		if !ok {
+			c.passOver(r.target, item, &candidate)
 			continue
 		}
 		c.queue.Remove(item)
 		a := attempt{request: item.Request, unclear: item.Unclear}
-		out = append(out, c.dispatch(now, &a, chosen, &candidate))
+		out = append(out, c.dispatch(now, &a, r, &candidate))
 	}
+	c.putBack()
+	return out
+}
+
+// maxAside bounds how many waiting requests one pass sets aside.
+const maxAside = 32
+
+// passOver keeps the rest of the pass from trying the same request again. Where the
+// server has no room, it has none for the rest of the class either. Where the request
+// is only too late for this server, those behind it may yet make it.
+func (c *core) passOver(t *target, item *flowcontrol.Item, candidate *routing.Candidate) {
+	if candidate.Total >= candidate.Limit || len(c.aside) >= maxAside {
+		t.blocked[item.Request.Class] = c.round
+		return
+	}
+	c.queue.SetAside(item)
+	c.aside = append(c.aside, item)
+}
+
+func (c *core) putBack() {
+	for _, item := range c.aside {
+		c.queue.PutBack(item)
+	}
+	c.aside = c.aside[:0]
 }
 
 // nextFor returns what should go to the server next: the first request of a class
@@ -148,14 +172,12 @@
 }
 
 // chooseOne asks the policy whether the waiting request may go to the replica.
-func (c *core) chooseOne(now time.Time, r *replica, item *flowcontrol.Item) (*replica, routing.Candidate) {
+func (c *core) chooseOne(now time.Time, r *replica, item *flowcontrol.Item) (routing.Candidate, bool) {
 	k := c.seeker(now, r.target, &item.Request, "")
-	if !r.usable(now, k.avoid) {
-		return nil, routing.Candidate{}
-	}
 	c.candidates = append(c.candidates[:0], c.candidate(now, r, &k))
 	c.choices = append(c.choices[:0], r)
-	return c.chooseAmong(now, r.target, &k)
+	chosen, _ := c.chooseAmong(now, r.target, &k)
+	return c.candidates[0], chosen != nil
 }
 
 // predictWait predicts how long a request of a class would wait here, from the work
