--- /dev/null
+++ b/internal/operatorapi/client.go
@@ -0,0 +1,142 @@
+package operatorapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"limpethub/internal/site"
+)
+
+// maxAnswerBytes bounds what the client reads of an answer.
+const maxAnswerBytes = 64 << 20
+
+// UnreachableError means that no answer came. A change may have taken effect.
+type UnreachableError struct {
+	URL string
+	Err error
+}
+
+// Error implements error.
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("%s can't be reached: %v", e.URL, e.Err)
+}
+
+// Unwrap returns the underlying error.
+func (e *UnreachableError) Unwrap() error { return e.Err }
+
+// Client calls the operators' interface of one instance.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+// NewClient makes a client for a URL such as "https://10.0.0.1:8444". The token may be
+// empty when the HTTP client shows a certificate.
+func NewClient(base, token string, client *http.Client) *Client {
+	return &Client{base: strings.TrimSuffix(base, "/"), token: token, http: client}
+}
+
+// Status asks for the status of the site.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var out Status
+	err := c.call(ctx, http.MethodGet, PathStatus, nil, &out)
+	return out, err
+}
+
+// Configuration asks for the configuration in force.
+func (c *Client) Configuration(ctx context.Context) (site.Accepted, error) {
+	var out site.Accepted
+	err := c.call(ctx, http.MethodGet, PathConfiguration, nil, &out)
+	return out, err
+}
+
+// Apply asks for a change of configuration. The error may be a *ConflictError, an
+// *InvalidError, an *UnavailableError or an *UnclearError.
+func (c *Client) Apply(ctx context.Context, change ApplyRequest) (site.Accepted, error) {
+	var out site.Accepted
+	err := c.call(ctx, http.MethodPut, PathConfiguration, change, &out)
+	return out, err
+}
+
+// Explain asks about a model or adapter.
+func (c *Client) Explain(ctx context.Context, model string) (Explanation, error) {
+	var out Explanation
+	err := c.call(ctx, http.MethodGet, PathExplain+url.PathEscape(model), nil, &out)
+	return out, err
+}
+
+// Locate asks which instances callers of a model should use.
+func (c *Client) Locate(ctx context.Context, model string) (Location, error) {
+	var out Location
+	err := c.call(ctx, http.MethodGet, PathLocate+url.PathEscape(model), nil, &out)
+	return out, err
+}
+
+// Drain asks for the planned stop of an instance.
+func (c *Client) Drain(ctx context.Context, instance string) error {
+	return c.call(ctx, http.MethodPost, PathInstances+url.PathEscape(instance)+"/drain", nil, nil)
+}
+
+// call sends one request. in and out may be nil.
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	request, err := c.request(ctx, method, path, in)
+	if err != nil {
+		return err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return &UnreachableError{URL: c.base, Err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return &UnreachableError{URL: c.base, Err: err}
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		return errorOf(response, data)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fmt.Errorf("operatorapi: answer of %s: %w", c.base, err)
+	}
+	return nil
+}
+
+func (c *Client) request(ctx context.Context, method, path string, in any) (*http.Request, error) {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return nil, fmt.Errorf("operatorapi: marshal request: %w", err)
+		}
+		body = bytes.NewReader(data)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return nil, fmt.Errorf("operatorapi: %w", err)
+	}
+	if in != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	if c.token != "" {
+		request.Header.Set("Authorization", bearerPrefix+c.token)
+	}
+	return request, nil
+}
+
+func errorOf(response *http.Response, data []byte) error {
+	var body errorBody
+	if err := json.Unmarshal(data, &body); err != nil || body.Code == "" {
+		return fmt.Errorf("operatorapi: answer with status %s", response.Status)
+	}
+	return body.err()
+}
--- /dev/null
+++ b/internal/operatorapi/names.go
@@ -0,0 +1,17 @@
+package operatorapi
+
+import (
+	"net/http"
+	"net/url"
+
+	"github.com/gorilla/mux"
+)
+
+// nameOf returns the unescaped name in the path.
+func nameOf(r *http.Request) (string, error) {
+	name, err := url.PathUnescape(mux.Vars(r)["name"])
+	if err != nil {
+		return "", &badRequestError{reason: "the name in the path is badly escaped"}
+	}
+	return name, nil
+}
--- /dev/null
+++ b/internal/operatorapi/server.go
@@ -0,0 +1,212 @@
+package operatorapi
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
+)
+
+// Paths of the interface. All but PathHealth need an operator's key.
+const (
+	PathHealth        = "/healthz"
+	PathMetrics       = "/metrics"
+	PathStatus        = "/v1/operator/status"
+	PathConfiguration = "/v1/operator/configuration"
+	PathExplain       = "/v1/operator/explain/"
+	PathLocate        = "/v1/operator/locate/"
+	PathInstances     = "/v1/operator/instances/"
+)
+
+// maxChangeBytes bounds the body of a change; the key-value service holds less.
+const maxChangeBytes = 4 << 20
+
+// Handler serves operators over HTTP.
+type Handler struct {
+	controller Controller
+	auth       Auth
+	metrics    http.Handler
+	log        *logrus.Entry
+	router     *mux.Router
+}
+
+var _ http.Handler = (*Handler)(nil)
+
+// Option changes a Handler.
+type Option func(*Handler)
+
+// WithMetrics serves metrics at PathMetrics to operators.
+func WithMetrics(metrics http.Handler) Option {
+	return func(h *Handler) { h.metrics = metrics }
+}
+
+// WithLog writes a line for each change and each refusal.
+func WithLog(log *logrus.Entry) Option {
+	return func(h *Handler) { h.log = log }
+}
+
+// NewHandler makes a handler.
+func NewHandler(controller Controller, auth Auth, options ...Option) *Handler {
+	silent := logrus.New()
+	silent.SetLevel(logrus.PanicLevel)
+	h := &Handler{controller: controller, auth: auth, log: logrus.NewEntry(silent)}
+	for _, option := range options {
+		option(h)
+	}
+	h.route()
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.router.ServeHTTP(w, r) }
+
+func (h *Handler) route() {
+	// Names keep their escapes until a route has matched, so that a name with a
+	// slash in it stays one part of the path.
+	h.router = mux.NewRouter().UseEncodedPath()
+	h.router.HandleFunc(PathHealth, h.health).Methods(http.MethodGet)
+	guarded := h.router.NewRoute().Subrouter()
+	guarded.Use(h.onlyOperators)
+	guarded.HandleFunc(PathStatus, h.status).Methods(http.MethodGet)
+	guarded.HandleFunc(PathConfiguration, h.configuration).Methods(http.MethodGet)
+	guarded.HandleFunc(PathConfiguration, h.apply).Methods(http.MethodPut)
+	guarded.HandleFunc(PathExplain+"{name}", h.explain).Methods(http.MethodGet)
+	guarded.HandleFunc(PathLocate+"{name}", h.locate).Methods(http.MethodGet)
+	guarded.HandleFunc(PathInstances+"{name}/drain", h.drain).Methods(http.MethodPost)
+	if h.metrics != nil {
+		guarded.Handle(PathMetrics, h.metrics).Methods(http.MethodGet)
+	}
+}
+
+func (h *Handler) onlyOperators(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		operator, ok := h.auth.Operator(r)
+		if !ok {
+			h.log.WithFields(logrus.Fields{"path": r.URL.Path, "from": r.RemoteAddr}).Warn("Refused a call without an operator's key.")
+			h.fail(w, ErrUnauthorized)
+			return
+		}
+		if r.Method != http.MethodGet {
+			h.log.WithFields(logrus.Fields{"path": r.URL.Path, "operator": operator}).Info("Took an operator's change.")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (h *Handler) health(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	fmt.Fprintln(w, "ok")
+}
+
+func (h *Handler) status(w http.ResponseWriter, r *http.Request) {
+	status, err := h.controller.Status(r.Context())
+	h.answer(w, status, err)
+}
+
+func (h *Handler) configuration(w http.ResponseWriter, r *http.Request) {
+	accepted, err := h.controller.Configuration(r.Context())
+	h.answer(w, accepted, err)
+}
+
+func (h *Handler) apply(w http.ResponseWriter, r *http.Request) {
+	change, err := decodeChange(w, r)
+	if err != nil {
+		h.fail(w, err)
+		return
+	}
+	accepted, err := h.controller.Apply(r.Context(), change)
+	h.answer(w, accepted, err)
+}
+
+// decodeChange reads a change strictly: a field that this version doesn't know would
+// otherwise be lost without notice.
+func decodeChange(w http.ResponseWriter, r *http.Request) (ApplyRequest, error) {
+	var change ApplyRequest
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChangeBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&change); err != nil {
+		return change, &badRequestError{reason: fmt.Sprintf("the change can't be read: %v", err)}
+	}
+	if change.ChangeID == "" {
+		return change, &badRequestError{reason: "the change has no change_id"}
+	}
+	return change, nil
+}
+
+func (h *Handler) explain(w http.ResponseWriter, r *http.Request) {
+	name, err := nameOf(r)
+	if err != nil {
+		h.fail(w, err)
+		return
+	}
+	explanation, err := h.controller.Explain(r.Context(), name)
+	h.answer(w, explanation, err)
+}
+
+func (h *Handler) locate(w http.ResponseWriter, r *http.Request) {
+	name, err := nameOf(r)
+	if err != nil {
+		h.fail(w, err)
+		return
+	}
+	location, err := h.controller.Locate(r.Context(), name)
+	h.answer(w, location, err)
+}
+
+func (h *Handler) drain(w http.ResponseWriter, r *http.Request) {
+	name, err := nameOf(r)
+	if err != nil {
+		h.fail(w, err)
+		return
+	}
+	if err := h.controller.Drain(r.Context(), name); err != nil {
+		h.fail(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// answer writes a value, or the error if there is one.
+func (h *Handler) answer(w http.ResponseWriter, value any, err error) {
+	if err != nil {
+		h.fail(w, err)
+		return
+	}
+	h.write(w, http.StatusOK, value)
+}
+
+var statusOfCode = map[Code]int{
+	CodeBadRequest:   http.StatusBadRequest,
+	CodeUnauthorized: http.StatusUnauthorized,
+	CodeNotFound:     http.StatusNotFound,
+	CodeConflict:     http.StatusConflict,
+	CodeInvalid:      http.StatusUnprocessableEntity,
+	CodeUnavailable:  http.StatusServiceUnavailable,
+	CodeUnclear:      http.StatusGatewayTimeout,
+	CodeInternal:     http.StatusInternalServerError,
+}
+
+func (h *Handler) fail(w http.ResponseWriter, err error) {
+	body := bodyOf(err)
+	if body.Code == CodeUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
+	h.write(w, statusOfCode[body.Code], body)
+}
+
+func (h *Handler) write(w http.ResponseWriter, status int, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		h.log.WithError(err).Error("Could not write an answer.")
+		http.Error(w, errors.Unwrap(err).Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if _, err := w.Write(data); err != nil {
+		h.log.WithError(err).Debug("An operator left before the answer was written.")
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,101 @@
+package settings
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+// TestGood loads each good file and compares all of it, defaults included.
+func TestGood(t *testing.T) {
+	g := goldie.New(t, goldie.WithFixtureDir("testdata/good"))
+	for _, path := range files(t, "testdata/good") {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			s, err := Load(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			data, err := json.MarshalIndent(struct {
+				Settings Settings
+				Warnings []string
+			}{s, s.Warnings()}, "", "  ")
+			if err != nil {
+				t.Fatal(err)
+			}
+			g.Assert(t, filepath.Base(path), data)
+		})
+	}
+}
+
+// TestBad compares the errors of each bad file.
+func TestBad(t *testing.T) {
+	g := goldie.New(t, goldie.WithFixtureDir("testdata/bad"))
+	for _, path := range files(t, "testdata/bad") {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			s, err := Load(path)
+			if err == nil {
+				t.Fatal("was accepted")
+			}
+			if s.Instance != "" {
+				t.Error("settings were returned with the error")
+			}
+			g.Assert(t, filepath.Base(path), []byte(err.Error()+"\n"))
+		})
+	}
+}
+
+func files(t *testing.T, directory string) []string {
+	t.Helper()
+	paths, err := filepath.Glob(directory + "/*.json")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("%s: %d files, %v", directory, len(paths), err)
+	}
+	return paths
+}
+
+func TestMissingFile(t *testing.T) {
+	if _, err := Load("testdata/none.json"); err == nil || !strings.Contains(err.Error(), "testdata/none.json") {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestDurationsAndAddresses(t *testing.T) {
+	s := Default()
+	if s.DrainTimeout() != 2*time.Minute || s.EntriesTTL() != 5*time.Second {
+		t.Errorf("drain %v, entries %v", s.DrainTimeout(), s.EntriesTTL())
+	}
+	l := Listener{Address: "0.0.0.0:1"}
+	if l.AdvertisedAddress() != "0.0.0.0:1" {
+		t.Error("address without advertise")
+	}
+	l.Advertise = "10.0.0.1:1"
+	if l.AdvertisedAddress() != "10.0.0.1:1" {
+		t.Error("advertise is not used")
+	}
+}
+
+func TestPluginOptionsAreStrict(t *testing.T) {
+	data, err := os.ReadFile("testdata/good/full.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := Parse("full.json", data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var options struct {
+		WatchMillis int64 `json:"watch_ms"`
+	}
+	if err := s.Plugins.Store.Options.Decode(&options); err != nil || options.WatchMillis != 20_000 {
+		t.Errorf("options %+v, %v", options, err)
+	}
+	var none struct{}
+	if err := s.Plugins.Store.Options.Decode(&none); err == nil || !strings.Contains(err.Error(), "full.json:") {
+		t.Errorf("an unknown option gave %v", err)
+	}
+}
--- /dev/null
+++ b/internal/strictjson/decode.go
@@ -0,0 +1,187 @@
+package strictjson
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"strconv"
+	"strings"
+)
+
+// Raw is a value that is decoded later, with its place kept for error messages.
+type Raw struct {
+	node *Node
+}
+
+// Decode reads the value strictly into a struct. An absent value leaves it as it is.
+func (r Raw) Decode(into any) error {
+	if r.node == nil {
+		return nil
+	}
+	return Decode(r.node, into).Err()
+}
+
+// MarshalJSON implements json.Marshaler.
+func (r Raw) MarshalJSON() ([]byte, error) {
+	if r.node == nil {
+		return []byte("{}"), nil
+	}
+	return r.node.MarshalJSON()
+}
+
+// UnmarshalJSON implements json.Unmarshaler, for plug-ins configured in code.
+func (r *Raw) UnmarshalJSON(data []byte) error {
+	node, problems := Parse("", data)
+	if node == nil {
+		return problems.Err()
+	}
+	r.node = node
+	return problems.Err()
+}
+
+// Decode reads a tree into the struct that into points to. Fields that the tree
+// lacks keep their values, which serve as defaults. Unknown fields and values of the
+// wrong kind are problems. Field names are those of the json tags.
+func Decode(node *Node, into any) Problems {
+	d := &decoder{labels: NewIndex(node)}
+	d.value(node, reflect.ValueOf(into).Elem(), "")
+	return d.problems
+}
+
+type decoder struct {
+	labels   *Index
+	problems Problems
+}
+
+var rawType = reflect.TypeFor[Raw]()
+
+func (d *decoder) report(n *Node, path, mend, format string, args ...any) {
+	d.problems = append(d.problems, Problem{
+		File: n.File, Line: n.Line, Path: d.labels.Label(path),
+		Message: fmt.Sprintf(format, args...), Mend: mend,
+	})
+}
+
+func (d *decoder) value(n *Node, target reflect.Value, path string) {
+	if target.Type() == rawType {
+		target.Set(reflect.ValueOf(Raw{node: n}))
+		return
+	}
+	switch target.Kind() {
+	case reflect.Struct:
+		d.object(n, target, path)
+	case reflect.Slice:
+		d.list(n, target, path)
+	case reflect.String:
+		if d.expect(n, KindString, path) {
+			target.SetString(n.Text)
+		}
+	case reflect.Bool:
+		if d.expect(n, KindBool, path) {
+			target.SetBool(n.Text == "true")
+		}
+	case reflect.Int, reflect.Int64:
+		d.integer(n, target, path)
+	case reflect.Float64:
+		d.float(n, target, path)
+	default:
+		panic(fmt.Sprintf("strictjson: field %s has the unsupported type %s", path, target.Type()))
+	}
+}
+
+func (d *decoder) expect(n *Node, want Kind, path string) bool {
+	if n.Kind == want {
+		return true
+	}
+	d.report(n, path, mendKind(n, want, path), "%s is not %s", n.describe(), wanted(want, path))
+	return false
+}
+
+func (d *decoder) object(n *Node, target reflect.Value, path string) {
+	if !d.expect(n, KindObject, path) {
+		return
+	}
+	fields := fieldsOf(target.Type())
+	for _, m := range n.Members {
+		at := join(path, m.Name)
+		index, known := fields[m.Name]
+		if !known {
+			d.unknown(n, m, at, fields)
+			continue
+		}
+		d.value(m.Value, target.Field(index), at)
+	}
+}
+
+func (d *decoder) unknown(n *Node, m Member, path string, fields map[string]int) {
+	mend := "remove it"
+	if near := nearest(m.Name, fields); near != "" {
+		mend = fmt.Sprintf("did you mean %q?", near)
+	}
+	place := &Node{File: n.File, Line: m.Line}
+	if m.Value.File != "" {
+		place.File = m.Value.File
+	}
+	d.report(place, path, mend, "unknown field")
+}
+
+func (d *decoder) list(n *Node, target reflect.Value, path string) {
+	if !d.expect(n, KindList, path) {
+		return
+	}
+	out := reflect.MakeSlice(target.Type(), len(n.Elements), len(n.Elements))
+	for i, e := range n.Elements {
+		d.value(e, out.Index(i), fmt.Sprintf("%s[%d]", path, i))
+	}
+	target.Set(out)
+}
+
+func (d *decoder) integer(n *Node, target reflect.Value, path string) {
+	if !d.expect(n, KindNumber, path) {
+		return
+	}
+	value, err := strconv.ParseInt(n.Text, 10, 64)
+	if err != nil || target.OverflowInt(value) {
+		d.report(n, path, "write a whole number", "%s is not a whole number%s", n.Text, unitOf(path).suffix())
+		return
+	}
+	target.SetInt(value)
+}
+
+func (d *decoder) float(n *Node, target reflect.Value, path string) {
+	if !d.expect(n, KindNumber, path) {
+		return
+	}
+	value, err := strconv.ParseFloat(n.Text, 64)
+	if err != nil || math.IsInf(value, 0) {
+		d.report(n, path, "write a smaller number", "%s is out of range", n.Text)
+		return
+	}
+	target.SetFloat(value)
+}
+
+// fieldsOf maps the json names of a struct's fields to their positions.
+func fieldsOf(t reflect.Type) map[string]int {
+	out := make(map[string]int, t.NumField())
+	for i := range t.NumField() {
+		if name := jsonName(t.Field(i)); name != "" {
+			out[name] = i
+		}
+	}
+	return out
+}
+
+func jsonName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+	if name == "-" || !f.IsExported() {
+		return ""
+	}
+	return name
+}
+
+func join(path, field string) string {
+	if path == "" {
+		return field
+	}
+	return path + "." + field
+}
--- /dev/null
+++ b/internal/strictjson/unit.go
@@ -0,0 +1,150 @@
+package strictjson
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// unit is the unit of a numeric field, known by the ending of the field's name.
+type unit string
+
+// Units and the endings of field names that tell them.
+const (
+	unitNone      unit = ""
+	unitMillis    unit = "milliseconds"
+	unitMiB       unit = "MiB"
+	unitBytes     unit = "bytes"
+	unitPerSecond unit = "per second"
+)
+
+var unitEndings = []struct {
+	ending string
+	unit   unit
+}{
+	{"_ms", unitMillis},
+	{"_mb", unitMiB},
+	{"_bytes", unitBytes},
+	{"_per_second", unitPerSecond},
+}
+
+func unitOf(path string) unit {
+	for _, e := range unitEndings {
+		if strings.HasSuffix(path, e.ending) {
+			return e.unit
+		}
+	}
+	return unitNone
+}
+
+// suffix returns " of <unit>" or nothing.
+func (u unit) suffix() string {
+	switch u {
+	case unitNone:
+		return ""
+	case unitPerSecond:
+		return " per second"
+	default:
+		return " of " + string(u)
+	}
+}
+
+// wanted names the kind of value that a field takes.
+func wanted(kind Kind, path string) string {
+	if kind != KindNumber {
+		return string(kind)
+	}
+	return string(kind) + unitOf(path).suffix()
+}
+
+// mendKind says how to turn a value into one of the wanted kind.
+func mendKind(n *Node, want Kind, path string) string {
+	if n.Kind == KindString && want == KindNumber {
+		if number, ok := convert(n.Text, unitOf(path)); ok {
+			return "write " + number
+		}
+	}
+	if n.Kind == KindNumber && want == KindString {
+		return fmt.Sprintf("write %q", n.Text)
+	}
+	if n.Kind == KindString && want == KindBool && (n.Text == "true" || n.Text == "false") {
+		return "write " + n.Text + " without quotes"
+	}
+	return "write " + wanted(want, path)
+}
+
+// convert turns text such as "4s", "16 GiB" or "12" into a number of the unit.
+func convert(text string, u unit) (string, bool) {
+	compact := strings.ReplaceAll(text, " ", "")
+	if _, err := strconv.ParseFloat(compact, 64); err == nil {
+		return compact, true
+	}
+	switch u {
+	case unitMillis:
+		d, err := time.ParseDuration(compact)
+		return strconv.FormatInt(d.Milliseconds(), 10), err == nil
+	case unitMiB:
+		bytes, ok := parseSize(compact)
+		return strconv.FormatInt(bytes>>20, 10), ok && bytes >= 1<<20
+	case unitBytes:
+		bytes, ok := parseSize(compact)
+		return strconv.FormatInt(bytes, 10), ok
+	case unitPerSecond:
+		rate, ok := strings.CutSuffix(compact, "/s")
+		_, err := strconv.ParseFloat(rate, 64)
+		return rate, ok && err == nil
+	default:
+		return "", false
+	}
+}
+
+var sizeShifts = map[string]uint{
+	"B": 0, "K": 10, "KB": 10, "KIB": 10, "M": 20, "MB": 20, "MIB": 20,
+	"G": 30, "GB": 30, "GIB": 30, "T": 40, "TB": 40, "TIB": 40,
+}
+
+// parseSize reads a size such as "16GiB" as bytes, in powers of 1024.
+func parseSize(text string) (int64, bool) {
+	digits := strings.TrimRight(strings.ToUpper(text), "BIKMGT")
+	shift, known := sizeShifts[strings.ToUpper(text)[len(digits):]]
+	number, err := strconv.ParseFloat(digits, 64)
+	if !known || err != nil || number < 0 || number > 1<<20 {
+		return 0, false
+	}
+	return int64(number * float64(int64(1)<<shift)), true
+}
+
+// nearest returns the known name most like the given one, or "" if none is close.
+func nearest(name string, known map[string]int) string {
+	const closeEnough = 3
+	best, bestDistance := "", closeEnough
+	for candidate := range known {
+		distance := editDistance(name, candidate)
+		if distance < bestDistance || (distance == bestDistance && best != "" && candidate < best) {
+			best, bestDistance = candidate, distance
+		}
+	}
+	return best
+}
+
+// editDistance counts the insertions, deletions and replacements between two words.
+func editDistance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := diagonal
+			if a[i] != b[j] {
+				cost++
+			}
+			diagonal = row[j+1]
+			row[j+1] = min(cost, row[j]+1, row[j+1]+1)
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/internal/strictjson/validate.go
@@ -0,0 +1,105 @@
+package strictjson
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+)
+
+// TagAddress is the validate tag of fields that hold an IP number with a port.
+const TagAddress = "ip_port"
+
+// NewValidator makes a validator that knows the json names of fields and TagAddress.
+func NewValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(jsonName)
+	if err := v.RegisterValidation(TagAddress, isAddress); err != nil {
+		panic(fmt.Sprintf("strictjson: register %s: %v", TagAddress, err))
+	}
+	return v
+}
+
+func isAddress(fl validator.FieldLevel) bool {
+	_, err := netip.ParseAddrPort(fl.Field().String())
+	return err == nil
+}
+
+// Read decodes a tree into the struct that into points to, and applies its validate
+// tags. A field that could not be decoded is reported once.
+func Read(node *Node, into any, index *Index) Problems {
+	problems := Decode(node, into)
+	reported := map[string]bool{}
+	for _, p := range problems {
+		reported[p.Path] = true
+	}
+	for _, p := range Validate(into, index) {
+		if !reported[p.Path] {
+			problems = append(problems, p)
+		}
+	}
+	return problems
+}
+
+// Validate applies the validate tags of a struct and places what they find.
+func Validate(value any, index *Index) Problems {
+	err := NewValidator().Struct(value)
+	var found validator.ValidationErrors
+	if !errors.As(err, &found) {
+		return nil
+	}
+	var out Problems
+	for _, e := range found {
+		_, path, _ := strings.Cut(e.Namespace(), ".")
+		message, mend := explain(e, path, index)
+		out = append(out, index.Problem(path, mend, "%s", message))
+	}
+	return out
+}
+
+// explain words one finding of the validator.
+func explain(e validator.FieldError, path string, index *Index) (message, mend string) {
+	if !index.Has(path) {
+		return "is missing", "add " + requirement(e, path)
+	}
+	if e.Tag() == "required" {
+		return "is empty", "give it a value"
+	}
+	if e.Tag() == TagAddress {
+		return fmt.Sprintf("%q is not an address", e.Value()), "write an IP number and a port, as in 10.0.0.1:8443"
+	}
+	return fmt.Sprintf("%v is not allowed", quoteIfText(e.Value())), "write " + requirement(e, path)
+}
+
+func quoteIfText(value any) any {
+	if reflect.TypeOf(value).Kind() == reflect.String {
+		return fmt.Sprintf("%q", value)
+	}
+	return value
+}
+
+// requirement words the rule of a validate tag.
+func requirement(e validator.FieldError, path string) string {
+	unit := unitOf(path).suffix()
+	switch e.Tag() {
+	case "gt":
+		return fmt.Sprintf("a number%s above %s", unit, e.Param())
+	case "gte":
+		return fmt.Sprintf("a number%s of at least %s", unit, e.Param())
+	case "lt":
+		return fmt.Sprintf("a number%s below %s", unit, e.Param())
+	case "lte":
+		return fmt.Sprintf("a number%s of at most %s", unit, e.Param())
+	case "min":
+		return fmt.Sprintf("at least %s", e.Param())
+	case "oneof":
+		return "one of " + strings.Join(strings.Fields(e.Param()), ", ")
+	case TagAddress:
+		return "an IP number with a port"
+	default:
+		return "it"
+	}
+}
