--- /dev/null
+++ b/internal/engine/httpengine/events.go
@@ -0,0 +1,116 @@
+package httpengine
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+
+	"limpethub/internal/engine"
+	"limpethub/internal/request"
+)
+
+// Limits of event streams.
+const (
+	eventBufferBytes = 4 << 10
+	maxEventBytes    = 1 << 20
+)
+
+// endMarker is the data of the last event of a whole answer.
+var endMarker = []byte("[DONE]")
+
+var (
+	errEventTooLarge = errors.New("httpengine: event too large")
+	errEventID       = errors.New("httpengine: event id is not of the form request/offset")
+)
+
+// rawEvent is one server-sent event.
+type rawEvent struct {
+	id, data []byte
+}
+
+// parse returns the event and the request that it belongs to.
+func (r rawEvent) parse() (engine.Event, request.ID, error) {
+	slash := bytes.LastIndexByte(r.id, '/')
+	if slash < 0 {
+		return engine.Event{}, "", errEventID
+	}
+	offset, err := strconv.Atoi(string(r.id[slash+1:]))
+	if err != nil || offset < 0 {
+		return engine.Event{}, "", errEventID
+	}
+	event := engine.Event{Offset: offset, Data: r.data}
+	if bytes.Equal(r.data, endMarker) {
+		event.Data = nil
+		event.End = true
+	}
+	return event, request.ID(r.id[:slash]), nil
+}
+
+// eventReader splits a body into server-sent events.
+type eventReader struct {
+	lines *bufio.Reader
+	// alive is called for each line, also for comments.
+	alive func()
+}
+
+// next returns the next event that has data. An event that the body's end cuts off
+// is an error, as is the body's end itself.
+func (r *eventReader) next() (rawEvent, error) {
+	var event rawEvent
+	for {
+		line, err := r.line()
+		if err != nil {
+			return rawEvent{}, err
+		}
+		r.alive()
+		field, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch {
+		case len(line) == 0 && event.data != nil:
+			return event, nil
+		case string(field) == "id":
+			event.id = bytes.Clone(value)
+		case string(field) == "data":
+			event.data = appendData(event.data, value)
+		}
+		if len(event.data) > maxEventBytes {
+			return rawEvent{}, errEventTooLarge
+		}
+	}
+}
+
+// appendData joins the data lines of one event by newlines.
+func appendData(data, line []byte) []byte {
+	if data == nil {
+		return append(make([]byte, 0, len(line)), line...)
+	}
+	return append(append(data, '\n'), line...)
+}
+
+// line reads one line of bounded length, without its end.
+func (r *eventReader) line() ([]byte, error) {
+	line, err := r.lines.ReadSlice('\n')
+	if err == nil {
+		return bytes.TrimRight(line, "\r\n"), nil
+	}
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return nil, fmt.Errorf("httpengine: read events: %w", err)
+	}
+	return r.longLine(bytes.Clone(line))
+}
+
+func (r *eventReader) longLine(line []byte) ([]byte, error) {
+	for len(line) <= maxEventBytes {
+		more, err := r.lines.ReadSlice('\n')
+		line = append(line, more...)
+		if err == nil {
+			return bytes.TrimRight(line, "\r\n"), nil
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return nil, fmt.Errorf("httpengine: read events: %w", err)
+		}
+	}
+	return nil, errEventTooLarge
+}
--- /dev/null
+++ b/internal/engine/httpengine/httpengine_test.go
@@ -0,0 +1,199 @@
+package httpengine_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"limpethub/internal/engine"
+	"limpethub/internal/engine/httpengine"
+	"limpethub/internal/lab/standin"
+	"limpethub/internal/lab/standin/modelengine"
+	"limpethub/internal/request"
+	"limpethub/internal/verdict"
+)
+
+const testModel = "m@1"
+
+// newEngine starts a stand-in engine that holds the test model.
+func newEngine(t *testing.T, change func(*modelengine.Options)) (*modelengine.Engine, *standin.Host) {
+	t.Helper()
+	o := modelengine.Options{
+		Name: "s1", MemoryMB: 1000, StepTime: time.Millisecond, PrefillPerSecond: 1e6,
+		MaxBatch: 8, MaxWaiting: 8, PrefixBlocks: 64,
+	}
+	if change != nil {
+		change(&o)
+	}
+	e := modelengine.New(o)
+	if err := e.Preload(testModel, "", 400); err != nil {
+		t.Fatal(err)
+	}
+	host, err := standin.Listen(e.Handler())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(host.Kill)
+	return e, host
+}
+
+func completionCall(id request.ID, tokens int) engine.Call {
+	return engine.Call{
+		Request: request.Request{ID: id, Deadline: time.Now().Add(time.Minute)},
+		Method:  http.MethodPost,
+		Path:    "/v1/completions",
+		Header:  http.Header{"Content-Type": {"application/json"}},
+		Body:    fmt.Appendf(nil, `{"model":%q,"prompt":"p","max_tokens":%d}`, testModel, tokens),
+	}
+}
+
+func serverAt(address string) engine.Server { return engine.Server{Name: "s1", Address: address} }
+
+// drain reads a stream to its end and returns its pieces joined.
+func drain(s engine.Stream) (string, error) {
+	var text strings.Builder
+	for {
+		event, err := s.Next()
+		if err != nil {
+			return text.String(), err
+		}
+		if event.End {
+			return text.String(), s.Close()
+		}
+		text.Write(event.Data)
+	}
+}
+
+// checkWhole fails unless text is the whole answer of the request from an offset on.
+func checkWhole(t *testing.T, text string, id request.ID, from, tokens int) {
+	t.Helper()
+	for offset := range tokens {
+		if want := offset >= from; strings.Contains(text, `"`+modelengine.Token(id, offset)+`"`) != want {
+			t.Fatalf("offset %d: present %v, want %v, in %q", offset, !want, want, text)
+		}
+	}
+}
+
+func wantVerdict(t *testing.T, err error, v verdict.Verdict, code verdict.Code) {
+	t.Helper()
+	var e *verdict.Error
+	if !errors.As(err, &e) {
+		t.Fatalf("error %v carries no verdict", err)
+	}
+	if e.Verdict != v || e.Code != code {
+		t.Fatalf("got %v %s (%v), want %v %s", e.Verdict, e.Code, err, v, code)
+	}
+}
+
+func TestGenerateStreamsWholeAnswer(t *testing.T) {
+	_, host := newEngine(t, nil)
+	e := httpengine.New(httpengine.Options{})
+	s, err := e.Generate(context.Background(), serverAt(host.Address()), completionCall("a/b c", 20))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := drain(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	checkWhole(t, text, "a/b c", 0, 20)
+	state, err := e.State(context.Background(), serverAt(host.Address()), "a/b c")
+	if err != nil || state != engine.RunDone {
+		t.Fatalf("state %q, %v", state, err)
+	}
+}
+
+func TestResumeContinuesSameRun(t *testing.T) {
+	server, host := newEngine(t, nil)
+	e := httpengine.New(httpengine.Options{})
+	s, err := e.Generate(context.Background(), serverAt(host.Address()), completionCall("r1", 30))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 5 {
+		if _, err := s.Next(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = s.Close()
+	s, err = e.Resume(context.Background(), serverAt(host.Address()), "r1", 4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := drain(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	checkWhole(t, text, "r1", 5, 30)
+	if runs := server.Runs("r1"); runs != 1 {
+		t.Fatalf("%d runs, want 1", runs)
+	}
+}
+
+func TestCancelEndsRun(t *testing.T) {
+	_, host := newEngine(t, nil)
+	e := httpengine.New(httpengine.Options{})
+	s, err := e.Generate(context.Background(), serverAt(host.Address()), completionCall("c1", 1_000_000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := e.Cancel(context.Background(), serverAt(host.Address()), "c1"); err != nil {
+		t.Fatal(err)
+	}
+	_, err = drain(s)
+	if err == nil {
+		t.Fatal("a canceled run gave a whole answer")
+	}
+	state, err := e.State(context.Background(), serverAt(host.Address()), "c1")
+	if err != nil || state != engine.RunCanceled {
+		t.Fatalf("state %q, %v", state, err)
+	}
+}
+
+func TestOrders(t *testing.T) {
+	_, host := newEngine(t, func(o *modelengine.Options) {
+		o.HonoursFencing = true
+		o.OrderToken = "secret"
+	})
+	ctx := context.Background()
+	e := httpengine.New(httpengine.Options{OrderToken: "secret"})
+	order := engine.Order{ID: "o1", Fence: 5, Action: engine.ActionLoad, Ref: "n@1", MemoryMB: 300}
+	if err := e.Submit(ctx, serverAt(host.Address()), order); err != nil {
+		t.Fatal(err)
+	}
+	var stale *engine.StaleFenceError
+	err := e.Submit(ctx, serverAt(host.Address()), engine.Order{ID: "o2", Fence: 4, Action: engine.ActionFence})
+	if !errors.As(err, &stale) || stale.Seen != 5 {
+		t.Fatalf("stale order: %v", err)
+	}
+	stranger := httpengine.New(httpengine.Options{})
+	err = stranger.Submit(ctx, serverAt(host.Address()), engine.Order{ID: "o3", Fence: 6, Action: engine.ActionFence})
+	if err == nil || errors.As(err, &stale) && stale.Seen == 6 {
+		t.Fatalf("order without the token: %v", err)
+	}
+	inventory, err := e.Inventory(ctx, serverAt(host.Address()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if inventory.Fence != 5 || len(inventory.Orders) != 1 || len(inventory.Holdings) != 2 {
+		t.Fatalf("inventory %+v", inventory)
+	}
+}
+
+func TestLeavingServerRefuses(t *testing.T) {
+	server, host := newEngine(t, nil)
+	server.SetLeaving(true)
+	e := httpengine.New(httpengine.Options{})
+	_, err := e.Generate(context.Background(), serverAt(host.Address()), completionCall("l1", 3))
+	wantVerdict(t, err, verdict.NotRun, verdict.CodeServerRefused)
+	if !engine.IsLeaving(err) {
+		t.Fatalf("not a refusal by a leaving server: %v", err)
+	}
+	if runs := server.Runs("l1"); runs != 0 {
+		t.Fatalf("%d runs, want 0", runs)
+	}
+}
