--- /dev/null
+++ b/internal/daemon/parts.go
@@ -0,0 +1,229 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"limpethub/internal/engine"
+	"limpethub/internal/kernel"
+	"limpethub/internal/keys"
+	"limpethub/internal/logging"
+	"limpethub/internal/operatorapi"
+	"limpethub/internal/peers"
+	"limpethub/internal/platform"
+	"limpethub/internal/plugin"
+	"limpethub/internal/settings"
+	"limpethub/internal/store"
+	"limpethub/internal/storecall"
+)
+
+const (
+	purposeConfig = storecall.PurposeConfig
+	purposePlacer = storecall.PurposeLedger
+)
+
+// plugins holds the daemon's plug-ins.
+type plugins struct {
+	store     *storecall.Store
+	rawStore  store.Store
+	engine    engine.Adapter
+	instances platform.Lister
+	peers     peers.Transport
+	// peerAddress is the address that the transport is bound to.
+	peerAddress string
+}
+
+// storeFor returns the key-value service with calls counted for a purpose.
+func (p plugins) storeFor(purpose storecall.Purpose) store.Store { return p.store.For(purpose) }
+
+func (d *Daemon) buildPlugins() error {
+	steps := []func() error{d.buildStore, d.buildEngine, d.buildInstances, d.buildPeers}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return fmt.Errorf("daemon: %w", err)
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) buildStore() error {
+	environment, err := d.upstream(d.settings.Platform, logging.Store)
+	if err != nil {
+		return err
+	}
+	d.plugins.rawStore, err = plugin.Load[store.Store](d.settings.Plugins.Store, environment)
+	if err != nil {
+		return err
+	}
+	d.plugins.store = storecall.New(storecall.Options{Store: d.plugins.rawStore, Registerer: d.registry, Seed: d.seed})
+	return nil
+}
+
+func (d *Daemon) buildEngine() error {
+	environment, err := d.upstream(d.settings.Servers, logging.Routing)
+	if err != nil {
+		return err
+	}
+	d.plugins.engine, err = plugin.Load[engine.Adapter](d.settings.Plugins.Engine, environment)
+	return err
+}
+
+func (d *Daemon) buildInstances() error {
+	environment, err := d.upstream(d.settings.Platform, logging.Membership)
+	if err != nil {
+		return err
+	}
+	d.plugins.instances, err = plugin.Load[platform.Lister](d.settings.Plugins.Instances, environment)
+	return err
+}
+
+func (d *Daemon) buildPeers() error {
+	source, err := openKeys(d.settings.Listeners.Peers.TLS, d.keyError)
+	if err != nil {
+		return err
+	}
+	environment := plugin.Environment{
+		Listen: d.settings.Listeners.Peers.Address,
+		TLS:    peerTLS(source),
+		Logger: d.log(logging.Peers),
+	}
+	d.plugins.peers, err = plugin.Load[peers.Transport](d.settings.Plugins.Peers, environment)
+	if err != nil {
+		return err
+	}
+	d.plugins.peerAddress = d.settings.Listeners.Peers.AdvertisedAddress()
+	if binder, ok := d.plugins.peers.(plugin.Binder); ok {
+		bound, err := binder.Bind()
+		if err != nil {
+			return err
+		}
+		if d.settings.Listeners.Peers.Advertise == "" {
+			d.plugins.peerAddress = bound
+		}
+	}
+	return nil
+}
+
+// peerTLS is the configuration of both sides of a connection between peers.
+func peerTLS(source *keys.Source) *tls.Config {
+	config := source.Server(keys.ClientsMustShow)
+	client := source.Client()
+	config.RootCAs = client.RootCAs
+	config.GetClientCertificate = client.GetClientCertificate
+	return config
+}
+
+// upstream is the environment of a plug-in that connects to the platform or to
+// backend servers.
+func (d *Daemon) upstream(s settings.Upstream, part logging.Part) (plugin.Environment, error) {
+	environment := plugin.Environment{Logger: d.log(part)}
+	if s.Plaintext {
+		return environment, nil
+	}
+	source, err := openKeys(s.TLS, d.keyError)
+	if err != nil {
+		return environment, err
+	}
+	environment.TLS = source.Client()
+	return environment, nil
+}
+
+func (d *Daemon) keyError(err error) {
+	d.log(logging.Daemon).WithField("error", err.Error()).Error("changed key files not read; the former keys stay in use")
+}
+
+func (d *Daemon) peerAddress() string { return d.plugins.peerAddress }
+
+func (d *Daemon) buildListeners() error {
+	var err error
+	d.callers, err = listen(d.settings.Listeners.Callers, keys.ClientsNeedNone, d.keyError)
+	if err != nil {
+		return err
+	}
+	d.operators, err = listen(d.settings.Listeners.Operators, keys.ClientsMayShow, d.keyError)
+	return err
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range []*listener{d.callers, d.operators} {
+		if l != nil {
+			_ = l.close()
+		}
+	}
+}
+
+func (d *Daemon) buildHandlers() error {
+	operators, err := operatorapi.NewKeys(d.settings.Operators.TokenFile, d.keyError)
+	if err != nil {
+		return fmt.Errorf("daemon: operators' tokens: %w", err)
+	}
+	d.operatorHandler = operatorapi.NewHandler(
+		&controller{d}, operators,
+		operatorapi.WithMetrics(promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{})),
+		operatorapi.WithLog(d.log(logging.Operator)),
+	)
+	d.plugins.peers.Handle(peers.KindStatus, &remoteDrain{d})
+	return nil
+}
+
+// addParts puts the parts under the life cycle, in the order of their start.
+func (d *Daemon) addParts() {
+	d.lifecycle.Add("store", d.plugins.rawStore)
+	d.lifecycle.Add("engine", d.plugins.engine)
+	d.lifecycle.Add("instances", d.plugins.instances)
+	d.lifecycle.Add("peers", d.plugins.peers)
+	d.lifecycle.Add("loops", &loops{d})
+	d.lifecycle.Add("listeners", &openListeners{d})
+}
+
+// loops are the daemon's background loops under the life cycle.
+type loops struct{ daemon *Daemon }
+
+var (
+	_ kernel.Starter = (*loops)(nil)
+	_ kernel.Stopper = (*loops)(nil)
+)
+
+// Start implements kernel.Starter.
+func (l *loops) Start(context.Context) error {
+	d := l.daemon
+	d.run(func(ctx context.Context) { _ = d.cluster.Run(ctx) })
+	d.run(func(ctx context.Context) { _ = d.confsync.Run(ctx) })
+	d.run(d.followConfiguration)
+	d.run(d.monitor.Run)
+	d.run(d.exchange.loop)
+	d.run(func(ctx context.Context) { _ = d.placer.Run(ctx) })
+	return nil
+}
+
+// Stop implements kernel.Stopper. The loops end with the daemon's context.
+func (l *loops) Stop(context.Context) error {
+	l.daemon.stop()
+	l.daemon.running.Wait()
+	return nil
+}
+
+// openListeners are the HTTP listeners under the life cycle.
+type openListeners struct{ daemon *Daemon }
+
+var (
+	_ kernel.Starter = (*openListeners)(nil)
+	_ kernel.Stopper = (*openListeners)(nil)
+)
+
+// Start implements kernel.Starter.
+func (o *openListeners) Start(context.Context) error {
+	d := o.daemon
+	d.callers.serve(d.gateway, d.settings.Listeners.Callers.Bounds)
+	d.operators.serve(d.operatorHandler, d.settings.Listeners.Operators.Bounds)
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (o *openListeners) Stop(context.Context) error {
+	return errors.Join(o.daemon.callers.close(), o.daemon.operators.close())
+}
--- /dev/null
+++ b/internal/plugin/plugin.go
@@ -0,0 +1,54 @@
+// Package plugin makes plug-ins from a daemon's settings.
+package plugin
+
+import (
+	"crypto/tls"
+	"fmt"
+
+	"github.com/sirupsen/logrus"
+
+	"limpethub/internal/kernel"
+	"limpethub/internal/settings"
+	"limpethub/internal/strictjson"
+)
+
+// Environment is what a plug-in gets of its daemon.
+type Environment struct {
+	// Endpoints lists the addresses to connect to, host:port.
+	Endpoints []string
+	// Listen is the address to listen on, for plug-ins that listen.
+	Listen string
+	// TLS is nil for plain text.
+	TLS *tls.Config
+	// Options holds the plug-in's own settings.
+	Options strictjson.Raw
+	Logger  *logrus.Entry
+}
+
+// Configurable is a plug-in that takes its settings before Provision.
+type Configurable interface {
+	Configure(environment Environment) error
+}
+
+// Load makes the plug-in that the settings name and configures it.
+func Load[T any](named settings.Plugin, environment Environment) (T, error) {
+	loaded, err := kernel.New[T](named.Name)
+	if err != nil {
+		return loaded, fmt.Errorf("plugin: %w", err)
+	}
+	environment.Endpoints = named.Endpoints
+	environment.Options = named.Options
+	if c, ok := any(loaded).(Configurable); ok {
+		if err := c.Configure(environment); err != nil {
+			return loaded, fmt.Errorf("plugin: configure %s: %w", named.Name, err)
+		}
+	}
+	return loaded, nil
+}
+
+// Binder is a plug-in that listens. It is bound before other parts are made, so that
+// its address is known; it serves from Start on.
+type Binder interface {
+	// Bind opens the listener and returns its address.
+	Bind() (address string, err error)
+}
--- a/internal/servers/monitor.go
+++ b/internal/servers/monitor.go
@@ -303,3 +303,29 @@
 	}
 	return out
 }
+
+// Leaving lists the servers that are leaving.
+func (m *Monitor) Leaving() []string {
+	var out []string
+	for _, status := range m.Statuses() {
+		if status.Leaving {
+			out = append(out, status.Config.Name)
+		}
+	}
+	return out
+}
+
+// Reach is the share of servers, 0 to 1, that answered their last reports.
+func (m *Monitor) Reach() float64 {
+	statuses := m.Statuses()
+	if len(statuses) == 0 {
+		return 1
+	}
+	reached := 0
+	for _, status := range statuses {
+		if !status.Unreachable {
+			reached++
+		}
+	}
+	return float64(reached) / float64(len(statuses))
+}
