Placement: floor planner, ledger, lease, demand and the placer shell

A first whole: each model and adapter version gets a resident copy, and a second one in another failure domain where memory allows. Every order is written to the ledger key by compare-and-swap before it is sent; servers that honour fencing get a fencing number first and may be moved while the key-value service is away, within a reserved half of the weight store's concurrency and rate.

--- /dev/null
+++ b/internal/ledger/record.go
@@ -0,0 +1,54 @@
+// Package ledger accounts for the accelerator memory of a cell's servers: what is
+// resident, and what orders that may still arrive could add. It has no clock,
+// socket or goroutine.
+//
+// An order stays in the ledger until the server itself settles it: its inventory
+// shows the outcome, or shows a newer fencing number, below which the server
+// refuses. No order leaves on a timeout alone.
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"limpethub/internal/engine"
+)
+
+// Pending is an order whose outcome isn't settled.
+type Pending struct {
+	// Server is the name of the server that the order is for.
+	Server string `json:"server"`
+	// Order is what was or will be sent.
+	Order engine.Order `json:"order"`
+	// Unrecorded is true for an order that was sent without a write to the ledger
+	// key. Only servers that honour fencing get such orders.
+	Unrecorded bool `json:"unrecorded,omitempty"`
+}
+
+// Record is the value of the ledger key.
+type Record struct {
+	// Term is the term of the holder that wrote the record.
+	Term uint64 `json:"term"`
+	// WriteID is unique to the write; it resolves a write whose answer was lost.
+	WriteID string `json:"write_id"`
+	// Pending lists the orders whose outcome the writer hadn't seen, oldest first.
+	Pending []Pending `json:"pending"`
+}
+
+// Encode returns the stored form.
+func (r Record) Encode() []byte {
+	data, err := json.Marshal(r)
+	if err != nil {
+		panic(fmt.Sprintf("ledger: encode record: %v", err))
+	}
+	return data
+}
+
+// Decode reads the stored form.
+func Decode(data []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Record{}, fmt.Errorf("ledger: decode record: %w", err)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/placement/board.go
@@ -0,0 +1,218 @@
+package placement
+
+import (
+	"limpethub/internal/engine"
+	"limpethub/internal/modelref"
+	"limpethub/internal/site"
+)
+
+// unit is a version with its demand.
+type unit struct {
+	site.Unit
+	// base is the index of the adapter's base, or -1.
+	base int
+	// adapters holds the indexes of the adapters that extend the unit.
+	adapters []int
+	// tokens is the demand for the unit itself, in tokens per second.
+	tokens float64
+	// weight is the value of one token of it.
+	weight float64
+}
+
+// board is the working state of one plan: servers by units, changed as moves are
+// decided on.
+type board struct {
+	in      Input
+	units   []unit
+	index   map[modelref.Ref]int
+	servers []serverState
+	// copies holds, per unit, the servers with a copy that serves or will serve.
+	copies [][]int
+	plan   Plan
+	loads  int
+	quota  map[string]int
+}
+
+type serverState struct {
+	Server
+	// free is what isn't committed; soon is what pending unloads will free, in MiB.
+	free, soon int64
+	// states holds each unit's state on the server, by unit index.
+	states []engine.HoldingState
+}
+
+func newBoard(in Input) *board {
+	b := &board{in: in, index: map[modelref.Ref]int{}, loads: in.Budget.Loads, quota: map[string]int{}}
+	for _, d := range in.Budget.Domains {
+		b.quota[d.FailureDomain] = d.Loads
+	}
+	b.addUnits()
+	b.addServers()
+	return b
+}
+
+func (b *board) addUnits() {
+	for _, u := range b.in.Document.Units() {
+		b.index[u.Ref] = len(b.units)
+		b.units = append(b.units, unit{Unit: u, base: -1, weight: b.classWeight(u.Class)})
+	}
+	for i := range b.units {
+		base, ok := b.index[b.units[i].Base]
+		if b.units[i].Base != "" && ok {
+			b.units[i].base = base
+			b.units[base].adapters = append(b.units[base].adapters, i)
+		}
+	}
+	for _, e := range b.in.Demand {
+		if i, ok := b.index[e.Ref]; ok {
+			b.units[i].tokens = e.Tokens
+			if e.Weight > 0 {
+				b.units[i].weight = e.Weight
+			}
+		}
+	}
+}
+
+func (b *board) classWeight(class int) float64 {
+	if class < 0 || class >= len(b.in.Document.Classes) {
+		return 1
+	}
+	return b.in.Document.Classes[class].Weight
+}
+
+func (b *board) addServers() {
+	b.copies = make([][]int, len(b.units))
+	for i, server := range b.in.Servers {
+		s := serverState{
+			Server: server,
+			free:   server.CapacityMB - server.CommittedMB,
+			states: make([]engine.HoldingState, len(b.units)),
+		}
+		for _, c := range server.Copies {
+			b.addCopy(&s, i, c)
+		}
+		b.servers = append(b.servers, s)
+	}
+}
+
+func (b *board) addCopy(s *serverState, server int, c Copy) {
+	if c.State == engine.StateUnloading {
+		s.soon += c.MemoryMB
+	}
+	u, ok := b.index[c.Ref]
+	if !ok {
+		return
+	}
+	s.states[u] = c.State
+	if c.State != engine.StateUnloading && s.Reachable && !s.Leaving {
+		b.copies[u] = append(b.copies[u], server)
+	}
+}
+
+// resident reports whether a unit serves on a server now.
+func (b *board) resident(u, s int) bool { return b.servers[s].states[u] == engine.StateResident }
+
+// usable reports whether the server may get loads.
+func (s *serverState) usable() bool { return s.Ready && !s.Leaving }
+
+// domains counts the failure domains that hold a copy of the unit, but for the
+// copy on one server; -1 leaves out none.
+func (b *board) domains(u, without int) int {
+	seen := map[string]bool{}
+	for _, s := range b.copies[u] {
+		if s != without {
+			seen[b.servers[s].FailureDomain] = true
+		}
+	}
+	return len(seen)
+}
+
+// residentElsewhere counts the serving copies on other servers that take orders.
+func (b *board) residentElsewhere(u, server int) int {
+	n := 0
+	for _, s := range b.copies[u] {
+		if s != server && b.servers[s].Ready && b.resident(u, s) {
+			n++
+		}
+	}
+	return n
+}
+
+// mayLoad reports whether the budget allows a load on the server now.
+func (b *board) mayLoad(s int) bool {
+	if b.loads <= 0 {
+		return false
+	}
+	left, limited := b.quota[b.servers[s].FailureDomain]
+	return !limited || left > 0
+}
+
+// baseReady reports whether an adapter's base serves on the server.
+func (b *board) baseReady(u, s int) bool {
+	base := b.units[u].base
+	return base < 0 || b.resident(base, s)
+}
+
+// load decides on a load. Without memory or budget at this moment the copy is only
+// noted, so that the rest of the plan counts on it; a later plan orders it.
+func (b *board) load(u, s int, gain float64, reason string) {
+	server := &b.servers[s]
+	size := b.units[u].MemoryMB
+	if server.free >= size && b.baseReady(u, s) && b.mayLoad(s) {
+		b.plan.Moves = append(b.plan.Moves, Move{
+			Action:   engine.ActionLoad,
+			Server:   server.Name,
+			Ref:      b.units[u].Ref,
+			Base:     b.units[u].Base,
+			MemoryMB: size,
+			Wanted:   true,
+			Reason:   reason,
+			Gain:     gain,
+		})
+		b.spend(server.FailureDomain)
+	}
+	server.free -= size
+	server.states[u] = engine.StateLoading
+	b.copies[u] = append(b.copies[u], s)
+}
+
+func (b *board) spend(domain string) {
+	b.loads--
+	if _, limited := b.quota[domain]; limited {
+		b.quota[domain]--
+	}
+}
+
+// unload decides on an unload.
+func (b *board) unload(u, s int, gain float64, reason string) {
+	server := &b.servers[s]
+	b.plan.Moves = append(b.plan.Moves, Move{
+		Action: engine.ActionUnload,
+		Server: server.Name,
+		Ref:    b.units[u].Ref,
+		Wanted: true,
+		Reason: reason,
+		Gain:   gain,
+	})
+	server.soon += b.units[u].MemoryMB
+	server.states[u] = engine.StateUnloading
+	b.drop(u, s)
+}
+
+func (b *board) drop(u, s int) {
+	kept := b.copies[u][:0]
+	for _, other := range b.copies[u] {
+		if other != s {
+			kept = append(kept, other)
+		}
+	}
+	b.copies[u] = kept
+}
+
+func (b *board) shortfall(u int, unreachable bool, reason string) {
+	b.plan.Shortfalls = append(b.plan.Shortfalls, Shortfall{
+		Ref:         b.units[u].Ref,
+		Unreachable: unreachable,
+		Reason:      reason,
+	})
+}
--- /dev/null
+++ b/internal/placer/metrics.go
@@ -0,0 +1,75 @@
+package placer
+
+import (
+	"fmt"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+const metricsNamespace = "limpethub"
+
+// metrics counts what the placer does.
+type metrics struct {
+	events    *prometheus.CounterVec
+	moves     *prometheus.CounterVec
+	committed *prometheus.GaugeVec
+	capacity  *prometheus.GaugeVec
+	holding   prometheus.Gauge
+}
+
+// newMetrics makes the metrics and registers them, if there is a registerer.
+func newMetrics(r prometheus.Registerer) (*metrics, error) {
+	m := &metrics{
+		events: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Subsystem: "placement", Name: "events_total",
+			Help: "Events of placement, by kind.",
+		}, []string{"kind"}),
+		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Subsystem: "placement", Name: "moves_total",
+			Help: "Orders to load, unload or change role, by action.",
+		}, []string{"action"}),
+		committed: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: metricsNamespace, Subsystem: "placement", Name: "committed_mebibytes",
+			Help: "Accelerator memory that is or may come to be taken, by server.",
+		}, []string{"server"}),
+		capacity: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: metricsNamespace, Subsystem: "placement", Name: "capacity_mebibytes",
+			Help: "Accelerator memory, by server.",
+		}, []string{"server"}),
+		holding: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: metricsNamespace, Subsystem: "placement", Name: "holding",
+			Help: "1 on the instance that holds the cell's lease.",
+		}),
+	}
+	if r == nil {
+		return m, nil
+	}
+	for _, c := range []prometheus.Collector{m.events, m.moves, m.committed, m.capacity, m.holding} {
+		if err := r.Register(c); err != nil {
+			return nil, fmt.Errorf("placer: register metrics: %w", err)
+		}
+	}
+	return m, nil
+}
+
+func (m *metrics) count(e event) {
+	m.events.WithLabelValues(string(e.kind)).Inc()
+	if e.kind == eventMove {
+		m.moves.WithLabelValues(string(e.order.Action)).Inc()
+	}
+}
+
+// gauge sets the gauges from the core's state. One that isn't the holder reports none.
+func (m *metrics) gauge(c *core) {
+	if c.phase != phaseActive || c.ledger == nil {
+		m.holding.Set(0)
+		m.committed.Reset()
+		m.capacity.Reset()
+		return
+	}
+	m.holding.Set(1)
+	for _, a := range c.ledger.Accounts() {
+		m.committed.WithLabelValues(a.Spec.Name).Set(float64(a.CommittedMB))
+		m.capacity.WithLabelValues(a.Spec.Name).Set(float64(a.CapacityMB))
+	}
+}
--- /dev/null
+++ b/internal/placer/snapshot.go
@@ -0,0 +1,204 @@
+package placer
+
+import (
+	"time"
+
+	"limpethub/internal/engine"
+	"limpethub/internal/ledger"
+	"limpethub/internal/modelref"
+	"limpethub/internal/placement"
+)
+
+// Snapshot is a placer's state for operators.
+type Snapshot struct {
+	// Instance is the instance that took the snapshot.
+	Instance string `json:"instance"`
+	Cell     string `json:"cell"`
+	// Taken is the instance's time.
+	Taken time.Time   `json:"taken"`
+	Lease LeaseStatus `json:"lease"`
+	// Servers, Units and Plan are filled in on the holder only.
+	Servers []ServerStatus `json:"servers,omitempty"`
+	Units   []UnitStatus   `json:"units,omitempty"`
+	Plan    PlanStatus     `json:"plan"`
+}
+
+// LeaseStatus says who may order.
+type LeaseStatus struct {
+	// Holder is the instance that the lease key names; empty when none does.
+	Holder string `json:"holder"`
+	Term   uint64 `json:"term"`
+	// Holding is true on the instance that holds the lease and acts.
+	Holding bool `json:"holding"`
+	// Recording is false on a holder that can't write the ledger key, and so moves
+	// only servers that honour fencing.
+	Recording bool `json:"recording"`
+}
+
+// ServerStatus is one server's account. Sizes are in MiB.
+type ServerStatus struct {
+	Name          string           `json:"name"`
+	FailureDomain string           `json:"failure_domain"`
+	Reachable     bool             `json:"reachable"`
+	Ready         bool             `json:"ready"`
+	CapacityMB    int64            `json:"capacity_mb"`
+	CommittedMB   int64            `json:"committed_mb"`
+	Fence         uint64           `json:"fence"`
+	Incarnation   string           `json:"incarnation"`
+	Role          string           `json:"role,omitempty"`
+	Holdings      []engine.Holding `json:"holdings"`
+	Pending       []ledger.Pending `json:"pending"`
+}
+
+// CopyStatus is one copy of a version.
+type CopyStatus struct {
+	Server        string              `json:"server"`
+	FailureDomain string              `json:"failure_domain"`
+	State         engine.HoldingState `json:"state"`
+	Reachable     bool                `json:"reachable"`
+	// Reason says why it was loaded, if this holder ordered it.
+	Reason string `json:"reason,omitempty"`
+}
+
+// UnitStatus is one version with its copies and demand.
+type UnitStatus struct {
+	Ref      modelref.Ref `json:"ref"`
+	MemoryMB int64        `json:"memory_mb"`
+	// Reachable is true while a reachable server has it resident.
+	Reachable bool         `json:"reachable"`
+	Copies    []CopyStatus `json:"copies"`
+	// RequestsPerSecond and TokensPerSecond are the estimated demand.
+	RequestsPerSecond float64 `json:"requests_per_second"`
+	TokensPerSecond   float64 `json:"tokens_per_second"`
+}
+
+// PlanStatus is the last plan.
+type PlanStatus struct {
+	// Planned is when the plan was made; zero means never.
+	Planned    time.Time             `json:"planned"`
+	Moves      []placement.Move      `json:"moves"`
+	Shortfalls []placement.Shortfall `json:"shortfalls"`
+}
+
+// Explanation says why a version is where it is and what is planned for it.
+type Explanation struct {
+	// Instance answered; Holder is the one to ask when Holding is false.
+	Instance string     `json:"instance"`
+	Holder   string     `json:"holder"`
+	Holding  bool       `json:"holding"`
+	Unit     UnitStatus `json:"unit"`
+	// Pending lists open orders, Moves planned ones, Shortfalls unmet wishes.
+	Pending    []ledger.Pending      `json:"pending"`
+	Moves      []placement.Move      `json:"moves"`
+	Shortfalls []placement.Shortfall `json:"shortfalls"`
+}
+
+// copyKey names one copy.
+type copyKey struct {
+	server string
+	ref    modelref.Ref
+}
+
+// snapshot builds the present state.
+func (c *core) snapshot(now time.Time) Snapshot {
+	record := c.lease.Record()
+	s := Snapshot{
+		Instance: c.instance,
+		Cell:     c.cell,
+		Taken:    now,
+		Lease:    LeaseStatus{Holder: record.Holder, Term: record.Term},
+	}
+	if record.Released {
+		s.Lease.Holder = ""
+	}
+	if c.phase != phaseActive || c.ledger == nil {
+		return s
+	}
+	s.Lease.Holding, s.Lease.Recording = true, c.recording(now)
+	s.Plan = PlanStatus{Planned: c.planned, Moves: c.plan.Moves, Shortfalls: c.plan.Shortfalls}
+	for _, a := range c.ledger.Accounts() {
+		s.Servers = append(s.Servers, serverStatus(a))
+	}
+	s.Units = c.unitStatuses(s.Servers)
+	return s
+}
+
+func serverStatus(a ledger.Account) ServerStatus {
+	return ServerStatus{
+		Name:          a.Spec.Name,
+		FailureDomain: a.Spec.FailureDomain,
+		Reachable:     a.Reachable,
+		Ready:         a.Ready,
+		CapacityMB:    a.CapacityMB,
+		CommittedMB:   a.CommittedMB,
+		Fence:         a.Fence,
+		Incarnation:   a.Incarnation,
+		Role:          a.Role,
+		Holdings:      a.Holdings,
+		Pending:       a.Pending,
+	}
+}
+
+func (c *core) unitStatuses(servers []ServerStatus) []UnitStatus {
+	var out []UnitStatus
+	at := map[modelref.Ref]int{}
+	for _, u := range c.document.Units() {
+		at[u.Ref] = len(out)
+		out = append(out, UnitStatus{Ref: u.Ref, MemoryMB: u.MemoryMB})
+	}
+	for _, e := range c.tracker.Estimates() {
+		if i, ok := at[e.Ref]; ok {
+			out[i].RequestsPerSecond, out[i].TokensPerSecond = e.Requests, e.Tokens
+		}
+	}
+	for _, s := range servers {
+		for _, h := range s.Holdings {
+			if i, ok := at[h.Ref]; ok {
+				out[i].add(s, h, c.reasons[copyKey{s.Name, h.Ref}])
+			}
+		}
+	}
+	return out
+}
+
+func (u *UnitStatus) add(s ServerStatus, h engine.Holding, reason string) {
+	u.Copies = append(u.Copies, CopyStatus{
+		Server:        s.Name,
+		FailureDomain: s.FailureDomain,
+		State:         h.State,
+		Reachable:     s.Reachable,
+		Reason:        reason,
+	})
+	if s.Reachable && h.State == engine.StateResident {
+		u.Reachable = true
+	}
+}
+
+// explain picks what concerns one version out of a snapshot.
+func (s Snapshot) explain(ref modelref.Ref) (Explanation, bool) {
+	e := Explanation{Instance: s.Instance, Holder: s.Lease.Holder, Holding: s.Lease.Holding}
+	found := !s.Lease.Holding
+	for _, u := range s.Units {
+		if u.Ref == ref {
+			e.Unit, found = u, true
+		}
+	}
+	for _, server := range s.Servers {
+		for _, p := range server.Pending {
+			if p.Order.Ref == ref {
+				e.Pending = append(e.Pending, p)
+			}
+		}
+	}
+	for _, m := range s.Plan.Moves {
+		if m.Ref == ref {
+			e.Moves = append(e.Moves, m)
+		}
+	}
+	for _, f := range s.Plan.Shortfalls {
+		if f.Ref == ref {
+			e.Shortfalls = append(e.Shortfalls, f)
+		}
+	}
+	return e, found
+}
