--- a/cmd/limpethubd/main.go
+++ b/cmd/limpethubd/main.go
@@ -1,4 +1,68 @@
-// Command limpethubd is built in a later commit.
+// Command limpethubd is the daemon of one entry instance.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"limpethub/internal/daemon"
+	"limpethub/internal/settings"
+
+	_ "limpethub/internal/plugins"
+)
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "limpethubd:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:           "limpethubd --settings FILE",
+		Short:         "Serve callers, operators and peers as one entry instance",
+		Long:          "Serve callers, operators and peers as one entry instance.\nSIGTERM and SIGINT start a planned stop, which finishes every request in progress; a second one ends the process at once.",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(*cobra.Command, []string) error { return serve(path) },
+	}
+	cmd.Flags().StringVar(&path, "settings", "", "settings file of this process (required)")
+	_ = cmd.MarkFlagRequired("settings")
+	return cmd
+}
+
+// serve runs the daemon until a planned stop is done.
+func serve(path string) error {
+	loaded, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(loaded, os.Stderr)
+	if err != nil {
+		return err
+	}
+	if err := d.Start(context.Background()); err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-signals:
+	case <-d.Drained():
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return d.Drain(ctx)
+}
--- /dev/null
+++ b/internal/daemon/controller.go
@@ -0,0 +1,238 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"limpethub/internal/confsync"
+	"limpethub/internal/engine"
+	"limpethub/internal/membership"
+	"limpethub/internal/operatorapi"
+	"limpethub/internal/placer"
+	"limpethub/internal/servers"
+	"limpethub/internal/site"
+)
+
+// controller does what operators ask of the daemon.
+type controller struct{ daemon *Daemon }
+
+var _ operatorapi.Controller = (*controller)(nil)
+
+// Status implements operatorapi.Controller.
+func (c *controller) Status(ctx context.Context) (operatorapi.Status, error) {
+	d := c.daemon
+	accepted, _ := d.confsync.Current()
+	snapshot := d.placementSnapshot(ctx)
+	status := operatorapi.Status{
+		Instance:  d.settings.Instance,
+		Site:      d.settings.Site,
+		Time:      time.Now(),
+		Revision:  accepted.Revision,
+		Placement: placementStatus(snapshot),
+		Store:     d.storeStatus(),
+		Instances: d.instanceStatuses(ctx),
+		Servers:   serverStatuses(d.monitor.Statuses(), snapshot),
+		Classes:   d.classStatuses(&accepted.Document),
+	}
+	for _, unit := range accepted.Document.Units() {
+		status.Models = append(status.Models, modelStatus(&accepted.Document, unit, status.Servers, snapshot))
+	}
+	return status, nil
+}
+
+// Configuration implements operatorapi.Controller.
+func (c *controller) Configuration(context.Context) (site.Accepted, error) {
+	accepted, ok := c.daemon.confsync.Current()
+	if !ok {
+		return site.Accepted{}, &operatorapi.NotFoundError{Kind: "configuration", Name: c.daemon.settings.Site}
+	}
+	return accepted, nil
+}
+
+// Apply implements operatorapi.Controller.
+func (c *controller) Apply(ctx context.Context, change operatorapi.ApplyRequest) (site.Accepted, error) {
+	if change.Document.Site != c.daemon.settings.Site {
+		return site.Accepted{}, &operatorapi.NotFoundError{Kind: "site", Name: change.Document.Site}
+	}
+	accepted, err := c.daemon.confsync.Apply(ctx, change.BaseRevision, change.ChangeID, change.Document)
+	return accepted, operatorError(err)
+}
+
+// operatorError turns confsync's errors into those of the operators' interface.
+func operatorError(err error) error {
+	var conflict *confsync.ConflictError
+	var unclear *confsync.UnclearError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &conflict):
+		return &operatorapi.ConflictError{BaseRevision: conflict.Base, CurrentRevision: conflict.Current}
+	case errors.As(err, &unclear):
+		return &operatorapi.UnclearError{Reason: unclear.Error()}
+	}
+	return &operatorapi.UnavailableError{Reason: err.Error()}
+}
+
+// Locate implements operatorapi.Controller.
+func (c *controller) Locate(_ context.Context, model string) (operatorapi.Location, error) {
+	d := c.daemon
+	unit, err := d.resolve(model)
+	if err != nil {
+		return operatorapi.Location{}, err
+	}
+	location := operatorapi.Location{Model: unit.Ref, TTLMillis: d.settings.EntriesTTLMillis}
+	for _, e := range d.directory.Entries(model, "") {
+		location.Entries = append(location.Entries, operatorapi.Entry{Instance: e.Instance, Address: e.Address, FailureDomain: e.FailureDomain})
+	}
+	return location, nil
+}
+
+func (d *Daemon) resolve(model string) (site.Unit, error) {
+	accepted, _ := d.confsync.Current()
+	unit, ok := accepted.Document.Resolve(model)
+	if !ok {
+		return site.Unit{}, &operatorapi.NotFoundError{Kind: "model", Name: model}
+	}
+	return unit, nil
+}
+
+func placementStatus(s placer.Snapshot) operatorapi.PlacementStatus {
+	status := operatorapi.PlacementStatus{Holder: s.Lease.Holder, Fence: s.Lease.Term}
+	for _, server := range s.Servers {
+		status.OrdersPending += len(server.Pending)
+	}
+	return status
+}
+
+var instanceStates = map[membership.State]operatorapi.InstanceState{
+	membership.Alive:   operatorapi.InstanceAlive,
+	membership.Suspect: operatorapi.InstanceSuspect,
+	membership.Leaving: operatorapi.InstanceDraining,
+	membership.Dead:    operatorapi.InstanceDead,
+}
+
+func (d *Daemon) instanceStatuses(ctx context.Context) []operatorapi.InstanceStatus {
+	revisions := map[string]uint64{}
+	for _, r := range d.confsync.Revisions(ctx) {
+		revisions[r.Instance] = r.Revision
+	}
+	var out []operatorapi.InstanceStatus
+	for _, m := range d.cluster.Members() {
+		status := operatorapi.InstanceStatus{
+			Name:          m.Name,
+			State:         instanceStates[m.State],
+			FailureDomain: m.FailureDomain,
+			CallerAddress: m.CallerAddress,
+			Revision:      revisions[m.Name],
+		}
+		if m.Name == d.settings.Instance {
+			status.Requests = int(d.gateway.Open())
+		}
+		out = append(out, status)
+	}
+	return out
+}
+
+func serverStatuses(known []servers.Status, snapshot placer.Snapshot) []operatorapi.ServerStatus {
+	committed := map[string]int64{}
+	for _, s := range snapshot.Servers {
+		committed[s.Name] = s.CommittedMB
+	}
+	out := make([]operatorapi.ServerStatus, 0, len(known))
+	for _, s := range known {
+		out = append(out, operatorapi.ServerStatus{
+			Name:            s.Config.Name,
+			Kind:            s.Config.Kind,
+			State:           serverState(s),
+			FailureDomain:   s.Config.FailureDomain,
+			MemoryMB:        s.Config.MemoryMB,
+			CommittedMB:     committed[s.Config.Name],
+			Resident:        s.Report.Resident,
+			Running:         s.Report.Running,
+			Waiting:         s.Report.Waiting,
+			ReportAgeMillis: reportAge(s),
+		})
+	}
+	return out
+}
+
+func serverState(s servers.Status) operatorapi.ServerState {
+	switch {
+	case s.Unreachable:
+		return operatorapi.ServerUnreachable
+	case s.Leaving:
+		return operatorapi.ServerLeaving
+	}
+	return operatorapi.ServerLive
+}
+
+// reportAge is the age of a server's last report, in milliseconds; 0 if none was read.
+func reportAge(s servers.Status) int64 {
+	if s.Seen.IsZero() {
+		return 0
+	}
+	return time.Since(s.Seen).Milliseconds()
+}
+
+// modelStatus lists a unit's copies: those that serve, as reported by the servers, and
+// those on their way, as the placement holder knows them.
+func modelStatus(document *site.Document, unit site.Unit, known []operatorapi.ServerStatus, snapshot placer.Snapshot) operatorapi.ModelStatus {
+	status := operatorapi.ModelStatus{Ref: unit.Ref, Base: unit.Base, MemoryMB: unit.MemoryMB, Class: document.Classes[unit.Class].Name, Copies: []operatorapi.Copy{}}
+	serving := map[string]bool{}
+	for _, server := range known {
+		for _, ref := range server.Resident {
+			if ref == unit.Ref {
+				serving[server.Name] = true
+				status.Copies = append(status.Copies, operatorapi.Copy{Server: server.Name, FailureDomain: server.FailureDomain, State: operatorapi.CopyResident})
+			}
+		}
+	}
+	for _, u := range snapshot.Units {
+		if u.Ref == unit.Ref {
+			status.RequestsPerSecond = u.RequestsPerSecond
+			status.Copies = addPlanned(status.Copies, serving, u.Copies)
+		}
+	}
+	return status
+}
+
+var copyStates = map[engine.HoldingState]operatorapi.CopyState{
+	engine.StateLoading:   operatorapi.CopyLoading,
+	engine.StateResident:  operatorapi.CopyResident,
+	engine.StateUnloading: operatorapi.CopyUnloading,
+}
+
+// addPlanned adds the holder's reasons, and the copies that don't serve yet.
+func addPlanned(copies []operatorapi.Copy, serving map[string]bool, planned []placer.CopyStatus) []operatorapi.Copy {
+	for _, p := range planned {
+		if !serving[p.Server] {
+			copies = append(copies, operatorapi.Copy{Server: p.Server, FailureDomain: p.FailureDomain, State: copyStates[p.State], Reason: p.Reason})
+			continue
+		}
+		for i := range copies {
+			if copies[i].Server == p.Server {
+				copies[i].Reason = p.Reason
+			}
+		}
+	}
+	return copies
+}
+
+func (d *Daemon) classStatuses(document *site.Document) []operatorapi.ClassStatus {
+	out := make([]operatorapi.ClassStatus, 0, len(document.Classes))
+	for _, class := range document.Classes {
+		counts := d.requests.Class(class.Name)
+		out = append(out, operatorapi.ClassStatus{Name: class.Name, InTime: counts.InTime, Late: counts.Late, Refused: counts.Refused})
+	}
+	return out
+}
+
+func (d *Daemon) storeStatus() operatorapi.StoreStatus {
+	health := d.plugins.store.Health()
+	status := operatorapi.StoreStatus{Reachable: health.Reachable, LastAnswer: health.LastAnswer}
+	if health.Err != nil {
+		status.Error = health.Err.Error()
+	}
+	return status
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
@@ -24,6 +25,7 @@
 	"limpethub/internal/logging"
 	"limpethub/internal/membership"
 	"limpethub/internal/metrics"
+	"limpethub/internal/placer"
 	"limpethub/internal/repeats"
 	"limpethub/internal/scheduling"
 	"limpethub/internal/servers"
@@ -60,9 +62,15 @@
 	monitor    *servers.Monitor
 	gateway    *gateway.Gateway
 	exchange   *exchange
+	directory  *callerDirectory
+	requests   *metrics.Requests
+	demand     *demandBoard
+	placer     *placer.Placer
 	callers    *listener
 	operators  *listener
 
+	operatorHandler http.Handler
+
 	background context.Context
 	stop       context.CancelFunc
 	running    sync.WaitGroup
@@ -151,9 +159,11 @@
 	if err != nil {
 		return fmt.Errorf("daemon: routing: %w", err)
 	}
-	requests := metrics.NewRequests(d.registry)
+	d.requests = metrics.NewRequests(d.registry)
+	d.demand = newDemandBoard(d.processName())
+	d.directory = &callerDirectory{cluster: d.cluster, domain: d.settings.FailureDomain, seed: d.seed}
 	d.dispatcher = dispatch.New(dispatch.Options{
-		Scheduler: scheduler, Observer: requests, Logger: d.log(logging.Routing), Now: time.Now,
+		Scheduler: scheduler, Observer: &arrivals{Requests: d.requests, demand: d.demand}, Logger: d.log(logging.Routing), Now: time.Now,
 	})
 	d.monitor = servers.New(servers.Options{
 		FailureDomain: d.settings.FailureDomain,
@@ -171,13 +181,13 @@
 		Forwarder:     forwarder,
 		Repeats:       d.newRepeats(),
 		Configuration: d.confsync,
-		Directory:     &callerDirectory{cluster: d.cluster, domain: d.settings.FailureDomain, seed: d.seed},
-		Observer:      requests,
+		Directory:     d.directory,
+		Observer:      d.requests,
 		Limits:        d.gatewayLimits(),
 		Logger:        d.log(logging.Gateway),
 		Now:           time.Now,
 	})
-	d.exchange = newExchange(d.settings.Instance, d.dispatcher, d.cluster, d.plugins.peers, d.log(logging.Peers))
+	d.exchange = newExchange(d.processName(), d.dispatcher, d.cluster, d.plugins.peers, d.log(logging.Peers))
 	return nil
 }
 
--- a/internal/daemon/demand.go
+++ b/internal/daemon/demand.go
@@ -1,9 +1,12 @@
 package daemon
 
 import (
+	"strings"
 	"sync"
 
 	"limpethub/internal/demand"
+	"limpethub/internal/dispatch"
+	"limpethub/internal/metrics"
 	"limpethub/internal/modelref"
 	"limpethub/internal/peers/digest"
 	"limpethub/internal/placer"
@@ -25,6 +28,17 @@
 	sentRequests uint64
 }
 
+// arrivals passes what the dispatcher observes to the metrics and the demand.
+type arrivals struct {
+	*metrics.Requests
+	demand *demandBoard
+}
+
+var _ dispatch.Observer = (*arrivals)(nil)
+
+// ObserveArrival implements dispatch.Observer.
+func (a *arrivals) ObserveArrival(r request.Request) { a.demand.ObserveArrival(r) }
+
 // demandBoard counts this instance's demand and keeps what peers say of theirs.
 type demandBoard struct {
 	process string
@@ -92,11 +106,15 @@
 	}
 }
 
-// Forget drops the counters of all processes of an instance but the given one.
-func (b *demandBoard) Forget(process string) {
+// Forget drops the counters of an instance that died.
+func (b *demandBoard) Forget(instance string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.peer, process)
+	for process := range b.peer {
+		if name, _, _ := strings.Cut(process, processSeparator); name == instance {
+			delete(b.peer, process)
+		}
+	}
 }
 
 // Samples implements placer.DemandSource.
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -13,31 +13,37 @@
 	"limpethub/internal/peers/digest"
 )
 
-// exchangePeriod is the time between two digests.
-const exchangePeriod = 250 * time.Millisecond
-
-// demandSource counts this instance's demand per model.
-type demandSource interface {
-	// TakeDemand returns the demand since the last call.
-	TakeDemand() (window time.Duration, demands []digest.ModelDemand)
-	// ObserveDemand takes a peer's demand.
-	ObserveDemand(d digest.Digest)
-}
+const (
+	// exchangePeriod is the time between two digests of load.
+	exchangePeriod = 250 * time.Millisecond
+	// demandEvery is how many digests of load go out per digest of demand.
+	demandEvery = 4
+	// fullDemandEvery is how many digests of demand go out per full one.
+	fullDemandEvery = 10
+)
 
-// exchange tells peers of this instance's load and demand, and takes theirs.
+// exchange tells peers of this instance's load, and the placement holder of its demand.
 type exchange struct {
-	instance   string
+	process    string
 	dispatcher *dispatch.Dispatcher
 	cluster    *cluster.Cluster
-	demand     demandSource
+	transport  peers.Transport
+	demand     *demandBoard
+	// holder is the instance that holds the placement lease; empty if unknown.
+	holder     func() string
+	lastHolder string
 	logger     *logrus.Entry
 	sequence   uint64
+	rounds     int
 }
 
 var _ peers.Handler = (*exchange)(nil)
 
-func newExchange(instance string, dispatcher *dispatch.Dispatcher, c *cluster.Cluster, transport peers.Transport, logger *logrus.Entry) *exchange {
-	e := &exchange{instance: instance, dispatcher: dispatcher, cluster: c, logger: logger, sequence: uint64(time.Now().UnixNano())}
+func newExchange(process string, dispatcher *dispatch.Dispatcher, c *cluster.Cluster, transport peers.Transport, logger *logrus.Entry) *exchange {
+	e := &exchange{
+		process: process, dispatcher: dispatcher, cluster: c, transport: transport,
+		logger: logger, sequence: uint64(time.Now().UnixNano()),
+	}
 	transport.Handle(peers.KindDigest, e)
 	c.OnChange(e.memberChanged)
 	return e
@@ -45,8 +51,9 @@
 
 // memberChanged drops what a dead peer last said of its load.
 func (e *exchange) memberChanged(t membership.Transition) {
-	if t.To == membership.Dead {
-		e.dispatcher.ForgetRemote(t.Name)
+	if t.Member.State == membership.Dead {
+		e.dispatcher.ForgetRemote(t.Member.Name)
+		e.demand.Forget(t.Member.Name)
 	}
 }
 
@@ -65,22 +72,48 @@
 }
 
 func (e *exchange) send() {
+	e.rounds++
+	e.sendLoad()
+	if e.rounds%demandEvery == 0 {
+		e.sendDemand()
+	}
+}
+
+// sendLoad tells all peers. Load is what keeps instances from all choosing the same
+// server, so every one of them needs it.
+func (e *exchange) sendLoad() {
+	e.sequence++
+	d := digest.FromRemotes(e.cluster.Self(), e.sequence, e.dispatcher.Digest())
+	for _, payload := range e.encode(d) {
+		e.cluster.Broadcast(peers.KindDigest, payload)
+	}
+}
+
+// sendDemand tells the placement holder alone: nobody else plans.
+func (e *exchange) sendDemand() {
+	holder := e.holder()
+	all := holder != e.lastHolder || e.rounds%(demandEvery*fullDemandEvery) == 0
+	e.lastHolder = holder
+	member, ok := e.cluster.Member(holder)
+	if !ok || holder == e.cluster.Self() {
+		return
+	}
 	e.sequence++
-	d := digest.FromRemotes(e.instance, e.sequence, e.dispatcher.Digest())
-	if e.demand != nil {
-		window, demands := e.demand.TakeDemand()
-		d.WindowMillis = window.Milliseconds()
-		d.Demands = demands
-		e.demand.ObserveDemand(d)
+	d := digest.Digest{Instance: e.cluster.Self(), Process: e.process, Sequence: e.sequence, Demands: e.demand.Take(all)}
+	if len(d.Demands) == 0 {
+		return
+	}
+	for _, payload := range e.encode(d) {
+		e.transport.Datagram(member.PeerAddress, peers.KindDigest, payload)
 	}
+}
+
+func (e *exchange) encode(d digest.Digest) [][]byte {
 	datagrams, err := d.Encode()
 	if err != nil {
 		e.logger.WithField("error", err.Error()).Error("digest not encoded")
-		return
-	}
-	for _, payload := range datagrams {
-		e.cluster.Broadcast(peers.KindDigest, payload)
 	}
+	return datagrams
 }
 
 // HandleDatagram implements peers.Handler.
@@ -93,9 +126,7 @@
 	for _, remote := range d.Remotes() {
 		e.dispatcher.ObserveRemote(remote)
 	}
-	if e.demand != nil {
-		e.demand.ObserveDemand(d)
-	}
+	e.demand.ObserveDigest(d)
 }
 
 // HandleCall implements peers.Handler. Digests use no calls.
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -166,7 +166,7 @@
 		operatorapi.WithMetrics(promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{})),
 		operatorapi.WithLog(d.log(logging.Operator)),
 	)
-	d.plugins.peers.Handle(peers.KindStatus, &remoteDrain{d})
+	d.plugins.peers.Handle(peers.KindStatus, &remoteHandler{d})
 	return nil
 }
 
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -23,7 +23,6 @@
 	if err != nil {
 		return fmt.Errorf("daemon: placement: %w", err)
 	}
-	d.demand = newDemandBoard(d.processName())
 	d.placer, err = placer.New(placer.Options{
 		Instance:   d.processName(),
 		Site:       d.settings.Site,
@@ -54,7 +53,7 @@
 
 // placementHolder is the instance that holds the placement lease; empty if unknown.
 func (d *Daemon) placementHolder() string {
-	instance, _, _ := strings.Cut(d.placer.Snapshot().Lease.Holder, processSeparator)
+	instance, _, _ := strings.Cut(d.placer.Holder(), processSeparator)
 	return instance
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -16,8 +16,9 @@
 	"limpethub/internal/verdict"
 )
 
-// Observer is told of each decision, for metrics.
+// Observer is told of arrivals and decisions, for metrics and demand.
 type Observer interface {
+	ObserveArrival(r request.Request)
 	ObserveDecision(r request.Request, d scheduling.Decision, waited time.Duration)
 }
 
@@ -64,6 +65,9 @@
 // Admit gives a new request to the scheduler and waits until it may be dispatched.
 // A refusal is a *verdict.Error with the verdict NotRun.
 func (d *Dispatcher) Admit(ctx context.Context, r request.Request) (scheduling.Decision, error) {
+	if d.observer != nil {
+		d.observer.ObserveArrival(r)
+	}
 	return d.await(ctx, r, func(now time.Time) []scheduling.Decision {
 		return d.scheduler.Arrive(now, r)
 	})
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -2,6 +2,7 @@
 package metrics
 
 import (
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -9,6 +10,7 @@
 	"limpethub/internal/gateway"
 	"limpethub/internal/request"
 	"limpethub/internal/scheduling"
+	"limpethub/internal/verdict"
 )
 
 const namespace = "limpethub"
@@ -20,6 +22,44 @@
 	ends       *prometheus.CounterVec
 	durations  *prometheus.HistogramVec
 	firstToken *prometheus.HistogramVec
+
+	mu      sync.Mutex
+	classes map[string]*ClassCounts
+}
+
+// ClassCounts counts the ended requests of one class.
+type ClassCounts struct {
+	InTime, Late, Refused uint64
+}
+
+// Class returns the counts of a class.
+func (r *Requests) Class(name string) ClassCounts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if counts, ok := r.classes[name]; ok {
+		return *counts
+	}
+	return ClassCounts{}
+}
+
+// count adds one ended request. A failure that is no refusal counts as late: an
+// answer that never came is worth as little as one that came late.
+func (r *Requests) count(end gateway.RequestEnd) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts, ok := r.classes[end.Class]
+	if !ok {
+		counts = &ClassCounts{}
+		r.classes[end.Class] = counts
+	}
+	switch {
+	case end.InTime:
+		counts.InTime++
+	case end.Code != "" && end.Verdict == verdict.NotRun:
+		counts.Refused++
+	default:
+		counts.Late++
+	}
 }
 
 var _ gateway.Observer = (*Requests)(nil)
@@ -30,6 +70,7 @@
 // NewRequests makes the metrics and registers them.
 func NewRequests(registry prometheus.Registerer) *Requests {
 	r := &Requests{
+		classes: map[string]*ClassCounts{},
 		decisions: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "decisions_total", Help: "Decisions about requests, by action and refusal code.",
 		}, []string{"action", "code"}),
@@ -70,6 +111,7 @@
 
 // ObserveRequest implements gateway.Observer.
 func (r *Requests) ObserveRequest(end gateway.RequestEnd) {
+	r.count(end)
 	inTime := "false"
 	if end.InTime {
 		inTime = "true"
--- /dev/null
+++ b/internal/plugins/plugins.go
@@ -0,0 +1,11 @@
+// Package plugins imports all plug-ins, so that they register with the kernel.
+package plugins
+
+import (
+	_ "limpethub/internal/engine/httpengine"
+	_ "limpethub/internal/peers/quictransport"
+	_ "limpethub/internal/placement"
+	_ "limpethub/internal/platform/httplist"
+	_ "limpethub/internal/scheduling/routing"
+	_ "limpethub/internal/store/etcdstore"
+)
