Site documents: strict loading, overlay merge, checks, diff

Base and overlay are merged as trees whose values keep file and line, so that an error in the merged document names the file it came from. Merging decoded structs was ruled out: it can't tell an absent field from a zero, and loses lines.

--- /dev/null
+++ b/internal/site/check.go
@@ -0,0 +1,343 @@
+package site
+
+import (
+	"fmt"
+	"regexp"
+	"sort"
+	"strings"
+
+	"limpethub/internal/strictjson"
+)
+
+// checks lists the checks that every document must pass.
+func checks() []Check {
+	return []Check{
+		checkNames,
+		checkFailureDomains,
+		checkFloorShares,
+		checkClassReferences,
+		checkDefaults,
+		checkSharedNames,
+		checkBases,
+		checkServers,
+		checkAddresses,
+		checkServices,
+		checkFit,
+	}
+}
+
+// report builds a finding.
+func report(path, mend, format string, args ...any) Finding {
+	return Finding{Path: path, Message: fmt.Sprintf(format, args...), Mend: mend}
+}
+
+// namePattern leaves out what has a meaning in references, paths and log lines.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+
+// checkNames checks the characters of all names.
+func checkNames(d *Document) []Finding {
+	var out []Finding
+	check := func(path, name string) {
+		if name != "" && !namePattern.MatchString(name) {
+			out = append(out, report(path, "use letters, digits, dots, dashes and underscores, a letter or digit first", "%q has characters that a name can't have", name))
+		}
+	}
+	check("site", d.Site)
+	for i, domain := range d.FailureDomains {
+		check(fmt.Sprintf("failure_domains[%d]", i), domain)
+	}
+	for i, c := range d.Classes {
+		check(fmt.Sprintf("classes[%d].name", i), c.Name)
+	}
+	for i, m := range d.Models {
+		check(fmt.Sprintf("models[%d].name", i), m.Name)
+		check(fmt.Sprintf("models[%d].version", i), m.Version)
+	}
+	for i, a := range d.Adapters {
+		check(fmt.Sprintf("adapters[%d].name", i), a.Name)
+		check(fmt.Sprintf("adapters[%d].version", i), a.Version)
+	}
+	for i, s := range d.Servers {
+		check(fmt.Sprintf("servers[%d].name", i), s.Name)
+	}
+	for i, s := range d.Services {
+		check(fmt.Sprintf("services[%d].name", i), s.Name)
+	}
+	return out
+}
+
+// checkFailureDomains wants each failure domain once, and a server in each.
+func checkFailureDomains(d *Document) []Finding {
+	used := map[string]bool{}
+	for _, s := range d.Servers {
+		used[s.FailureDomain] = true
+	}
+	var out []Finding
+	seen := map[string]bool{}
+	for i, domain := range d.FailureDomains {
+		path := fmt.Sprintf("failure_domains[%d]", i)
+		if seen[domain] {
+			out = append(out, report(path, "keep one of the two", "%q stands twice", domain))
+			continue
+		}
+		seen[domain] = true
+		if domain != "" && !used[domain] {
+			out = append(out, report(path, "remove it, or put a server there", "no server is in failure domain %q", domain))
+		}
+	}
+	return out
+}
+
+// checkFloorShares wants the classes' floors to leave something to share out.
+func checkFloorShares(d *Document) []Finding {
+	sum := 0.0
+	for _, c := range d.Classes {
+		sum += c.FloorShare
+	}
+	if sum < 1 {
+		return nil
+	}
+	return []Finding{report("classes", "lower some, so that their sum stays below 1", "the floor shares add up to %.3g", sum)}
+}
+
+// checkClassReferences wants each class that is named to exist.
+func checkClassReferences(d *Document) []Finding {
+	known := make([]string, len(d.Classes))
+	for i, c := range d.Classes {
+		known[i] = c.Name
+	}
+	var out []Finding
+	check := func(path, class string) {
+		if class != "" && d.ClassIndex(class) < 0 {
+			out = append(out, report(path, oneOf(class, known), "there is no class %q", class))
+		}
+	}
+	for i, m := range d.Models {
+		check(fmt.Sprintf("models[%d].class", i), m.Class)
+	}
+	for i, a := range d.Adapters {
+		check(fmt.Sprintf("adapters[%d].class", i), a.Class)
+	}
+	for i, s := range d.Services {
+		check(fmt.Sprintf("services[%d].class", i), s.Class)
+	}
+	return out
+}
+
+// oneOf words the choice between known names: the one most like the word, or some.
+func oneOf(word string, known []string) string {
+	const most = 8
+	if len(known) == 0 {
+		return "add it"
+	}
+	if near := strictjson.Nearest(word, known); near != "" {
+		return fmt.Sprintf("did you mean %q?", near)
+	}
+	if len(known) > most {
+		known = append(append([]string(nil), known[:most]...), "…")
+	}
+	return "add it, or name one of " + strings.Join(known, ", ")
+}
+
+// versions gathers the versions of one name.
+type versions struct {
+	paths    []string
+	defaults []string
+}
+
+// checkDefaults wants one default version for each name.
+func checkDefaults(d *Document) []Finding {
+	byName := map[string]*versions{}
+	note := func(path, name string, isDefault bool) {
+		if name == "" {
+			return
+		}
+		v := byName[name]
+		if v == nil {
+			v = &versions{}
+			byName[name] = v
+		}
+		v.paths = append(v.paths, path)
+		if isDefault {
+			v.defaults = append(v.defaults, path)
+		}
+	}
+	for i, m := range d.Models {
+		note(fmt.Sprintf("models[%d]", i), m.Name, m.Default)
+	}
+	for i, a := range d.Adapters {
+		note(fmt.Sprintf("adapters[%d]", i), a.Name, a.Default)
+	}
+	var out []Finding
+	for _, name := range sortedKeys(byName) {
+		out = append(out, defaultFindings(name, byName[name])...)
+	}
+	return out
+}
+
+func defaultFindings(name string, v *versions) []Finding {
+	if len(v.defaults) == 0 {
+		return []Finding{report(v.paths[0], `set "default": true on one version`, "no version of %q is the default", name)}
+	}
+	var out []Finding
+	for _, path := range v.defaults[1:] {
+		out = append(out, report(path+".default", "keep the default of one version", "%q has more than one default version", name))
+	}
+	return out
+}
+
+// checkSharedNames wants no adapter to have a model's name, since callers ask for
+// either by name alone.
+func checkSharedNames(d *Document) []Finding {
+	models := map[string]bool{}
+	for _, m := range d.Models {
+		models[m.Name] = true
+	}
+	var out []Finding
+	for i, a := range d.Adapters {
+		if a.Name != "" && models[a.Name] {
+			out = append(out, report(fmt.Sprintf("adapters[%d].name", i), "give the adapter a name of its own", "%q is also the name of a model", a.Name))
+		}
+	}
+	return out
+}
+
+// checkBases wants the base of each adapter to exist.
+func checkBases(d *Document) []Finding {
+	known := map[string]bool{}
+	var names []string
+	for _, m := range d.Models {
+		known[string(m.Ref())] = true
+		names = append(names, string(m.Ref()))
+	}
+	var out []Finding
+	for i, a := range d.Adapters {
+		if a.Base == "" || known[string(a.Base)] {
+			continue
+		}
+		path := fmt.Sprintf("adapters[%d].base", i)
+		if !strings.Contains(string(a.Base), "@") {
+			out = append(out, report(path, fmt.Sprintf("write %s@ and a version", a.Base), "%q names no version", a.Base))
+			continue
+		}
+		out = append(out, report(path, oneOf(string(a.Base), names), "there is no model %q", a.Base))
+	}
+	return out
+}
+
+// checkServers wants each server to be where and what it can be.
+func checkServers(d *Document) []Finding {
+	var out []Finding
+	for i, s := range d.Servers {
+		path := fmt.Sprintf("servers[%d]", i)
+		if s.FailureDomain != "" && !contains(d.FailureDomains, s.FailureDomain) {
+			out = append(out, report(path+".failure_domain", oneOf(s.FailureDomain, d.FailureDomains), "there is no failure domain %q", s.FailureDomain))
+		}
+		switch s.Kind {
+		case KindEngine:
+			out = append(out, checkEngine(path, s)...)
+		case KindService:
+			out = append(out, checkServiceServer(path, s)...)
+		}
+	}
+	return out
+}
+
+func checkEngine(path string, s Server) []Finding {
+	var out []Finding
+	if s.MemoryMB == 0 {
+		out = append(out, report(path+".memory_mb", "write its accelerator memory in MiB", "an engine needs memory"))
+	}
+	if s.Accelerators == 0 {
+		out = append(out, report(path+".accelerators", "write how many it has", "an engine needs accelerators"))
+	}
+	return out
+}
+
+func checkServiceServer(path string, s Server) []Finding {
+	var out []Finding
+	if s.MemoryMB > 0 || s.Accelerators > 0 {
+		out = append(out, report(path, "remove accelerators and memory_mb", "a server of plain services holds no models"))
+	}
+	if len(s.Roles) > 0 {
+		out = append(out, report(path+".roles", "remove it", "a server of plain services has no roles"))
+	}
+	return out
+}
+
+// checkAddresses wants each server to have an address of its own.
+func checkAddresses(d *Document) []Finding {
+	var out []Finding
+	first := map[string]string{}
+	for i, s := range d.Servers {
+		if s.Address == "" {
+			continue
+		}
+		if other, taken := first[s.Address]; taken {
+			out = append(out, report(fmt.Sprintf("servers[%d].address", i), "give each server its own", "%s is also the address of server %q", s.Address, other))
+			continue
+		}
+		first[s.Address] = s.Name
+	}
+	return out
+}
+
+// checkServices wants each service to have servers that offer services.
+func checkServices(d *Document) []Finding {
+	kinds := map[string]ServerKind{}
+	var offering []string
+	for _, s := range d.Servers {
+		kinds[s.Name] = s.Kind
+		if s.Kind == KindService {
+			offering = append(offering, s.Name)
+		}
+	}
+	var out []Finding
+	for i, service := range d.Services {
+		path := fmt.Sprintf("services[%d]", i)
+		out = append(out, checkServiceServers(path, service, kinds, offering)...)
+		for j, prefix := range service.IdempotentPaths {
+			if !strings.HasPrefix(prefix, "/") {
+				out = append(out, report(fmt.Sprintf("%s.idempotent_paths[%d]", path, j), "start it with a slash", "%q is not a path", prefix))
+			}
+		}
+	}
+	return out
+}
+
+func checkServiceServers(path string, service Service, kinds map[string]ServerKind, offering []string) []Finding {
+	var out []Finding
+	seen := map[string]bool{}
+	for j, name := range service.Servers {
+		at := fmt.Sprintf("%s.servers[%d]", path, j)
+		kind, known := kinds[name]
+		switch {
+		case seen[name]:
+			out = append(out, report(at, "keep one of the two", "%q stands twice", name))
+		case !known:
+			out = append(out, report(at, oneOf(name, offering), "there is no server %q", name))
+		case kind == KindEngine:
+			out = append(out, report(at, "name a server of the kind service", "%q is a model engine, which offers no plain service", name))
+		}
+		seen[name] = true
+	}
+	return out
+}
+
+func contains(list []string, want string) bool {
+	for _, s := range list {
+		if s == want {
+			return true
+		}
+	}
+	return false
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
--- a/internal/site/document.go
+++ b/internal/site/document.go
@@ -95,7 +95,7 @@
 	// Kind is "engine" or "service".
 	Kind ServerKind `json:"kind" validate:"oneof=engine service"`
 	// Address is host:port by IP number.
-	Address string `json:"address" validate:"required,hostname_port"`
+	Address string `json:"address" validate:"required,ip_port"`
 	// FailureDomain is where the server runs.
 	FailureDomain string `json:"failure_domain" validate:"required"`
 	// Accelerators is how many accelerators the server has; 0 for services.
--- /dev/null
+++ b/internal/site/load_test.go
@@ -0,0 +1,141 @@
+package site
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"limpethub/internal/strictjson"
+)
+
+const goodBase = "testdata/good/base.json"
+
+func TestMergedDocument(t *testing.T) {
+	for name, overlay := range map[string]string{"alone": "", "with-overlay": "testdata/good/overlay.json"} {
+		t.Run(name, func(t *testing.T) {
+			doc, err := Load(goodBase, overlay)
+			if err != nil {
+				t.Fatal(err)
+			}
+			data, err := json.MarshalIndent(doc, "", "  ")
+			if err != nil {
+				t.Fatal(err)
+			}
+			goldie.New(t, goldie.WithFixtureDir("testdata/good")).Assert(t, name, data)
+			if err := Verify(&doc); err != nil {
+				t.Errorf("the merged document fails its checks: %v", err)
+			}
+		})
+	}
+}
+
+// badCases returns the cases of testdata/bad: a base, an overlay, or both. Without a
+// base of its own an overlay is merged into the good base.
+func badCases(t *testing.T) map[string][2]string {
+	t.Helper()
+	paths, err := filepath.Glob("testdata/bad/*.json")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("%d files, %v", len(paths), err)
+	}
+	cases := map[string][2]string{}
+	for _, path := range paths {
+		name, role, _ := strings.Cut(strings.TrimSuffix(filepath.Base(path), ".json"), ".")
+		files := cases[name]
+		if files[0] == "" {
+			files[0] = goodBase
+		}
+		if role == "base" {
+			files[0] = path
+		} else {
+			files[1] = path
+		}
+		cases[name] = files
+	}
+	return cases
+}
+
+func TestBadFiles(t *testing.T) {
+	g := goldie.New(t, goldie.WithFixtureDir("testdata/bad"))
+	for name, files := range badCases(t) {
+		t.Run(name, func(t *testing.T) {
+			doc, err := Load(files[0], files[1])
+			var problems strictjson.Problems
+			if !errors.As(err, &problems) {
+				t.Fatalf("got %v, want problems", err)
+			}
+			if doc.Site != "" {
+				t.Error("a document was returned with the error")
+			}
+			for _, p := range problems {
+				if p.File == "" || p.Line == 0 || p.Mend == "" {
+					t.Errorf("%s: lacks a file, a line or a mend", p)
+				}
+			}
+			g.Assert(t, name, []byte(err.Error()+"\n"))
+		})
+	}
+}
+
+func TestMissingFiles(t *testing.T) {
+	for _, files := range [][2]string{{"testdata/none.json", ""}, {goodBase, "testdata/none.json"}} {
+		if _, err := Load(files[0], files[1]); err == nil || !strings.Contains(err.Error(), "testdata/none.json") {
+			t.Errorf("Load(%v) = %v", files, err)
+		}
+	}
+}
+
+func TestVerifyNamesPathsWithoutLines(t *testing.T) {
+	doc, err := Load(goodBase, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	doc.Models[0].Class = "none"
+	err = Verify(&doc)
+	if err == nil || !strings.HasPrefix(err.Error(), "models[draft@1].class: ") {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestMoreChecksAreRun(t *testing.T) {
+	extra := func(*Document) []Finding {
+		return []Finding{{Path: "models[1].memory_mb", Message: "is odd", Mend: "even it"}}
+	}
+	_, err := Load(goodBase, "", extra)
+	want := goodBase + ":11: models[draft@2].memory_mb: is odd (even it)"
+	if err == nil || err.Error() != want {
+		t.Errorf("got %v, want %s", err, want)
+	}
+}
+
+// FuzzParse shows that no text makes the reader panic, and that what it accepts is a
+// document that passes its own checks.
+func FuzzParse(f *testing.F) {
+	paths, _ := filepath.Glob("testdata/*/*.json")
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data, []byte("{}"))
+		f.Add([]byte("{}"), data)
+	}
+	good, err := os.ReadFile(goodBase)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good, []byte(`{"classes":[{"name":"later","before":"urgent"},{"name":"urgent","remove":true}]}`))
+	f.Fuzz(func(t *testing.T, base, overlay []byte) {
+		doc, err := Parse(File{"base", base}, File{"overlay", overlay})
+		if err != nil {
+			return
+		}
+		if err := Verify(&doc); err != nil {
+			t.Errorf("an accepted document fails its checks: %v", err)
+		}
+	})
+}
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -115,7 +117,7 @@
 
 func (d *decoder) unknown(n *Node, m Member, path string, fields map[string]int) {
 	mend := "remove it"
-	if near := nearest(m.Name, fields); near != "" {
+	if near := Nearest(m.Name, slices.Collect(maps.Keys(fields))); near != "" {
 		mend = fmt.Sprintf("did you mean %q?", near)
 	}
 	place := &Node{File: n.File, Line: m.Line}
--- a/internal/strictjson/index.go
+++ b/internal/strictjson/index.go
@@ -82,8 +82,12 @@
 	return "", 0
 }
 
-// Problem builds a problem for the value at the path.
+// Problem builds a problem for the value at the path. A tree without a file has no
+// lines that a reader could look up.
 func (x *Index) Problem(path, mend, format string, args ...any) Problem {
 	file, line := x.Place(path)
+	if file == "" {
+		line = 0
+	}
 	return Problem{File: file, Line: line, Path: x.Label(path), Message: fmt.Sprintf(format, args...), Mend: mend}
 }
--- a/internal/strictjson/node.go
+++ b/internal/strictjson/node.go
@@ -104,7 +104,7 @@
 		return nil, Problems{{File: file, Line: line, Message: "is not JSON with comments: " + cause, Mend: "mend the syntax"}}
 	}
 	p := &parser{file: file, lines: newLineIndex(data)}
-	node := p.node(&value)
+	node := p.node(&value, "")
 	if node.Kind != KindObject {
 		return nil, Problems{{File: file, Line: node.Line, Message: fmt.Sprintf("holds %s, not an object", node.describe()), Mend: "write an object in braces"}}
 	}
@@ -162,16 +162,16 @@
 	problems Problems
 }
 
-func (p *parser) node(v *hujson.Value) *Node {
+func (p *parser) node(v *hujson.Value, path string) *Node {
 	n := &Node{File: p.file, Line: p.lines.line(v.StartOffset)}
 	switch value := v.Value.(type) {
 	case *hujson.Object:
 		n.Kind = KindObject
-		p.members(n, value)
+		p.members(n, value, path)
 	case *hujson.Array:
 		n.Kind = KindList
 		for i := range value.Elements {
-			n.Elements = append(n.Elements, p.node(&value.Elements[i]))
+			n.Elements = append(n.Elements, p.node(&value.Elements[i], fmt.Sprintf("%s[%d]", path, i)))
 		}
 	case hujson.Literal:
 		n.Kind, n.Text = literal(value)
@@ -179,7 +179,7 @@
 	return n
 }
 
-func (p *parser) members(n *Node, object *hujson.Object) {
+func (p *parser) members(n *Node, object *hujson.Object, path string) {
 	first := map[string]int{}
 	for i := range object.Members {
 		m := &object.Members[i]
@@ -187,14 +187,14 @@
 		line := p.lines.line(m.Name.StartOffset)
 		if earlier, twice := first[name]; twice {
 			p.problems = append(p.problems, Problem{
-				File: p.file, Line: line, Path: name,
+				File: p.file, Line: line, Path: join(path, name),
 				Message: fmt.Sprintf("stands twice, first on line %d", earlier),
 				Mend:    "keep one of the two",
 			})
 			continue
 		}
 		first[name] = line
-		n.Members = append(n.Members, Member{Name: name, Line: line, Value: p.node(&m.Value)})
+		n.Members = append(n.Members, Member{Name: name, Line: line, Value: p.node(&m.Value, join(path, name))})
 	}
 }
 
--- a/internal/strictjson/unit.go
+++ b/internal/strictjson/unit.go
@@ -114,37 +114,3 @@
 	}
 	return int64(number * float64(int64(1)<<shift)), true
 }
-
-// nearest returns the known name most like the given one, or "" if none is close.
-func nearest(name string, known map[string]int) string {
-	const closeEnough = 3
-	best, bestDistance := "", closeEnough
-	for candidate := range known {
-		distance := editDistance(name, candidate)
-		if distance < bestDistance || (distance == bestDistance && best != "" && candidate < best) {
-			best, bestDistance = candidate, distance
-		}
-	}
-	return best
-}
-
-// editDistance counts the insertions, deletions and replacements between two words.
-func editDistance(a, b string) int {
-	row := make([]int, len(b)+1)
-	for j := range row {
-		row[j] = j
-	}
-	for i := range len(a) {
-		diagonal := row[0]
-		row[0] = i + 1
-		for j := range len(b) {
-			cost := diagonal
-			if a[i] != b[j] {
-				cost++
-			}
-			diagonal = row[j+1]
-			row[j+1] = min(cost, row[j]+1, row[j+1]+1)
-		}
-	}
-	return row[len(b)]
-}
