--- /dev/null
+++ b/internal/lab/faultproxy/faultproxy.go
@@ -0,0 +1,179 @@
+// Package faultproxy relays TCP and UDP on loopback and injects faults that can be
+// switched while it runs.
+package faultproxy
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"time"
+)
+
+// Off switches a byte limit off.
+const Off = -1
+
+// Faults are what the relay does to bytes. Limits count the bytes of one connection
+// in one direction; Off means no limit. Use NoFaults as a start.
+type Faults struct {
+	// ResetToServer resets both ends after that many bytes went to the server; 0 means
+	// at the client's first byte.
+	ResetToServer int
+	// ResetToClient resets both ends after that many bytes went to the client; 0 means
+	// at the server's first byte.
+	ResetToClient int
+	// CloseToClient closes both ends cleanly after that many bytes went to the client.
+	CloseToClient int
+	// DropToServer and DropToClient swallow all bytes of a direction.
+	DropToServer, DropToClient bool
+	// Delay holds each read back, in both directions.
+	Delay time.Duration
+}
+
+// NoFaults passes everything on.
+func NoFaults() Faults {
+	return Faults{ResetToServer: Off, ResetToClient: Off, CloseToClient: Off}
+}
+
+// Proxy relays TCP connections to one target.
+type Proxy struct {
+	target string
+
+	mu       sync.Mutex
+	address  string
+	listener net.Listener
+	faults   Faults
+	links    map[*link]bool
+	accepted int
+}
+
+// Listen relays a free loopback port to the target.
+func Listen(target string) (*Proxy, error) {
+	p := &Proxy{target: target, address: "127.0.0.1:0", faults: NoFaults(), links: map[*link]bool{}}
+	if err := p.Accept(); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// Address is the host:port to connect to.
+func (p *Proxy) Address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.address
+}
+
+// Accept takes new connections again after Refuse.
+func (p *Proxy) Accept() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return fmt.Errorf("faultproxy: listen: %w", err)
+	}
+	p.listener = listener
+	p.address = listener.Addr().String()
+	go p.serve(listener)
+	return nil
+}
+
+// Refuse makes dials fail. Open connections stay.
+func (p *Proxy) Refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+}
+
+// Close refuses new connections and resets the open ones.
+func (p *Proxy) Close() {
+	p.Refuse()
+	p.ResetOpen()
+}
+
+// SetFaults replaces the faults, for open and new connections.
+func (p *Proxy) SetFaults(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+// ResetOpen resets all open connections.
+func (p *Proxy) ResetOpen() {
+	for _, l := range p.open() {
+		l.reset()
+	}
+}
+
+// SilenceOpen makes all connections that are open now bring nothing any more, in
+// both directions, without closing them. New connections work.
+func (p *Proxy) SilenceOpen() {
+	for _, l := range p.open() {
+		l.silence()
+	}
+}
+
+// Accepted is how many connections were taken so far.
+func (p *Proxy) Accepted() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.accepted
+}
+
+func (p *Proxy) open() []*link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]*link, 0, len(p.links))
+	for l := range p.links {
+		out = append(out, l)
+	}
+	return out
+}
+
+func (p *Proxy) currentFaults() Faults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
+}
+
+func (p *Proxy) serve(listener net.Listener) {
+	for {
+		client, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.relay(client.(*net.TCPConn))
+	}
+}
+
+// relay connects one client to the target until either end goes.
+func (p *Proxy) relay(client *net.TCPConn) {
+	conn, err := net.Dial("tcp", p.target)
+	if err != nil {
+		abort(client)
+		return
+	}
+	l := &link{proxy: p, client: client, server: conn.(*net.TCPConn)}
+	p.mu.Lock()
+	p.links[l] = true
+	p.accepted++
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(l.toServer)
+	both.Go(l.toClient)
+	both.Wait()
+	l.close()
+	p.mu.Lock()
+	delete(p.links, l)
+	p.mu.Unlock()
+}
+
+// abort closes a connection by a reset.
+func abort(conn *net.TCPConn) {
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
