Examples for both sites, with settings for each kind of process

Checks handed to site.Load only see documents that are otherwise valid, since arithmetic on a broken document is noise.

--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -99,3 +99,15 @@
 		t.Errorf("an unknown option gave %v", err)
 	}
 }
+
+func TestExamples(t *testing.T) {
+	for _, site := range []string{"rigline", "tichy-vers"} {
+		s, err := Load("../../examples/" + site + "/limpethubd.json")
+		if err != nil {
+			t.Error(err)
+		}
+		if warnings := s.Warnings(); len(warnings) != 0 {
+			t.Errorf("%s: %v", site, warnings)
+		}
+	}
+}
--- a/internal/site/load.go
+++ b/internal/site/load.go
@@ -12,7 +12,8 @@
 	Mend string
 }
 
-// Check looks for something wrong with a document whose fields are valid one by one.
+// Check looks for something wrong with a document. Checks that are handed to Load,
+// Parse and Verify only see documents that are otherwise valid.
 type Check func(*Document) []Finding
 
 // Load reads a site's base file and its overlay, merges and checks them. An empty
@@ -76,22 +77,25 @@
 	var doc Document
 	fields := strictjson.Read(merged, &doc, index)
 	problems = append(problems, fields...)
-	problems = append(problems, findings(&doc, index, fields, more)...)
+	problems = append(problems, findings(&doc, index, fields, checks())...)
+	if len(problems) == 0 {
+		problems = findings(&doc, index, nil, more)
+	}
 	if err := problems.Err(); err != nil {
 		return Document{}, err
 	}
 	return doc, nil
 }
 
-// findings runs the checks of the whole document. A field that is wrong by itself
-// isn't reported again for what follows from it.
-func findings(doc *Document, index *strictjson.Index, fields strictjson.Problems, more []Check) strictjson.Problems {
+// findings runs checks of the whole document. A field that is wrong by itself isn't
+// reported again for what follows from it.
+func findings(doc *Document, index *strictjson.Index, fields strictjson.Problems, checks []Check) strictjson.Problems {
 	reported := map[string]bool{}
 	for _, p := range fields {
 		reported[p.Path] = true
 	}
 	var out strictjson.Problems
-	for _, check := range append(checks(), more...) {
+	for _, check := range checks {
 		for _, f := range check(doc) {
 			p := index.Problem(f.Path, f.Mend, "%s", f.Message)
 			if !reported[p.Path] {
