--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -326,6 +326,14 @@
 	return err
 }
 
+// Kill ends the daemon as a process that dies: connections break, and nothing is
+// handed over.
+func (d *Daemon) Kill() {
+	d.plugins.store.Close()
+	d.closeListeners()
+	_ = d.Stop(context.Background())
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
