Membership, peers over QUIC, configuration spreading, entries, budgeted store calls

First whole versions of the packages that make many instances act as one: membership (pure machine on four hash rings), peers.quic (mutual TLS 1.3, a socket per outgoing connection, silent paths dialed anew), cluster (shell, broadcast budget), confsync (compare-and-swap with change ids, watchers by rendezvous, bodies from peers), entries, storecall, digest messages.

Two races in the tests' own fakes were found with -race and mended (revision read outside its lock, clusters started while others were still made).

--- /dev/null
+++ b/internal/cluster/cluster_test.go
@@ -0,0 +1,220 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"limpethub/internal/membership"
+	"limpethub/internal/peers"
+	"limpethub/internal/platform"
+)
+
+// network carries messages between clusters in one process.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*endpoint
+	cut   map[string]bool
+	bytes int
+}
+
+type endpoint struct {
+	net      *network
+	address  string
+	handlers map[peers.Kind]peers.Handler
+}
+
+func newNetwork() *network {
+	return &network{nodes: map[string]*endpoint{}, cut: map[string]bool{}}
+}
+
+func (n *network) endpoint(address string) *endpoint {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	e := &endpoint{net: n, address: address, handlers: map[peers.Kind]peers.Handler{}}
+	n.nodes[address] = e
+	return e
+}
+
+// setCut cuts or mends an address in both directions.
+func (n *network) setCut(address string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[address] = cut
+}
+
+func (e *endpoint) Handle(kind peers.Kind, handler peers.Handler) { e.handlers[kind] = handler }
+
+func (e *endpoint) Datagram(address string, kind peers.Kind, payload []byte) {
+	e.net.mu.Lock()
+	to := e.net.nodes[address]
+	lost := e.net.cut[address] || e.net.cut[e.address]
+	e.net.bytes += len(payload)
+	e.net.mu.Unlock()
+	if to == nil || lost || to.handlers[kind] == nil {
+		return
+	}
+	time.AfterFunc(time.Millisecond, func() { to.handlers[kind].HandleDatagram(e.address, payload) })
+}
+
+func (e *endpoint) Call(context.Context, string, peers.Kind, []byte) ([]byte, error) {
+	return nil, errors.New("no calls in this network")
+}
+
+// list is a platform list that tests change.
+type list struct {
+	mu        sync.Mutex
+	instances []platform.Instance
+	err       error
+}
+
+func (l *list) List(context.Context) ([]platform.Instance, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.instances, l.err
+}
+
+func (l *list) set(instances []platform.Instance, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.instances, l.err = instances, err
+}
+
+func identity(i int) membership.Identity {
+	return membership.Identity{
+		Name:          fmt.Sprintf("entry-%d", i),
+		CallerAddress: fmt.Sprintf("10.0.0.%d:8080", i),
+		PeerAddress:   fmt.Sprintf("10.0.0.%d:7443", i),
+		FailureDomain: fmt.Sprintf("zone-%d", i%3),
+	}
+}
+
+func instances(n int) []platform.Instance {
+	var out []platform.Instance
+	for i := range n {
+		id := identity(i)
+		out = append(out, platform.Instance{
+			Name: id.Name, CallerAddress: id.CallerAddress,
+			PeerAddress: id.PeerAddress, FailureDomain: id.FailureDomain,
+		})
+	}
+	return append(out, platform.Instance{Name: "server-1", ServerAddress: "10.0.1.1:9000"})
+}
+
+type fleet struct {
+	net      *network
+	list     *list
+	clusters []*Cluster
+}
+
+// runFleet runs n clusters in virtual time until the test's context ends.
+func runFleet(t *testing.T, n int, wg *sync.WaitGroup) (*fleet, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(t.Context())
+	f := &fleet{net: newNetwork(), list: &list{}}
+	f.list.set(instances(n), nil)
+	for i := range n {
+		c := New(Options{
+			Self:      identity(i),
+			Transport: f.net.endpoint(identity(i).PeerAddress),
+			Lister:    f.list,
+			Seed:      uint64(i),
+		})
+		f.clusters = append(f.clusters, c)
+	}
+	for _, c := range f.clusters {
+		wg.Go(func() { _ = c.Run(ctx) })
+	}
+	return f, cancel
+}
+
+func (f *fleet) states(of string) map[membership.State]int {
+	out := map[membership.State]int{}
+	for _, c := range f.clusters {
+		m, _ := c.Member(of)
+		out[m.State]++
+	}
+	return out
+}
+
+func TestFleetSeesDeathWithinThreeSecondsAndReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var wg sync.WaitGroup
+		f, cancel := runFleet(t, 9, &wg)
+		defer wg.Wait()
+		defer cancel()
+		time.Sleep(3 * time.Second)
+		if got := f.states("entry-4"); got[membership.Alive] != 9 {
+			t.Fatalf("states after the start: %v", got)
+		}
+		f.net.setCut("10.0.0.4:7443", true)
+		time.Sleep(3 * time.Second)
+		if got := f.states("entry-4"); got[membership.Dead] != 8 {
+			t.Fatalf("states 3 s after the cut: %v", got)
+		}
+		f.net.setCut("10.0.0.4:7443", false)
+		time.Sleep(10 * time.Second)
+		for i := range 9 {
+			if got := f.states(identity(i).Name); got[membership.Alive] != 9 {
+				t.Fatalf("states of entry-%d after the return: %v", i, got)
+			}
+		}
+	})
+}
+
+func TestLeaveAndWrongList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var wg sync.WaitGroup
+		f, cancel := runFleet(t, 9, &wg)
+		defer wg.Wait()
+		defer cancel()
+		time.Sleep(3 * time.Second)
+		if err := f.clusters[2].Leave(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		f.list.set(instances(5), nil) // The list loses four healthy instances.
+		time.Sleep(3 * time.Second)
+		if got := f.states("entry-2"); got[membership.Leaving] != 9 {
+			t.Errorf("states of the leaving instance: %v", got)
+		}
+		f.list.set(nil, errors.New("list is away"))
+		time.Sleep(time.Minute)
+		if got := f.states("entry-7"); got[membership.Alive] != 9 {
+			t.Errorf("states of an instance that the list lost: %v", got)
+		}
+	})
+}
+
+func TestBroadcastStaysWithinItsBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const budget = 5000
+		c := New(Options{
+			Self: identity(0), Transport: newNetwork().endpoint("10.0.0.0:7443"),
+			Lister: &list{}, BroadcastBytesPerSecond: budget,
+		})
+		now := time.Now()
+		for i := 1; i < 50; i++ {
+			c.machine.Receive(now, membership.Message{
+				Type: membership.TypeRecords, From: identity(i).Name,
+				Records: []membership.Record{{
+					Name: identity(i).Name, Incarnation: 1, PeerAddress: identity(i).PeerAddress,
+				}},
+			})
+		}
+		const seconds = 60
+		for range seconds * 10 {
+			c.Broadcast(peers.KindDigest, make([]byte, 200))
+			time.Sleep(100 * time.Millisecond)
+		}
+		got := c.Stats()
+		if got.BroadcastBytes > budget*(seconds+1) {
+			t.Errorf("sent %d bytes in %d s, above the budget of %d a second", got.BroadcastBytes, seconds, budget)
+		}
+		if got.BroadcastSkipped == 0 || got.BroadcastBytes < budget*(seconds-1) {
+			t.Errorf("the budget wasn't used up: %+v", got)
+		}
+	})
+}
--- /dev/null
+++ b/internal/confsync/apply.go
@@ -0,0 +1,65 @@
+package confsync
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"limpethub/internal/site"
+)
+
+// Apply carries a change, edited from revision base, to the store. It returns the
+// accepted configuration, which is then in force on this instance. Errors are
+// *ConflictError, *UnclearError, or wrap ErrNotAccepted. Applying again with the
+// same change id is safe and gives the first outcome.
+func (s *Sync) Apply(ctx context.Context, base uint64, changeID string, document site.Document) (site.Accepted, error) {
+	applier, err := NewApplier(base, changeID, document)
+	if err != nil {
+		return site.Accepted{}, err
+	}
+	s.mu.Lock()
+	applier.Known(s.held)
+	s.mu.Unlock()
+	wait := time.Duration(0)
+	for applier.Step() != StepDone {
+		before := applier.Step()
+		s.applyStep(ctx, applier)
+		if applier.Step() == StepDone || before == StepRead && applier.Step() == StepWrite {
+			continue
+		}
+		wait = min(max(2*wait, applyRetry), maxApplyWait)
+		if !sleep(ctx, wait) {
+			return site.Accepted{}, applier.GiveUp(ctx.Err())
+		}
+	}
+	return s.finishApply(applier, base, changeID)
+}
+
+func (s *Sync) applyStep(ctx context.Context, applier *Applier) {
+	switch applier.Step() {
+	case StepRead:
+		entry, err := s.options.Store.Get(ctx, s.key)
+		applier.Read(entry, err)
+	case StepWrite:
+		value, expected := applier.Write()
+		_, err := s.options.Store.CompareAndSwap(ctx, s.key, value, expected, 0)
+		applier.Written(err)
+	}
+}
+
+func (s *Sync) finishApply(applier *Applier, base uint64, changeID string) (site.Accepted, error) {
+	log := s.options.Logger.WithFields(logrus.Fields{"base": base, "change": changeID})
+	stored, err := applier.Result()
+	if err != nil {
+		log.WithError(err).Warn("Change refused")
+		return site.Accepted{}, err
+	}
+	value, err := stored.Encode()
+	if err != nil {
+		return site.Accepted{}, err
+	}
+	s.offer("an operator", stored, value)
+	log.WithField("revision", applier.own().Revision).Info("Change accepted")
+	return applier.own(), nil
+}
--- /dev/null
+++ b/internal/confsync/watch.go
@@ -0,0 +1,64 @@
+package confsync
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"limpethub/internal/store"
+)
+
+// watchLoop holds a watch on the store while this instance is chosen to.
+func (s *Sync) watchLoop(ctx context.Context) {
+	wait := time.Duration(0)
+	for sleep(ctx, max(wait, syncTickPeriod)) {
+		if !s.watching() {
+			wait = 0
+			continue
+		}
+		wait = s.watchOnce(ctx, wait)
+	}
+}
+
+func (s *Sync) watching() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.spread.Watching()
+}
+
+// watchOnce waits for one change and returns how long to wait before the next watch.
+func (s *Sync) watchOnce(ctx context.Context, wait time.Duration) time.Duration {
+	watchCtx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	s.mu.Lock()
+	after := s.storeRevision
+	s.mu.Unlock()
+	entry, err := s.options.Store.Watch(watchCtx, s.key, after)
+	switch {
+	case err == nil:
+		err = s.offerEntry(entry)
+	case errors.Is(watchCtx.Err(), context.DeadlineExceeded):
+		return 0 // Nothing changed for the whole watch.
+	}
+	if err == nil {
+		return 0
+	}
+	if !errors.Is(err, store.ErrNotFound) && ctx.Err() == nil {
+		s.options.Logger.WithError(err).Debug("Watching the store failed")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.spread.backOff(wait)
+}
+
+// sleep waits and reports whether the context still stands.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/peers/digest/digest.go
@@ -0,0 +1,169 @@
+// Package digest holds the messages in which instances tell each other of load,
+// demand and the state of backend servers. They travel as datagrams of
+// peers.KindDigest, are split to fit, and may be lost: each one stands for itself.
+package digest
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"limpethub/internal/modelref"
+	"limpethub/internal/peers"
+	"limpethub/internal/scheduling"
+)
+
+// ServerLoad is the sender's own work on one backend server.
+type ServerLoad struct {
+	Server string `cbor:"1,keyasint"`
+	// Outstanding is how many of the sender's requests are on the server.
+	Outstanding int `cbor:"2,keyasint,omitempty"`
+	// Tokens is how many tokens those still need.
+	Tokens int `cbor:"3,keyasint,omitempty"`
+}
+
+// ModelDemand is the sender's demand for one model or adapter version.
+type ModelDemand struct {
+	Ref modelref.Ref `cbor:"1,keyasint"`
+	// Arrivals is how many requests arrived in the sender's last window.
+	Arrivals int `cbor:"2,keyasint,omitempty"`
+	// Waiting is how many requests wait now.
+	Waiting int `cbor:"3,keyasint,omitempty"`
+	// Missed is how many were refused or late in the last window.
+	Missed int `cbor:"4,keyasint,omitempty"`
+	// Tokens is how many tokens were asked for in the last window.
+	Tokens int `cbor:"5,keyasint,omitempty"`
+}
+
+// ServerState is what the sender met at a backend server.
+type ServerState struct {
+	Server string `cbor:"1,keyasint"`
+	// Unreachable says that the server doesn't answer the sender.
+	Unreachable bool `cbor:"2,keyasint,omitempty"`
+	// Leaving says that the server reported or refused so.
+	Leaving bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Digest is one datagram.
+type Digest struct {
+	// Instance is the sender.
+	Instance string `cbor:"1,keyasint"`
+	// Sequence grows with each digest of one sender; the datagrams of one digest
+	// share it.
+	Sequence uint64 `cbor:"2,keyasint"`
+	// WindowMillis is the length of the demand window, in milliseconds.
+	WindowMillis int64         `cbor:"3,keyasint,omitempty"`
+	Loads        []ServerLoad  `cbor:"4,keyasint,omitempty"`
+	Demands      []ModelDemand `cbor:"5,keyasint,omitempty"`
+	States       []ServerState `cbor:"6,keyasint,omitempty"`
+}
+
+const (
+	// itemOverheadBytes is the most that CBOR adds to an item's string.
+	itemOverheadBytes = 44
+	headOverheadBytes = 48
+	maxNameBytes      = 256
+)
+
+var errMalformed = errors.New("digest: malformed")
+
+// Encode splits a digest into datagrams of at most peers.MaxDatagramBytes. Each
+// holds whole items.
+func (d Digest) Encode() ([][]byte, error) {
+	if len(d.Instance) > maxNameBytes {
+		return nil, fmt.Errorf("digest: instance name of %d bytes is too long", len(d.Instance))
+	}
+	s := splitter{head: Digest{Instance: d.Instance, Sequence: d.Sequence, WindowMillis: d.WindowMillis}}
+	s.reset()
+	for _, load := range d.Loads {
+		s.reserve(len(load.Server))
+		s.part.Loads = append(s.part.Loads, load)
+	}
+	for _, demand := range d.Demands {
+		s.reserve(len(demand.Ref))
+		s.part.Demands = append(s.part.Demands, demand)
+	}
+	for _, state := range d.States {
+		s.reserve(len(state.Server))
+		s.part.States = append(s.part.States, state)
+	}
+	s.flush()
+	return s.out, s.err
+}
+
+// splitter fills datagrams one after the other.
+type splitter struct {
+	head Digest
+	part Digest
+	size int
+	out  [][]byte
+	err  error
+}
+
+func (s *splitter) reset() {
+	s.part = s.head
+	s.size = headOverheadBytes + len(s.head.Instance)
+}
+
+func (s *splitter) reserve(nameBytes int) {
+	size := nameBytes + itemOverheadBytes
+	if s.size+size > peers.MaxDatagramBytes {
+		s.flush()
+	}
+	s.size += size
+}
+
+func (s *splitter) flush() {
+	data, err := cbor.Marshal(s.part)
+	switch {
+	case err != nil:
+		s.err = errors.Join(s.err, fmt.Errorf("digest: encode: %w", err))
+	case len(data) > peers.MaxDatagramBytes:
+		s.err = errors.Join(s.err, fmt.Errorf("digest: a datagram of %d bytes is too large", len(data)))
+	default:
+		s.out = append(s.out, data)
+	}
+	s.reset()
+}
+
+// Decode reads one datagram.
+func Decode(data []byte) (Digest, error) {
+	var d Digest
+	if err := cbor.Unmarshal(data, &d); err != nil {
+		return Digest{}, fmt.Errorf("digest: decode: %w", err)
+	}
+	if d.Instance == "" || len(d.Instance) > maxNameBytes {
+		return Digest{}, errMalformed
+	}
+	for _, load := range d.Loads {
+		if load.Outstanding < 0 || load.Tokens < 0 {
+			return Digest{}, errMalformed
+		}
+	}
+	return d, nil
+}
+
+// FromRemotes makes a digest of this instance's work.
+func FromRemotes(instance string, sequence uint64, remotes []scheduling.Remote) Digest {
+	d := Digest{Instance: instance, Sequence: sequence}
+	for _, r := range remotes {
+		d.Loads = append(d.Loads, ServerLoad{Server: r.Server, Outstanding: r.Outstanding, Tokens: r.Tokens})
+	}
+	return d
+}
+
+// Remotes returns a digest's loads as scheduling takes them.
+func (d Digest) Remotes() []scheduling.Remote {
+	out := make([]scheduling.Remote, 0, len(d.Loads))
+	for _, load := range d.Loads {
+		out = append(out, scheduling.Remote{
+			Instance:    d.Instance,
+			Server:      load.Server,
+			Outstanding: load.Outstanding,
+			Tokens:      load.Tokens,
+			Sequence:    d.Sequence,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/peers/quictransport/relay_test.go
@@ -0,0 +1,162 @@
+package quictransport
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+
+	"limpethub/internal/peers"
+)
+
+// relay passes UDP packets to a target. It can lose track of the flows it knows:
+// those then stay silent for good, while new ones pass.
+type relay struct {
+	front  *net.UDPConn
+	target *net.UDPAddr
+
+	mu    sync.Mutex
+	flows map[string]*flow
+}
+
+type flow struct {
+	back *net.UDPConn
+	lost bool
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	t.Helper()
+	address, err := net.ResolveUDPAddr("udp", target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{front: front, target: address, flows: map[string]*flow{}}
+	var wg sync.WaitGroup
+	wg.Go(func() { r.forward(&wg) })
+	t.Cleanup(func() {
+		_ = front.Close()
+		r.mu.Lock()
+		for _, f := range r.flows {
+			_ = f.back.Close()
+		}
+		r.mu.Unlock()
+		wg.Wait()
+	})
+	return r
+}
+
+func (r *relay) address() string { return r.front.LocalAddr().String() }
+
+// loseTrack silences all flows known so far, in both directions.
+func (r *relay) loseTrack() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range r.flows {
+		f.lost = true
+	}
+}
+
+func (r *relay) forward(wg *sync.WaitGroup) {
+	buffer := make([]byte, 2048)
+	for {
+		n, client, err := r.front.ReadFromUDP(buffer)
+		if err != nil {
+			return
+		}
+		if f := r.flow(client, wg); f != nil && !r.isLost(f) {
+			_, _ = f.back.Write(buffer[:n])
+		}
+	}
+}
+
+func (r *relay) flow(client *net.UDPAddr, wg *sync.WaitGroup) *flow {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if f := r.flows[client.String()]; f != nil {
+		return f
+	}
+	back, err := net.DialUDP("udp", nil, r.target)
+	if err != nil {
+		return nil
+	}
+	f := &flow{back: back}
+	r.flows[client.String()] = f
+	wg.Go(func() { r.backward(f, client) })
+	return f
+}
+
+func (r *relay) backward(f *flow, client *net.UDPAddr) {
+	buffer := make([]byte, 2048)
+	for {
+		n, err := f.back.Read(buffer)
+		if err != nil {
+			return
+		}
+		if !r.isLost(f) {
+			_, _ = r.front.WriteToUDP(buffer[:n], client)
+		}
+	}
+}
+
+func (r *relay) isLost(f *flow) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return f.lost
+}
+
+func TestSilentPathIsReplaced(t *testing.T) {
+	ca := newAuthority(t)
+	handler := newEcho()
+	a := start(t, "127.0.0.1:0", ca.issue(t, "a"), newEcho())
+	b := start(t, "127.0.0.1:0", ca.issue(t, "b"), handler)
+	r := newRelay(t, b.LocalAddress())
+
+	waitDatagram(t, a, r.address(), handler)
+	if _, err := a.Call(t.Context(), r.address(), peers.KindStatus, []byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	r.loseTrack()
+	drain(handler)
+	waitDatagram(t, a, r.address(), handler)
+	if _, err := a.Call(t.Context(), r.address(), peers.KindStatus, []byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if got := a.Stats().Dials; got < 2 {
+		t.Errorf("dials = %d, want a new connection", got)
+	}
+}
+
+// TestSilentPathWithoutDetection shows that the relay bites: without the check of
+// silence the old connection stays in use.
+func TestSilentPathWithoutDetection(t *testing.T) {
+	ca := newAuthority(t)
+	handler := newEcho()
+	a := New(Options{Listen: "127.0.0.1:0", TLS: ca.issue(t, "a"), SilenceTimeout: 1 << 60})
+	if err := a.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = a.Stop(context.Background()) })
+	b := start(t, "127.0.0.1:0", ca.issue(t, "b"), handler)
+	r := newRelay(t, b.LocalAddress())
+	waitDatagram(t, a, r.address(), handler)
+	r.loseTrack()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*DefaultSilenceTimeout)
+	defer cancel()
+	if _, err := a.Call(ctx, r.address(), peers.KindStatus, []byte("x")); err == nil {
+		t.Error("a call passed a path that had lost track")
+	}
+}
+
+func drain(e *echo) {
+	for {
+		select {
+		case <-e.datagrams:
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/peers/quictransport/serve.go
@@ -0,0 +1,128 @@
+package quictransport
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"limpethub/internal/peers"
+)
+
+// Statuses of a call's answer: the first byte.
+const (
+	statusOK byte = iota
+	statusFailed
+)
+
+// closeNormal is the application error code of a connection that is given up.
+const closeNormal quic.ApplicationErrorCode = 0
+
+func (t *Transport) acceptLoop(ctx context.Context, listener *quic.Listener) {
+	defer t.wg.Done()
+	for {
+		connection, err := listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		if !t.track(func() { t.serve(ctx, connection) }) {
+			return
+		}
+	}
+}
+
+// track runs do in a goroutine that Stop waits for.
+func (t *Transport) track(do func()) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.running {
+		return false
+	}
+	t.wg.Add(1)
+	go func() {
+		defer t.wg.Done()
+		do()
+	}()
+	return true
+}
+
+// serve takes datagrams and calls from one incoming connection until it ends.
+func (t *Transport) serve(ctx context.Context, connection *quic.Conn) {
+	defer connection.CloseWithError(closeNormal, "")
+	from := peerName(connection.ConnectionState().TLS)
+	t.track(func() { t.acceptStreams(connection, from) })
+	for {
+		data, err := connection.ReceiveDatagram(ctx)
+		if err != nil {
+			return
+		}
+		t.counters.received(len(data))
+		if len(data) == 0 {
+			continue
+		}
+		if handler := t.handlers[peers.Kind(data[0])]; handler != nil {
+			handler.HandleDatagram(from, data[1:])
+		}
+	}
+}
+
+func (t *Transport) acceptStreams(connection *quic.Conn, from string) {
+	for {
+		stream, err := connection.AcceptStream(connection.Context())
+		if err != nil {
+			return
+		}
+		if !t.track(func() { t.serveCall(stream, from) }) {
+			return
+		}
+	}
+}
+
+func (t *Transport) serveCall(stream *quic.Stream, from string) {
+	defer stream.Close()
+	ctx, cancel := context.WithTimeout(stream.Context(), callTimeout)
+	defer cancel()
+	_ = stream.SetDeadline(time.Now().Add(callTimeout))
+	request, err := readBounded(stream)
+	if err != nil {
+		stream.CancelRead(0)
+		t.answer(stream, statusFailed, []byte(err.Error()))
+		return
+	}
+	t.counters.received(len(request))
+	if len(request) == 0 || t.handlers[peers.Kind(request[0])] == nil {
+		t.answer(stream, statusFailed, []byte("no handler for this kind"))
+		return
+	}
+	reply, err := t.handlers[peers.Kind(request[0])].HandleCall(ctx, from, request[1:])
+	switch {
+	case err != nil:
+		t.answer(stream, statusFailed, []byte(err.Error()))
+	case len(reply) > MaxCallBytes:
+		t.answer(stream, statusFailed, []byte(ErrTooLarge.Error()))
+	default:
+		t.answer(stream, statusOK, reply)
+	}
+}
+
+func (t *Transport) answer(stream *quic.Stream, status byte, body []byte) {
+	t.counters.sent(len(body) + 1)
+	if _, err := stream.Write([]byte{status}); err != nil {
+		return
+	}
+	_, _ = stream.Write(body)
+}
+
+// readBounded reads a payload with its first byte, up to MaxCallBytes.
+func readBounded(r io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, MaxCallBytes+2))
+	if err != nil {
+		return nil, fmt.Errorf("quictransport: read: %w", err)
+	}
+	if len(data) > MaxCallBytes+1 {
+		return nil, ErrTooLarge
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/storecall/metrics.go
@@ -0,0 +1,67 @@
+package storecall
+
+import (
+	"errors"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"limpethub/internal/store"
+)
+
+type operation string
+
+const (
+	opGet    operation = "get"
+	opSwap   operation = "compare_and_swap"
+	opDelete operation = "delete"
+	opWatch  operation = "watch"
+	opGrant  operation = "grant"
+	opRenew  operation = "renew"
+	opRevoke operation = "revoke"
+)
+
+type metrics struct {
+	calls   *prometheus.CounterVec
+	refused *prometheus.CounterVec
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	m := &metrics{
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "limpethub_store_calls_total",
+			Help: "Calls of the key-value service, a watch counted as one.",
+		}, []string{"operation", "purpose", "result"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "limpethub_store_calls_refused_total",
+			Help: "Calls that the instance's own budget or back-off refused.",
+		}, []string{"operation", "purpose", "reason"}),
+	}
+	if registerer != nil {
+		registerer.MustRegister(m.calls, m.refused)
+	}
+	return m
+}
+
+func (m *metrics) count(op operation, purpose Purpose, result string) {
+	m.calls.WithLabelValues(string(op), string(purpose), result).Inc()
+}
+
+func (m *metrics) refuse(op operation, purpose Purpose, reason string) {
+	m.refused.WithLabelValues(string(op), string(purpose), reason).Inc()
+}
+
+func resultOf(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, store.ErrNotFound):
+		return "not_found"
+	case errors.Is(err, store.ErrConflict):
+		return "conflict"
+	case errors.Is(err, store.ErrLeaseLost):
+		return "lease_lost"
+	case errors.Is(err, store.ErrThrottled):
+		return "throttled"
+	}
+	return "error"
+}
