Daemon: the whole path from caller to engine, with peers, configuration and placement

Cause: the parts stand side by side; this wires them. Plug-ins get their settings through plugin.Configurable; the peers' transport is bound before the other parts are made, so that its address is known. Demand goes to the placement holder alone, as sums since the start of a process, so that a lost datagram loses nothing; load goes to all peers. The budgeted store tells its health and can be cut off, for daemons that die in the lab. Ruled out: a scheduler made only once a configuration is there (the gateway would need a second state).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -129,7 +129,7 @@
 		Self: membership.Identity{
 			Name:          d.settings.Instance,
 			CallerAddress: d.callers.advertised(d.settings.Listeners.Callers),
-			PeerAddress:   d.peerAddress(),
+			PeerAddress:   d.PeerAddress(),
 			FailureDomain: d.settings.FailureDomain,
 		},
 		Transport: d.plugins.peers,
@@ -154,7 +154,7 @@
 		FailureDomain: d.settings.FailureDomain,
 		Seed:          d.seed,
 		Policy:        d.settings.Plugins.Routing.Name,
-		Document:      &site.Document{},
+		Document:      emptyDocument(),
 	})
 	if err != nil {
 		return fmt.Errorf("daemon: routing: %w", err)
@@ -191,6 +191,11 @@
 	return nil
 }
 
+// emptyDocument stands until a configuration is in force; callers are refused until then.
+func emptyDocument() *site.Document {
+	return &site.Document{Classes: []site.Class{{Name: "none", TimeoutMillis: 1, Weight: 1, QueueLimit: 1}}}
+}
+
 func (d *Daemon) newRepeats() *repeats.Guard {
 	return repeats.New(repeats.Options{
 		Registry: atmostonce.New(atmostonce.Options{
@@ -228,7 +233,7 @@
 		return err
 	}
 	d.log(logging.Daemon).WithFields(logrus.Fields{
-		"callers": d.CallerAddress(), "operators": d.OperatorAddress(), "peers": d.peerAddress(),
+		"callers": d.CallerAddress(), "operators": d.OperatorAddress(), "peers": d.PeerAddress(),
 	}).Info("started")
 	return nil
 }
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -111,6 +111,9 @@
 // peerTLS is the configuration of both sides of a connection between peers.
 func peerTLS(source *keys.Source) *tls.Config {
 	config := source.Server(keys.ClientsMustShow)
+	// The transport adds its protocol to this configuration; one made anew for each
+	// connection would lack it.
+	config.GetConfigForClient = nil
 	client := source.Client()
 	config.RootCAs = client.RootCAs
 	config.GetClientCertificate = client.GetClientCertificate
@@ -136,7 +139,8 @@
 	d.log(logging.Daemon).WithField("error", err.Error()).Error("changed key files not read; the former keys stay in use")
 }
 
-func (d *Daemon) peerAddress() string { return d.plugins.peerAddress }
+// PeerAddress is host:port of the peers' listener.
+func (d *Daemon) PeerAddress() string { return d.plugins.peerAddress }
 
 func (d *Daemon) buildListeners() error {
 	var err error
--- a/internal/peers/digest/digest.go
+++ b/internal/peers/digest/digest.go
@@ -23,17 +23,16 @@
 	Tokens int `cbor:"3,keyasint,omitempty"`
 }
 
-// ModelDemand is the sender's demand for one model or adapter version.
+// ModelDemand counts the sender's demand for one model or adapter version, since the
+// start of its process: a lost datagram loses nothing, since the next one holds the sum.
 type ModelDemand struct {
 	Ref modelref.Ref `cbor:"1,keyasint"`
-	// Arrivals is how many requests arrived in the sender's last window.
-	Arrivals int `cbor:"2,keyasint,omitempty"`
-	// Waiting is how many requests wait now.
-	Waiting int `cbor:"3,keyasint,omitempty"`
-	// Missed is how many were refused or late in the last window.
-	Missed int `cbor:"4,keyasint,omitempty"`
-	// Tokens is how many tokens were asked for in the last window.
-	Tokens int `cbor:"5,keyasint,omitempty"`
+	// Class is the index of the class, 0 the most urgent.
+	Class int `cbor:"2,keyasint,omitempty"`
+	// Requests counts requests.
+	Requests uint64 `cbor:"3,keyasint,omitempty"`
+	// Tokens counts the tokens that those requests asked for.
+	Tokens uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // ServerState is what the sender met at a backend server.
@@ -52,11 +51,11 @@
 	// Sequence grows with each digest of one sender; the datagrams of one digest
 	// share it.
 	Sequence uint64 `cbor:"2,keyasint"`
-	// WindowMillis is the length of the demand window, in milliseconds.
-	WindowMillis int64         `cbor:"3,keyasint,omitempty"`
-	Loads        []ServerLoad  `cbor:"4,keyasint,omitempty"`
-	Demands      []ModelDemand `cbor:"5,keyasint,omitempty"`
-	States       []ServerState `cbor:"6,keyasint,omitempty"`
+	// Process is unique to a start of the sender; demand counts from there.
+	Process string        `cbor:"3,keyasint,omitempty"`
+	Loads   []ServerLoad  `cbor:"4,keyasint,omitempty"`
+	Demands []ModelDemand `cbor:"5,keyasint,omitempty"`
+	States  []ServerState `cbor:"6,keyasint,omitempty"`
 }
 
 const (
@@ -74,7 +73,7 @@
 	if len(d.Instance) > maxNameBytes {
 		return nil, fmt.Errorf("digest: instance name of %d bytes is too long", len(d.Instance))
 	}
-	s := splitter{head: Digest{Instance: d.Instance, Sequence: d.Sequence, WindowMillis: d.WindowMillis}}
+	s := splitter{head: Digest{Instance: d.Instance, Sequence: d.Sequence, Process: d.Process}}
 	s.reset()
 	for _, load := range d.Loads {
 		s.reserve(len(load.Server))
@@ -103,7 +102,7 @@
 
 func (s *splitter) reset() {
 	s.part = s.head
-	s.size = headOverheadBytes + len(s.head.Instance)
+	s.size = headOverheadBytes + len(s.head.Instance) + len(s.head.Process)
 }
 
 func (s *splitter) reserve(nameBytes int) {
--- /dev/null
+++ b/internal/peers/quictransport/configure.go
@@ -0,0 +1,30 @@
+package quictransport
+
+import (
+	"fmt"
+
+	"limpethub/internal/plugin"
+)
+
+var (
+	_ plugin.Configurable = (*Transport)(nil)
+	_ plugin.Binder       = (*Transport)(nil)
+)
+
+// Configure takes the daemon's settings. The plug-in has no options of its own.
+func (t *Transport) Configure(environment plugin.Environment) error {
+	if err := environment.Options.Decode(&struct{}{}); err != nil {
+		return fmt.Errorf("quictransport: options: %w", err)
+	}
+	t.setOptions(Options{Listen: environment.Listen, TLS: environment.TLS, Logger: environment.Logger})
+	return nil
+}
+
+// Bind opens the socket, so that its address is known before Start.
+func (t *Transport) Bind() (string, error) {
+	socket, err := t.bind()
+	if err != nil {
+		return "", err
+	}
+	return socket.LocalAddr().String(), nil
+}
--- a/internal/peers/quictransport/transport.go
+++ b/internal/peers/quictransport/transport.go
@@ -100,12 +100,12 @@
 // New makes a transport. It opens its socket in Start.
 func New(options Options) *Transport {
 	t := &Transport{}
-	t.Configure(options)
+	t.setOptions(options)
 	return t
 }
 
-// Configure sets the options of a transport made by the kernel, before Start.
-func (t *Transport) Configure(options Options) {
+// setOptions takes the options, with defaults where they are zero.
+func (t *Transport) setOptions(options Options) {
 	if options.IdleTimeout == 0 {
 		options.IdleTimeout = DefaultIdleTimeout
 	}
@@ -132,18 +132,32 @@
 // Handle sets the handler of a kind. It is called before Start.
 func (t *Transport) Handle(kind peers.Kind, handler peers.Handler) { t.handlers[kind] = handler }
 
+// bind opens the socket unless it is open.
+func (t *Transport) bind() (*net.UDPConn, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.socket != nil {
+		return t.socket, nil
+	}
+	address, err := net.ResolveUDPAddr("udp", t.options.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("quictransport: listen address: %w", err)
+	}
+	t.socket, err = net.ListenUDP("udp", address)
+	if err != nil {
+		return nil, fmt.Errorf("quictransport: listen: %w", err)
+	}
+	return t.socket, nil
+}
+
 // Start opens the listener and serves peers until Stop.
 func (t *Transport) Start(context.Context) error {
 	if err := t.Validate(); err != nil {
 		return err
 	}
-	address, err := net.ResolveUDPAddr("udp", t.options.Listen)
+	socket, err := t.bind()
 	if err != nil {
-		return fmt.Errorf("quictransport: listen address: %w", err)
-	}
-	socket, err := net.ListenUDP("udp", address)
-	if err != nil {
-		return fmt.Errorf("quictransport: listen: %w", err)
+		return err
 	}
 	t.tls = peerTLS(t.options.TLS)
 	transport := &quic.Transport{Conn: socket}
@@ -153,7 +167,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.socket, t.quic, t.listener = socket, transport, listener
+	t.quic, t.listener = transport, listener
 	t.links = map[string]*link{}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.running = true
@@ -172,6 +186,7 @@
 	t.running = false
 	t.cancel()
 	listener, transport, socket := t.listener, t.quic, t.socket
+	t.socket = nil
 	t.mu.Unlock()
 
 	err := listener.Close()
--- a/internal/storecall/storecall.go
+++ b/internal/storecall/storecall.go
@@ -70,6 +70,8 @@
 	mu      sync.Mutex
 	backOff backOff
 	rand    *rand.Rand
+	health  Health
+	closed  bool
 }
 
 var _ store.Store = (*Store)(nil)
@@ -200,7 +202,11 @@
 	for {
 		s.gate.mu.Lock()
 		wait := s.gate.backOff.until.Sub(s.options.Now())
+		closed := s.gate.closed
 		s.gate.mu.Unlock()
+		if closed {
+			return errClosed
+		}
 		if wait <= 0 {
 			return ctx.Err()
 		}
@@ -223,8 +229,10 @@
 	switch {
 	case answered(err):
 		s.gate.backOff.reset()
+		s.gate.health = Health{Reachable: true, LastAnswer: s.options.Now()}
 	case !givenUp:
 		s.gate.backOff.fail(s.options.Now(), s.gate.rand)
+		s.gate.health = Health{LastAnswer: s.gate.health.LastAnswer, Err: err}
 	}
 }
 
