--- /dev/null
+++ b/internal/ctl/complete.go
@@ -0,0 +1,42 @@
+package ctl
+
+import (
+	"github.com/spf13/cobra"
+
+	"limpethub/internal/operatorapi"
+)
+
+// completeModels offers the names of models and adapters for the first argument.
+func (t *tool) completeModels(c *cobra.Command, args []string, _ string) ([]string, cobra.ShellCompDirective) {
+	return t.complete(c, args, func(s operatorapi.Status) []string {
+		names := make([]string, len(s.Models))
+		for i, m := range s.Models {
+			names[i] = string(m.Ref)
+		}
+		return names
+	})
+}
+
+// completeInstances offers the names of instances for the first argument.
+func (t *tool) completeInstances(c *cobra.Command, args []string, _ string) ([]string, cobra.ShellCompDirective) {
+	return t.complete(c, args, func(s operatorapi.Status) []string {
+		names := make([]string, len(s.Instances))
+		for i, instance := range s.Instances {
+			names[i] = instance.Name
+		}
+		return names
+	})
+}
+
+// complete offers names from the status. Without an answer it offers none, since the
+// shell has no place for an error.
+func (t *tool) complete(c *cobra.Command, args []string, names func(operatorapi.Status) []string) ([]string, cobra.ShellCompDirective) {
+	if len(args) > 0 {
+		return nil, cobra.ShellCompDirectiveNoFileComp
+	}
+	status, err := t.status(c)
+	if err != nil {
+		return nil, cobra.ShellCompDirectiveNoFileComp
+	}
+	return names(status), cobra.ShellCompDirectiveNoFileComp
+}
--- /dev/null
+++ b/internal/ctl/drain.go
@@ -0,0 +1,40 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+)
+
+// drainResult is the JSON form of an agreed drain.
+type drainResult struct {
+	Instance string `json:"instance"`
+	Draining bool   `json:"draining"`
+}
+
+func (t *tool) drainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "drain INSTANCE",
+		Short: "Start the planned stop of an entry instance",
+		Long: `Start the planned stop of an entry instance: callers are told of it no more, it
+finishes every request in progress, hands over its leases, and exits. The command
+returns once the instance has agreed; watch it by limpethubctl status.`,
+		Example:           "  limpethubctl drain entry-a1",
+		Args:              cobra.ExactArgs(1),
+		ValidArgsFunction: t.completeInstances,
+		RunE: func(c *cobra.Command, args []string) error {
+			client, err := t.client()
+			if err != nil {
+				return err
+			}
+			if err := client.Drain(c.Context(), args[0]); err != nil {
+				return err
+			}
+			return t.print(drainResult{Instance: args[0], Draining: true}, func(w io.Writer) error {
+				_, err := fmt.Fprintf(w, "%s is draining\n", args[0])
+				return err
+			})
+		},
+	}
+}
--- /dev/null
+++ b/internal/ctl/lists.go
@@ -0,0 +1,96 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"limpethub/internal/operatorapi"
+	"limpethub/internal/site"
+)
+
+func (t *tool) modelsCommand() *cobra.Command {
+	var unreachable bool
+	c := &cobra.Command{
+		Use:     "models",
+		Short:   "List models and adapters with their copies",
+		Long:    "List models and adapters with where their copies are. A copy that is not resident is marked by its state.",
+		Example: "  limpethubctl models --unreachable",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			status, err := t.status(c)
+			if err != nil {
+				return err
+			}
+			models := status.Models
+			if unreachable {
+				models = slices.DeleteFunc(slices.Clone(models), operatorapi.ModelStatus.Reachable)
+			}
+			return t.print(append([]operatorapi.ModelStatus{}, models...), func(w io.Writer) error { return modelTable(models).write(w) })
+		},
+	}
+	c.Flags().BoolVar(&unreachable, "unreachable", false, "list only those without a resident copy")
+	return c
+}
+
+func modelTable(models []operatorapi.ModelStatus) *table {
+	out := newTable("MODEL", "BASE", "CLASS", "MIB", "REQUESTS/S", "COPIES")
+	for _, m := range models {
+		out.add(m.Ref, m.Base, m.Class, m.MemoryMB, fmt.Sprintf("%.1f", m.RequestsPerSecond), describeCopies(m.Copies))
+	}
+	return out
+}
+
+// describeCopies lists servers, with the state of copies that can't serve.
+func describeCopies(copies []operatorapi.Copy) string {
+	if len(copies) == 0 {
+		return "NONE"
+	}
+	out := make([]string, len(copies))
+	for i, c := range copies {
+		out[i] = c.Server
+		if c.State != operatorapi.CopyResident {
+			out[i] += " (" + string(c.State) + ")"
+		}
+	}
+	return strings.Join(out, ", ")
+}
+
+func (t *tool) serversCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "servers",
+		Short: "List backend servers with their memory and load",
+		Long: `List backend servers with their memory and load. Committed memory counts what is
+resident, and all that an order under way may still bring.`,
+		Example: "  limpethubctl servers --output json",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			status, err := t.status(c)
+			if err != nil {
+				return err
+			}
+			servers := append([]operatorapi.ServerStatus{}, status.Servers...)
+			return t.print(servers, func(w io.Writer) error { return serverTable(servers).write(w) })
+		},
+	}
+}
+
+func serverTable(servers []operatorapi.ServerStatus) *table {
+	out := newTable("SERVER", "KIND", "STATE", "FAILURE DOMAIN", "COMMITTED MIB", "SIZE MIB", "RUNNING", "WAITING", "REPORT AGE", "RESIDENT")
+	for _, s := range servers {
+		out.add(s.Name, s.Kind, s.State, s.FailureDomain, memory(s, s.CommittedMB), memory(s, s.MemoryMB),
+			s.Running, s.Waiting, fmt.Sprintf("%d ms", s.ReportAgeMillis), len(s.Resident))
+	}
+	return out
+}
+
+// memory writes a size, or nothing for a server that has no memory for models.
+func memory(s operatorapi.ServerStatus, mb int64) string {
+	if s.Kind == site.KindService {
+		return ""
+	}
+	return fmt.Sprint(mb)
+}
--- /dev/null
+++ b/internal/ctl/model.go
@@ -0,0 +1,112 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"limpethub/internal/operatorapi"
+)
+
+func (t *tool) explainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain MODEL",
+		Short: "Say where a model is, why, and what a request would do now",
+		Long: `Say where a model or adapter is, why it is there, and what a request for it would
+do now on the asked instance. MODEL is a name, or "name@version".`,
+		Example:           "  limpethubctl explain appraisal@2",
+		Args:              cobra.ExactArgs(1),
+		ValidArgsFunction: t.completeModels,
+		RunE: func(c *cobra.Command, args []string) error {
+			client, err := t.client()
+			if err != nil {
+				return err
+			}
+			explanation, err := client.Explain(c.Context(), args[0])
+			if err != nil {
+				return err
+			}
+			return t.print(explanation, func(w io.Writer) error { return showExplanation(w, explanation) })
+		},
+	}
+}
+
+func showExplanation(w io.Writer, e operatorapi.Explanation) error {
+	m := e.Status
+	fmt.Fprintf(w, "%s is %s, %d MiB, class %s, %.1f requests/s\n", e.Asked, m.Ref, m.MemoryMB, m.Class, m.RequestsPerSecond)
+	if m.Base != "" {
+		fmt.Fprintf(w, "It extends %s.\n", m.Base)
+	}
+	fmt.Fprintf(w, "Kept copies, whatever the demand: %d\n", e.Floor)
+	for _, reason := range e.Placement {
+		fmt.Fprintf(w, "  %s\n", reason)
+	}
+	fmt.Fprintln(w)
+	if err := copyTable(m.Copies).write(w); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "\nA request now: %s\n\n", describeOutlook(e.Request))
+	return candidateTable(e.Request.Candidates).write(w)
+}
+
+func copyTable(copies []operatorapi.Copy) *table {
+	out := newTable("COPY ON", "FAILURE DOMAIN", "STATE", "REASON")
+	for _, c := range copies {
+		out.add(c.Server, c.FailureDomain, c.State, c.Reason)
+	}
+	return out
+}
+
+func describeOutlook(o operatorapi.RequestOutlook) string {
+	text := o.Action
+	if o.Server != "" {
+		text += " to " + o.Server
+	}
+	if o.Code != "" {
+		text += " with " + string(o.Code)
+	}
+	return text + ": " + o.Reason
+}
+
+func candidateTable(candidates []operatorapi.Candidate) *table {
+	out := newTable("CANDIDATE", "FAILURE DOMAIN", "OUTSTANDING", "PREDICTED", "EXCLUDED")
+	for _, c := range candidates {
+		out.add(c.Server, c.FailureDomain, c.Outstanding, fmt.Sprintf("%d ms", c.PredictedMillis), c.Excluded)
+	}
+	return out
+}
+
+func (t *tool) locateCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:               "locate MODEL",
+		Short:             "List the instances that callers of a model should use",
+		Long:              "List the instances that callers of a model or adapter should use, the best first, as callers are told.",
+		Example:           "  limpethubctl locate appraisal",
+		Args:              cobra.ExactArgs(1),
+		ValidArgsFunction: t.completeModels,
+		RunE: func(c *cobra.Command, args []string) error {
+			client, err := t.client()
+			if err != nil {
+				return err
+			}
+			location, err := client.Locate(c.Context(), args[0])
+			if err != nil {
+				return err
+			}
+			return t.print(location, func(w io.Writer) error { return showLocation(w, location) })
+		},
+	}
+}
+
+func showLocation(w io.Writer, l operatorapi.Location) error {
+	out := newTable("INSTANCE", "ADDRESS", "FAILURE DOMAIN")
+	for _, e := range l.Entries {
+		out.add(e.Instance, e.Address, e.FailureDomain)
+	}
+	if err := out.write(w); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "%s: good for %d ms\n", l.Model, l.TTLMillis)
+	return err
+}
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,117 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"limpethub/internal/operatorapi"
+)
+
+// status asks the instance for its status.
+func (t *tool) status(c *cobra.Command) (operatorapi.Status, error) {
+	client, err := t.client()
+	if err != nil {
+		return operatorapi.Status{}, err
+	}
+	return client.Status(c.Context())
+}
+
+func (t *tool) statusCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show the site's state at a glance",
+		Long: `Show the site's state at a glance, as the asked instance sees it: the configuration
+in force, the key-value service, who places models, the entry instances, the classes,
+and whatever is not as it should be.`,
+		Example: "  limpethubctl status",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			status, err := t.status(c)
+			if err != nil {
+				return err
+			}
+			return t.print(status, func(w io.Writer) error { return showStatus(w, status) })
+		},
+	}
+}
+
+func showStatus(w io.Writer, s operatorapi.Status) error {
+	fmt.Fprintf(w, "Site %s, seen by %s at %s\n", s.Site, s.Instance, s.Time.UTC().Format("2006-01-02 15:04:05 UTC"))
+	fmt.Fprintf(w, "Configuration: revision %d\n", s.Revision)
+	fmt.Fprintf(w, "Key-value service: %s\n", describeStore(s.Store))
+	fmt.Fprintf(w, "Placement: %s\n", describePlacement(s.Placement))
+	fmt.Fprintf(w, "Servers: %s\n", describeServers(s.Servers))
+	fmt.Fprintf(w, "Models: %s\n\n", describeModels(s.Models))
+	if err := instanceTable(s).write(w); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	return classTable(s.Classes).write(w)
+}
+
+func describeStore(s operatorapi.StoreStatus) string {
+	if s.Reachable {
+		return "reachable"
+	}
+	if s.LastAnswer.IsZero() {
+		return fmt.Sprintf("UNREACHABLE, never answered: %s", s.Error)
+	}
+	return fmt.Sprintf("UNREACHABLE since %s: %s", s.LastAnswer.UTC().Format("15:04:05 UTC"), s.Error)
+}
+
+func describePlacement(p operatorapi.PlacementStatus) string {
+	if p.Holder == "" {
+		return "NO HOLDER is known"
+	}
+	return fmt.Sprintf("held by %s with fencing number %d, %d orders pending, %d moves", p.Holder, p.Fence, p.OrdersPending, p.MovesTotal)
+}
+
+func describeServers(servers []operatorapi.ServerStatus) string {
+	counts := map[operatorapi.ServerState]int{}
+	for _, s := range servers {
+		counts[s.State]++
+	}
+	return fmt.Sprintf("%d live, %d leaving, %d unreachable",
+		counts[operatorapi.ServerLive], counts[operatorapi.ServerLeaving], counts[operatorapi.ServerUnreachable])
+}
+
+// describeModels names models that can't be reached, which must never be.
+func describeModels(models []operatorapi.ModelStatus) string {
+	const most = 5
+	unreachable := 0
+	names := ""
+	for _, m := range models {
+		if m.Reachable() {
+			continue
+		}
+		unreachable++
+		if unreachable <= most {
+			names += " " + string(m.Ref)
+		}
+	}
+	if unreachable == 0 {
+		return fmt.Sprintf("all %d reachable", len(models))
+	}
+	if unreachable > most {
+		names += " …"
+	}
+	return fmt.Sprintf("%d of %d NOT REACHABLE:%s", unreachable, len(models), names)
+}
+
+func instanceTable(s operatorapi.Status) *table {
+	out := newTable("INSTANCE", "STATE", "FAILURE DOMAIN", "CALLERS", "REVISION", "REQUESTS")
+	for _, i := range s.Instances {
+		out.add(i.Name, i.State, i.FailureDomain, i.CallerAddress, i.Revision, i.Requests)
+	}
+	return out
+}
+
+func classTable(classes []operatorapi.ClassStatus) *table {
+	out := newTable("CLASS", "WAITING", "RUNNING", "IN TIME", "LATE", "REFUSED")
+	for _, c := range classes {
+		out.add(c.Name, c.Waiting, c.Running, c.InTime, c.Late, c.Refused)
+	}
+	return out
+}
--- a/internal/operatorapi/client.go
+++ b/internal/operatorapi/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
 
@@ -16,10 +17,13 @@
 // maxAnswerBytes bounds what the client reads of an answer.
 const maxAnswerBytes = 64 << 20
 
-// UnreachableError means that no answer came. A change may have taken effect.
+// UnreachableError means that no answer came.
 type UnreachableError struct {
 	URL string
-	Err error
+	// Sent is true once a connection was there for the request, so that a change may
+	// have taken effect.
+	Sent bool
+	Err  error
 }
 
 // Error implements error.
@@ -90,14 +94,18 @@
 	if err != nil {
 		return err
 	}
+	sent := false
+	request = request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent = true },
+	}))
 	response, err := c.http.Do(request)
 	if err != nil {
-		return &UnreachableError{URL: c.base, Err: err}
+		return &UnreachableError{URL: c.base, Sent: sent, Err: err}
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return &UnreachableError{URL: c.base, Err: err}
+		return &UnreachableError{URL: c.base, Sent: true, Err: err}
 	}
 	if response.StatusCode >= http.StatusBadRequest {
 		return errorOf(response, data)
--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -8,6 +8,8 @@
 
 	"github.com/gorilla/mux"
 	"github.com/sirupsen/logrus"
+
+	"limpethub/internal/strictjson"
 )
 
 // Paths of the interface. All but PathHealth need an operator's key.
@@ -103,12 +105,12 @@
 
 func (h *Handler) status(w http.ResponseWriter, r *http.Request) {
 	status, err := h.controller.Status(r.Context())
-	h.answer(w, status, err)
+	h.answer(w, &status, err)
 }
 
 func (h *Handler) configuration(w http.ResponseWriter, r *http.Request) {
 	accepted, err := h.controller.Configuration(r.Context())
-	h.answer(w, accepted, err)
+	h.answer(w, &accepted, err)
 }
 
 func (h *Handler) apply(w http.ResponseWriter, r *http.Request) {
@@ -118,7 +120,7 @@
 		return
 	}
 	accepted, err := h.controller.Apply(r.Context(), change)
-	h.answer(w, accepted, err)
+	h.answer(w, &accepted, err)
 }
 
 // decodeChange reads a change strictly: a field that this version doesn't know would
@@ -143,7 +145,7 @@
 		return
 	}
 	explanation, err := h.controller.Explain(r.Context(), name)
-	h.answer(w, explanation, err)
+	h.answer(w, &explanation, err)
 }
 
 func (h *Handler) locate(w http.ResponseWriter, r *http.Request) {
@@ -153,7 +155,7 @@
 		return
 	}
 	location, err := h.controller.Locate(r.Context(), name)
-	h.answer(w, location, err)
+	h.answer(w, &location, err)
 }
 
 func (h *Handler) drain(w http.ResponseWriter, r *http.Request) {
@@ -169,13 +171,14 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
-// answer writes a value, or the error if there is one.
-func (h *Handler) answer(w http.ResponseWriter, value any, err error) {
+// answer writes what pointer points to, or the error if there is one.
+func (h *Handler) answer(w http.ResponseWriter, pointer any, err error) {
 	if err != nil {
 		h.fail(w, err)
 		return
 	}
-	h.write(w, http.StatusOK, value)
+	strictjson.FillLists(pointer)
+	h.write(w, http.StatusOK, pointer)
 }
 
 var statusOfCode = map[Code]int{
--- a/internal/site/fit.go
+++ b/internal/site/fit.go
@@ -13,6 +13,10 @@
 	engines := 0
 	for _, s := range d.Servers {
 		if s.Kind == KindEngine {
+			if s.MemoryMB <= 0 {
+				// Another check reports it; without its size nothing can be said.
+				return nil
+			}
 			engines++
 			largest = max(largest, s.MemoryMB)
 			total += s.MemoryMB
--- a/internal/site/load.go
+++ b/internal/site/load.go
@@ -18,7 +18,7 @@
 
 // Load reads a site's base file and its overlay, merges and checks them. An empty
 // overlay means that there is none. The error, of type strictjson.Problems, lists all
-// that is wrong, by file and line.
+// that is wrong, by file and line. No list of a returned document is nil.
 func Load(base, overlay string, more ...Check) (Document, error) {
 	baseTree, problems := strictjson.ReadFile(base)
 	if overlay == "" {
@@ -84,6 +84,7 @@
 	if err := problems.Err(); err != nil {
 		return Document{}, err
 	}
+	strictjson.FillLists(&doc)
 	return doc, nil
 }
 
