--- a/internal/engine/httpengine/data.go
+++ b/internal/engine/httpengine/data.go
@@ -30,7 +30,7 @@
 		return nil, err
 	}
 	r.Header.Set("Accept", "text/event-stream")
-	return openStream(ctx, guard, e.work, r, call.Request.ID, 0)
+	return openStream(ctx, guard, e.work, r, call.Request.ID, 0, checkHead)
 }
 
 // Resume implements engine.DataPlane.
@@ -44,22 +44,25 @@
 	if after >= 0 {
 		r.Header.Set(HeaderLastEventID, string(id)+"/"+strconv.Itoa(after))
 	}
-	s, err := openStream(ctx, guard, e.fresh, r, id, after+1)
+	s, err := openStream(ctx, guard, e.fresh, r, id, after+1, checkResumedHead)
 	if err != nil {
 		return nil, unclear(err)
 	}
 	return s, nil
 }
 
+// headCheck judges the head of an answer to the request with the id.
+type headCheck func(answer *http.Response, id request.ID) error
+
 // openStream sends a request whose answer is a stream that starts at offset next.
-func openStream(ctx context.Context, guard *watchdog, rt http.RoundTripper, r *http.Request, id request.ID, next int) (engine.Stream, error) {
+func openStream(ctx context.Context, guard *watchdog, rt http.RoundTripper, r *http.Request, id request.ID, next int, check headCheck) (engine.Stream, error) {
 	answer, err := exchange(rt, r)
 	if err != nil {
 		guard.stop()
 		return nil, err
 	}
 	guard.alive()
-	if err := checkHead(answer, id); err != nil {
+	if err := check(answer, id); err != nil {
 		_ = answer.Body.Close()
 		guard.stop()
 		return nil, err
@@ -78,6 +81,15 @@
 	return nil
 }
 
+// checkResumedHead is checkHead for a question about a run. A server that doesn't
+// know the run may have known it before a restart, so this proves nothing.
+func checkResumedHead(answer *http.Response, id request.ID) error {
+	if answer.StatusCode == http.StatusNotFound {
+		return verdict.Unclear(verdict.CodeRunUnknown, nil, "the server doesn't know the run")
+	}
+	return checkHead(answer, id)
+}
+
 // unclear turns the verdict of a question about an earlier request into that of
 // the request: a question that wasn't asked proves nothing about the request.
 func unclear(err error) error {
@@ -179,6 +191,9 @@
 	}
 	r.Header = passedHeaders(call.Header)
 	r.Header.Set(HeaderRequestID, string(call.Request.ID))
+	if call.Request.Model != "" {
+		r.Header.Set(HeaderModel, string(call.Request.Model))
+	}
 	r.Header.Set(HeaderPriority, strconv.Itoa(call.Priority))
 	if !call.Request.Deadline.IsZero() {
 		left := max(0, time.Until(call.Request.Deadline).Milliseconds())
--- a/internal/engine/httpengine/exchange.go
+++ b/internal/engine/httpengine/exchange.go
@@ -17,6 +17,8 @@
 const (
 	// HeaderRequestID carries the request's id, and comes back with the answer.
 	HeaderRequestID = "X-Request-Id"
+	// HeaderModel carries the version to run, as name@version; it goes before the body's.
+	HeaderModel = "X-Model"
 	// HeaderPriority carries the priority, 0 the most urgent.
 	HeaderPriority = "X-Priority"
 	// HeaderDeadline carries the milliseconds left until the deadline.
--- a/internal/engine/httpengine/httpengine_test.go
+++ b/internal/engine/httpengine/httpengine_test.go
@@ -197,3 +197,10 @@
 		t.Fatalf("%d runs, want 0", runs)
 	}
 }
+
+func TestResumeOfUnknownRun(t *testing.T) {
+	_, host := newEngine(t, nil)
+	e := httpengine.New(httpengine.Options{})
+	_, err := e.Resume(context.Background(), serverAt(host.Address()), "nobody", -1)
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.CodeRunUnknown)
+}
--- a/internal/lab/standin/modelengine/http.go
+++ b/internal/lab/standin/modelengine/http.go
@@ -92,6 +92,9 @@
 		refuse(w, http.StatusBadRequest, "malformed")
 		return
 	}
+	if model := r.Header.Get("X-Model"); model != "" {
+		body.Model = modelref.Ref(model)
+	}
 	accepted, reason := e.accept(id, body, r)
 	if reason != "" {
 		refuse(w, refusalStatus(reason), reason)
