--- a/internal/lab/bench/bench_test.go
+++ b/internal/lab/bench/bench_test.go
@@ -70,9 +70,9 @@
 }
 
 func TestBrokenPromisesAreListed(t *testing.T) {
-	f := Figures{Duplicates: 1, Foreign: 1, Disordered: 1, Cut: 1, MemoryViolations: 1}
-	if got := len(f.Broken()); got != 5 {
-		t.Fatalf("%d promises broken, want 5", got)
+	f := Figures{Duplicates: 1, Foreign: 1, Disordered: 1, Cut: 1, MemoryViolations: 1, LoadViolations: 1}
+	if got := len(f.Broken()); got != 6 {
+		t.Fatalf("%d promises broken, want 6", got)
 	}
 	if got := (Figures{}).Broken(); got != nil {
 		t.Fatalf("broken without cause: %v", got)
--- a/internal/lab/bench/result.go
+++ b/internal/lab/bench/result.go
@@ -55,6 +55,8 @@
 	Cut        int `json:"cut"`
 	// MemoryViolations counts loads beyond an engine's memory.
 	MemoryViolations int `json:"memory_violations"`
+	// LoadViolations counts loads beyond the weight store's limits.
+	LoadViolations int `json:"load_violations"`
 	// StoreCalls is the key-value service's count of calls.
 	StoreCalls int `json:"store_calls"`
 	// BusyShare is the machine's; Valid is false when it was too high.
@@ -75,6 +77,7 @@
 	note(f.Disordered, "an answer was out of order")
 	note(f.Cut, "an answer was cut without a verdict")
 	note(f.MemoryViolations, "an engine's memory was overcommitted")
+	note(f.LoadViolations, "the weight store's limits were exceeded")
 	return out
 }
 
@@ -121,14 +124,29 @@
 	return out
 }
 
-// setSite fills in what the stand-ins counted.
-func (f *Figures) setSite(s *Site, asks []load.Ask) {
+// siteCounts are what the stand-ins counted up to one moment.
+type siteCounts struct{ moves, memoryViolations, loadViolations, storeCalls int }
+
+func countSite(s *Site) siteCounts {
+	var c siteCounts
 	for _, e := range s.Engines {
 		stats := e.Stats()
-		f.Moves += stats.Loads + stats.Unloads
-		f.MemoryViolations += stats.MemoryViolations
+		c.moves += stats.Loads + stats.Unloads
+		c.memoryViolations += stats.MemoryViolations
 	}
-	f.StoreCalls = s.Store.Stats().Calls()
+	weights := s.Weights.Stats()
+	c.loadViolations = weights.RateViolations + weights.OverlapViolations
+	c.storeCalls = s.Store.Stats().Calls()
+	return c
+}
+
+// setSite fills in what the stand-ins counted since before.
+func (f *Figures) setSite(s *Site, before siteCounts, asks []load.Ask) {
+	now := countSite(s)
+	f.Moves = now.moves - before.moves
+	f.MemoryViolations = now.memoryViolations - before.memoryViolations
+	f.LoadViolations = now.loadViolations - before.loadViolations
+	f.StoreCalls = now.storeCalls - before.storeCalls
 	runs := runsByAsk(s.RunCounts())
 	total := 0
 	for _, ask := range asks {
--- a/internal/lab/bench/run.go
+++ b/internal/lab/bench/run.go
@@ -25,6 +25,10 @@
 	Duration time.Duration
 	// Daemons is how many instances run.
 	Daemons int
+	// Phase tells several measurements of one site apart.
+	Phase int
+	// ShiftBy turns the models' popularity by that many ranks.
+	ShiftBy int
 }
 
 // Fault is something that goes wrong during a run.
@@ -53,6 +57,7 @@
 // Measure sends a scenario's load to a running site and returns the figures.
 func Measure(ctx context.Context, s *Site, sc Scenario) (Figures, error) {
 	asks := load.Arrivals(sc.plan(s))
+	before := countSite(s)
 	busy, err := StartBusyMeter()
 	if err != nil {
 		return Figures{}, err
@@ -73,7 +78,7 @@
 		BusyShare: share, Valid: share <= MaxBusyShare,
 	}
 	f.setResults(results, sc.Duration, accelerators(&s.Document))
-	f.setSite(s, asks)
+	f.setSite(s, before, asks)
 	return f, ctx.Err()
 }
 
@@ -82,7 +87,8 @@
 		Shape: sc.Profile.Shape, Document: &s.Document,
 		PerSecond: sc.Load * sc.Profile.Capacity(), ServiceFactor: 1,
 		Duration: sc.Duration, Callers: callersPerRun, Seed: sc.Seed,
-		Label: fmt.Sprintf("s%d", sc.Seed),
+		Label:   fmt.Sprintf("s%d-%d", sc.Seed, sc.Phase),
+		ShiftBy: sc.ShiftBy,
 	}
 }
 
--- a/internal/lab/load/arrivals.go
+++ b/internal/lab/load/arrivals.go
@@ -44,6 +44,8 @@
 	Duration      time.Duration
 	Callers       int
 	Seed          uint64
+	// ShiftBy turns the popularity of each class's models by that many ranks.
+	ShiftBy int
 	// Label makes ids unique among runs. It holds letters, digits and '-' only.
 	Label string
 }
@@ -62,7 +64,7 @@
 func Arrivals(p Plan) []Ask {
 	g := &generator{plan: p, rng: rand.New(rand.NewPCG(p.Seed, p.Seed)), units: map[string][]site.Unit{}, zipfs: map[string][]float64{}}
 	for _, c := range p.Shape.Classes {
-		g.units[c.Class] = unitsOf(p.Document, c.Class)
+		g.units[c.Class] = turn(unitsOf(p.Document, c.Class), p.ShiftBy)
 		g.zipfs[c.Class] = zipf(len(g.units[c.Class]), p.Shape.ZipfExponent)
 	}
 	var out []Ask
@@ -78,6 +80,15 @@
 	return out
 }
 
+// turn moves the first n units to the end.
+func turn(units []site.Unit, n int) []site.Unit {
+	if len(units) == 0 {
+		return nil
+	}
+	n %= len(units)
+	return slices.Concat(units[n:], units[:n])
+}
+
 // times draws the moments of a Poisson process with bursts.
 func (g *generator) times(perSecond float64) []time.Duration {
 	if perSecond <= 0 {
