--- a/internal/lab/bench/run.go
+++ b/internal/lab/bench/run.go
@@ -39,7 +39,11 @@
 }
 
 // Run starts a site, sends the scenario's load and returns the figures.
-func Run(ctx context.Context, sc Scenario, factory Factory) (Figures, error) {
+func Run(ctx context.Context, sc Scenario, newFactory NewFactory) (Figures, error) {
+	factory, err := newFactory()
+	if err != nil {
+		return Figures{}, err
+	}
 	s, err := StartSite(sc.Profile.SiteOptions())
 	if err != nil {
 		return Figures{}, err
--- a/internal/lab/bench/site.go
+++ b/internal/lab/bench/site.go
@@ -48,9 +48,12 @@
 	Seed       uint64
 }
 
-// Factory starts an instance.
+// Factory starts an instance of one site.
 type Factory func(ctx context.Context, o DaemonOptions) (Daemon, error)
 
+// NewFactory makes the factory of a new site.
+type NewFactory func() (Factory, error)
+
 // SiteOptions describes a site.
 type SiteOptions struct {
 	// Document is the configuration; addresses of servers are replaced.
--- a/internal/lab/experiments/compare.go
+++ b/internal/lab/experiments/compare.go
@@ -27,7 +27,7 @@
 }
 
 // CompareCommand runs each policy on the same arrivals.
-func CompareCommand(factory bench.Factory) *cobra.Command {
+func CompareCommand(newFactory bench.NewFactory) *cobra.Command {
 	o := compareOptions{}
 	c := &cobra.Command{
 		Use:   "compare",
@@ -36,7 +36,7 @@
 			"stand-in engines and callers in one process, over loopback. Runs in which the machine\n" +
 			"was more than half busy are left out and counted as invalid.",
 		Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error { return o.run(cmd.Context(), cmd.OutOrStdout(), factory) },
+		RunE: func(cmd *cobra.Command, _ []string) error { return o.run(cmd.Context(), cmd.OutOrStdout(), newFactory) },
 	}
 	f := c.Flags()
 	f.StringVar(&o.site, "site", "rigline", "shape of the site: rigline or tichy-vers")
@@ -52,14 +52,14 @@
 	return c
 }
 
-func (o compareOptions) run(ctx context.Context, out io.Writer, factory bench.Factory) error {
+func (o compareOptions) run(ctx context.Context, out io.Writer, newFactory bench.NewFactory) error {
 	scenarios, err := o.scenarios()
 	if err != nil {
 		return err
 	}
 	var runs []bench.Figures
 	for i, sc := range scenarios {
-		f, err := bench.Run(ctx, sc, factory)
+		f, err := bench.Run(ctx, sc, newFactory)
 		if err != nil {
 			return fmt.Errorf("experiments: run %d: %w", i+1, err)
 		}
--- a/internal/lab/experiments/phases.go
+++ b/internal/lab/experiments/phases.go
@@ -41,14 +41,14 @@
 }
 
 // MovesCommand counts moves under steady and under shifting demand.
-func MovesCommand(factory bench.Factory) *cobra.Command {
+func MovesCommand(newFactory bench.NewFactory) *cobra.Command {
 	o := phaseOptions{}
 	c := &cobra.Command{
 		Use:   "moves",
 		Short: "Count moves of models while the demand is steady, shifts, and shifts back",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return o.run(cmd.Context(), cmd.OutOrStdout(), factory, []phase{
+			return o.run(cmd.Context(), cmd.OutOrStdout(), newFactory, []phase{
 				{name: "steady"},
 				{name: "steady-again"},
 				{name: "shifted", shiftBy: 7},
@@ -62,14 +62,14 @@
 }
 
 // OutageCommand measures a site while the key-value service is away.
-func OutageCommand(factory bench.Factory) *cobra.Command {
+func OutageCommand(newFactory bench.NewFactory) *cobra.Command {
 	o := phaseOptions{}
 	c := &cobra.Command{
 		Use:   "outage",
 		Short: "Measure requests and calls while the key-value service is slow, loses answers, hangs and is down",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return o.run(cmd.Context(), cmd.OutOrStdout(), factory, []phase{
+			return o.run(cmd.Context(), cmd.OutOrStdout(), newFactory, []phase{
 				{name: "before"},
 				{name: "slow", before: withStoreFaults(kvstore.Faults{Slow: time.Second})},
 				{name: "answers-lost", before: withStoreFaults(kvstore.Faults{LoseAnswers: true})},
@@ -88,11 +88,15 @@
 	return func(s *bench.Site) { s.Store.SetFaults(f) }
 }
 
-func (o phaseOptions) run(ctx context.Context, out io.Writer, factory bench.Factory, phases []phase) error {
+func (o phaseOptions) run(ctx context.Context, out io.Writer, newFactory bench.NewFactory, phases []phase) error {
 	profile, err := profileByName(o.site)
 	if err != nil {
 		return err
 	}
+	factory, err := newFactory()
+	if err != nil {
+		return err
+	}
 	s, err := bench.StartSite(profile.SiteOptions())
 	if err != nil {
 		return err
