load: runs are named by the instance, too

The gateway now names a run <request>~<instance>-<n>.<attempt>; the checker took that for another request's answer (each answer counted as foreign).

--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -87,6 +87,7 @@
 		want   error
 	}{
 		{"whole", []string{piece("q-1.1", 0), piece("q-1.1", 1)}, nil},
+		{"whole, named by an instance", []string{piece("q-1~e-1-7.1", 0), piece("q-1~e-1-7.1", 1)}, nil},
 		{"another request", []string{piece("q-1.1", 0), piece("q-2.1", 1)}, ErrForeign},
 		{"a longer id with the same start", []string{piece("q-10.1", 0)}, ErrForeign},
 		{"left out", []string{piece("q-1.1", 0), piece("q-1.1", 2)}, ErrOrder},
