--- a/internal/atmostonce/registry.go
+++ b/internal/atmostonce/registry.go
@@ -26,8 +26,9 @@
 	Incarnation uint64
 	// Retention is how long a request is remembered after its last event. Repeats are
 	// settled up to half of it after the first attempt; the other half covers what an
-	// attempt spends on its way, in the network or before a paused process. Half of it
-	// must exceed the longest deadline.
+	// attempt spends on its way, in the network or before a paused process. It may be
+	// shorter than a deadline: what runs is never forgotten, and an older repeat is
+	// answered MayHaveRun.
 	Retention time.Duration
 	// Capacity is how many requests are remembered at most. Beyond it, non-idempotent
 	// requests are refused: forgetting early could let one run twice.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -201,7 +201,6 @@
 		Registry: atmostonce.New(atmostonce.Options{
 			Instance:    d.settings.Instance,
 			Incarnation: uint64(d.started.UnixNano()),
-			Started:     d.started,
 			Retention:   repeatRetention,
 			Capacity:    repeatCapacity,
 		}),
