--- a/internal/scheduling/candidate.go
+++ b/internal/scheduling/candidate.go
@@ -75,7 +75,7 @@
 	c.candidates = c.candidates[:0]
 	c.choices = c.choices[:0]
 	for _, r := range t.replicas {
-		if !r.usable(now, k.avoid) {
+		if !r.usable(now, k.avoid) || c.full(now, r.server, k.urgency) {
 			continue
 		}
 		c.candidates = append(c.candidates, c.candidate(now, r, k))
@@ -88,14 +88,19 @@
 	if len(c.candidates) == 0 {
 		return nil, routing.Candidate{}
 	}
-	q := routing.Query{Now: now, Deadline: k.request.Deadline, Random: c.random, Turn: t.turn}
-	i := c.policy.Choose(&q, c.candidates)
+	c.query = routing.Query{Now: now, Deadline: k.request.Deadline, Random: c.random, Turn: t.turn}
+	i := c.policy.Choose(&c.query, c.candidates)
 	if i < 0 {
 		return nil, routing.Candidate{}
 	}
 	return c.choices[i], c.candidates[i]
 }
 
+// full reports whether the server has no room for a request of the urgency.
+func (c *core) full(now time.Time, s *server, urgency float64) bool {
+	return c.limited && s.load.Total(now) >= s.limit.Value(urgency)
+}
+
 func (r *replica) usable(now time.Time, avoid string) bool {
 	return r.server.usable(now) && !now.Before(r.backoff) && r.server.Name != avoid
 }
--- /dev/null
+++ b/internal/scheduling/flowcontrol/queue_test.go
@@ -0,0 +1,82 @@
+package flowcontrol
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"limpethub/internal/request"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func item(id string, class int, deadline time.Duration) *Item {
+	return &Item{
+		Request: request.Request{ID: request.ID(id), Class: class, Deadline: epoch.Add(deadline)},
+		Work:    time.Second, Expiry: epoch.Add(deadline / 2),
+	}
+}
+
+func TestOrderBoundsAndExpiry(t *testing.T) {
+	q := New([]int{2, 1})
+	lane := q.NewLane()
+	late, early := item("late", 0, 2*time.Second), item("early", 0, time.Second)
+	if !q.Push(lane, late) || !q.Push(lane, early) || q.Push(lane, item("third", 0, 1)) {
+		t.Fatal("bound of the class not kept")
+	}
+	if q.Push(lane, item("early", 1, 1)) {
+		t.Fatal("same ID accepted twice")
+	}
+	if lane.First(0) != early || lane.WorkUpTo(1) != 2*time.Second {
+		t.Fatalf("first = %v, work = %v", lane.First(0), lane.WorkUpTo(1))
+	}
+	if q.Expired(epoch) != nil || q.Expired(epoch.Add(time.Second)) != early {
+		t.Fatal("wrong item expired")
+	}
+	q.SetAside(early)
+	if lane.First(0) != late || q.Len() != 2 {
+		t.Fatal("an item set aside must be hidden from its lane and still wait")
+	}
+	q.PutBack(early)
+	q.SetExpiry(early, epoch.Add(time.Hour))
+	if !q.NextExpiry().Equal(late.Expiry) || !q.Cancel("early") || q.Cancel("early") || q.Length(0) != 1 {
+		t.Fatal("expiry or cancellation wrong")
+	}
+}
+
+func TestFloorGivesAShareWhileWorkWaits(t *testing.T) {
+	q := New([]int{1, 1})
+	f := NewFloor([]float64{0, 0.1})
+	q.Push(q.NewLane(), item("low", 1, time.Second))
+	due := 0
+	for range 100 {
+		class := 0
+		if f.Due(1) {
+			class = 1
+			due++
+		}
+		f.Dispatched(class, q)
+	}
+	if due < 8 || due > 10 {
+		t.Fatalf("%d of 100 dispatches went to the class with a floor of 0.1", due)
+	}
+	q.Cancel("low")
+	f.Dispatched(0, q)
+	if f.Due(1) {
+		t.Fatal("a class without waiting work saved up credit")
+	}
+}
+
+func BenchmarkPushAndRemove(b *testing.B) {
+	q := New([]int{1 << 20})
+	lane := q.NewLane()
+	for i := range 10_000 {
+		q.Push(lane, item(fmt.Sprint(i), 0, time.Duration(i*7919%10_000)*time.Millisecond))
+	}
+	x := item("x", 0, 5*time.Second)
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Push(lane, x)
+		q.Remove(x)
+	}
+}
--- /dev/null
+++ b/internal/scheduling/predict/predict_test.go
@@ -0,0 +1,76 @@
+package predict
+
+import (
+	"testing"
+	"time"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// answer is a sample with 10 ms of prefill per 100 prompt tokens and the given step.
+func answer(step time.Duration) Sample {
+	return Sample{PromptTokens: 100, MaxTokens: 100, Tokens: 51, FirstToken: 10 * time.Millisecond, Duration: 10*time.Millisecond + 50*step}
+}
+
+func near(t *testing.T, what string, got, want, tolerance time.Duration) {
+	t.Helper()
+	if got < want-tolerance || got > want+tolerance {
+		t.Errorf("%s = %v, want %v ± %v", what, got, want, tolerance)
+	}
+}
+
+func TestEstimateLearnsFromAnswers(t *testing.T) {
+	s := NewSpeed(&Server{}, &Target{})
+	if s.Estimate(epoch, 100, 100, false).Known {
+		t.Fatal("known without any answer")
+	}
+	for range 20 {
+		s.Observe(epoch, answer(20*time.Millisecond))
+	}
+	e := s.Estimate(epoch, 200, 100, false)
+	near(t, "first token", e.FirstToken, 20*time.Millisecond, time.Millisecond)
+	near(t, "total", e.Total, 20*time.Millisecond+51*20*time.Millisecond, 5*time.Millisecond)
+	near(t, "for 10 tokens", e.For(10), 220*time.Millisecond, 5*time.Millisecond)
+}
+
+func TestSlowServerIsForgivenWithItsReports(t *testing.T) {
+	server := &Server{}
+	s := NewSpeed(server, &Target{})
+	for range 20 {
+		s.Observe(epoch, answer(100*time.Millisecond))
+	}
+	later := epoch.Add(6 * halfLife)
+	for range 20 {
+		server.ObserveStep(later, 20*time.Millisecond)
+	}
+	near(t, "at once", s.Estimate(epoch, 100, 100, false).PerToken, 100*time.Millisecond, time.Millisecond)
+	near(t, "later", s.Estimate(later, 100, 100, false).PerToken, 21*time.Millisecond, time.Millisecond)
+}
+
+func TestWaitIsNoPrefill(t *testing.T) {
+	s := NewSpeed(&Server{}, &Target{})
+	s.Observe(epoch, answer(time.Millisecond))
+	waited := answer(time.Millisecond)
+	waited.FirstToken, waited.Waited = time.Second, true
+	s.Observe(epoch, waited)
+	near(t, "first token", s.Estimate(epoch, 100, 100, false).FirstToken, 10*time.Millisecond, time.Millisecond)
+}
+
+func TestCachedPrefixIsFaster(t *testing.T) {
+	s := NewSpeed(&Server{}, &Target{})
+	s.Observe(epoch, answer(time.Millisecond))
+	near(t, "untried", s.Estimate(epoch, 100, 100, true).FirstToken, 5*time.Millisecond, time.Millisecond)
+	warm := answer(time.Millisecond)
+	warm.FirstToken, warm.Cached = 2*time.Millisecond, true
+	s.Observe(epoch, warm)
+	near(t, "seen", s.Estimate(epoch, 100, 100, true).FirstToken, 2*time.Millisecond, time.Millisecond)
+}
+
+func BenchmarkEstimate(b *testing.B) {
+	s := NewSpeed(&Server{}, &Target{})
+	s.Observe(epoch, answer(time.Millisecond))
+	later := epoch.Add(5 * time.Second)
+	for b.Loop() {
+		s.Estimate(later, 100, 100, false)
+	}
+}
--- a/internal/scheduling/routing/routing.go
+++ b/internal/scheduling/routing/routing.go
@@ -109,6 +109,17 @@
 	return p.scratch[p.Picker.Pick(q, p.scratch)].Index
 }
 
+// Limited reports whether the policy keeps servers below their limit, so that full
+// servers needn't be offered to it.
+func (p *Policy) Limited() bool {
+	for _, f := range p.Filters {
+		if _, ok := f.(room); ok {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Policy) keep(q *Query, c *Candidate) bool {
 	for _, f := range p.Filters {
 		if !f.Keep(q, c) {
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -22,6 +22,8 @@
 	random   *rand.Rand
 	policy   *routing.Policy
 	admit    admission.Policy
+	// limited is true when the policy offers nothing to full servers.
+	limited  bool
 	document *site.Document
 	// bases holds the model version that each adapter version extends.
 	bases map[modelref.Ref]modelref.Ref
@@ -41,6 +43,7 @@
 	round uint64
 	// ticked is when all waiting work was last looked at.
 	ticked     time.Time
+	query      routing.Query
 	candidates []routing.Candidate
 	choices    []*replica
 	// aside holds waiting requests that one pass has passed over.
@@ -72,6 +75,7 @@
 		instance: options.Instance,
 		random:   rand.New(rand.NewPCG(options.Seed, 0)),
 		policy:   policy,
+		limited:  policy.Limited(),
 		admit:    admit,
 		servers:  map[string]*server{},
 		targets:  map[targetKey]*target{},
--- a/internal/scheduling/waiting.go
+++ b/internal/scheduling/waiting.go
@@ -83,7 +83,7 @@
 
 // drain gives a server what waits for it, the most urgent first, while it has room.
 func (c *core) drain(now time.Time, s *server, out []Decision) []Decision {
-	if c.queue.Len() == 0 || !s.usable(now) {
+	if c.queue.Len() == 0 || !s.usable(now) || c.full(now, s, 1) {
 		return out
 	}
 	c.round++
