scheduling: limits count only what isn't less urgent; shares; a simulation to tune by

Cause: the limit counted all requests on a server, so urgent work waited here while the engine, which orders by priority, ran less urgent work of other instances.

--- a/internal/scheduling/candidate.go
+++ b/internal/scheduling/candidate.go
@@ -19,7 +19,8 @@
 	avoid   string
 	holders *prefix.Holders
 	probe   bool
-	urgency float64
+	// class is the class as which the request competes for room.
+	class int
 }
 
 func (c *core) seeker(now time.Time, t *target, r *request.Request, avoid string) seeker {
@@ -28,46 +29,49 @@
 		avoid:   avoid,
 		holders: c.prefixes.Holders(r.PrefixKey),
 		probe:   t.running == 0 && now.Sub(t.probed) >= probePeriod,
-		urgency: c.urgency(r.Class),
+		class:   c.rank(r.Class),
 	}
 }
 
-// urgency is 1 for the most urgent class and 0 for the least urgent one.
-func (c *core) urgency(class int) float64 {
-	last := len(c.document.Classes) - 1
-	if last == 0 || c.floor.Due(class) {
-		return 1
+// rank is the class as which a request competes: that of the most urgent once its
+// floor is due.
+func (c *core) rank(class int) int {
+	if c.floor.Due(class) {
+		return 0
 	}
-	return float64(last-class) / float64(last)
+	return class
 }
 
 // candidate describes a replica to the routing policy.
 func (c *core) candidate(now time.Time, r *replica, k *seeker) routing.Candidate {
 	s := r.server
 	cached := k.holders.Has(now, s.Name)
-	total := s.load.Total(now)
+	total, ahead := s.load.Total(now), s.load.UpTo(now, k.class)
 	return routing.Candidate{
 		Name:     s.Name,
 		Near:     s.Near,
 		Own:      s.load.Own(),
 		Total:    total,
-		Limit:    s.limit.Value(k.urgency),
+		Ahead:    ahead,
+		Limit:    s.limit.Value(),
+		OwnAhead: s.load.OwnUpTo(k.class),
+		Share:    c.share(s),
 		Cached:   cached,
 		Probe:    k.probe,
-		Wait:     s.wait(total, k.urgency),
+		Wait:     s.wait(total, ahead),
 		Estimate: r.speed.Estimate(now, k.request.PromptTokens, k.request.MaxTokens, cached),
 	}
 }
 
 // wait predicts how long a request waits in the server, which orders its queue by
-// priority: the most urgent class waits for a place in the batch only.
-func (s *server) wait(total int, urgency float64) time.Duration {
+// priority: for a place in the batch, and for those waiting that aren't less urgent.
+func (s *server) wait(total, ahead int) time.Duration {
 	batch := s.limit.Batch()
 	if batch == 0 || total < batch {
 		return 0
 	}
-	ahead := float64(total-batch)*(1-urgency) + 1
-	return time.Duration(ahead * float64(s.service) / float64(batch))
+	turns := max(0, ahead-batch) + 1
+	return time.Duration(turns) * s.stay / time.Duration(batch)
 }
 
 // choose asks the routing policy for a replica of the target; nil when none is left.
@@ -75,7 +79,7 @@
 	c.candidates = c.candidates[:0]
 	c.choices = c.choices[:0]
 	for _, r := range t.replicas {
-		if !r.usable(now, k.avoid) || c.full(now, r.server, k.urgency) {
+		if !r.usable(now, k.avoid) || c.full(now, r.server, k.class) {
 			continue
 		}
 		c.candidates = append(c.candidates, c.candidate(now, r, k))
@@ -96,9 +100,18 @@
 	return c.choices[i], c.candidates[i]
 }
 
-// full reports whether the server has no room for a request of the urgency.
-func (c *core) full(now time.Time, s *server, urgency float64) bool {
-	return c.limited && s.load.Total(now) >= s.limit.Value(urgency)
+// full reports whether the server has no room for a request of the class. Less
+// urgent requests on it don't count, since the server lets them wait.
+func (c *core) full(now time.Time, s *server, class int) bool {
+	if !c.limited || s.load.UpTo(now, class) < s.limit.Value() {
+		return false
+	}
+	return s.load.OwnUpTo(class) >= c.share(s)
+}
+
+// share is this instance's part of a server's limit.
+func (c *core) share(s *server) int {
+	return max(1, s.limit.Value()/(1+len(c.peers)))
 }
 
 func (r *replica) usable(now time.Time, avoid string) bool {
--- /dev/null
+++ b/internal/scheduling/compare_test.go
@@ -0,0 +1,91 @@
+package scheduling
+
+import (
+	"flag"
+	"slices"
+	"testing"
+	"time"
+
+	"limpethub/internal/scheduling/routing"
+)
+
+var compare = flag.Bool("compare", false, "print the comparison of all policies")
+
+// compareSeeds is how many seeds the comparison takes the mean of.
+const compareSeeds = 3
+
+var simPolicies = []string{routing.PolicyDeadline, routing.PolicyLeastOutstanding, routing.PolicyRandomOfTwo, routing.PolicyRoundRobin}
+
+func percentile(values []float64, p float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[int(p*float64(len(values)-1))]
+}
+
+// TestCompare prints a table; it runs with -compare only.
+func TestCompare(t *testing.T) {
+	if !*compare {
+		t.Skip("runs with -compare")
+	}
+	const stale = 3 * time.Second
+	cases := []simOptions{
+		{load: 0.7}, {load: 1.0}, {load: 1.3}, {load: 1.6},
+		{load: 0.7, lag: stale}, {load: 1.0, lag: stale}, {load: 1.3, lag: stale}, {load: 1.6, lag: stale},
+		{load: 0.7, slow: 1}, {load: 1.0, slow: 1}, {load: 1.3, slow: 1}, {load: 1.6, slow: 1},
+		{load: 0.7, dead: true}, {load: 1.0, dead: true}, {load: 1.3, dead: true}, {load: 1.6, dead: true},
+	}
+	for _, o := range cases {
+		for _, policy := range simPolicies {
+			o.policy, o.length = policy, time.Minute
+			compareOne(t, o)
+		}
+	}
+}
+
+func compareOne(t *testing.T, o simOptions) {
+	var attainment [3]float64
+	var inTime, sent, first float64
+	for seed := range compareSeeds {
+		o.seed = uint64(seed + 1)
+		s := newSim(o)
+		s.run()
+		for class := range attainment {
+			attainment[class] += s.attainment(class) / compareSeeds
+		}
+		inTime += float64(s.total()) / compareSeeds
+		sent += float64(s.sent) / float64(len(s.requests)) / compareSeeds
+		first += percentile(s.urgentFirst, 0.95) / compareSeeds
+	}
+	t.Logf("| %.1f | %v | %d | %v | %s | %.3f | %.3f | %.3f | %.0f | %.3f | %.0f |", o.load, o.lag, o.slow, o.dead, o.policy,
+		attainment[0], attainment[1], attainment[2], inTime, sent, first)
+}
+
+// TestTargets holds the policy to the stated targets in the simulation, at one seed.
+func TestTargets(t *testing.T) {
+	run := func(policy string, load float64) *sim {
+		s := newSim(simOptions{policy: policy, load: load, length: 30 * time.Second, seed: 1})
+		s.run()
+		return s
+	}
+	easy := run(routing.PolicyDeadline, 0.7)
+	for class := range simShares {
+		if a := easy.attainment(class); a < 0.99 {
+			t.Errorf("load 0.7: attainment of class %d is %.3f, want 0.99", class, a)
+		}
+	}
+	full := run(routing.PolicyDeadline, 1.0)
+	for _, load := range []float64{1.3, 1.6} {
+		s := run(routing.PolicyDeadline, load)
+		if a := s.attainment(0); a < 0.95 {
+			t.Errorf("load %.1f: attainment of the most urgent class is %.3f, want 0.95", load, a)
+		}
+		if float64(s.total()) < 0.9*float64(full.total()) {
+			t.Errorf("load %.1f: %d in time, want 0.9 of %d", load, s.total(), full.total())
+		}
+		if sent := float64(s.sent) / float64(len(s.requests)); sent > 1.1 {
+			t.Errorf("load %.1f: %.2f sent per request, want 1.1", load, sent)
+		}
+	}
+}
--- a/internal/scheduling/core.go
+++ b/internal/scheduling/core.go
@@ -79,6 +79,8 @@
 	Server   string
 	// Outstanding is how many requests the peer has on the server.
 	Outstanding int
+	// Classes splits Outstanding by class, the most urgent first.
+	Classes []int
 	// Tokens is how many tokens those still need.
 	Tokens int
 	// Sequence grows with each digest of one peer.
--- a/internal/scheduling/digest.go
+++ b/internal/scheduling/digest.go
@@ -10,23 +10,45 @@
 // with nothing outstanding, so that peers learn of it although digests get lost.
 const digestsAfterIdle = 3
 
+// peerLifetime is how long a peer counts among those that share the servers.
+const peerLifetime = 10 * time.Second
+
 // ObserveRemote implements Scheduler.
 func (c *core) ObserveRemote(now time.Time, remote Remote) []Decision {
 	s := c.servers[remote.Server]
 	if s == nil || remote.Instance == c.instance {
 		return nil
 	}
-	s.load.ObserveRemote(now, remote.Instance, remote.Outstanding, remote.Tokens, remote.Sequence)
+	c.peers[remote.Instance] = now
+	s.load.ObserveRemote(now, remote.Instance, remote.classes(), remote.Sequence)
 	return c.drainAfterExpiry(now, s)
 }
 
+// classes returns the split by class; a digest without one counts as most urgent.
+func (r Remote) classes() []int {
+	if len(r.Classes) > 0 {
+		return r.Classes
+	}
+	return []int{r.Outstanding}
+}
+
 // ForgetRemote implements Scheduler.
 func (c *core) ForgetRemote(instance string) {
+	delete(c.peers, instance)
 	for _, s := range c.servers {
 		s.load.ForgetRemote(instance)
 	}
 }
 
+// forgetPeers drops the peers whose digests have stopped.
+func (c *core) forgetPeers(now time.Time) {
+	for instance, seen := range c.peers {
+		if now.Sub(seen) > peerLifetime {
+			delete(c.peers, instance)
+		}
+	}
+}
+
 // Digest implements Scheduler.
 func (c *core) Digest() []Remote {
 	c.sequence++
@@ -35,7 +57,7 @@
 	for s, left := range c.busy {
 		out = append(out, Remote{
 			Instance: c.instance, Server: s.Name,
-			Outstanding: s.load.Own(), Tokens: tokens[s], Sequence: c.sequence,
+			Outstanding: s.load.Own(), Classes: s.load.OwnByClass(), Tokens: tokens[s], Sequence: c.sequence,
 		})
 		c.countDigest(s, left)
 	}
--- a/internal/scheduling/finish.go
+++ b/internal/scheduling/finish.go
@@ -20,7 +20,7 @@
 	delete(c.running, o.ID)
 	d.target.running--
 	s := d.replica.server
-	s.load.Finished(now)
+	s.load.Finished(now, d.class)
 	if o.Err == nil {
 		c.learn(now, d, o)
 	} else {
@@ -41,12 +41,17 @@
 		FirstToken: o.FirstToken, Duration: o.Duration,
 	})
 	s.limit.Observe(now, limit.Observation{
-		Expected: d.estimate.For(o.Tokens), Actual: o.Duration, Full: d.full,
+		Expected: d.wait + d.estimate.For(o.Tokens), Actual: o.Duration, Full: d.full,
 	})
-	if s.service == 0 {
-		s.service = o.Duration
+	s.observeStay(o.Duration)
+}
+
+// observeStay learns how long requests stay on the server.
+func (s *server) observeStay(sample time.Duration) {
+	if s.stay == 0 {
+		s.stay = sample
 	}
-	s.service += (o.Duration - s.service) / 8
+	s.stay += (sample - s.stay) / 8
 }
 
 // learnFailure keeps new work away from a server that is leaving or that refuses or
--- a/internal/scheduling/limit/limit.go
+++ b/internal/scheduling/limit/limit.go
@@ -10,12 +10,10 @@
 	// ceiling bounds the limit of a server that reports no batch size.
 	ceiling = 512
 	// lowest and highest bound the limit of an engine, as shares of its batch.
-	lowest  = 0.75
-	highest = 1.5
+	lowest  = 1
+	highest = 2
 	// decrease is the factor after a sign of overload.
 	decrease = 0.95
-	// reserve is the share of the limit that the most urgent class gets on top.
-	reserve = 0.25
 )
 
 // Limit is the adaptive limit of one server.
@@ -34,7 +32,7 @@
 		return
 	}
 	l.batch = batch
-	l.value = float64(batch)
+	l.value = 1.5 * float64(batch)
 }
 
 // Batch is how many requests the server runs at once; 0 when it doesn't say.
@@ -85,8 +83,6 @@
 	return highest * float64(l.batch)
 }
 
-// Value is the limit for a request whose urgency is 1 for the most urgent class and
-// 0 for the least urgent one.
-func (l *Limit) Value(urgency float64) int {
-	return max(1, int(l.value*(1+reserve*urgency)))
-}
+// Value is the limit: how many requests that aren't less urgent than one may be on
+// the server for it to be dispatched there.
+func (l *Limit) Value() int { return max(1, int(l.value)) }
--- a/internal/scheduling/load/server.go
+++ b/internal/scheduling/load/server.go
@@ -5,11 +5,11 @@
 const (
 	// remoteLifetime is how long a peer's digest counts.
 	remoteLifetime = 3 * time.Second
-	// staleAfter is the age from which a report no longer outweighs the digests.
-	staleAfter = 2 * time.Second
 	// maxLag bounds how old a report may claim to be; beyond it the server's clock is
 	// taken to be wrong and the report to be of now.
 	maxLag = 10 * time.Second
+	// unknownWeight is the weight of a new report in the mean of unknown requests.
+	unknownWeight = 0.5
 )
 
 // Report holds the figures of a server's report that tell its load.
@@ -21,45 +21,52 @@
 }
 
 type remote struct {
-	outstanding int
-	tokens      int
-	sequence    uint64
-	seen        time.Time
+	counts   counts
+	sequence uint64
+	seen     time.Time
 }
 
-// Server estimates the load of one server.
+// Server estimates the load of one server: this instance's requests, those of the
+// peers' digests, and those that only the server's reports show.
 type Server struct {
-	own       int
-	ownByTime history
-	// others is what the last report held beyond this instance's requests.
-	others  int
-	taken   time.Time
+	own     counts
 	remotes map[string]remote
-	// remoteTotal caches the sum of the remotes until it must be summed again.
-	remoteTotal int
-	remoteFresh time.Time
+	// others is the sum of the remotes; it is summed again from freshUntil on.
+	others     counts
+	freshUntil time.Time
+	// known is the history of own and others together.
+	known history
+	// unknown is how many requests the reports showed beyond the known ones.
+	unknown float64
+	taken   time.Time
 }
 
 // Own is how many requests this instance has on the server.
-func (s *Server) Own() int { return s.own }
+func (s *Server) Own() int { return s.own.total }
+
+// OwnUpTo is how many requests of a class and the more urgent ones this instance has
+// on the server.
+func (s *Server) OwnUpTo(class int) int { return s.own.upTo(class) }
+
+// OwnByClass lists how many requests this instance has on the server, per class.
+func (s *Server) OwnByClass() []int { return append([]int(nil), s.own.byClass...) }
 
 // Dispatched counts a request of this instance.
-func (s *Server) Dispatched(now time.Time) {
-	s.ownByTime.set(now, s.own, s.own+1)
-	s.own++
-}
+func (s *Server) Dispatched(now time.Time, class int) { s.change(now, func() { s.own.add(class, 1) }) }
 
 // Finished counts the end of a request of this instance.
-func (s *Server) Finished(now time.Time) {
-	if s.own == 0 {
-		return
-	}
-	s.ownByTime.set(now, s.own, s.own-1)
-	s.own--
+func (s *Server) Finished(now time.Time, class int) { s.change(now, func() { s.own.add(class, -1) }) }
+
+// change notes in the history what f does to the known requests.
+func (s *Server) change(now time.Time, f func()) {
+	before := s.own.total + s.others.total
+	f()
+	s.known.set(now, before, s.own.total+s.others.total)
 }
 
-// ObserveReport takes a report that was read at now. An older one than the last is
-// ignored.
+// ObserveReport takes a report that was read at now. One older than the last is
+// ignored. What it shows is compared with what was known at the time it tells of, so
+// that its lag does no harm.
 func (s *Server) ObserveReport(now time.Time, report Report) {
 	taken := report.Taken
 	if taken.After(now) || now.Sub(taken) > maxLag {
@@ -69,12 +76,14 @@
 		return
 	}
 	s.taken = taken
-	s.others = max(0, report.Total-s.ownByTime.at(taken, s.own))
+	s.refresh(now)
+	then := s.known.at(taken, s.own.total+s.others.total)
+	s.unknown += unknownWeight * (float64(max(0, report.Total-then)) - s.unknown)
 }
 
 // ObserveRemote takes a peer's digest. One with an old sequence is ignored, unless
 // the peer was silent for so long that it may have restarted.
-func (s *Server) ObserveRemote(now time.Time, instance string, outstanding, tokens int, sequence uint64) {
+func (s *Server) ObserveRemote(now time.Time, instance string, byClass []int, sequence uint64) {
 	if s.remotes == nil {
 		s.remotes = map[string]remote{}
 	}
@@ -82,46 +91,50 @@
 	if ok && sequence <= last.sequence && now.Sub(last.seen) < remoteLifetime {
 		return
 	}
-	s.remotes[instance] = remote{outstanding: outstanding, tokens: tokens, sequence: sequence, seen: now}
-	s.remoteFresh = time.Time{}
+	s.remotes[instance] = remote{counts: countsOf(byClass), sequence: sequence, seen: now}
+	s.sum(now)
 }
 
-// ForgetRemote drops a peer's digest.
+// ForgetRemote drops a peer's digest. What the peer left running shows in reports.
 func (s *Server) ForgetRemote(instance string) {
 	delete(s.remotes, instance)
-	s.remoteFresh = time.Time{}
+	s.freshUntil = time.Time{}
 }
 
-// Others estimates how many requests other instances have on the server.
-func (s *Server) Others(now time.Time) int {
-	remotes := s.sumRemotes(now)
-	if len(s.remotes) > 0 && now.Sub(s.taken) > staleAfter {
-		return remotes
-	}
-	return max(remotes, s.others)
+// Total estimates how many requests the server has.
+func (s *Server) Total(now time.Time) int {
+	s.refresh(now)
+	return s.own.total + s.others.total + int(s.unknown)
 }
 
-// Total estimates how many requests the server has.
-func (s *Server) Total(now time.Time) int { return s.own + s.Others(now) }
+// UpTo estimates how many requests of a class and the more urgent ones the server
+// has. Unknown requests count for every class.
+func (s *Server) UpTo(now time.Time, class int) int {
+	s.refresh(now)
+	return s.own.upTo(class) + s.others.upTo(class) + int(s.unknown)
+}
 
-// sumRemotes adds up the live digests. The sum is kept until the first of them
-// grows too old.
-func (s *Server) sumRemotes(now time.Time) int {
-	if now.Before(s.remoteFresh) {
-		return s.remoteTotal
+// refresh sums the digests again once the first of them has grown too old.
+func (s *Server) refresh(now time.Time) {
+	if len(s.remotes) > 0 && !now.Before(s.freshUntil) || s.freshUntil.IsZero() {
+		s.sum(now)
 	}
-	s.remoteTotal = 0
-	s.remoteFresh = now.Add(remoteLifetime)
-	for instance, r := range s.remotes {
-		dies := r.seen.Add(remoteLifetime)
-		if !now.Before(dies) {
-			delete(s.remotes, instance)
-			continue
-		}
-		s.remoteTotal += r.outstanding
-		if dies.Before(s.remoteFresh) {
-			s.remoteFresh = dies
+}
+
+func (s *Server) sum(now time.Time) {
+	s.change(now, func() {
+		s.others.clear()
+		s.freshUntil = now.Add(remoteLifetime)
+		for instance, r := range s.remotes {
+			dies := r.seen.Add(remoteLifetime)
+			if !now.Before(dies) {
+				delete(s.remotes, instance)
+				continue
+			}
+			s.others.addAll(r.counts)
+			if dies.Before(s.freshUntil) {
+				s.freshUntil = dies
+			}
 		}
-	}
-	return s.remoteTotal
+	})
 }
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -24,6 +24,8 @@
 	cached bool
 	full   bool
 	waited bool
+	// wait is the predicted wait in the server.
+	wait time.Duration
 	// estimate is what was predicted without a wait.
 	estimate predict.Estimate
 }
@@ -94,15 +96,16 @@
 		target: r.target, replica: r, class: a.request.Class,
 		prompt: a.request.PromptTokens, max: a.request.MaxTokens,
 		cached:   chosen.Cached,
-		full:     chosen.Total+1 >= chosen.Limit,
+		full:     chosen.Ahead+1 >= chosen.Limit,
 		waited:   batch > 0 && chosen.Total >= batch,
+		wait:     chosen.Wait,
 		estimate: chosen.Estimate,
 	}
 	if chosen.Probe {
 		r.target.probed = now
 	}
 	r.target.running++
-	s.load.Dispatched(now)
+	s.load.Dispatched(now, a.request.Class)
 	c.busy[s] = digestsAfterIdle
 	priority := a.request.Class
 	if c.floor.Due(priority) {
@@ -119,7 +122,7 @@
 
 func reason(now, deadline time.Time, chosen *routing.Candidate) string {
 	return fmt.Sprintf("predicted %d ms of %d left, %d of %d on the server",
-		chosen.Finish().Milliseconds(), deadline.Sub(now).Milliseconds(), chosen.Total, chosen.Limit)
+		chosen.Finish().Milliseconds(), deadline.Sub(now).Milliseconds(), chosen.Ahead, chosen.Limit)
 }
 
 // refuse builds a refusal. It says NotRun only if no attempt may have run.
--- a/internal/scheduling/predict/speed.go
+++ b/internal/scheduling/predict/speed.go
@@ -168,10 +168,10 @@
 	return min(s.warm.mean, cold)
 }
 
-// tokens predicts the length of an answer: the mean plus its deviation.
+// tokens predicts the length of an answer: the mean share of the most
 func (t *Target) tokens(maxTokens int) float64 {
 	if !t.length.known() {
 		return float64(maxTokens)
 	}
-	return float64(maxTokens) * min(1, t.length.mean+t.length.deviation)
+	return float64(maxTokens) * min(1, t.length.mean)
 }
--- a/internal/scheduling/routing/room.go
+++ b/internal/scheduling/routing/room.go
@@ -2,7 +2,7 @@
 
 import "limpethub/internal/kernel"
 
-// room keeps servers below their limit.
+// room keeps servers below their limit, or of which this instance hasn't its share.
 type room struct{}
 
 var _ Filter = room{}
@@ -12,4 +12,4 @@
 }
 
 // Keep implements Filter.
-func (room) Keep(_ *Query, c *Candidate) bool { return c.Total < c.Limit }
+func (room) Keep(_ *Query, c *Candidate) bool { return c.Ahead < c.Limit || c.OwnAhead < c.Share }
--- a/internal/scheduling/routing/routing.go
+++ b/internal/scheduling/routing/routing.go
@@ -37,8 +37,15 @@
 	Own int
 	// Total estimates how many requests the server has from all instances.
 	Total int
-	// Limit is the adaptive limit of Total for the request's class.
+	// Ahead is the part of Total that isn't less urgent than the request.
+	Ahead int
+	// Limit is the adaptive limit of Ahead.
 	Limit int
+	// OwnAhead is the part of Ahead that is this instance's.
+	OwnAhead int
+	// Share is the part of Limit that this instance may use however much others do, so
+	// that an instance whose work waits doesn't starve behind the others' work.
+	Share int
 	// Cached is true when the server is expected to hold the prompt's prefix.
 	Cached bool
 	// Probe lets the request through where nothing else would show the server's
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -36,6 +36,8 @@
 	budget   *retry.Budget
 	prefixes *prefix.Memory
 
+	// peers holds when the last digest of each peer came.
+	peers map[string]time.Time
 	// busy holds the servers that have appeared in a digest with work.
 	busy     map[*server]int
 	sequence uint64
@@ -80,6 +82,7 @@
 		servers:  map[string]*server{},
 		targets:  map[targetKey]*target{},
 		running:  map[request.ID]*dispatched{},
+		peers:    map[string]time.Time{},
 		busy:     map[*server]int{},
 		budget:   retry.NewBudget(options.Document.Budgets.RetryShare),
 		prefixes: prefix.New(),
--- a/internal/scheduling/server.go
+++ b/internal/scheduling/server.go
@@ -46,8 +46,9 @@
 	learned predict.Server
 	load    load.Server
 	limit   *limit.Limit
-	// service is the mean duration of this instance's requests on the server.
-	service time.Duration
+	// stay is the mean duration of this instance's requests on the server. It holds
+	// their wait too, which makes up for the more urgent ones that will overtake.
+	stay time.Duration
 }
 
 func newServer() *server {
--- /dev/null
+++ b/internal/scheduling/sim_test.go
@@ -0,0 +1,411 @@
+package scheduling
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"limpethub/internal/engine"
+	"limpethub/internal/modelref"
+	"limpethub/internal/request"
+	"limpethub/internal/site"
+	"limpethub/internal/verdict"
+)
+
+// The simulation below runs several schedulers in virtual time against engines with
+// continuous batching and priorities, whose reports lag.
+const (
+	simInstances = 9
+	simServers   = 12
+	simModels    = 24
+	simBatch     = 16
+	simStep      = 20 * time.Millisecond
+	simDelay     = 2 * time.Millisecond // between an instance and a server
+	simMaxTokens = 100
+	simLag       = 300 * time.Millisecond
+)
+
+// simOptions is one run.
+type simOptions struct {
+	policy    string
+	admission string
+	// load is the offered work as a share of the capacity.
+	load   float64
+	length time.Duration
+	// lag is the age of a report when it is read; 0 means simLag.
+	lag  time.Duration
+	seed uint64
+	// slow is how many servers take five times as long.
+	slow int
+	// dead is true when a server dies after a third of the run.
+	dead bool
+}
+
+type simRequest struct {
+	request.Request
+	instance   int
+	tokens     int
+	done       int
+	prefill    int
+	server     *simServer
+	dispatched time.Time
+	first      time.Time
+	priority   int
+	sequence   int
+	sent       int
+}
+
+type simServer struct {
+	name     string
+	resident []modelref.Ref
+	running  []*simRequest
+	waiting  []*simRequest
+	stepping bool
+	factor   time.Duration
+	dead     bool
+}
+
+type simEvent struct {
+	at       time.Time
+	sequence int
+	do       func()
+}
+
+type simEvents []simEvent
+
+func (e simEvents) Len() int { return len(e) }
+func (e simEvents) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].sequence < e[j].sequence
+	}
+	return e[i].at.Before(e[j].at)
+}
+func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *simEvents) Push(x any)   { *e = append(*e, x.(simEvent)) }
+func (e *simEvents) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
+
+type sim struct {
+	simOptions
+	now        time.Time
+	events     simEvents
+	sequence   int
+	random     *rand.Rand
+	schedulers []Scheduler
+	servers    []*simServer
+	requests   map[request.ID]*simRequest
+	arrived    []int
+	inTime     []int
+	refused    []int
+	sent       int
+	// urgentFirst holds the times to the first token of the most urgent class, in
+	// milliseconds.
+	urgentFirst []float64
+}
+
+func simDocument() *site.Document {
+	return &site.Document{
+		Classes: []site.Class{
+			{Name: "urgent", TimeoutMillis: 4000, Weight: 10, QueueLimit: 200},
+			{Name: "normal", TimeoutMillis: 10_000, Weight: 3, QueueLimit: 200},
+			{Name: "overnight", TimeoutMillis: 20_000, Weight: 1, QueueLimit: 400, FloorShare: 0.02},
+		},
+		Budgets: site.Budgets{RetryShare: 0.1, LoadMillis: 4000},
+	}
+}
+
+// simShares is the share of requests per class.
+var simShares = []float64{0.3, 0.4, 0.3}
+
+func newSim(o simOptions) *sim {
+	n := len(simShares)
+	if o.lag == 0 {
+		o.lag = simLag
+	}
+	s := &sim{
+		simOptions: o, now: epoch, random: rand.New(rand.NewPCG(o.seed, 1)), requests: map[request.ID]*simRequest{},
+		arrived: make([]int, n), inTime: make([]int, n), refused: make([]int, n),
+	}
+	var list []Server
+	for i := range simServers {
+		server := &simServer{name: fmt.Sprintf("s%02d", i), factor: 1}
+		if i < o.slow {
+			server.factor = 5
+		}
+		for k := range 4 {
+			server.resident = append(server.resident, modelref.Ref(fmt.Sprintf("m%d@1", (i*2+k*7)%simModels)))
+		}
+		s.servers = append(s.servers, server)
+		list = append(list, Server{Name: server.name, FailureDomain: fmt.Sprint(i % 3)})
+	}
+	for i := range simInstances {
+		scheduler, err := New(Options{Instance: fmt.Sprint(i), Seed: o.seed + uint64(i), Policy: o.policy, Admission: o.admission, Document: simDocument()})
+		if err != nil {
+			panic(err)
+		}
+		near := slices.Clone(list)
+		for k := range near {
+			near[k].Near = k%3 == i%3
+		}
+		scheduler.SetServers(s.now, near)
+		s.schedulers = append(s.schedulers, scheduler)
+	}
+	return s
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.sequence++
+	heap.Push(&s.events, simEvent{at: s.now.Add(d), sequence: s.sequence, do: do})
+}
+
+func (s *sim) every(period time.Duration, do func()) {
+	var again func()
+	again = func() {
+		do()
+		s.after(period, again)
+	}
+	s.after(time.Duration(s.random.Int64N(int64(period))), again)
+}
+
+// stepTime grows with the batch: a full one takes half as long again.
+func (v *simServer) stepTime() time.Duration {
+	return v.factor * (simStep + simStep/2*time.Duration(len(v.running))/simBatch)
+}
+
+// capacity is the requests a second that all servers can finish.
+func capacity() float64 {
+	meanTokens := float64(simMaxTokens) * 0.6
+	steps := meanTokens + 3
+	perServer := simBatch / (steps * (simStep * 3 / 2).Seconds())
+	return simServers * perServer
+}
+
+func (s *sim) run() {
+	for _, v := range s.servers {
+		s.every(200*time.Millisecond, func() { s.report(v) })
+	}
+	for i := range s.schedulers {
+		s.every(250*time.Millisecond, func() { s.digest(i) })
+		s.every(50*time.Millisecond, func() { s.apply(i, s.schedulers[i].Tick(s.now)) })
+	}
+	if s.dead {
+		s.after(s.length/3, func() { s.kill(s.servers[simServers-1]) })
+	}
+	s.after(s.lag+time.Second, s.arrive)
+	end := epoch.Add(s.length + time.Minute)
+	for len(s.events) > 0 && s.now.Before(end) {
+		e := heap.Pop(&s.events).(simEvent)
+		s.now = e.at
+		e.do()
+	}
+}
+
+func (s *sim) report(v *simServer) {
+	r := engine.Report{
+		Sequence: uint64(s.sequence), Taken: s.now, Running: len(v.running), Waiting: len(v.waiting),
+		MaxBatch: simBatch, StepMillis: float64(v.stepTime()) / float64(time.Millisecond), Resident: v.resident,
+	}
+	dead := v.dead
+	s.after(s.lag, func() {
+		for i := range s.schedulers {
+			if dead {
+				s.apply(i, s.schedulers[i].ObserveUnreachable(s.now, v.name))
+				continue
+			}
+			s.apply(i, s.schedulers[i].ObserveReport(s.now, v.name, r))
+		}
+	})
+}
+
+func (s *sim) digest(from int) {
+	for _, remote := range s.schedulers[from].Digest() {
+		s.after(simDelay, func() {
+			for i := range s.schedulers {
+				if i != from {
+					s.apply(i, s.schedulers[i].ObserveRemote(s.now, remote))
+				}
+			}
+		})
+	}
+}
+
+// arrive brings a request and plans the next one. Bursts of double rate take a third
+// of the time.
+func (s *sim) arrive() {
+	elapsed := s.now.Sub(epoch) - s.lag
+	if elapsed > s.length {
+		return
+	}
+	rate := capacity() * s.load
+	if int(elapsed/(2*time.Second))%3 == 0 {
+		rate *= 1.5
+	} else {
+		rate *= 0.75
+	}
+	s.after(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), s.arrive)
+	r := &simRequest{instance: s.random.IntN(simInstances), sequence: len(s.requests)}
+	r.ID = request.ID(fmt.Sprint(r.sequence))
+	r.Class = s.class()
+	r.Model = modelref.Ref(fmt.Sprintf("m%d@1", s.random.IntN(simModels)))
+	r.Arrived = s.now
+	r.Deadline = s.now.Add(time.Duration(simDocument().Classes[r.Class].TimeoutMillis) * time.Millisecond)
+	r.PromptTokens, r.MaxTokens = 300, simMaxTokens
+	r.tokens = simMaxTokens/5 + s.random.IntN(simMaxTokens*4/5)
+	s.requests[r.ID] = r
+	s.arrived[r.Class]++
+	s.apply(r.instance, s.schedulers[r.instance].Arrive(s.now, r.Request))
+}
+
+func (s *sim) class() int {
+	x := s.random.Float64()
+	for class, share := range simShares {
+		if x < share {
+			return class
+		}
+		x -= share
+	}
+	return 0
+}
+
+func (s *sim) apply(instance int, decisions []Decision) {
+	for _, d := range decisions {
+		r := s.requests[d.ID]
+		switch d.Action {
+		case Refuse:
+			s.refused[r.Class]++
+		case Dispatch:
+			s.sent++
+			r.server = s.server(d.Server)
+			r.dispatched, r.priority, r.done, r.prefill, r.first = s.now, d.Priority, 0, 3, time.Time{}
+			s.after(simDelay, func() { s.take(r) })
+		}
+	}
+}
+
+func (s *sim) server(name string) *simServer {
+	for _, v := range s.servers {
+		if v.name == name {
+			return v
+		}
+	}
+	return nil
+}
+
+// take is the arrival of a request at its server. At the deadline it is canceled.
+func (s *sim) take(r *simRequest) {
+	v := r.server
+	if v.dead {
+		s.end(r, verdict.NotRun, verdict.Refused(verdict.CodeServerFailed, "dial"))
+		return
+	}
+	v.waiting = append(v.waiting, r)
+	r.sent++
+	attempt := r.sent
+	s.after(r.Deadline.Sub(s.now), func() {
+		if r.server == v && r.sent == attempt {
+			v.remove(r)
+			s.end(r, verdict.MayHaveRun, verdict.Unclear(verdict.CodeDeadlineExpired, nil, "late"))
+		}
+	})
+	if !v.stepping {
+		s.step(v)
+	}
+}
+
+func (v *simServer) remove(r *simRequest) {
+	same := func(other *simRequest) bool { return other == r }
+	v.running = slices.DeleteFunc(v.running, same)
+	v.waiting = slices.DeleteFunc(v.waiting, same)
+}
+
+// step runs one step of a server's batch, after filling it by priority.
+func (s *sim) step(v *simServer) {
+	for len(v.running) < simBatch && len(v.waiting) > 0 {
+		at := 0
+		for i, r := range v.waiting {
+			if first := v.waiting[at]; r.priority < first.priority || (r.priority == first.priority && r.Deadline.Before(first.Deadline)) {
+				at = i
+			}
+		}
+		v.running = append(v.running, v.waiting[at])
+		v.waiting = slices.Delete(v.waiting, at, at+1)
+	}
+	v.stepping = len(v.running) > 0 && !v.dead
+	if !v.stepping {
+		return
+	}
+	s.after(v.stepTime(), func() {
+		if v.dead {
+			return
+		}
+		for _, r := range slices.Clone(v.running) {
+			s.token(v, r)
+		}
+		s.step(v)
+	})
+}
+
+func (s *sim) token(v *simServer, r *simRequest) {
+	if r.prefill > 0 {
+		r.prefill--
+		return
+	}
+	r.done++
+	if r.done == 1 {
+		r.first = s.now
+	}
+	if r.done < r.tokens {
+		return
+	}
+	v.remove(r)
+	s.inTime[r.Class]++
+	if r.Class == 0 {
+		s.urgentFirst = append(s.urgentFirst, float64(r.first.Sub(r.Arrived).Milliseconds()))
+	}
+	s.end(r, verdict.Ran, nil)
+}
+
+// end tells the instance how a request ended; one that didn't run is retried.
+func (s *sim) end(r *simRequest, v verdict.Verdict, err error) {
+	o := Outcome{ID: r.ID, Server: r.server.name, Verdict: v, Err: err, Duration: s.now.Sub(r.dispatched), Tokens: r.done}
+	if !r.first.IsZero() {
+		o.FirstToken = r.first.Sub(r.dispatched)
+	}
+	r.server = nil
+	s.after(simDelay, func() {
+		scheduler := s.schedulers[r.instance]
+		s.apply(r.instance, scheduler.Finish(s.now, o))
+		if v == verdict.NotRun {
+			s.apply(r.instance, scheduler.Retry(s.now, r.Request, o))
+		}
+	})
+}
+
+func (s *sim) kill(v *simServer) {
+	v.dead = true
+	for _, r := range append(slices.Clone(v.running), v.waiting...) {
+		s.end(r, verdict.MayHaveRun, verdict.Unclear(verdict.CodeServerFailed, nil, "reset"))
+	}
+	v.running, v.waiting = nil, nil
+}
+
+// attainment is the share of requests that ended in time: of a class, or of all
+// when class is negative.
+func (s *sim) attainment(class int) float64 {
+	in, all := 0, 0
+	for c := range s.arrived {
+		if class < 0 || c == class {
+			in += s.inTime[c]
+			all += s.arrived[c]
+		}
+	}
+	return float64(in) / float64(max(1, all))
+}
+
+func (s *sim) total() int { return s.inTime[0] + s.inTime[1] + s.inTime[2] }
--- a/internal/scheduling/waiting.go
+++ b/internal/scheduling/waiting.go
@@ -24,6 +24,7 @@
 // advance refuses what can no longer make it and dispatches what can go now.
 func (c *core) advance(now time.Time) []Decision {
 	c.ticked = now
+	c.forgetPeers(now)
 	out := c.expire(now, nil)
 	if c.queue.Len() == 0 {
 		return out
@@ -83,7 +84,7 @@
 
 // drain gives a server what waits for it, the most urgent first, while it has room.
 func (c *core) drain(now time.Time, s *server, out []Decision) []Decision {
-	if c.queue.Len() == 0 || !s.usable(now) || c.full(now, s, 1) {
+	if c.queue.Len() == 0 || !s.usable(now) || c.full(now, s, 0) {
 		return out
 	}
 	c.round++
@@ -112,7 +113,7 @@
 // server has no room, it has none for the rest of the class either. Where the request
 // is only too late for this server, those behind it may yet make it.
 func (c *core) passOver(t *target, item *flowcontrol.Item, candidate *routing.Candidate) {
-	if candidate.Total >= candidate.Limit || len(c.aside) >= maxAside {
+	if (candidate.Ahead >= candidate.Limit && candidate.OwnAhead >= candidate.Share) || len(c.aside) >= maxAside {
 		t.blocked[item.Request.Class] = c.round
 		return
 	}
