--- a/internal/peers/digest/digest.go
+++ b/internal/peers/digest/digest.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -21,6 +22,8 @@
 	Outstanding int `cbor:"2,keyasint,omitempty"`
 	// Tokens is how many tokens those still need.
 	Tokens int `cbor:"3,keyasint,omitempty"`
+	// Classes splits Outstanding by class, the most urgent first.
+	Classes []int `cbor:"4,keyasint,omitempty"`
 }
 
 // ModelDemand counts the sender's demand for one model or adapter version, since the
@@ -136,18 +139,25 @@
 		return Digest{}, errMalformed
 	}
 	for _, load := range d.Loads {
-		if load.Outstanding < 0 || load.Tokens < 0 {
+		if load.Outstanding < 0 || load.Tokens < 0 || !validClasses(load.Classes) {
 			return Digest{}, errMalformed
 		}
 	}
 	return d, nil
 }
 
+// maxClasses bounds the split of a load by class.
+const maxClasses = 64
+
+func validClasses(classes []int) bool {
+	return len(classes) <= maxClasses && !slices.ContainsFunc(classes, func(n int) bool { return n < 0 })
+}
+
 // FromRemotes makes a digest of this instance's work.
 func FromRemotes(instance string, sequence uint64, remotes []scheduling.Remote) Digest {
 	d := Digest{Instance: instance, Sequence: sequence}
 	for _, r := range remotes {
-		d.Loads = append(d.Loads, ServerLoad{Server: r.Server, Outstanding: r.Outstanding, Tokens: r.Tokens})
+		d.Loads = append(d.Loads, ServerLoad{Server: r.Server, Outstanding: r.Outstanding, Tokens: r.Tokens, Classes: r.Classes})
 	}
 	return d
 }
@@ -161,6 +171,7 @@
 			Server:      load.Server,
 			Outstanding: load.Outstanding,
 			Tokens:      load.Tokens,
+			Classes:     load.Classes,
 			Sequence:    d.Sequence,
 		})
 	}
