--- a/internal/peers/digest/digest.go
+++ b/internal/peers/digest/digest.go
@@ -65,7 +65,10 @@
 	// itemOverheadBytes is the most that CBOR adds to an item's string.
 	itemOverheadBytes = 44
 	headOverheadBytes = 48
-	maxNameBytes      = 256
+	// classBytes is the most that CBOR takes for one class of a load's split, which
+	// holds a number of requests below 2^32.
+	classBytes   = 5
+	maxNameBytes = 256
 )
 
 var errMalformed = errors.New("digest: malformed")
@@ -79,7 +82,7 @@
 	s := splitter{head: Digest{Instance: d.Instance, Sequence: d.Sequence, Process: d.Process}}
 	s.reset()
 	for _, load := range d.Loads {
-		s.reserve(len(load.Server))
+		s.reserve(len(load.Server) + classBytes*len(load.Classes))
 		s.part.Loads = append(s.part.Loads, load)
 	}
 	for _, demand := range d.Demands {
