--- a/internal/scheduling/limit/limit.go
+++ b/internal/scheduling/limit/limit.go
@@ -9,7 +9,10 @@
 	initial = 8
 	// ceiling bounds the limit of a server that reports no batch size.
 	ceiling = 512
-	// lowest and highest bound the limit of an engine, as shares of its batch.
+	// start, lowest and highest are the limit of an engine at first, at least and at
+	// most, as shares of its batch. It is above the batch, so that the engine can order
+	// what waits across instances and always has work for a free place.
+	start   = 1.5
 	lowest  = 1
 	highest = 2
 	// decrease is the factor after a sign of overload.
@@ -32,7 +35,7 @@
 		return
 	}
 	l.batch = batch
-	l.value = 1.5 * float64(batch)
+	l.value = start * float64(batch)
 }
 
 // Batch is how many requests the server runs at once; 0 when it doesn't say.
--- /dev/null
+++ b/internal/scheduling/routing/routing_test.go
@@ -0,0 +1,100 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"limpethub/internal/scheduling/predict"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func query() *Query {
+	return &Query{Now: epoch, Deadline: epoch.Add(time.Second), Random: rand.New(rand.NewPCG(1, 1))}
+}
+
+// server is a candidate with the given predicted duration in milliseconds.
+func server(name string, total int) Candidate {
+	return Candidate{
+		Name: name, Limit: 10, Share: 1, OwnAhead: 1,
+		Estimate: predict.Estimate{Total: time.Duration(total) * time.Millisecond, Known: true},
+	}
+}
+
+// chosen counts how often each candidate is chosen in 600 decisions.
+func chosen(t *testing.T, policy string, candidates ...Candidate) map[string]int {
+	t.Helper()
+	p, err := NewPolicy(policy)
+	if err != nil {
+		t.Fatal(err)
+	}
+	q := query()
+	out := map[string]int{}
+	for i := range 600 {
+		q.Turn = uint64(i)
+		if at := p.Choose(q, candidates); at >= 0 {
+			out[candidates[at].Name]++
+		}
+	}
+	return out
+}
+
+func expect(t *testing.T, got, want map[string]int) {
+	t.Helper()
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("chosen %v, want %v", got, want)
+	}
+}
+
+func TestDeadline(t *testing.T) {
+	full, late, slow := server("full", 10), server("late", 2000), server("slow", 500)
+	full.Ahead = 10
+	expect(t, chosen(t, PolicyDeadline, full, late, slow), map[string]int{"slow": 600})
+	expect(t, chosen(t, PolicyDeadline, full, late), map[string]int{})
+	late.Probe = true
+	expect(t, chosen(t, PolicyDeadline, full, late), map[string]int{"late": 600})
+	unshared := full
+	unshared.OwnAhead = 0
+	expect(t, chosen(t, PolicyDeadline, unshared), map[string]int{"full": 600})
+}
+
+func TestDeadlineSpreadsOverNearEqualsAndPrefersNear(t *testing.T) {
+	a, b, c := server("a", 500), server("b", 510), server("c", 700)
+	got := chosen(t, PolicyDeadline, a, b, c)
+	if got["a"] < 200 || got["b"] < 200 || got["c"] > 0 {
+		t.Errorf("chosen %v, want a and b about equally", got)
+	}
+	b.Near, c.Near = true, true
+	expect(t, chosen(t, PolicyDeadline, a, b, c), map[string]int{"b": 600})
+	b.Total = 10
+	expect(t, chosen(t, PolicyDeadline, a, b, c), map[string]int{"a": 600})
+}
+
+func TestBaselines(t *testing.T) {
+	a, b, c := server("a", 1), server("b", 1), server("c", 1)
+	a.Own, b.Own, c.Own = 5, 1, 3
+	expect(t, chosen(t, PolicyRoundRobin, a, b, c), map[string]int{"a": 200, "b": 200, "c": 200})
+	expect(t, chosen(t, PolicyLeastOutstanding, a, b, c), map[string]int{"b": 600})
+	two := chosen(t, PolicyRandomOfTwo, a, b, c)
+	if two["a"] != 0 || two["b"] < 350 || two["c"] < 150 {
+		t.Errorf("random of two chose %v, want b two thirds and c one third", two)
+	}
+}
+
+func BenchmarkChoose60(b *testing.B) {
+	p, err := NewPolicy(PolicyDeadline)
+	if err != nil {
+		b.Fatal(err)
+	}
+	q := query()
+	var candidates []Candidate
+	for i := range 60 {
+		candidates = append(candidates, server(fmt.Sprint(i), 500+i%7))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Choose(q, candidates)
+	}
+}
