scheduling: late and canceled requests don't put a server on back-off

The forwarder hands over the data plane's own error, so a deadline that passed in mid-stream looked like a failed server and kept new work from it for up to 3 s. The deadline and the context's errors now clear the server. The speed is learned from cut answers too: a server that became slow completes none.

--- a/internal/scheduling/finish.go
+++ b/internal/scheduling/finish.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -58,23 +59,34 @@
 // fails requests.
 func (c *core) learnFailure(now time.Time, d *dispatched, o Outcome) {
 	s := d.replica.server
-	if o.ServerLeaving {
+	d.replica.speed.ObservePart(now, o.Tokens, o.Duration-o.FirstToken)
+	var e *verdict.Error
+	switch {
+	case o.ServerLeaving:
 		s.refusedUntil = now.Add(leavingHold)
-		return
+	case !blamesServer(now, d, o.Err):
+	case errors.As(o.Err, &e) && e.Code == verdict.CodeServerRefused:
+		d.replica.backoff = now.Add(firstBackoff)
+	default:
+		s.failed(now)
+	}
+}
+
+// blamesServer reports whether a failure is the server's: not the caller's, who
+// canceled or sent nonsense, nor the deadline's.
+func blamesServer(now time.Time, d *dispatched, err error) bool {
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) || !now.Before(d.deadline) {
+		return false
 	}
 	var e *verdict.Error
-	if !errors.As(o.Err, &e) {
-		s.failed(now)
-		return
+	if !errors.As(err, &e) {
+		return true
 	}
 	switch e.Code {
 	case verdict.CodeCanceled, verdict.CodeDeadlineExpired, verdict.CodeBadRequest:
-		// The server isn't to blame.
-	case verdict.CodeServerRefused:
-		d.replica.backoff = now.Add(firstBackoff)
-	default:
-		s.failed(now)
+		return false
 	}
+	return true
 }
 
 // Progress implements Scheduler.
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -14,11 +14,12 @@
 
 // dispatched is a request that this instance has on a server.
 type dispatched struct {
-	target  *target
-	replica *replica
-	class   int
-	prompt  int
-	max     int
+	target   *target
+	replica  *replica
+	class    int
+	deadline time.Time
+	prompt   int
+	max      int
 	// tokens is how many events have come.
 	tokens int
 	cached bool
@@ -93,7 +94,7 @@
 	s := r.server
 	batch := s.limit.Batch()
 	c.running[a.request.ID] = &dispatched{
-		target: r.target, replica: r, class: a.request.Class,
+		target: r.target, replica: r, class: a.request.Class, deadline: a.request.Deadline,
 		prompt: a.request.PromptTokens, max: a.request.MaxTokens,
 		cached:   chosen.Cached,
 		full:     chosen.Ahead+1 >= chosen.Limit,
--- a/internal/scheduling/predict/speed.go
+++ b/internal/scheduling/predict/speed.go
@@ -79,6 +79,14 @@
 	s.observePrefill(now, sample)
 }
 
+// ObservePart learns from an answer that was cut off after some tokens; spent is the
+// time since the first of them.
+func (s *Speed) ObservePart(now time.Time, tokens int, spent time.Duration) {
+	if tokens > 1 && spent > 0 {
+		s.decode.add(now, float64(spent)/float64(tokens-1))
+	}
+}
+
 func (s *Speed) observePrefill(now time.Time, sample Sample) {
 	if sample.PromptTokens <= 0 || sample.FirstToken <= 0 {
 		return
--- a/internal/scheduling/scheduler_test.go
+++ b/internal/scheduling/scheduler_test.go
@@ -1,6 +1,9 @@
 package scheduling
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -110,3 +113,61 @@
 		t.Fatalf("verdict = %v, want %v", d.Err.Verdict, verdict.MayHaveRun)
 	}
 }
+
+func TestFailuresOfTheCallerOrTheDeadlineDontBlameTheServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  time.Duration
+		err  error
+		want Action
+	}{
+		"reset":    {time.Second, errors.New("reset"), Queue},
+		"canceled": {time.Second, verdict.Unclear(verdict.CodeServerFailed, context.Canceled, "gone"), Dispatch},
+		"late":     {10 * time.Second, errors.New("reset"), Dispatch},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScheduler(t, "s1")
+			s.ObserveReport(epoch, "s1", report("m@1"))
+			only(t, s.Arrive(epoch, testRequest("r")), Dispatch)
+			now := epoch.Add(c.end)
+			s.Finish(now, Outcome{ID: "r", Server: "s1", Err: c.err})
+			next := testRequest("next")
+			next.Deadline = now.Add(time.Second)
+			only(t, s.Arrive(now, next), c.want)
+		})
+	}
+}
+
+func TestNewDocumentKeepsWhatWaits(t *testing.T) {
+	s := newScheduler(t, "s1")
+	r := testRequest("r")
+	r.Class = 1
+	only(t, s.Arrive(epoch, r), Queue)
+	next := testDocument()
+	next.Classes = []site.Class{next.Classes[1], next.Classes[0]}
+	if got := s.SetDocument(epoch, next); len(got) != 0 {
+		t.Fatalf("decisions = %+v", got)
+	}
+	if d := only(t, s.ObserveReport(epoch, "s1", report("m@1")), Dispatch); d.Priority != 0 {
+		t.Fatalf("priority = %d, want that of its class by name, 0", d.Priority)
+	}
+}
+
+func TestRetryBudgetRunsOut(t *testing.T) {
+	s := newScheduler(t, "s1", "s2")
+	s.ObserveReport(epoch, "s1", report("m@1"))
+	s.ObserveReport(epoch, "s2", report("m@1"))
+	retried := 0
+	for i := range 20 {
+		now := epoch.Add(time.Duration(i) * time.Millisecond)
+		r := testRequest(request.ID(fmt.Sprint(i)))
+		last := Outcome{ID: r.ID, Server: "s1", Verdict: verdict.NotRun, Err: errors.New("dial")}
+		d := s.Retry(now, r, last)[0]
+		if d.Action == Dispatch {
+			retried++
+			s.Finish(now, Outcome{ID: r.ID, Server: d.Server, Err: context.Canceled})
+		}
+	}
+	if retried != 3 {
+		t.Fatalf("%d of 20 retried without any success, want the spare 3", retried)
+	}
+}
