--- a/internal/atmostonce/registry_test.go
+++ b/internal/atmostonce/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -100,3 +101,23 @@
 		r.End(now, id, verdict.Ran)
 	}
 }
+
+// BenchmarkMemory reports what one remembered request takes.
+func BenchmarkMemory(b *testing.B) {
+	const n = 100_000
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		r := New(Options{Instance: "1", Incarnation: 1, Retention: retention, Capacity: n})
+		for i := range n {
+			id := request.ID(fmt.Sprintf("0123456789abcdef-%d", i))
+			r.Begin(epoch, id, Origin{})
+			r.End(epoch, id, verdict.Ran)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/n, "bytes/request")
+		runtime.KeepAlive(r)
+	}
+}
--- a/internal/scheduling/bench_test.go
+++ b/internal/scheduling/bench_test.go
@@ -64,7 +64,7 @@
 	now := epoch
 	r := testRequest("")
 	r.Deadline = now.Add(time.Hour)
-	for i := range 60*40 + 5 {
+	for i := range 60*48 + 5 {
 		r.ID = request.ID(fmt.Sprintf("request-%d", i))
 		s.Arrive(now, r)
 	}
