scheduling: a floor that becomes due in a pass is seen in the same pass

Cause: each dispatch adds credit to classes with a floor. A class that found no room earlier in the pass stayed blocked, while a newcomer of the class, or a later request in another lane, was then let through as due, before the one with the earlier deadline.

--- a/internal/scheduling/waiting.go
+++ b/internal/scheduling/waiting.go
@@ -76,8 +76,12 @@
 	if c.queue.Len() == 0 {
 		return out
 	}
-	for _, r := range t.replicas {
-		out = c.drain(now, r.server, out)
+	// A dispatch can make a floor due, and so room for what found none before.
+	for before := -1; before != len(out); {
+		before = len(out)
+		for _, r := range t.replicas {
+			out = c.drain(now, r.server, out)
+		}
 	}
 	return out
 }
@@ -101,6 +105,8 @@
 		c.queue.Remove(item)
 		a := attempt{request: item.Request, unclear: item.Unclear}
 		out = append(out, c.dispatch(now, &a, r, &candidate))
+		// The dispatch may have made a floor due, and so room for a blocked class.
+		c.round++
 	}
 	c.putBack()
 	return out
