dispatch: carry out the decisions that a digest brings (seam)

ObserveRemote returns decisions since its result changed; the dispatcher dropped them. The scheduler counted such requests as running for ever, their callers waited until the deadline, and the server's load stayed too high. The new test fails without the fix.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -151,9 +151,7 @@
 
 // ObserveRemote passes on a peer's digest.
 func (d *Dispatcher) ObserveRemote(remote scheduling.Remote) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.scheduler.ObserveRemote(d.now(), remote)
+	d.event(func(now time.Time) []scheduling.Decision { return d.scheduler.ObserveRemote(now, remote) })
 }
 
 // ForgetRemote drops what a dead peer last said.
