keys: listeners without GetConfigForClient get changed certificates too

Cause: the certificate was captured when the configuration was made, which only GetConfigForClient renewed; the peers' transport clears that function to set its protocol. The new case of TestChangedFilesAreReadAgain fails on the former code and passes now. Default plug-in names follow the plug-ins that registered.

--- a/internal/keys/config.go
+++ b/internal/keys/config.go
@@ -38,12 +38,7 @@
 		NextProtos: protocols,
 		// Tickets would let a client resume with a certificate no longer trusted.
 		SessionTicketsDisabled: true,
-		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
-			if m.certificate == nil {
-				return nil, errNoCertificate
-			}
-			return m.certificate, nil
-		},
+		GetCertificate:         s.certificate,
 	}
 	switch clients {
 	case ClientsMustShow:
@@ -56,6 +51,16 @@
 	return config
 }
 
+// certificate returns the certificate in force, also in a configuration that outlives
+// a change of files.
+func (s *Source) certificate(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+	m := s.get()
+	if m.certificate == nil {
+		return nil, errNoCertificate
+	}
+	return m.certificate, nil
+}
+
 // clientPool returns the CA for clients. Without one it is empty, since a nil pool
 // would stand for the machine's public authorities and let in anyone they certify.
 func (m material) clientPool() *x509.CertPool {
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -177,6 +177,16 @@
 func (c *clock) read() time.Time { return c.now }
 
 func TestChangedFilesAreReadAgain(t *testing.T) {
+	for name, adapt := range map[string]func(*tls.Config){
+		"as it is": func(*tls.Config) {},
+		// Transports that choose the protocol themselves can't use this function.
+		"without GetConfigForClient": func(c *tls.Config) { c.GetConfigForClient = nil },
+	} {
+		t.Run(name, func(t *testing.T) { testChangedFiles(t, adapt) })
+	}
+}
+
+func testChangedFiles(t *testing.T, adapt func(*tls.Config)) {
 	w := newWorld(t)
 	files := w.files("server")
 	c := &clock{now: time.Unix(1000, 0)}
@@ -185,7 +195,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := serve(t, source.Server(ClientsNeedNone))
+	config := source.Server(ClientsNeedNone)
+	adapt(config)
+	address := serve(t, config)
 	client := w.open(Files{CA: files.CA})
 	serverName := func() string {
 		t.Helper()
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -2,12 +2,12 @@
 
 // Names of the plug-ins that are used unless the settings name others.
 const (
-	DefaultStore     = "store.http"
+	DefaultStore     = "store.etcd"
 	DefaultEngine    = "engine.http"
 	DefaultInstances = "instances.http"
 	DefaultPeers     = "peers.quic"
 	DefaultRouting   = "routing.deadline"
-	DefaultPlacement = "placement.floor"
+	DefaultPlacement = "placement.value"
 )
 
 const (
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -137,7 +137,7 @@
 
 // Plugin names one plug-in.
 type Plugin struct {
-	// Name is the dotted name, as in "store.http".
+	// Name is the dotted name, as in "store.etcd".
 	Name string `json:"name" validate:"required"`
 	// Endpoints lists the addresses to connect to, for plug-ins that connect.
 	Endpoints []string `json:"endpoints" validate:"dive,ip_port"`
