--- /dev/null
+++ b/internal/daemon/exchange.go
@@ -0,0 +1,133 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"limpethub/internal/cluster"
+	"limpethub/internal/dispatch"
+	"limpethub/internal/membership"
+	"limpethub/internal/peers"
+	"limpethub/internal/peers/digest"
+)
+
+const (
+	// exchangePeriod is the time between two digests of load.
+	exchangePeriod = 250 * time.Millisecond
+	// demandEvery is how many digests of load go out per digest of demand.
+	demandEvery = 4
+	// fullDemandEvery is how many digests of demand go out per full one.
+	fullDemandEvery = 10
+)
+
+// exchange tells peers of this instance's load, and the placement holder of its demand.
+type exchange struct {
+	process    string
+	dispatcher *dispatch.Dispatcher
+	cluster    *cluster.Cluster
+	transport  peers.Transport
+	demand     *demandBoard
+	// holder is the instance that holds the placement lease; empty if unknown.
+	holder     func() string
+	lastHolder string
+	logger     *logrus.Entry
+	sequence   uint64
+	rounds     int
+}
+
+var _ peers.Handler = (*exchange)(nil)
+
+func newExchange(process string, dispatcher *dispatch.Dispatcher, c *cluster.Cluster, transport peers.Transport, logger *logrus.Entry) *exchange {
+	e := &exchange{
+		process: process, dispatcher: dispatcher, cluster: c, transport: transport,
+		logger: logger, sequence: uint64(time.Now().UnixNano()),
+	}
+	transport.Handle(peers.KindDigest, e)
+	c.OnChange(e.memberChanged)
+	return e
+}
+
+// memberChanged drops what a dead peer last said of its load.
+func (e *exchange) memberChanged(t membership.Transition) {
+	if t.Member.State == membership.Dead {
+		e.dispatcher.ForgetRemote(t.Member.Name)
+		e.demand.Forget(t.Member.Name)
+	}
+}
+
+// loop sends digests until ctx ends.
+func (e *exchange) loop(ctx context.Context) {
+	ticker := time.NewTicker(exchangePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			e.send()
+		}
+	}
+}
+
+func (e *exchange) send() {
+	e.rounds++
+	e.sendLoad()
+	if e.rounds%demandEvery == 0 {
+		e.sendDemand()
+	}
+}
+
+// sendLoad tells all peers. Load is what keeps instances from all choosing the same
+// server, so every one of them needs it.
+func (e *exchange) sendLoad() {
+	e.sequence++
+	d := digest.FromRemotes(e.cluster.Self(), e.sequence, e.dispatcher.Digest())
+	for _, payload := range e.encode(d) {
+		e.cluster.Broadcast(peers.KindDigest, payload)
+	}
+}
+
+// sendDemand tells the placement holder alone: nobody else plans.
+func (e *exchange) sendDemand() {
+	holder := e.holder()
+	all := holder != e.lastHolder || e.rounds%(demandEvery*fullDemandEvery) == 0
+	e.lastHolder = holder
+	member, ok := e.cluster.Member(holder)
+	if !ok || holder == e.cluster.Self() {
+		return
+	}
+	e.sequence++
+	d := digest.Digest{Instance: e.cluster.Self(), Process: e.process, Sequence: e.sequence, Demands: e.demand.Take(all)}
+	if len(d.Demands) == 0 {
+		return
+	}
+	for _, payload := range e.encode(d) {
+		e.transport.Datagram(member.PeerAddress, peers.KindDigest, payload)
+	}
+}
+
+func (e *exchange) encode(d digest.Digest) [][]byte {
+	datagrams, err := d.Encode()
+	if err != nil {
+		e.logger.WithField("error", err.Error()).Error("digest not encoded")
+	}
+	return datagrams
+}
+
+// HandleDatagram implements peers.Handler.
+func (e *exchange) HandleDatagram(from string, payload []byte) {
+	d, err := digest.Decode(payload)
+	if err != nil || d.Instance != from {
+		e.logger.WithField("peer", from).Warn("digest not understood")
+		return
+	}
+	for _, remote := range d.Remotes() {
+		e.dispatcher.ObserveRemote(remote)
+	}
+	e.demand.ObserveDigest(d)
+}
+
+// HandleCall implements peers.Handler. Digests use no calls.
+func (e *exchange) HandleCall(context.Context, string, []byte) ([]byte, error) { return nil, nil }
