sitecheck: the planner's fit check joins the checks of a configuration

The sum check of package site is replaced by placement.CheckFit, which also finds configurations whose sum fits but which can't be arranged (TestNoArrangement); site keeps what can't fit by itself, since it lists all of them at once.

The operators' interface checks every document it is sent: before, a client that checked nothing could put a broken configuration in force. TestClientRoundTrip sent such a document and now sends a valid one; TestInvalidDocumentIsRefused is new. TestLostAnswer raced in test code (found by -race); it now takes locks.

--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -11,6 +11,7 @@
 
 	"limpethub/internal/operatorapi"
 	"limpethub/internal/site"
+	"limpethub/internal/sitecheck"
 	"limpethub/internal/strictjson"
 )
 
@@ -33,7 +34,7 @@
 	if len(files) == mostFiles {
 		overlay = files[1]
 	}
-	return site.Load(files[0], overlay)
+	return sitecheck.Load(files[0], overlay)
 }
 
 func (t *tool) configCheckCommand() *cobra.Command {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/sebdah/goldie/v2"
@@ -132,33 +133,67 @@
 		t.Run(test.name, func(t *testing.T) {
 			f := newFixture(t)
 			f.inForce()
-			lost, ids := 0, map[string]bool{}
-			f.middleware = func(next http.Handler) http.Handler {
-				return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-					if r.Method != http.MethodPut || lost == test.lost {
-						next.ServeHTTP(w, r)
-						return
-					}
-					lost++
-					next.ServeHTTP(discard{}, r)
-					ids[f.controller.accepted.ChangeID] = true
-					if test.then != nil {
-						test.then(f.controller)
-					}
-					panic(http.ErrAbortHandler)
-				})
-			}
+			cut := &cutter{controller: f.controller, left: test.lost, then: test.then, ids: map[string]bool{}}
+			f.middleware = cut.wrap
 			r := f.run("config", "apply", exampleBase, "testdata/changed.json")
 			if r.code != test.code {
 				t.Error(r)
 			}
-			if len(ids) != 1 || f.controller.accepted.Revision == 10 {
-				t.Errorf("applied under %v, in force %d", ids, f.controller.accepted.Revision)
+			cut.mu.Lock()
+			defer cut.mu.Unlock()
+			if len(cut.ids) != 1 {
+				t.Errorf("applied under %v", cut.ids)
+			}
+			if accepted, _ := f.controller.Configuration(context.Background()); accepted.Revision == 10 {
+				t.Error("the change was applied on top of another one")
 			}
 		})
 	}
 }
 
+// cutter cuts connections after a change took effect.
+type cutter struct {
+	controller *fakeController
+	mu         sync.Mutex
+	// left is how many answers are still to be cut.
+	left int
+	// then, if set, runs after the change took effect.
+	then func(f *fakeController)
+	// ids holds the change ids that took effect.
+	ids map[string]bool
+}
+
+func (c *cutter) wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPut || !c.take() {
+			next.ServeHTTP(w, r)
+			return
+		}
+		next.ServeHTTP(discard{}, r)
+		c.note()
+		panic(http.ErrAbortHandler)
+	})
+}
+
+// take reports whether this answer is to be cut.
+func (c *cutter) take() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.left--
+	return c.left >= 0
+}
+
+func (c *cutter) note() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.controller.mu.Lock()
+	defer c.controller.mu.Unlock()
+	c.ids[c.controller.accepted.ChangeID] = true
+	if c.then != nil {
+		c.then(c.controller)
+	}
+}
+
 // discard is a ResponseWriter whose answer is lost.
 type discard struct{}
 
--- a/internal/operatorapi/operatorapi_test.go
+++ b/internal/operatorapi/operatorapi_test.go
@@ -169,7 +169,7 @@
 	if accepted, err := client.Configuration(ctx); err != nil || accepted.Revision != 7 {
 		t.Errorf("Configuration = %+v, %v", accepted, err)
 	}
-	change := ApplyRequest{BaseRevision: 7, ChangeID: "x", Document: site.Document{Site: "s"}}
+	change := ApplyRequest{BaseRevision: 7, ChangeID: "x", Document: validDocument(t)}
 	if accepted, err := client.Apply(ctx, change); err != nil || accepted.Revision != 8 || !reflect.DeepEqual(f.applied[0], change) {
 		t.Errorf("Apply = %+v, %v; received %+v", accepted, err, f.applied)
 	}
@@ -186,6 +186,32 @@
 	}
 }
 
+func validDocument(t *testing.T) site.Document {
+	t.Helper()
+	doc, err := site.Load("../../examples/rigline/base.json", "../../examples/rigline/pnw.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return doc
+}
+
+// TestInvalidDocumentIsRefused shows that a tool that checks nothing can't put a broken
+// configuration in force.
+func TestInvalidDocumentIsRefused(t *testing.T) {
+	f := &fakeController{}
+	server := newServer(t, f)
+	change := ApplyRequest{BaseRevision: 7, ChangeID: "x", Document: validDocument(t)}
+	change.Document.Models[0].MemoryMB = 1 << 30
+	_, err := NewClient(server.URL, goodToken, server.Client()).Apply(context.Background(), change)
+	var invalid *InvalidError
+	if !errors.As(err, &invalid) || len(invalid.Problems) == 0 {
+		t.Errorf("got %v, want *InvalidError with problems", err)
+	}
+	if len(f.applied) != 0 {
+		t.Error("the change reached the controller")
+	}
+}
+
 func TestErrorsKeepTheirTypes(t *testing.T) {
 	problem := strictjson.Problem{File: "base.json", Line: 3, Path: "site", Message: "is missing"}
 	for _, want := range []error{
--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -9,6 +9,7 @@
 	"github.com/gorilla/mux"
 	"github.com/sirupsen/logrus"
 
+	"limpethub/internal/sitecheck"
 	"limpethub/internal/strictjson"
 )
 
@@ -119,6 +120,10 @@
 		h.fail(w, err)
 		return
 	}
+	if err := verify(&change); err != nil {
+		h.fail(w, err)
+		return
+	}
 	accepted, err := h.controller.Apply(r.Context(), change)
 	h.answer(w, &accepted, err)
 }
@@ -138,6 +143,17 @@
 	return change, nil
 }
 
+// verify checks a document whatever its sender has checked, since the sender may be of
+// another version or no tool of ours.
+func verify(change *ApplyRequest) error {
+	err := sitecheck.Verify(&change.Document)
+	var problems strictjson.Problems
+	if errors.As(err, &problems) {
+		return &InvalidError{Problems: problems}
+	}
+	return err
+}
+
 func (h *Handler) explain(w http.ResponseWriter, r *http.Request) {
 	name, err := nameOf(r)
 	if err != nil {
--- a/internal/site/fit.go
+++ b/internal/site/fit.go
@@ -1,15 +1,12 @@
 package site
 
-import (
-	"fmt"
-	"sort"
-)
+import "fmt"
 
-// checkFit proves that some models can't fit: one that is bigger than every engine,
-// an adapter that fits on none beside its base, or all of them together. What passes
-// may still fail the planner's own check, which knows its packing.
+// checkFit lists what can't fit by itself: models that are bigger than every engine, and
+// adapters that fit on none beside their base. Whether everything fits together is for
+// the planner; see package sitecheck.
 func checkFit(d *Document) []Finding {
-	var largest, total int64
+	var largest int64
 	engines := 0
 	for _, s := range d.Servers {
 		if s.Kind == KindEngine {
@@ -19,14 +16,12 @@
 			}
 			engines++
 			largest = max(largest, s.MemoryMB)
-			total += s.MemoryMB
 		}
 	}
 	if engines == 0 {
 		return checkNoEngine(d)
 	}
-	out := checkLargest(d, largest)
-	return append(out, checkTotal(d, engines, total)...)
+	return checkLargest(d, largest)
 }
 
 func checkNoEngine(d *Document) []Finding {
@@ -56,35 +51,3 @@
 	}
 	return out
 }
-
-// checkTotal wants one copy of everything to fit in all engines together.
-func checkTotal(d *Document, engines int, total int64) []Finding {
-	var models, adapters int64
-	for _, m := range d.Models {
-		models += m.MemoryMB
-	}
-	for _, a := range d.Adapters {
-		adapters += a.MemoryMB
-	}
-	if models+adapters <= total {
-		return nil
-	}
-	return []Finding{report("models", fmt.Sprintf("take out %d MiB, or add engines; the largest are %s", models+adapters-total, largestModels(d)),
-		"%d models of %d MiB and %d adapters of %d MiB need %d MiB, but %d engines have %d MiB",
-		len(d.Models), models, len(d.Adapters), adapters, models+adapters, engines, total)}
-}
-
-// largestModels names the largest models with their sizes.
-func largestModels(d *Document) string {
-	const most = 3
-	models := append([]Model(nil), d.Models...)
-	sort.SliceStable(models, func(i, j int) bool { return models[i].MemoryMB > models[j].MemoryMB })
-	text := ""
-	for i, m := range models[:min(most, len(models))] {
-		if i > 0 {
-			text += ", "
-		}
-		text += fmt.Sprintf("%s with %d MiB", m.Ref(), m.MemoryMB)
-	}
-	return text
-}
