--- a/internal/site/load.go
+++ b/internal/site/load.go
@@ -20,17 +20,11 @@
 // overlay means that there is none. The error, of type strictjson.Problems, lists all
 // that is wrong, by file and line. No list of a returned document is nil.
 func Load(base, overlay string, more ...Check) (Document, error) {
-	baseTree, problems := strictjson.ReadFile(base)
+	first := parsed(strictjson.ReadFile(base))
 	if overlay == "" {
-		return finish(baseTree, nil, problems, more)
+		return finish(first, source{}, more)
 	}
-	overlayTree, overlayProblems := strictjson.ReadFile(overlay)
-	problems = append(problems, overlayProblems...)
-	if overlayTree == nil {
-		// Without the overlay most of what a check of the base finds would be noise.
-		return Document{}, problems.Err()
-	}
-	return finish(baseTree, overlayTree, problems, more)
+	return combine(first, parsed(strictjson.ReadFile(overlay)), more)
 }
 
 // File is the text of a file, with the name that errors give it.
@@ -42,16 +36,11 @@
 // Parse is Load for texts that are not in files. An overlay without a name and text
 // means that there is none.
 func Parse(base, overlay File, more ...Check) (Document, error) {
-	baseTree, problems := strictjson.Parse(base.Name, base.Data)
+	first := parsed(strictjson.Parse(base.Name, base.Data))
 	if overlay.Name == "" && overlay.Data == nil {
-		return finish(baseTree, nil, problems, more)
-	}
-	overlayTree, overlayProblems := strictjson.Parse(overlay.Name, overlay.Data)
-	problems = append(problems, overlayProblems...)
-	if overlayTree == nil {
-		return Document{}, problems.Err()
+		return finish(first, source{}, more)
 	}
-	return finish(baseTree, overlayTree, problems, more)
+	return combine(first, parsed(strictjson.Parse(overlay.Name, overlay.Data)), more)
 }
 
 // Verify checks a document that is already merged, such as one that an operator sent.
@@ -60,26 +49,48 @@
 	if err != nil {
 		return err
 	}
-	_, err = finish(root, nil, nil, more)
+	_, err = finish(source{tree: root}, source{}, more)
 	return err
 }
 
-// finish merges and checks parsed files. overlay may be nil.
-func finish(base, overlay *strictjson.Node, problems strictjson.Problems, more []Check) (Document, error) {
-	if base == nil {
+// source is a parsed file with what is wrong with its syntax. The tree is nil if there
+// is no file, or nothing of it could be read.
+type source struct {
+	tree     *strictjson.Node
+	problems strictjson.Problems
+}
+
+func parsed(tree *strictjson.Node, problems strictjson.Problems) source {
+	return source{tree: tree, problems: problems}
+}
+
+// combine is finish with an overlay that must be there: without it, most of what a check
+// of the base finds would be noise.
+func combine(base, overlay source, more []Check) (Document, error) {
+	if overlay.tree == nil {
+		return Document{}, append(base.problems, overlay.problems...).Err()
+	}
+	return finish(base, overlay, more)
+}
+
+// finish merges and checks parsed files.
+func finish(base, overlay source, more []Check) (Document, error) {
+	problems := append(base.problems, overlay.problems...)
+	if base.tree == nil {
 		return Document{}, problems.Err()
 	}
-	problems = append(problems, duplicates(base)...)
-	problems = append(problems, strictjson.Decode(base, &Document{})...)
-	merged, mergeProblems := merge(base, overlay)
+	problems = append(problems, duplicates(base.tree)...)
+	problems = append(problems, strictjson.Decode(base.tree, &Document{})...)
+	merged, mergeProblems := merge(base.tree, overlay.tree)
 	problems = append(problems, mergeProblems...)
 	index := strictjson.NewIndex(merged)
 	var doc Document
 	fields := strictjson.Read(merged, &doc, index)
 	problems = append(problems, fields...)
-	problems = append(problems, findings(&doc, index, fields, checks())...)
+	// What follows from a field that is wrong by itself isn't reported again.
+	problems = append(problems, fields.Uncovered(findings(&doc, index, checks()))...)
 	if len(problems) == 0 {
-		problems = findings(&doc, index, nil, more)
+		problems = findings(&doc, index, more)
 	}
 	if err := problems.Err(); err != nil {
 		return Document{}, err
@@ -88,20 +99,12 @@
 	return doc, nil
 }
 
-// findings runs checks of the whole document. A field that is wrong by itself isn't
-// reported again for what follows from it.
-func findings(doc *Document, index *strictjson.Index, fields strictjson.Problems, checks []Check) strictjson.Problems {
-	reported := map[string]bool{}
-	for _, p := range fields {
-		reported[p.Path] = true
-	}
+// findings runs checks of the whole document.
+func findings(doc *Document, index *strictjson.Index, checks []Check) strictjson.Problems {
 	var out strictjson.Problems
 	for _, check := range checks {
 		for _, f := range check(doc) {
-			p := index.Problem(f.Path, f.Mend, "%s", f.Message)
-			if !reported[p.Path] {
-				out = append(out, p)
-			}
+			out = append(out, index.Problem(f.Path, f.Mend, "%s", f.Message))
 		}
 	}
 	return out
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -15,12 +15,13 @@
 	node *Node
 }
 
-// Decode reads the value strictly into a struct. An absent value leaves it as it is.
+// Decode reads the value strictly into a struct and applies its validate tags. An absent
+// value leaves the struct as it is, unchecked.
 func (r Raw) Decode(into any) error {
 	if r.node == nil {
 		return nil
 	}
-	return Decode(r.node, into).Err()
+	return Read(r.node, into, NewIndex(r.node)).Err()
 }
 
 // MarshalJSON implements json.Marshaler.
--- a/internal/strictjson/problem.go
+++ b/internal/strictjson/problem.go
@@ -60,6 +60,33 @@
 	return p.sorted()
 }
 
+// Uncovered returns those of the given problems that are not at or below a place that p
+// reports: what is wrong there follows from it.
+func (p Problems) Uncovered(others Problems) Problems {
+	reported := make(map[string]bool, len(p))
+	for i := range p {
+		reported[p[i].Path] = true
+	}
+	var out Problems
+	for _, other := range others {
+		if !covered(reported, other.Path) {
+			out = append(out, other)
+		}
+	}
+	return out
+}
+
+// covered reports whether the path or one that contains it is reported.
+func covered(reported map[string]bool, path string) bool {
+	for path != "" {
+		if reported[path] {
+			return true
+		}
+		path = path[:max(0, strings.LastIndexAny(path, ".["))]
+	}
+	return false
+}
+
 // sorted orders problems by file, line and path, and drops duplicates.
 func (p Problems) sorted() Problems {
 	out := append(Problems(nil), p...)
--- a/internal/strictjson/validate.go
+++ b/internal/strictjson/validate.go
@@ -29,19 +29,10 @@
 }
 
 // Read decodes a tree into the struct that into points to, and applies its validate
-// tags. A field that could not be decoded is reported once.
+// tags. Nothing is said of what a field lacks that could not be decoded.
 func Read(node *Node, into any, index *Index) Problems {
 	problems := Decode(node, into)
-	reported := map[string]bool{}
-	for _, p := range problems {
-		reported[p.Path] = true
-	}
-	for _, p := range Validate(into, index) {
-		if !reported[p.Path] {
-			problems = append(problems, p)
-		}
-	}
-	return problems
+	return append(problems, problems.Uncovered(Validate(into, index))...)
 }
 
 // Validate applies the validate tags of a struct and places what they find.
