operatorapi: an instance gives up before its client does

Cause: the instance worked on without a bound, so that the client's timeout came first. Ruled out: a lower fixed bound in the daemon, which a client with less patience would still miss. The client now says how long it waits and the instance works for 80 hundredths of it.

explain lists at most ten excluded servers, and no prediction that isn't known.

--- a/internal/ctl/model.go
+++ b/internal/ctl/model.go
@@ -47,7 +47,7 @@
 		return err
 	}
 	fmt.Fprintf(w, "\nA request now: %s\n\n", describeOutlook(e.Request))
-	return candidateTable(e.Request.Candidates).write(w)
+	return showCandidates(w, e.Request.Candidates)
 }
 
 func copyTable(copies []operatorapi.Copy) *table {
@@ -69,12 +69,36 @@
 	return text + ": " + o.Reason
 }
 
-func candidateTable(candidates []operatorapi.Candidate) *table {
+// mostExcluded is how many excluded servers the table lists.
+const mostExcluded = 10
+
+// showCandidates lists the eligible servers and some of the others.
+func showCandidates(w io.Writer, candidates []operatorapi.Candidate) error {
 	out := newTable("CANDIDATE", "FAILURE DOMAIN", "OUTSTANDING", "PREDICTED", "EXCLUDED")
+	excluded := 0
 	for _, c := range candidates {
-		out.add(c.Server, c.FailureDomain, c.Outstanding, fmt.Sprintf("%d ms", c.PredictedMillis), c.Excluded)
+		if c.Excluded != "" {
+			excluded++
+		}
+		if excluded <= mostExcluded || c.Excluded == "" {
+			out.add(c.Server, c.FailureDomain, c.Outstanding, duration(c.PredictedMillis), c.Excluded)
+		}
 	}
-	return out
+	if err := out.write(w); err != nil {
+		return err
+	}
+	if excluded > mostExcluded {
+		fmt.Fprintf(w, "and %d more that are excluded\n", excluded-mostExcluded)
+	}
+	return nil
+}
+
+// duration writes milliseconds, or nothing if they are not known.
+func duration(millis int64) string {
+	if millis == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d ms", millis)
 }
 
 func (t *tool) locateCommand() *cobra.Command {
--- a/internal/operatorapi/client.go
+++ b/internal/operatorapi/client.go
@@ -135,6 +135,7 @@
 	if in != nil {
 		request.Header.Set("Content-Type", "application/json")
 	}
+	sendTimeout(request, c.http.Timeout)
 	if c.token != "" {
 		request.Header.Set("Authorization", bearerPrefix+c.token)
 	}
--- a/internal/operatorapi/operatorapi_test.go
+++ b/internal/operatorapi/operatorapi_test.go
@@ -10,9 +10,11 @@
 	"reflect"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"limpethub/internal/modelref"
+	"limpethub/internal/request"
 	"limpethub/internal/site"
 	"limpethub/internal/strictjson"
 )
@@ -245,6 +247,31 @@
 	}
 }
 
+// TestInstanceGivesUpBeforeItsClient shows that a call that takes too long ends by the
+// instance's answer, which says that nothing was changed, and not by the client's timeout.
+func TestInstanceGivesUpBeforeItsClient(t *testing.T) {
+	for header, want := range map[string]time.Duration{
+		"": 8 * time.Second, "2000": 1600 * time.Millisecond, "-1": 8 * time.Second, "x": 8 * time.Second,
+		"999999999999999": 48 * time.Second,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			r := httptest.NewRequest(http.MethodGet, PathStatus, nil)
+			r.Header.Set(request.HeaderTimeout, header)
+			start := time.Now()
+			wait := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+			bounded(wait).ServeHTTP(httptest.NewRecorder(), r)
+			if got := time.Since(start); got != want {
+				t.Errorf("with %q the work ended after %v, want %v", header, got, want)
+			}
+		})
+	}
+	r := httptest.NewRequest(http.MethodGet, PathStatus, nil)
+	sendTimeout(r, 3*time.Second)
+	if got := callTimeout(r); got != 3*time.Second {
+		t.Errorf("the client's 3 s arrive as %v", got)
+	}
+}
+
 func TestUnreachableIsTyped(t *testing.T) {
 	server := newServer(t, &fakeController{})
 	server.Close()
--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -72,7 +72,7 @@
 	h.router = mux.NewRouter().UseEncodedPath()
 	h.router.HandleFunc(PathHealth, h.health).Methods(http.MethodGet)
 	guarded := h.router.NewRoute().Subrouter()
-	guarded.Use(h.onlyOperators)
+	guarded.Use(h.onlyOperators, bounded)
 	guarded.HandleFunc(PathStatus, h.status).Methods(http.MethodGet)
 	guarded.HandleFunc(PathConfiguration, h.configuration).Methods(http.MethodGet)
 	guarded.HandleFunc(PathConfiguration, h.apply).Methods(http.MethodPut)
--- a/internal/operatorapi/types.go
+++ b/internal/operatorapi/types.go
@@ -11,7 +11,8 @@
 	"limpethub/internal/verdict"
 )
 
-// Controller does what operators ask for. The daemon implements it.
+// Controller does what operators ask for. The daemon implements it. The context ends
+// before the client gives up, so that the client gets an answer.
 type Controller interface {
 	// Status describes the site as this instance sees it.
 	Status(ctx context.Context) (Status, error)
