--- a/internal/operatorapi/operatorapi_test.go
+++ b/internal/operatorapi/operatorapi_test.go
@@ -272,6 +272,32 @@
 	}
 }
 
+func TestBounds(t *testing.T) {
+	f := &fakeController{}
+	auth, err := NewKeys(tokenFile(t, goodToken), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	handler := NewHandler(f, auth, WithBounds(100, 1))
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	client := NewClient(server.URL, goodToken, server.Client())
+	change := ApplyRequest{ChangeID: "x", Document: validDocument(t)}
+	if _, err := client.Apply(context.Background(), change); err == nil || !strings.Contains(err.Error(), string(CodeBadRequest)) {
+		t.Errorf("a body over the bound: %v", err)
+	}
+	handler.calls <- struct{}{}
+	_, err = client.Status(context.Background())
+	var unavailable *UnavailableError
+	if !errors.As(err, &unavailable) {
+		t.Errorf("a call over the bound: %v", err)
+	}
+	<-handler.calls
+	if _, err := client.Status(context.Background()); err != nil || f.calls != 1 {
+		t.Errorf("after the other call has ended: %v, %d calls", err, f.calls)
+	}
+}
+
 func TestUnreachableIsTyped(t *testing.T) {
 	server := newServer(t, &fakeController{})
 	server.Close()
--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -24,8 +24,13 @@
 	PathInstances     = "/v1/operator/instances/"
 )
 
-// maxChangeBytes bounds the body of a change; the key-value service holds less.
-const maxChangeBytes = 4 << 20
+// Bounds that hold unless WithBounds sets others.
+const (
+	// defaultMaxBodyBytes is the largest body of a change.
+	defaultMaxBodyBytes = 4 << 20
+	// defaultMaxCalls is the most calls in progress.
+	defaultMaxCalls = 64
+)
 
 // Handler serves operators over HTTP.
 type Handler struct {
@@ -34,6 +39,10 @@
 	metrics    http.Handler
 	log        *logrus.Entry
 	router     *mux.Router
+	// maxBodyBytes is the largest body of a change.
+	maxBodyBytes int64
+	// calls holds a token for each call in progress.
+	calls chan struct{}
 }
 
 var _ http.Handler = (*Handler)(nil)
@@ -51,11 +60,20 @@
 	return func(h *Handler) { h.log = log }
 }
 
+// WithBounds sets the largest body of a change, in bytes, and the most calls in progress.
+func WithBounds(maxBodyBytes int64, maxCalls int) Option {
+	return func(h *Handler) {
+		h.maxBodyBytes = maxBodyBytes
+		h.calls = make(chan struct{}, maxCalls)
+	}
+}
+
 // NewHandler makes a handler.
 func NewHandler(controller Controller, auth Auth, options ...Option) *Handler {
 	silent := logrus.New()
 	silent.SetLevel(logrus.PanicLevel)
 	h := &Handler{controller: controller, auth: auth, log: logrus.NewEntry(silent)}
+	WithBounds(defaultMaxBodyBytes, defaultMaxCalls)(h)
 	for _, option := range options {
 		option(h)
 	}
@@ -72,7 +90,7 @@
 	h.router = mux.NewRouter().UseEncodedPath()
 	h.router.HandleFunc(PathHealth, h.health).Methods(http.MethodGet)
 	guarded := h.router.NewRoute().Subrouter()
-	guarded.Use(h.onlyOperators, bounded)
+	guarded.Use(h.onlyOperators, h.limitCalls, bounded)
 	guarded.HandleFunc(PathStatus, h.status).Methods(http.MethodGet)
 	guarded.HandleFunc(PathConfiguration, h.configuration).Methods(http.MethodGet)
 	guarded.HandleFunc(PathConfiguration, h.apply).Methods(http.MethodPut)
@@ -99,6 +117,19 @@
 	})
 }
 
+// limitCalls refuses calls beyond the bound.
+func (h *Handler) limitCalls(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case h.calls <- struct{}{}:
+			defer func() { <-h.calls }()
+			next.ServeHTTP(w, r)
+		default:
+			h.fail(w, &UnavailableError{Reason: "too many operators' calls are in progress"})
+		}
+	})
+}
+
 func (h *Handler) health(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	fmt.Fprintln(w, "ok")
@@ -115,7 +146,7 @@
 }
 
 func (h *Handler) apply(w http.ResponseWriter, r *http.Request) {
-	change, err := decodeChange(w, r)
+	change, err := h.decodeChange(w, r)
 	if err != nil {
 		h.fail(w, err)
 		return
@@ -130,9 +161,9 @@
 
 // decodeChange reads a change strictly: a field that this version doesn't know would
 // otherwise be lost without notice.
-func decodeChange(w http.ResponseWriter, r *http.Request) (ApplyRequest, error) {
+func (h *Handler) decodeChange(w http.ResponseWriter, r *http.Request) (ApplyRequest, error) {
 	var change ApplyRequest
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChangeBytes))
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, h.maxBodyBytes))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&change); err != nil {
 		return change, &badRequestError{reason: fmt.Sprintf("the change can't be read: %v", err)}
