site: entries found by key in a map, for documents of the size planned for

Cause: merging and comparing searched each entry by walking the list. A class's wish to stand before another is now carried out after all entries of the overlay, so that it may name one that comes later.

--- a/internal/site/diff.go
+++ b/internal/site/diff.go
@@ -106,17 +106,18 @@
 }
 
 func diffList(list string, before, after *strictjson.Node) []Change {
+	old, now := newKeyedList(list, before), newKeyedList(list, after)
 	var out []Change
-	for _, e := range before.Elements {
+	for _, e := range old.entries {
 		key, _ := entryKey(list, e)
-		if find(list, after, key) < 0 {
+		if now.find(key) < 0 {
 			out = append(out, Change{Kind: Removed, Entry: entryName(list, key), Old: text(e)})
 		}
 	}
-	for _, e := range after.Elements {
+	for _, e := range now.entries {
 		key, _ := entryKey(list, e)
-		if at := find(list, before, key); at >= 0 {
-			out = append(out, diffFields(entryName(list, key), before.Elements[at], e)...)
+		if at := old.find(key); at >= 0 {
+			out = append(out, diffFields(entryName(list, key), old.entries[at], e)...)
 			continue
 		}
 		out = append(out, Change{Kind: Added, Entry: entryName(list, key), New: text(e)})
@@ -127,8 +128,6 @@
 	return out
 }
 
-func entryName(list, key string) string { return list + "[" + key + "]" }
-
 // diffOrder reports the order of classes when it differs, which it also does when a
 // class came or went: its place is its urgency.
 func diffOrder(before, after *strictjson.Node) []Change {
--- a/internal/site/merge.go
+++ b/internal/site/merge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"limpethub/internal/strictjson"
 )
@@ -14,32 +15,6 @@
 	fieldBefore = "before"
 )
 
-// keyedLists names the lists that merge by entry, with the fields that tell entries
-// apart. All other lists are replaced whole.
-var keyedLists = map[string][]string{
-	"classes":  {"name"},
-	"models":   {"name", "version"},
-	"adapters": {"name", "version"},
-	"servers":  {"name"},
-	"services": {"name"},
-}
-
-// entryKey returns the key of a list entry, or false if it lacks a field of the key.
-func entryKey(list string, entry *strictjson.Node) (string, bool) {
-	key := ""
-	for i, field := range keyedLists[list] {
-		value := entry.Member(field)
-		if value == nil || value.Kind != strictjson.KindString {
-			return "", false
-		}
-		if i > 0 {
-			key += "@"
-		}
-		key += value.Text
-	}
-	return key, true
-}
-
 // merger merges an overlay into a base without changing either tree.
 type merger struct {
 	problems strictjson.Problems
@@ -105,39 +80,51 @@
 	out.Elements = nil
 	if base != nil && base.Kind == strictjson.KindList {
 		out = *base
-		out.Elements = append([]*strictjson.Node(nil), base.Elements...)
 	}
+	entries := newKeyedList(name, &out)
+	var moves []move
 	for _, entry := range overlay.Elements {
-		m.entry(name, &out, entry)
+		if moved, ok := m.entry(entries, entry); ok {
+			moves = append(moves, moved)
+		}
+	}
+	out.Elements = entries.elements()
+	for _, moved := range moves {
+		m.move(name, &out, moved)
 	}
 	return &out
 }
 
-func (m *merger) entry(list string, out *strictjson.Node, entry *strictjson.Node) {
+// move is an overlay's wish to have a class stand before another one.
+type move struct {
+	key    string
+	before *strictjson.Node
+}
+
+// entry merges one entry of an overlay's list, and returns its move if it has one.
+func (m *merger) entry(entries *keyedList, entry *strictjson.Node) (move, bool) {
+	list := entries.name
 	key, ok := entryKey(list, entry)
 	if !ok {
 		// The entry can't be matched. The strict reading of it says what it lacks.
-		out.Elements = append(out.Elements, entry)
-		return
+		entries.add(entry)
+		return move{}, false
 	}
 	remove, before, plain := m.split(list, key, entry)
-	at := find(list, out, key)
+	at := entries.find(key)
 	switch {
 	case remove && at < 0:
-		m.report(entry, list+"["+key+"]", "remove this entry, or mend its name", "there is no such entry to remove")
+		m.report(entry, entryName(list, key), "remove this entry, or mend its name", "there is no such entry to remove")
 	case remove && len(plain.Members) > len(keyedLists[list]):
-		m.report(entry, list+"["+key+"]", "leave only what names the entry, and remove", "an entry that is removed has other fields too")
+		m.report(entry, entryName(list, key), "leave only what names the entry, and remove", "an entry that is removed has other fields too")
 	case remove:
-		out.Elements = append(out.Elements[:at], out.Elements[at+1:]...)
+		entries.remove(key)
 	case at < 0:
-		out.Elements = append(out.Elements, plain)
-		at = len(out.Elements) - 1
+		entries.add(plain)
 	default:
-		out.Elements[at] = mergeObject(out.Elements[at], plain)
-	}
-	if before != nil && !remove {
-		m.move(list, out, at, key, before)
+		entries.entries[at] = mergeObject(entries.entries[at], plain)
 	}
+	return move{key: key, before: before}, before != nil && !remove
 }
 
 // split takes the fields that only overlays have out of an entry.
@@ -161,70 +148,32 @@
 	if value.Kind == strictjson.KindBool && value.Text == "true" {
 		return true
 	}
-	m.report(value, list+"["+key+"]."+fieldRemove, "write true, or leave the field out", "can only be true")
+	m.report(value, entryName(list, key)+"."+fieldRemove, "write true, or leave the field out", "can only be true")
 	return false
 }
 
 // move puts a class before another one.
-func (m *merger) move(list string, out *strictjson.Node, at int, key string, before *strictjson.Node) {
-	target := -1
-	if before.Kind == strictjson.KindString {
-		target = find(list, out, before.Text)
+func (m *merger) move(list string, out *strictjson.Node, wish move) {
+	at, target := position(list, out, wish.key), -1
+	if wish.before.Kind == strictjson.KindString {
+		target = position(list, out, wish.before.Text)
 	}
 	if target < 0 || target == at {
-		m.report(before, list+"["+key+"]."+fieldBefore, "name another class", "names no other class")
+		m.report(wish.before, entryName(list, wish.key)+"."+fieldBefore, "name another class", "names no other class")
 		return
 	}
 	moved := out.Elements[at]
-	out.Elements = append(out.Elements[:at], out.Elements[at+1:]...)
+	rest := slices.Delete(slices.Clone(out.Elements), at, at+1)
 	if at < target {
 		target--
 	}
-	out.Elements = append(out.Elements[:target], append([]*strictjson.Node{moved}, out.Elements[target:]...)...)
+	out.Elements = slices.Insert(rest, target, moved)
 }
 
-// find returns the position of the entry with the key, or -1.
-func find(list string, node *strictjson.Node, key string) int {
-	for i, e := range node.Elements {
-		if k, ok := entryKey(list, e); ok && k == key {
-			return i
-		}
-	}
-	return -1
-}
-
-// duplicates reports entries that stand twice in one file.
-func duplicates(root *strictjson.Node) strictjson.Problems {
-	var out strictjson.Problems
-	for _, member := range root.Members {
-		if _, keyed := keyedLists[member.Name]; keyed {
-			out = append(out, duplicatesIn(member.Name, member.Value)...)
-		}
-	}
-	return out
-}
-
-func duplicatesIn(list string, node *strictjson.Node) strictjson.Problems {
-	var out strictjson.Problems
-	first := map[string]int{}
-	for _, e := range node.Elements {
-		key, ok := entryKey(list, e)
-		if !ok {
-			continue
-		}
-		earlier, twice := first[key]
-		if !twice {
-			first[key] = e.Line
-			continue
-		}
-		message := "stands twice"
-		if e.File != "" {
-			message = fmt.Sprintf("stands twice, first on line %d", earlier)
-		}
-		out = append(out, strictjson.Problem{
-			File: e.File, Line: e.Line, Path: list + "[" + key + "]",
-			Message: message, Mend: "keep one of the two, or give them different names",
-		})
-	}
-	return out
+// position returns where the entry with the key stands, or -1.
+func position(list string, node *strictjson.Node, key string) int {
+	return slices.IndexFunc(node.Elements, func(e *strictjson.Node) bool {
+		k, ok := entryKey(list, e)
+		return ok && k == key
+	})
 }
