--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -4,12 +4,15 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"os"
 	"time"
 
 	"github.com/spf13/cobra"
+
+	"limpethub/internal/strictjson"
 )
 
 // Environment is what the tool uses of its process.
@@ -71,9 +74,7 @@
 		// Only cobra's own checks fail before a command has run.
 		err = &usageError{err: err}
 	}
-	if err != nil {
-		fmt.Fprintf(env.Stderr, "limpethubctl: %v\n", err)
-	}
+	printError(env.Stderr, err)
 	code := exitCodeOf(err)
 	if code == ExitUsage {
 		fmt.Fprintln(env.Stderr, "limpethubctl: try --help")
@@ -81,6 +82,19 @@
 	return code
 }
 
+// printError writes an error for people. Problems of files come one a line, each with its
+// file and line first, as editors read them.
+func printError(w io.Writer, err error) {
+	var problems strictjson.Problems
+	switch {
+	case err == nil:
+	case errors.As(err, &problems):
+		fmt.Fprintf(w, "%v\nlimpethubctl: problems found: %d\n", problems, len(problems))
+	default:
+		fmt.Fprintf(w, "limpethubctl: %v\n", err)
+	}
+}
+
 const rootLong = `limpethubctl drives a site of limpethub: it checks and applies the site's
 configuration, and shows what the site is doing.
 
