--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -13,6 +13,7 @@
 	"testing"
 
 	"github.com/sebdah/goldie/v2"
+	"github.com/spf13/cobra"
 
 	"limpethub/internal/operatorapi"
 	"limpethub/internal/site"
@@ -343,3 +344,27 @@
 		}
 	}
 }
+
+// TestEveryCommandIsDocumented looks for each command and exit code in docs/CLI.md.
+func TestEveryCommandIsDocumented(t *testing.T) {
+	data, err := os.ReadFile("../../docs/CLI.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := string(data)
+	var check func(c *cobra.Command)
+	check = func(c *cobra.Command) {
+		if !c.HasSubCommands() && !strings.Contains(page, "\n"+c.CommandPath()) {
+			t.Errorf("%s is not on the page", c.CommandPath())
+		}
+		for _, sub := range c.Commands() {
+			check(sub)
+		}
+	}
+	check((&tool{}).rootCommand())
+	for code := ExitOK; code <= ExitNotFound; code++ {
+		if !strings.Contains(page, fmt.Sprintf("\n| %d | ", code)) {
+			t.Errorf("exit code %d is not on the page", code)
+		}
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -111,3 +112,38 @@
 		}
 	}
 }
+
+// TestEveryFieldIsDocumented looks for each field's name in docs/CONFIGURATION.md.
+func TestEveryFieldIsDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/CONFIGURATION.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, value := range []any{Settings{}, Listeners{}, Listener{}, Files{}, Bounds{}, Operators{}, Upstream{}, Plugins{}, Plugin{}, Log{}} {
+		fields := reflect.TypeOf(value)
+		for i := range fields.NumField() {
+			name := fields.Field(i).Tag.Get("json")
+			if !strings.Contains(string(page), name) {
+				t.Errorf("%s.%s is not on the page", fields.Name(), name)
+			}
+		}
+	}
+}
+
+// FuzzParse shows that no text makes the reader panic.
+func FuzzParse(f *testing.F) {
+	paths, _ := filepath.Glob("testdata/*/*.json")
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Parse("f", data)
+		if err == nil && s.Instance == "" {
+			t.Error("settings without a name were accepted")
+		}
+	})
+}
