--- a/internal/lab/bench/profile.go
+++ b/internal/lab/bench/profile.go
@@ -42,7 +42,8 @@
 }
 
 // Capacity is how many model requests a second the engines can finish when all
-// batches are full and no prefix is cached.
+// batches are full and no prefix is cached. A request holds its place in a batch while
+// its prompt is read and while its answer is generated.
 func (p Profile) Capacity() float64 {
 	answer, prompt := p.Shape.ModelTokens()
 	engines := 0
@@ -51,9 +52,9 @@
 			engines++
 		}
 	}
-	decode := answer * p.Engine.StepTime.Seconds() / float64(p.Engine.MaxBatch)
-	prefill := prompt / p.Engine.PrefillPerSecond
-	return float64(engines) / (decode + prefill)
+	held := answer*p.Engine.StepTime.Seconds() + prompt/p.Engine.PrefillPerSecond
+	perEngine := min(float64(p.Engine.MaxBatch)/held, p.Engine.PrefillPerSecond/prompt)
+	return float64(engines) * perEngine
 }
 
 // SiteOptions describes the site for StartSite.
@@ -76,10 +77,10 @@
 		Site:           "rigline",
 		FailureDomains: []string{"pnw-a", "pnw-b", "pnw-c"},
 		Classes: []site.Class{
-			{Name: "appraisal", TimeoutMillis: 4000, Weight: 8, QueueLimit: 400},
-			{Name: "report", TimeoutMillis: 6000, Weight: 4, QueueLimit: 400},
+			{Name: "appraisal", TimeoutMillis: 3000, Weight: 8, QueueLimit: 400},
+			{Name: "report", TimeoutMillis: 4000, Weight: 4, QueueLimit: 400},
 			{Name: "desk", TimeoutMillis: 3000, Weight: 4, QueueLimit: 200},
-			{Name: "overnight", TimeoutMillis: 12000, Weight: 1, QueueLimit: 1000, FloorShare: 0.05},
+			{Name: "overnight", TimeoutMillis: 8000, Weight: 1, QueueLimit: 1000, FloorShare: 0.05},
 		},
 		Budgets: site.Budgets{LoadsPerSecond: 1.5, ConcurrentLoads: 6, LoadMillis: 4000, RetryShare: 0.1, StoreCallsPerSecond: 20},
 	}
@@ -91,9 +92,9 @@
 		Shape: load.Shape{
 			Name: "rigline", ZipfExponent: 0.9, Bursts: bursts(),
 			Classes: []load.ClassLoad{
-				{Class: "appraisal", Share: 0.25, Timeout: 4 * time.Second, PromptTokens: load.Range{Min: 200, Max: 500}, AnswerTokens: load.Range{Min: 16, Max: 40}, PrefixTokens: 160, Prefixes: 2},
-				{Class: "report", Share: 0.35, Timeout: 6 * time.Second, PromptTokens: load.Range{Min: 200, Max: 600}, AnswerTokens: load.Range{Min: 24, Max: 64}, PrefixTokens: 160, Prefixes: 3},
-				{Class: "overnight", Share: 0.40, Timeout: 12 * time.Second, PromptTokens: load.Range{Min: 80, Max: 300}, AnswerTokens: load.Range{Min: 16, Max: 64}, PrefixTokens: 64, Prefixes: 4},
+				{Class: "appraisal", Share: 0.25, Timeout: 3 * time.Second, PromptTokens: load.Range{Min: 200, Max: 500}, AnswerTokens: load.Range{Min: 16, Max: 40}, PrefixTokens: 160, Prefixes: 2},
+				{Class: "report", Share: 0.35, Timeout: 4 * time.Second, PromptTokens: load.Range{Min: 200, Max: 600}, AnswerTokens: load.Range{Min: 24, Max: 64}, PrefixTokens: 160, Prefixes: 3},
+				{Class: "overnight", Share: 0.40, Timeout: 8 * time.Second, PromptTokens: load.Range{Min: 80, Max: 300}, AnswerTokens: load.Range{Min: 16, Max: 64}, PrefixTokens: 64, Prefixes: 4},
 			},
 			Services: []load.ServiceLoad{{Service: "financing", Class: "desk", PerSecond: 5, Timeout: 3 * time.Second}},
 		},
@@ -107,8 +108,8 @@
 		FailureDomains: []string{"bts-a", "bts-b", "bts-c"},
 		Classes: []site.Class{
 			{Name: "storefront", TimeoutMillis: 2500, Weight: 8, QueueLimit: 400},
-			{Name: "translation", TimeoutMillis: 6000, Weight: 3, QueueLimit: 400},
-			{Name: "review", TimeoutMillis: 12000, Weight: 1, QueueLimit: 1000, FloorShare: 0.05},
+			{Name: "translation", TimeoutMillis: 4000, Weight: 3, QueueLimit: 400},
+			{Name: "review", TimeoutMillis: 8000, Weight: 1, QueueLimit: 1000, FloorShare: 0.05},
 		},
 		Budgets: site.Budgets{LoadsPerSecond: 2, ConcurrentLoads: 3, LoadMillis: 4000, RetryShare: 0.1, StoreCallsPerSecond: 20},
 	}
@@ -121,8 +122,8 @@
 			Name: "tichy-vers", ZipfExponent: 0.9, Bursts: bursts(),
 			Classes: []load.ClassLoad{
 				{Class: "storefront", Share: 0.30, Timeout: 2500 * time.Millisecond, PromptTokens: load.Range{Min: 40, Max: 160}, AnswerTokens: load.Range{Min: 8, Max: 24}, PrefixTokens: 32, Prefixes: 2},
-				{Class: "translation", Share: 0.30, Timeout: 6 * time.Second, PromptTokens: load.Range{Min: 100, Max: 300}, AnswerTokens: load.Range{Min: 24, Max: 64}, PrefixTokens: 64, Prefixes: 3},
-				{Class: "review", Share: 0.40, Timeout: 12 * time.Second, PromptTokens: load.Range{Min: 400, Max: 1200}, AnswerTokens: load.Range{Min: 32, Max: 80}, PrefixTokens: 320, Prefixes: 2},
+				{Class: "translation", Share: 0.30, Timeout: 4 * time.Second, PromptTokens: load.Range{Min: 100, Max: 300}, AnswerTokens: load.Range{Min: 24, Max: 64}, PrefixTokens: 64, Prefixes: 3},
+				{Class: "review", Share: 0.40, Timeout: 8 * time.Second, PromptTokens: load.Range{Min: 400, Max: 1200}, AnswerTokens: load.Range{Min: 32, Max: 80}, PrefixTokens: 320, Prefixes: 2},
 			},
 			Services: []load.ServiceLoad{{Service: "orders", Class: "storefront", PerSecond: 5, Timeout: 2500 * time.Millisecond}},
 		},
--- a/internal/lab/experiments/compare.go
+++ b/internal/lab/experiments/compare.go
@@ -45,7 +45,7 @@
 	f.StringSliceVar(&o.faults, "faults", []string{noFault}, fmt.Sprintf("faults, of %v", faultNames()))
 	f.IntVar(&o.repeats, "repeats", 3, "runs of each point, each with a seed of its own")
 	f.Uint64Var(&o.seed, "seed", 1, "seed of the first run")
-	f.DurationVar(&o.duration, "duration", 10*time.Second, "time in which requests arrive")
+	f.DurationVar(&o.duration, "duration", 16*time.Second, "time in which requests arrive")
 	f.IntVar(&o.daemons, "daemons", 8, "entry instances")
 	f.StringVar(&o.json, "json", "", "file for all figures as JSON")
 	f.StringVar(&o.svg, "svg", "", "file for a plot of attainment over load")
