--- a/internal/lab/bench/result.go
+++ b/internal/lab/bench/result.go
@@ -56,6 +56,10 @@
 	MemoryViolations int `json:"memory_violations"`
 	// LoadViolations counts loads beyond the weight store's limits.
 	LoadViolations int `json:"load_violations"`
+	// Tokens is how many tokens engines generated, DeliveredTokens how many of them
+	// belong to answers in time.
+	Tokens          int `json:"tokens"`
+	DeliveredTokens int `json:"delivered_tokens"`
 	// StoreCalls is the key-value service's count of calls.
 	StoreCalls int `json:"store_calls"`
 	// BusyShare is the machine's; Valid is false when it was too high.
@@ -80,6 +84,11 @@
 	return out
 }
 
+// wastedShare is the part of generated tokens that belongs to no answer in time.
+func (f Figures) wastedShare() float64 {
+	return 1 - float64(f.DeliveredTokens)/float64(max(1, f.Tokens))
+}
+
 const microsPerMilli = 1000
 
 // percentile95 is the quantile of the latency targets.
@@ -95,6 +104,7 @@
 	f.FirstTokenP95 = float64(total.FirstToken.ValueAtQuantile(percentile95)) / microsPerMilli
 	f.BetweenTokensP95 = float64(total.BetweenTokens.ValueAtQuantile(percentile95)) / microsPerMilli
 	f.SentPerAsked = float64(total.Sent) / float64(max(1, total.Asked))
+	f.DeliveredTokens = total.Tokens
 	f.Foreign = total.Foreign
 	f.Disordered = total.Disordered
 	f.Cut = total.Cut
@@ -124,7 +134,7 @@
 }
 
 // siteCounts are what the stand-ins counted up to one moment.
-type siteCounts struct{ moves, memoryViolations, loadViolations, storeCalls int }
+type siteCounts struct{ moves, memoryViolations, loadViolations, storeCalls, tokens int }
 
 func countSite(s *Site) siteCounts {
 	var c siteCounts
@@ -132,6 +142,7 @@
 		stats := e.Stats()
 		c.moves += stats.Loads + stats.Unloads
 		c.memoryViolations += stats.MemoryViolations
+		c.tokens += stats.Tokens
 	}
 	weights := s.Weights.Stats()
 	c.loadViolations = weights.RateViolations + weights.OverlapViolations
@@ -146,6 +157,7 @@
 	f.MemoryViolations = now.memoryViolations - before.memoryViolations
 	f.LoadViolations = now.loadViolations - before.loadViolations
 	f.StoreCalls = now.storeCalls - before.storeCalls
+	f.Tokens = now.tokens - before.tokens
 	runs := runsByAsk(s.RunCounts())
 	total := 0
 	for _, ask := range asks {
--- a/internal/lab/bench/summary.go
+++ b/internal/lab/bench/summary.go
@@ -54,7 +54,9 @@
 	Moves                Spread            `json:"moves"`
 	SentPerAsked         Spread            `json:"sent_per_asked"`
 	RunsPerAsked         Spread            `json:"runs_per_asked"`
-	BusyShare            Spread            `json:"busy_share"`
+	// WastedShare is the part of generated tokens that belongs to no answer in time.
+	WastedShare Spread `json:"wasted_share"`
+	BusyShare   Spread `json:"busy_share"`
 	// Failed sums failures by "code/verdict" over the valid runs.
 	Failed map[string]int `json:"failed"`
 	Broken []string       `json:"broken"`
@@ -100,6 +102,7 @@
 	s.Moves = spread(func(f Figures) float64 { return float64(f.Moves) })
 	s.SentPerAsked = spread(func(f Figures) float64 { return f.SentPerAsked })
 	s.RunsPerAsked = spread(func(f Figures) float64 { return f.RunsPerAsked })
+	s.WastedShare = spread(Figures.wastedShare)
 	s.BusyShare = spread(func(f Figures) float64 { return f.BusyShare })
 	s.setClasses(valid)
 	return s
@@ -127,15 +130,15 @@
 	for _, class := range classes {
 		header += "\t" + strings.ToUpper(class)
 	}
-	_, _ = fmt.Fprintln(t, header+"\tFIRST P95\tBETWEEN P95\tMOVES\tSENT/ASKED\tRUNS/ASKED\tBUSY\tRUNS\tINVALID")
+	_, _ = fmt.Fprintln(t, header+"\tFIRST P95\tBETWEEN P95\tMOVES\tSENT/ASKED\tRUNS/ASKED\tWASTED\tBUSY\tRUNS\tINVALID")
 	for _, s := range summaries {
 		_, _ = fmt.Fprintf(t, "%s\t%.1f\t%s\t%s\t%.3f\t%.3f–%.3f\t%.2f", s.Site, s.Load, orDash(s.Fault), orDash(s.Policy),
 			s.Attainment.Median, s.Attainment.Min, s.Attainment.Max, s.InTimePerAccelerator.Median)
 		for _, class := range classes {
 			_, _ = fmt.Fprintf(t, "\t%.3f", s.Classes[class].Median)
 		}
-		_, _ = fmt.Fprintf(t, "\t%.0f ms\t%.0f ms\t%.0f\t%.2f\t%.2f\t%.2f\t%d\t%d\n", s.FirstTokenP95.Median, s.BetweenTokensP95.Median,
-			s.Moves.Median, s.SentPerAsked.Median, s.RunsPerAsked.Median, s.BusyShare.Median, s.Attainment.Runs, s.Invalid)
+		_, _ = fmt.Fprintf(t, "\t%.0f ms\t%.0f ms\t%.0f\t%.2f\t%.2f\t%.2f\t%.2f\t%d\t%d\n", s.FirstTokenP95.Median, s.BetweenTokensP95.Median,
+			s.Moves.Median, s.SentPerAsked.Median, s.RunsPerAsked.Median, s.WastedShare.Median, s.BusyShare.Median, s.Attainment.Runs, s.Invalid)
 	}
 	if err := t.Flush(); err != nil {
 		return fmt.Errorf("bench: write table: %w", err)
--- a/internal/lab/load/results.go
+++ b/internal/lab/load/results.go
@@ -31,6 +31,8 @@
 	// InTime and Late are whole answers before and after the deadline.
 	InTime int `json:"in_time"`
 	Late   int `json:"late"`
+	// Tokens is how many tokens the answers in time had.
+	Tokens int `json:"tokens"`
 	// Failed counts requests whose last answer was a failure.
 	Failed map[FailureKey]int `json:"-"`
 	// Cut counts answers without their end marker; Unreachable those without a
@@ -117,6 +119,7 @@
 }
 
 func (c *ClassResult) recordTimes(e ending) {
+	c.Tokens += len(e.pieces)
 	for i, at := range e.pieces {
 		if i == 0 {
 			_ = c.FirstToken.RecordValue(at.Sub(e.arrived).Microseconds())
@@ -134,6 +137,7 @@
 		total.Sent += c.Sent
 		total.InTime += c.InTime
 		total.Late += c.Late
+		total.Tokens += c.Tokens
 		total.Cut += c.Cut
 		total.Unreachable += c.Unreachable
 		total.Foreign += c.Foreign
