--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -6,6 +6,7 @@
 
 	"limpethub/internal/engine"
 	"limpethub/internal/modelref"
+	"limpethub/internal/site"
 )
 
 // Spec is what the configuration says of a server.
@@ -50,6 +51,8 @@
 	orders  uint64
 	asks    uint64
 	servers map[string]*server
+	// bases holds, for each adapter, the version that it extends.
+	bases map[modelref.Ref]modelref.Ref
 }
 
 // TakeOver starts the ledger of a new term from the record of the one before.
@@ -91,6 +94,16 @@
 	}
 }
 
+// SetUnits takes the versions of the configuration.
+func (l *Ledger) SetUnits(units []site.Unit) {
+	l.bases = map[modelref.Ref]modelref.Ref{}
+	for _, u := range units {
+		if u.Base != "" {
+			l.bases[u.Ref] = u.Base
+		}
+	}
+}
+
 // Record returns what is to be written to the ledger key.
 func (l *Ledger) Record() Record {
 	r := Record{Term: l.term, Pending: []Pending{}}
--- a/internal/ledger/observe.go
+++ b/internal/ledger/observe.go
@@ -136,6 +136,12 @@
 	return false
 }
 
+// Holds reports whether the server's last inventory shows the version.
+func (l *Ledger) Holds(name string, ref modelref.Ref) bool {
+	s, ok := l.servers[name]
+	return ok && s.state(ref) != ""
+}
+
 // Fenced reports whether no order of an earlier term can change the server unseen.
 func (l *Ledger) Fenced(name string) bool {
 	s, ok := l.servers[name]
--- a/internal/ledger/orders.go
+++ b/internal/ledger/orders.go
@@ -29,12 +29,15 @@
 	if err != nil {
 		return Pending{}, err
 	}
-	if base != "" && !s.serves(base) {
+	if base != "" && !l.serves(s, base) {
 		return Pending{}, refuse(s, ref, "base %s isn't resident", base)
 	}
 	if s.state(ref) != "" {
 		return Pending{}, refuse(s, ref, "already there")
 	}
+	if adapter := l.leavingAdapter(s, ref); adapter != "" {
+		return Pending{}, refuse(s, ref, "an unload of its adapter %s is pending", adapter)
+	}
 	if committed := s.committed(); committed+memoryMB > s.capacity() {
 		return Pending{}, refuse(s, ref, "%d MiB committed + %d MiB > %d MiB", committed, memoryMB, s.capacity())
 	}
@@ -52,7 +55,10 @@
 	if s.state(ref) != engine.StateResident {
 		return Pending{}, refuse(s, ref, "not resident")
 	}
-	if wanted && l.OtherCopies(name, ref) == 0 {
+	if adapter := l.dependent(s, ref); adapter != "" {
+		return Pending{}, refuse(s, ref, "adapter %s on the server needs it", adapter)
+	}
+	if wanted && !l.orphan(s, ref) && l.OtherCopies(name, ref) == 0 {
 		return Pending{}, refuse(s, ref, "it is the last reachable copy")
 	}
 	return l.enter(s, engine.Order{Action: engine.ActionUnload, Ref: ref}), nil
@@ -117,9 +123,47 @@
 	}
 }
 
-// serves reports whether a version is resident and isn't ordered out.
-func (s *server) serves(ref modelref.Ref) bool {
-	return s.state(ref) == engine.StateResident && !s.ordered(ref)
+// serves reports whether a version is resident and isn't ordered out; an adapter
+// also needs its base.
+func (l *Ledger) serves(s *server, ref modelref.Ref) bool {
+	if s.state(ref) != engine.StateResident || s.ordered(ref) {
+		return false
+	}
+	base, extends := l.bases[ref]
+	return !extends || l.serves(s, base)
+}
+
+// orphan reports whether an adapter's base is neither on the server nor ordered.
+func (l *Ledger) orphan(s *server, ref modelref.Ref) bool {
+	base, extends := l.bases[ref]
+	return extends && s.state(base) == "" && !s.ordered(base)
+}
+
+// leavingAdapter returns an adapter of the version with a pending unload on the
+// server; empty means none.
+func (l *Ledger) leavingAdapter(s *server, ref modelref.Ref) modelref.Ref {
+	for _, p := range s.pending {
+		if p.Order.Action == engine.ActionUnload && l.bases[p.Order.Ref] == ref {
+			return p.Order.Ref
+		}
+	}
+	return ""
+}
+
+// dependent returns an adapter on the server, or on its way there, that extends the
+// version; empty means none.
+func (l *Ledger) dependent(s *server, ref modelref.Ref) modelref.Ref {
+	for _, h := range s.inventory.Holdings {
+		if l.bases[h.Ref] == ref {
+			return h.Ref
+		}
+	}
+	for _, p := range s.pending {
+		if p.Order.Action == engine.ActionLoad && l.bases[p.Order.Ref] == ref {
+			return p.Order.Ref
+		}
+	}
+	return ""
 }
 
 func (s *server) state(ref modelref.Ref) engine.HoldingState {
@@ -145,7 +189,7 @@
 func (l *Ledger) OtherCopies(name string, ref modelref.Ref) int {
 	n := 0
 	for other, s := range l.servers {
-		if other != name && s.ready(l.term) && s.serves(ref) {
+		if other != name && s.ready(l.term) && l.serves(s, ref) {
 			n++
 		}
 	}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -89,23 +89,33 @@
 			states: make([]engine.HoldingState, len(b.units)),
 		}
 		for _, c := range server.Copies {
-			b.addCopy(&s, i, c)
+			b.addCopy(&s, c)
 		}
 		b.servers = append(b.servers, s)
+		b.countCopies(i)
 	}
 }
 
-func (b *board) addCopy(s *serverState, server int, c Copy) {
+func (b *board) addCopy(s *serverState, c Copy) {
 	if c.State == engine.StateUnloading {
 		s.soon += c.MemoryMB
 	}
-	u, ok := b.index[c.Ref]
-	if !ok {
+	if u, ok := b.index[c.Ref]; ok {
+		s.states[u] = c.State
+	}
+}
+
+// countCopies enters a server's copies. One of a server that can't be reached or is
+// leaving doesn't count, nor does an adapter without its base.
+func (b *board) countCopies(s int) {
+	server := &b.servers[s]
+	if !server.Reachable || server.Leaving {
 		return
 	}
-	s.states[u] = c.State
-	if c.State != engine.StateUnloading && s.Reachable && !s.Leaving {
-		b.copies[u] = append(b.copies[u], server)
+	for u, state := range server.states {
+		if state != "" && state != engine.StateUnloading && b.hasBase(u, s) {
+			b.copies[u] = append(b.copies[u], s)
+		}
 	}
 }
 
@@ -183,17 +193,20 @@
 	}
 }
 
-// unload decides on an unload.
+// unload decides on an unload. While an adapter on the server still needs the unit
+// the unload is only noted; a later plan orders it.
 func (b *board) unload(u, s int, gain float64, reason string) {
 	server := &b.servers[s]
-	b.plan.Moves = append(b.plan.Moves, Move{
-		Action: engine.ActionUnload,
-		Server: server.Name,
-		Ref:    b.units[u].Ref,
-		Wanted: true,
-		Reason: reason,
-		Gain:   gain,
-	})
+	if !b.supports(u, s) {
+		b.plan.Moves = append(b.plan.Moves, Move{
+			Action: engine.ActionUnload,
+			Server: server.Name,
+			Ref:    b.units[u].Ref,
+			Wanted: true,
+			Reason: reason,
+			Gain:   gain,
+		})
+	}
 	server.soon += b.units[u].MemoryMB
 	server.states[u] = engine.StateUnloading
 	b.drop(u, s)
--- a/internal/placement/floor.go
+++ b/internal/placement/floor.go
@@ -7,30 +7,41 @@
 	"limpethub/internal/engine"
 )
 
-// retire unloads what the configuration no longer has. Adapters go before the model
-// that they extend.
+// retire unloads what the configuration no longer has, and adapters whose base went.
 func (b *board) retire() {
 	for s := range b.servers {
-		server := &b.servers[s]
-		if !server.Ready {
+		if !b.servers[s].Ready {
 			continue
 		}
-		for _, c := range server.Copies {
-			_, wanted := b.index[c.Ref]
-			if wanted || c.State != engine.StateResident {
-				continue
+		for _, c := range b.servers[s].Copies {
+			if c.State == engine.StateResident {
+				b.retireCopy(s, c)
 			}
-			b.plan.Moves = append(b.plan.Moves, Move{
-				Action: engine.ActionUnload,
-				Server: server.Name,
-				Ref:    c.Ref,
-				Reason: "no longer configured",
-			})
-			server.soon += c.MemoryMB
 		}
 	}
 }
 
+func (b *board) retireCopy(s int, c Copy) {
+	server := &b.servers[s]
+	u, wanted := b.index[c.Ref]
+	reason := "no longer configured"
+	if wanted {
+		if b.hasBase(u, s) {
+			return
+		}
+		server.states[u] = engine.StateUnloading
+		reason = "its base isn't on the server"
+	}
+	b.plan.Moves = append(b.plan.Moves, Move{
+		Action: engine.ActionUnload,
+		Server: server.Name,
+		Ref:    c.Ref,
+		Wanted: wanted,
+		Reason: reason,
+	})
+	server.soon += c.MemoryMB
+}
+
 // floorOrder lists the units that a floor step looks at: models before adapters,
 // then large ones first, since those fit in fewer places.
 func (b *board) floorOrder() []int {
@@ -112,10 +123,21 @@
 // fits reports whether a unit can go to a server once pending unloads are done.
 func (b *board) fits(u, s int) bool {
 	server := &b.servers[s]
-	if !server.usable() || server.states[u] != "" {
+	return b.allows(u, s) && server.free+server.soon >= b.units[u].MemoryMB
+}
+
+// allows reports whether a unit may go to a server, memory aside.
+func (b *board) allows(u, s int) bool {
+	server := &b.servers[s]
+	if !server.usable() || server.states[u] != "" || !b.hasBase(u, s) {
 		return false
 	}
-	return b.hasBase(u, s) && server.free+server.soon >= b.units[u].MemoryMB
+	for _, a := range b.units[u].adapters {
+		if server.states[a] == engine.StateUnloading {
+			return false
+		}
+	}
+	return true
 }
 
 // hasBase reports whether an adapter's base serves or will serve on the server.
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
+
+	"limpethub/internal/engine"
 )
 
 // makeRoom frees memory for a unit's first copy: by ordering out copies of units
@@ -34,47 +37,111 @@
 }
 
 // eviction lists the copies to order out of a server so that a unit fits, and what
-// that loses.
+// that loses. Adapters come before their base.
 func (b *board) eviction(u, s int) (victims []int, loss float64, ok bool) {
 	server := &b.servers[s]
-	if !server.usable() || server.states[u] != "" || !b.hasBase(u, s) {
+	if !b.allows(u, s) {
 		return nil, 0, false
 	}
 	need := b.units[u].MemoryMB - server.free - server.soon
-	if need <= 0 {
-		return nil, 0, true
-	}
-	for _, v := range b.evictable(u, s) {
+	var groups [][]int
+	for _, g := range b.evictable(u, s) {
 		if need <= 0 {
 			break
 		}
-		victims = append(victims, v)
-		loss += b.loss(v, s)
-		need -= b.units[v].MemoryMB
+		groups = append(groups, g)
+		need -= b.sizeOf(g)
+	}
+	if need > 0 {
+		return nil, 0, false
+	}
+	for _, g := range groups {
+		if need+b.sizeOf(g) <= 0 {
+			need += b.sizeOf(g)
+			continue
+		}
+		victims = append(victims, g...)
+		loss += b.lossOf(g, s)
 	}
-	return victims, loss, need <= 0
+	return victims, loss, true
 }
 
-// evictable lists the copies on a server that may be ordered out, the least
-// valuable per MiB first. Each has another serving copy. A model goes only when no
-// adapter on the server needs it.
-func (b *board) evictable(u, s int) []int {
-	var out []int
+// evictable lists the groups of copies on a server that may be ordered out, the
+// least valuable per MiB first. A group is a model with its adapters, or one adapter
+// whose model stays. Each copy has another one that serves.
+func (b *board) evictable(u, s int) [][]int {
+	var out [][]int
 	for v := range b.units {
-		if v == u || v == b.units[u].base || !b.resident(v, s) {
+		if v == u || v == b.units[u].base {
 			continue
 		}
-		if b.residentElsewhere(v, s) == 0 || b.supports(v, s) {
-			continue
+		if g, ok := b.group(v, s); ok {
+			out = append(out, g)
 		}
-		out = append(out, v)
 	}
 	sort.SliceStable(out, func(i, j int) bool {
-		return b.loss(out[i], s)/float64(b.units[out[i]].MemoryMB) < b.loss(out[j], s)/float64(b.units[out[j]].MemoryMB)
+		return b.lossOf(out[i], s)/float64(b.sizeOf(out[i])) < b.lossOf(out[j], s)/float64(b.sizeOf(out[j]))
 	})
+	return disjoint(out)
+}
+
+// disjoint drops groups that repeat a copy of an earlier one.
+func disjoint(groups [][]int) [][]int {
+	seen := map[int]bool{}
+	var out [][]int
+	for _, g := range groups {
+		repeated := false
+		for _, v := range g {
+			repeated = repeated || seen[v]
+		}
+		if repeated {
+			continue
+		}
+		for _, v := range g {
+			seen[v] = true
+		}
+		out = append(out, g)
+	}
 	return out
 }
 
+// group lists a copy with the adapters on the server that need it, adapters first.
+// It isn't ok if one of them has no other serving copy.
+func (b *board) group(v, s int) (g []int, ok bool) {
+	for _, a := range append(slices.Clone(b.units[v].adapters), v) {
+		switch b.servers[s].states[a] {
+		case engine.StateResident:
+			if b.residentElsewhere(a, s) == 0 {
+				return nil, false
+			}
+			g = append(g, a)
+		case engine.StateLoading:
+			return nil, false
+		default:
+			if a == v {
+				return nil, false
+			}
+		}
+	}
+	return g, true
+}
+
+func (b *board) sizeOf(group []int) int64 {
+	var total int64
+	for _, v := range group {
+		total += b.units[v].MemoryMB
+	}
+	return total
+}
+
+func (b *board) lossOf(group []int, s int) float64 {
+	total := 0.0
+	for _, v := range group {
+		total += b.loss(v, s)
+	}
+	return total
+}
+
 // supports reports whether an adapter on the server needs the model.
 func (b *board) supports(v, s int) bool {
 	for _, a := range b.units[v].adapters {
@@ -112,7 +179,7 @@
 func (b *board) shift(u int) bool {
 	for s := range b.servers {
 		server := &b.servers[s]
-		if !server.usable() || server.states[u] != "" || !b.hasBase(u, s) {
+		if !b.allows(u, s) {
 			continue
 		}
 		need := b.units[u].MemoryMB - server.free - server.soon
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -159,6 +159,7 @@
 	c.document = doc
 	if c.ledger != nil {
 		c.ledger.SetServers(specsOf(doc))
+		c.ledger.SetUnits(doc.Units())
 	}
 	weights := make([]float64, 0, len(doc.Classes))
 	for _, class := range doc.Classes {
--- a/internal/placer/core_plan.go
+++ b/internal/placer/core_plan.go
@@ -228,8 +228,12 @@
 	}
 	for _, p := range a.Pending {
 		held := slices.ContainsFunc(a.Holdings, func(h engine.Holding) bool { return h.Ref == p.Order.Ref })
-		if p.Order.Action == engine.ActionLoad && !held {
+		switch {
+		case held:
+		case p.Order.Action == engine.ActionLoad:
 			out = append(out, placement.Copy{Ref: p.Order.Ref, State: engine.StateLoading, MemoryMB: p.Order.MemoryMB})
+		case p.Order.Action == engine.ActionUnload:
+			out = append(out, placement.Copy{Ref: p.Order.Ref, State: engine.StateUnloading})
 		}
 	}
 	return out
--- a/internal/placer/core_servers.go
+++ b/internal/placer/core_servers.go
@@ -85,14 +85,15 @@
 	return false
 }
 
-// resend sends an order again under its old id. An unload waits while no other copy
-// is reachable.
+// resend sends an order again under its old id. An unload of what has become the last
+// copy is canceled instead: a fence with the same id does nothing on a server that
+// ignores fencing, and uses the id up, so that the unload can't run any more.
 func (c *core) resend(now time.Time, p ledger.Pending) {
 	if !c.lease.Holds(now) {
 		return
 	}
-	if p.Order.Action == engine.ActionUnload && c.wanted(p.Order.Ref) && c.ledger.OtherCopies(p.Server, p.Order.Ref) == 0 {
-		return
+	if p.Order.Action == engine.ActionUnload && c.lastCopy(p) {
+		p.Order = engine.Order{ID: p.Order.ID, Fence: p.Order.Fence, Action: engine.ActionFence}
 	}
 	if p.Order.Action == engine.ActionLoad && !c.bucket.takeOne(now, c.loadRate(now)) {
 		return
@@ -101,6 +102,12 @@
 	c.submit(now, p)
 }
 
+// lastCopy reports whether an unload would end a configured version's last copy.
+func (c *core) lastCopy(p ledger.Pending) bool {
+	return c.ledger.Holds(p.Server, p.Order.Ref) && c.wanted(p.Order.Ref) &&
+		c.ledger.OtherCopies(p.Server, p.Order.Ref) == 0
+}
+
 func (c *core) wanted(ref modelref.Ref) bool {
 	_, ok := c.document.Resolve(string(ref))
 	return ok
--- a/internal/placer/core_store.go
+++ b/internal/placer/core_store.go
@@ -131,6 +131,7 @@
 	c.phase, c.revision = phaseTakeover, revision
 	c.ledger = ledger.TakeOver(c.cell, term, record)
 	c.ledger.SetServers(specsOf(c.document))
+	c.ledger.SetUnits(c.document.Units())
 	c.contacts, c.sent = map[string]*contact{}, map[string]sending{}
 	c.bucket = newBucket(now)
 	c.took = now
--- a/internal/placer/fakes_test.go
+++ b/internal/placer/fakes_test.go
@@ -56,7 +56,7 @@
 	starts      []time.Time
 	staleObeyed []string
 	// unloaded hears of each version that goes by an order.
-	unloaded func(ref modelref.Ref)
+	unloaded func(e *fakeEngine, ref modelref.Ref)
 }
 
 type fakeHolding struct {
@@ -167,7 +167,7 @@
 		e.holdings = slices.Delete(e.holdings, i, i+1)
 		e.finish(o.ID, engine.OrderDone, "")
 		if e.unloaded != nil {
-			e.unloaded(o.Ref)
+			e.unloaded(e, o.Ref)
 		}
 		return
 	}
@@ -212,8 +212,15 @@
 
 const testCell = "main"
 
+// roomyMB holds two copies of all of the test site on its four servers, tightMB
+// little more than one.
+const (
+	roomyMB = 100
+	tightMB = 55
+)
+
 // testDocument describes a small site of four servers in two failure domains.
-func testDocument(honours func(server int) bool) *site.Document {
+func testDocument(honours func(server int) bool, memoryMB int64) *site.Document {
 	doc := &site.Document{
 		Site:           "test",
 		FailureDomains: []string{"a", "b"},
@@ -233,7 +240,7 @@
 	for i := range 4 {
 		doc.Servers = append(doc.Servers, site.Server{
 			Name: fmt.Sprintf("s%d", i), Kind: site.KindEngine, Address: fmt.Sprintf("127.0.0.1:%d", 9000+i),
-			FailureDomain: doc.FailureDomains[i%2], MemoryMB: 100, HonoursFencing: honours(i),
+			FailureDomain: doc.FailureDomains[i%2], MemoryMB: memoryMB, HonoursFencing: honours(i),
 		})
 	}
 	return doc
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -30,7 +30,7 @@
 }
 
 func newTestSite(honours func(int) bool) *testSite {
-	doc := testDocument(honours)
+	doc := testDocument(honours, roomyMB)
 	return &testSite{document: doc, keys: newFakeKeys(), engines: newFakeEngines(doc)}
 }
 
