--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -49,7 +49,6 @@
 	cell    string
 	term    uint64
 	orders  uint64
-	asks    uint64
 	servers map[string]*server
 	// bases holds, for each adapter, the version that it extends.
 	bases map[modelref.Ref]modelref.Ref
--- a/internal/ledger/observe.go
+++ b/internal/ledger/observe.go
@@ -32,13 +32,9 @@
 	Surprises []Surprise
 }
 
-// Ask numbers a new inventory request. Answers to earlier requests to the same
-// server count as stale from then on.
-func (l *Ledger) Ask(name string) uint64 {
-	l.asks++
-	l.server(name).asked = l.asks
-	return l.asks
-}
+// Ask notes a new inventory request by its number, which must be unique. Answers to
+// earlier requests to the same server count as stale from then on.
+func (l *Ledger) Ask(name string, ask uint64) { l.server(name).asked = ask }
 
 // Unreachable notes that an inventory request failed.
 func (l *Ledger) Unreachable(name string, ask uint64) {
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -120,6 +120,8 @@
 	storeAway bool
 	nextStore time.Time
 
+	// asks numbers inventory requests, over all terms.
+	asks     uint64
 	contacts map[string]*contact
 	sent     map[string]sending
 	bucket   bucket
--- a/internal/placer/core_plan.go
+++ b/internal/placer/core_plan.go
@@ -62,7 +62,7 @@
 		if !c.recording(now) && !c.honours(m.Server) {
 			continue
 		}
-		if m.Action == engine.ActionLoad && !c.bucket.available(now, c.loadRate(now)) {
+		if m.Action == engine.ActionLoad && !c.mayLoad(now, m.Server) {
 			continue
 		}
 		p, err := c.enterMove(m)
@@ -83,6 +83,24 @@
 	return out
 }
 
+// mayLoad reports whether the weight store's limits allow a load now, whatever the
+// policy made of its budget.
+func (c *core) mayLoad(now time.Time, server string) bool {
+	b := c.budget(now)
+	if b.Loads == 0 {
+		return false
+	}
+	for _, s := range c.document.Servers {
+		if s.Name != server {
+			continue
+		}
+		return !slices.ContainsFunc(b.Domains, func(d placement.DomainBudget) bool {
+			return d.FailureDomain == s.FailureDomain && d.Loads == 0
+		})
+	}
+	return false
+}
+
 func (c *core) enterMove(m placement.Move) (ledger.Pending, error) {
 	switch m.Action {
 	case engine.ActionLoad:
--- a/internal/placer/core_servers.go
+++ b/internal/placer/core_servers.go
@@ -138,7 +138,9 @@
 	}
 	t.asking, t.asked = true, now
 	t.nextAsk = now.Add(c.inventoryInterval(spec, servers))
-	e := effect{kind: effectInventory, server: spec.Name, ask: c.ledger.Ask(spec.Name)}
+	c.asks++
+	c.ledger.Ask(spec.Name, c.asks)
+	e := effect{kind: effectInventory, server: spec.Name, ask: c.asks}
 	if now.Sub(t.reported) >= reportInterval || t.reported.IsZero() {
 		e.report, t.reported = true, now
 	}
