--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -120,6 +120,8 @@
 	storeAway bool
 	nextStore time.Time
 
+	// asks numbers inventory requests, over all terms.
+	asks     uint64
 	contacts map[string]*contact
 	sent     map[string]sending
 	bucket   bucket
@@ -159,6 +161,7 @@
 	c.document = doc
 	if c.ledger != nil {
 		c.ledger.SetServers(specsOf(doc))
+		c.ledger.SetUnits(doc.Units())
 	}
 	weights := make([]float64, 0, len(doc.Classes))
 	for _, class := range doc.Classes {
