--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -82,6 +82,13 @@
 	return c.members
 }
 
+// Version changes whenever Members would.
+func (c *Cluster) Version() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Version()
+}
+
 // Member returns one instance by name.
 func (c *Cluster) Member(name string) (membership.Member, bool) {
 	for _, m := range c.Members() {
--- a/internal/confsync/fakes_test.go
+++ b/internal/confsync/fakes_test.go
@@ -153,6 +153,12 @@
 
 func (n *node) Self() string { return n.name }
 
+func (n *node) Version() uint64 {
+	n.group.mu.Lock()
+	defer n.group.mu.Unlock()
+	return uint64(len(n.group.syncs))
+}
+
 func (n *node) Members() []membership.Member {
 	n.group.mu.Lock()
 	defer n.group.mu.Unlock()
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -21,6 +21,8 @@
 	Self() string
 	// Members lists the known instances.
 	Members() []membership.Member
+	// Version changes whenever Members would.
+	Version() uint64
 	// Member returns one instance by name.
 	Member(name string) (membership.Member, bool)
 	// SetRevision sets the revision that this instance's heartbeats carry.
@@ -73,6 +75,8 @@
 	storeRevision store.Revision
 	subscribers   []chan site.Accepted
 	announced     uint64
+	started       bool
+	version       uint64
 	wg            sync.WaitGroup
 }
 
@@ -123,9 +127,8 @@
 }
 
 func (s *Sync) tick(ctx context.Context) {
-	members := s.options.Members.Members()
+	s.refreshMembers()
 	s.mu.Lock()
-	s.spread.SetMembers(members)
 	orders := s.spread.Tick(s.options.Now())
 	s.announce()
 	s.mu.Unlock()
@@ -138,6 +141,22 @@
 	}
 }
 
+// refreshMembers takes the members anew when they changed.
+func (s *Sync) refreshMembers() {
+	version := s.options.Members.Version()
+	s.mu.Lock()
+	current := s.started && version == s.version
+	s.started, s.version = true, version
+	s.mu.Unlock()
+	if current {
+		return
+	}
+	members := s.options.Members.Members()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spread.SetMembers(members)
+}
+
 func (s *Sync) carryOut(ctx context.Context, order Order) {
 	switch order.Action {
 	case ActionFetch:
--- /dev/null
+++ b/internal/entries/entries_test.go
@@ -0,0 +1,147 @@
+package entries
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"limpethub/internal/membership"
+)
+
+func fleet(n int) []membership.Member {
+	var out []membership.Member
+	for i := range n {
+		m := membership.Member{State: membership.Alive}
+		m.Name = fmt.Sprintf("entry-%04d", i)
+		m.CallerAddress = m.Name + ":8080"
+		m.FailureDomain = fmt.Sprintf("zone-%d", i%3)
+		out = append(out, m)
+	}
+	return out
+}
+
+func source() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+
+func TestNearFirstAndNoneLeavingOrDead(t *testing.T) {
+	members := fleet(9)
+	members[0].State = membership.Leaving
+	members[1].State = membership.Dead
+	members[3].State = membership.Suspect
+	r := source()
+	for range 200 {
+		got := Pick(Query{FailureDomain: "zone-0"}, members, nil, r).Entries
+		if len(got) != 7 {
+			t.Fatalf("%d entries, want 7", len(got))
+		}
+		if got[0].Instance != "entry-0006" || got[6].Instance != "entry-0003" {
+			t.Fatalf("want the near one first and the suspect last: %+v", got)
+		}
+		for _, e := range got {
+			if e.Instance == "entry-0000" || e.Instance == "entry-0001" {
+				t.Fatalf("a leaving or dead instance is named: %+v", got)
+			}
+		}
+	}
+}
+
+func TestNobodyLeftIsAnEmptyList(t *testing.T) {
+	got := Pick(Query{}, nil, nil, source())
+	if got.Entries == nil || len(got.Entries) != 0 || got.TTLMillis <= 0 {
+		t.Errorf("answer = %+v", got)
+	}
+}
+
+func TestCallersSpreadEvenly(t *testing.T) {
+	members := fleet(9)
+	first := map[string]int{}
+	r := source()
+	const callers = 9000
+	for range callers {
+		first[Pick(Query{FailureDomain: "zone-1"}, members, nil, r).Entries[0].Instance]++
+	}
+	if len(first) != 3 {
+		t.Fatalf("%d instances come first, want the 3 near ones", len(first))
+	}
+	for name, count := range first {
+		if count < callers/3*9/10 || count > callers/3*11/10 {
+			t.Errorf("%s comes first for %d of %d callers", name, count, callers)
+		}
+	}
+}
+
+func models(n int) []string {
+	var out []string
+	for i := range n {
+		out = append(out, fmt.Sprintf("model-%d", i))
+	}
+	return out
+}
+
+func TestSmallFleetIsOneCell(t *testing.T) {
+	if PlanCells(models(40), fleet(NarrowAbove)) != nil {
+		t.Error("a small fleet was narrowed")
+	}
+}
+
+func TestCellsAreBounded(t *testing.T) {
+	members, all := fleet(300), models(140)
+	cells := PlanCells(all, members)
+	limit := loadLimit(len(all), len(members))
+	total := 0
+	for _, m := range members {
+		load := cells.Load(m.Name)
+		total += load
+		if load > limit {
+			t.Errorf("%s is in %d cells, above %d", m.Name, load, limit)
+		}
+	}
+	if total != len(all)*CellInstances {
+		t.Errorf("%d assignments, want %d", total, len(all)*CellInstances)
+	}
+	got := Pick(Query{Model: "model-7", FailureDomain: "zone-0"}, members, cells, source()).Entries
+	for _, e := range got {
+		if !cells.Has("model-7", e.Instance) {
+			t.Errorf("%s isn't in the model's cell", e.Instance)
+		}
+	}
+	if len(got) != MaxEntries {
+		t.Errorf("%d entries, want %d", len(got), MaxEntries)
+	}
+}
+
+func TestUnknownModelGetsTheWholeFleet(t *testing.T) {
+	members := fleet(40)
+	cells := PlanCells(models(3), members)
+	if got := Pick(Query{Model: "new"}, members, cells, source()).Entries; len(got) != MaxEntries {
+		t.Errorf("%d entries, want %d", len(got), MaxEntries)
+	}
+}
+
+// TestLossOfAnInstanceMovesLittle compares the cells before and after one of 300
+// instances goes.
+func TestLossOfAnInstanceMovesLittle(t *testing.T) {
+	members, all := fleet(300), models(140)
+	before := PlanCells(all, members)
+	after := PlanCells(all, append(append([]membership.Member(nil), members[:17]...), members[18:]...))
+	kept, total := 0, 0
+	for _, model := range all {
+		for _, m := range members {
+			if before.Has(model, m.Name) {
+				total++
+				if after.Has(model, m.Name) {
+					kept++
+				}
+			}
+		}
+	}
+	if kept < total*9/10 {
+		t.Errorf("%d of %d assignments stay", kept, total)
+	}
+}
+
+func BenchmarkPlanCells(b *testing.B) {
+	members, all := fleet(3000), models(1400)
+	for b.Loop() {
+		PlanCells(all, members)
+	}
+}
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -1,7 +1,7 @@
 package membership
 
 import (
-	"sort"
+	"container/list"
 	"time"
 )
 
@@ -12,37 +12,44 @@
 	full  bool
 }
 
-// updateQueue holds the members whose records are passed on with heartbeats.
+// updateQueue holds the members whose records are passed on with heartbeats, those
+// sent least first.
 type updateQueue struct {
-	entries map[string]*update
+	order  *list.List
+	byName map[string]*list.Element
+}
+
+func newUpdateQueue() updateQueue {
+	return updateQueue{order: list.New(), byName: map[string]*list.Element{}}
 }
 
 func (q *updateQueue) add(name string, full bool) {
-	if old := q.entries[name]; old != nil {
-		full = full || old.full
+	if old := q.byName[name]; old != nil {
+		full = full || old.Value.(*update).full
+		q.order.Remove(old)
 	}
-	q.entries[name] = &update{name: name, full: full}
+	q.byName[name] = q.order.PushFront(&update{name: name, full: full})
 }
 
-func (q *updateQueue) remove(name string) { delete(q.entries, name) }
+func (q *updateQueue) remove(name string) {
+	if element := q.byName[name]; element != nil {
+		q.order.Remove(element)
+		delete(q.byName, name)
+	}
+}
 
-// ordered lists the updates, those sent least first.
-func (q *updateQueue) ordered() []*update {
-	out := make([]*update, 0, len(q.entries))
-	for _, u := range q.entries {
-		out = append(out, u)
+// sent notes that the update was sent once more.
+func (q *updateQueue) sent(u *update) {
+	u.sends++
+	if u.sends >= q.limit() {
+		q.remove(u.name)
+		return
 	}
-	sort.Slice(out, func(i, j int) bool {
-		if out[i].sends != out[j].sends {
-			return out[i].sends < out[j].sends
-		}
-		return out[i].name < out[j].name
-	})
-	return out
+	q.order.MoveToBack(q.byName[u.name])
 }
 
 func (q *updateQueue) limit() int {
-	if len(q.entries) > busyQueue {
+	if q.order.Len() > busyQueue {
 		return sendsPerRecordBusy
 	}
 	return sendsPerRecord
@@ -69,13 +76,11 @@
 	m.sends = append(m.sends, Send{To: to.Name, Address: to.PeerAddress, Message: message})
 }
 
-// appendUpdates adds waiting records within the bounds of message and budget.
+// appendUpdates adds waiting records within the bounds of message and budget, each
+// at most once.
 func (m *Machine) appendUpdates(now time.Time, records []Record, size int) []Record {
-	if len(m.queue.entries) == 0 {
-		return records
-	}
-	limit := m.queue.limit()
-	for _, u := range m.queue.ordered() {
+	for range m.queue.order.Len() {
+		u := m.queue.order.Front().Value.(*update)
 		other := m.lookup(u.name)
 		if other == nil {
 			m.queue.remove(u.name)
@@ -87,10 +92,7 @@
 		}
 		size += r.size()
 		records = append(records, r)
-		u.sends++
-		if u.sends >= limit {
-			m.queue.remove(u.name)
-		}
+		m.queue.sent(u)
 	}
 	return records
 }
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -40,6 +40,7 @@
 	self        *member
 	revision    uint64
 	members     map[string]*member
+	order       []*member
 	suspects    map[string]*member
 	dead        map[string]*member
 	subjects    []*member
@@ -75,7 +76,7 @@
 		dead:     map[string]*member{},
 		probes:   map[string]*probe{},
 		relays:   map[uint64]relay{},
-		queue:    updateQueue{entries: map[string]*update{}},
+		queue:    newUpdateQueue(),
 	}
 	m.hashes[bucketOf(self.Name)] ^= viewHash(own)
 	m.queue.add(own.Name, true)
@@ -95,7 +96,7 @@
 func (m *Machine) Members() []Member {
 	out := make([]Member, 0, len(m.members)+1)
 	out = append(out, m.view(m.self))
-	for _, other := range m.members {
+	for _, other := range m.order {
 		out = append(out, m.view(other))
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
@@ -170,7 +171,7 @@
 	}
 	m.heard = true
 	for _, r := range message.Records {
-		m.merge(now, r)
+		m.merge(now, r, message.Type == TypeRecords)
 	}
 	sender := m.members[message.From]
 	if sender == nil {
--- /dev/null
+++ b/internal/membership/machine_test.go
@@ -0,0 +1,229 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"limpethub/internal/peers"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func identity(name string) Identity {
+	return Identity{
+		Name: name, CallerAddress: name + ":8080", PeerAddress: name + ":7443", FailureDomain: "zone",
+	}
+}
+
+func alive(name string, incarnation uint64) Record {
+	id := identity(name)
+	return Record{
+		Name: name, Incarnation: incarnation, CallerAddress: id.CallerAddress,
+		PeerAddress: id.PeerAddress, FailureDomain: id.FailureDomain,
+	}
+}
+
+// knowing makes a machine that knows the named members as alive.
+func knowing(names ...string) *Machine {
+	m := New(identity("self"), 10, DefaultSettings(), 1)
+	for _, name := range names {
+		m.Receive(start, Message{Type: TypePing, From: name, Records: []Record{alive(name, 5)}})
+	}
+	return m
+}
+
+func stateOf(m *Machine, name string) State {
+	for _, member := range m.Members() {
+		if member.Name == name {
+			return member.State
+		}
+	}
+	return 0
+}
+
+func TestListedMemberCountsOnlyOnceHeard(t *testing.T) {
+	m := New(identity("self"), 10, DefaultSettings(), 1)
+	m.SetUniverse(start, []Listed{{Identity: identity("a")}, {Identity: identity("self")}})
+	if got := stateOf(m, "a"); got != Dead {
+		t.Errorf("listed and not heard: %v, want dead", got)
+	}
+	sends := m.Tick(start)
+	if len(sends) != 1 || sends[0].To != "a" || sends[0].Message.Type != TypePing {
+		t.Errorf("a listed member wasn't tried: %+v", sends)
+	}
+	m.Receive(start, Message{Type: TypeAck, From: "a", Records: []Record{alive("a", 1)}})
+	if got := stateOf(m, "a"); got != Alive {
+		t.Errorf("heard: %v, want alive", got)
+	}
+}
+
+func TestRefutesClaimsAboutItself(t *testing.T) {
+	for _, claim := range []Record{
+		{Name: "self", Incarnation: 10, Status: StatusSuspect},
+		{Name: "self", Incarnation: 10, Status: StatusDead},
+		{Name: "self", Incarnation: 10, Leaving: true},
+		{Name: "self", Incarnation: 99},
+	} {
+		m := knowing("a")
+		m.Receive(start, Message{Type: TypeRecords, From: "a", Records: []Record{claim}})
+		if got := m.Self().Incarnation; got != claim.Incarnation+1 {
+			t.Errorf("claim %+v: incarnation %d, want %d", claim, got, claim.Incarnation+1)
+		}
+	}
+	m := knowing("a")
+	m.Receive(start, Message{Type: TypeRecords, From: "a", Records: []Record{{Name: "self", Incarnation: 9, Status: StatusDead}}})
+	if got := m.Self().Incarnation; got != 10 {
+		t.Errorf("an old claim changed the incarnation to %d", got)
+	}
+}
+
+func TestOtherSayingDeadOnlySuspects(t *testing.T) {
+	m := knowing("a", "b")
+	m.Receive(start, Message{Type: TypeRecords, From: "b", Records: []Record{{Name: "a", Incarnation: 5, Status: StatusDead}}})
+	if got := stateOf(m, "a"); got != Suspect {
+		t.Errorf("state = %v, want suspect", got)
+	}
+	m.Receive(start, Message{Type: TypeRecords, From: "b", Records: []Record{alive("a", 6)}})
+	if got := stateOf(m, "a"); got != Alive {
+		t.Errorf("after the refutation: %v, want alive", got)
+	}
+}
+
+func TestSuspicionBecomesDeathInTime(t *testing.T) {
+	m := knowing("a", "b")
+	m.Receive(start, Message{Type: TypeRecords, From: "b", Records: []Record{{Name: "a", Incarnation: 5, Status: StatusSuspect}}})
+	for i := range 24 {
+		m.Tick(start.Add(time.Duration(i) * 50 * time.Millisecond))
+	}
+	if got := stateOf(m, "a"); got != Suspect {
+		t.Errorf("before the timeout: %v", got)
+	}
+	m.Tick(start.Add(DefaultSettings().SuspicionTimeout))
+	if got := stateOf(m, "a"); got != Dead {
+		t.Errorf("after the timeout: %v", got)
+	}
+}
+
+func TestOlderIncarnationIsIgnored(t *testing.T) {
+	m := knowing("a")
+	m.Receive(start, Message{Type: TypeRecords, From: "a", Records: []Record{{Name: "a", Incarnation: 7, Leaving: true}}})
+	m.Receive(start, Message{Type: TypeRecords, From: "b", Records: []Record{alive("a", 6)}})
+	if got := stateOf(m, "a"); got != Leaving {
+		t.Errorf("state = %v, want leaving", got)
+	}
+	m.Receive(start, Message{Type: TypeRecords, From: "a", Records: []Record{alive("a", 8)}})
+	if got := stateOf(m, "a"); got != Alive {
+		t.Errorf("a new process: %v, want alive", got)
+	}
+}
+
+func TestListSaysLeaving(t *testing.T) {
+	m := knowing("a")
+	m.SetUniverse(start, []Listed{{Identity: identity("a"), Leaving: true}})
+	if got := stateOf(m, "a"); got != Leaving {
+		t.Errorf("state = %v, want leaving", got)
+	}
+	m.SetUniverse(start, nil)
+	if got := stateOf(m, "a"); got != Leaving {
+		t.Errorf("a list that lost the member: %v, want leaving as before", got)
+	}
+}
+
+func TestDeadAndUnlistedIsForgotten(t *testing.T) {
+	m := knowing("a")
+	settings := DefaultSettings()
+	m.Tick(start)
+	m.suspect(start, m.members["a"])
+	now := start.Add(settings.SuspicionTimeout)
+	m.tickSuspects(now)
+	m.tickDead(now.Add(settings.ForgetAfter - time.Second))
+	if stateOf(m, "a") != Dead {
+		t.Fatal("forgotten too early")
+	}
+	m.tickDead(now.Add(settings.ForgetAfter + time.Second))
+	if got := stateOf(m, "a"); got != 0 {
+		t.Errorf("state = %v, want forgotten", got)
+	}
+}
+
+// TestMessagesFitAndStayWithinTheRecordBudget floods a machine with changes.
+func TestMessagesFitAndStayWithinTheRecordBudget(t *testing.T) {
+	m := knowing()
+	var records []Record
+	for i := range 3000 {
+		name := fmt.Sprintf("entry-instance-with-a-long-name-%04d", i)
+		records = append(records, alive(name, 1))
+	}
+	m.Receive(start, Message{Type: TypePing, From: records[0].Name, Records: records})
+	const seconds = 30
+	recordBytes := 0
+	for tick := range seconds * 20 {
+		now := start.Add(time.Duration(tick) * 50 * time.Millisecond)
+		sends := m.Tick(now)
+		sends = append(sends, m.Receive(now, Message{Type: TypeSync, From: records[0].Name, Buckets: make([]uint64, buckets)})...)
+		for _, send := range sends {
+			data, err := send.Message.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(data) > peers.MaxDatagramBytes {
+				t.Fatalf("message of %d bytes", len(data))
+			}
+			for _, r := range send.Message.Records {
+				if r.Name != "self" && r.Name != send.To {
+					recordBytes += r.size()
+				}
+			}
+		}
+	}
+	budget := DefaultSettings().RecordBytesPerSecond
+	if recordBytes > budget*(seconds+1) {
+		t.Errorf("%d bytes of records in %d s, above the budget of %d a second", recordBytes, seconds, budget)
+	}
+	if recordBytes < budget*(seconds-2) {
+		t.Errorf("%d bytes of records: the flood didn't reach the budget", recordBytes)
+	}
+}
+
+func TestSizeBoundsTheEncoding(t *testing.T) {
+	full := alive("entry-0001", 1<<62)
+	full.Status, full.Leaving = StatusDead, true
+	for _, r := range []Record{full, {Name: "x"}, {Name: "x", Incarnation: 1 << 63, Status: StatusSuspect, Leaving: true}} {
+		with, err := Message{Type: TypePing, From: "a", Records: []Record{r}}.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		without, err := Message{Type: TypePing, From: "a"}.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if took := len(with) - len(without); took > r.size()+2 {
+			t.Errorf("%+v takes %d bytes, size says %d", r, took, r.size())
+		}
+	}
+}
+
+func TestMessageRoundTripAndRefusal(t *testing.T) {
+	message := Message{Type: TypePing, From: "a", Sequence: 7, Revision: 3, Records: []Record{alive("a", 1)}}
+	data, err := message.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := Decode(data)
+	if err != nil || back.Records[0] != message.Records[0] || back.Revision != 3 {
+		t.Errorf("round trip: %+v, %v", back, err)
+	}
+	for _, bad := range []Message{{Type: 99, From: "a"}, {Type: TypePing}, {Type: TypePing, From: "a", Records: []Record{{}}}} {
+		data, err := bad.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Decode(data); err == nil {
+			t.Errorf("%+v was accepted", bad)
+		}
+	}
+	if _, err := Decode([]byte("nonsense")); err == nil {
+		t.Error("nonsense was accepted")
+	}
+}
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -1,16 +1,15 @@
 package membership
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
 
-func sortStrings(names []string) { sort.Strings(names) }
-
 // SetUniverse takes the platform's list. A member that is missing from it stays as
 // long as it answers heartbeats; a listed one counts only once it was heard.
 func (m *Machine) SetUniverse(now time.Time, list []Listed) {
-	for _, other := range m.members {
+	for _, other := range m.order {
 		other.listed = false
 	}
 	for _, l := range list {
@@ -36,13 +35,15 @@
 	other := &member{Identity: identity, status: StatusDead, diedAt: now.UnixNano()}
 	other.ringHashes = ringHashes(identity.Name)
 	m.members[identity.Name] = other
+	m.order = append(m.order, other)
 	m.version++
 	m.dead[identity.Name] = other
 	return other
 }
 
-// merge takes a claim about a member.
-func (m *Machine) merge(now time.Time, r Record) {
+// merge takes a claim about a member. What a comparison of views tells of a member
+// not heard of before isn't passed on: others knew it already.
+func (m *Machine) merge(now time.Time, r Record, compared bool) {
 	if r.Name == m.self.Name {
 		m.refute(r)
 		return
@@ -56,7 +57,7 @@
 	}
 	switch {
 	case r.Incarnation > other.incarnation:
-		m.adopt(now, other, r)
+		m.adopt(now, other, r, compared && other.incarnation == 0)
 	case r.Incarnation == other.incarnation:
 		m.mergeSame(now, other, r)
 	}
@@ -73,7 +74,7 @@
 
 // adopt takes a claim of a newer incarnation. A death is taken as a suspicion,
 // so that each instance gives the member the time to refute.
-func (m *Machine) adopt(now time.Time, other *member, r Record) {
+func (m *Machine) adopt(now time.Time, other *member, r Record, silent bool) {
 	full := other.incarnation == 0
 	if r.PeerAddress != "" && other.Identity != identityOf(r) {
 		m.change(other, func() { other.Identity = identityOf(r) })
@@ -91,7 +92,9 @@
 		other.leaving = r.Leaving
 		m.setStatus(now, other, min(r.Status, StatusSuspect))
 	})
-	m.queue.add(other.Name, full)
+	if !silent {
+		m.queue.add(other.Name, full)
+	}
 }
 
 // mergeSame takes a claim of the known incarnation: leaving and worse liveness win.
@@ -195,12 +198,15 @@
 // forget drops members that are dead, not listed and long gone.
 func (m *Machine) forget(now time.Time) {
 	limit := now.Add(-m.settings.ForgetAfter).UnixNano()
-	for name, other := range m.dead {
-		if !other.listed && other.diedAt < limit {
-			delete(m.dead, name)
-			delete(m.members, name)
-			m.version++
-			m.queue.remove(name)
+	for _, name := range sortedNames(m.dead) {
+		other := m.dead[name]
+		if other.listed || other.diedAt >= limit {
+			continue
 		}
+		delete(m.dead, name)
+		delete(m.members, name)
+		m.order = slices.DeleteFunc(m.order, func(o *member) bool { return o == other })
+		m.queue.remove(name)
+		m.version++
 	}
 }
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -76,20 +76,20 @@
 
 // pick returns up to n random members for which want is true.
 func (m *Machine) pick(n int, want func(*member) bool) []*member {
-	names := make([]string, 0, len(m.members))
-	for name, other := range m.members {
-		if want(other) {
-			names = append(names, name)
-		}
-	}
-	sortStrings(names)
 	out := make([]*member, 0, n)
-	for len(out) < n && len(names) > 0 {
-		i := m.rand.IntN(len(names))
-		out = append(out, m.members[names[i]])
-		names[i] = names[len(names)-1]
-		names = names[:len(names)-1]
+	seen := 0
+	for _, other := range m.order {
+		if !want(other) {
+			continue
+		}
+		seen++
+		if len(out) < n {
+			out = append(out, other)
+		} else if i := m.rand.IntN(seen); i < n {
+			out[i] = other
+		}
 	}
+	m.rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	return out
 }
 
@@ -133,7 +133,6 @@
 // tickDead tries members that are held dead, so that none stays so once its
 // paths are back.
 func (m *Machine) tickDead(now time.Time) {
-	m.forget(now)
 	if len(m.dead) == 0 {
 		return
 	}
@@ -146,6 +145,7 @@
 	}
 	if !now.Before(m.nextDead) {
 		m.nextDead = now.Add(m.settings.DeadProbePeriod)
+		m.forget(now)
 		m.probeDead(now, 1)
 	}
 }
--- a/internal/membership/rings.go
+++ b/internal/membership/rings.go
@@ -41,7 +41,7 @@
 func (m *Machine) successor(ring int) *member {
 	var best *member
 	var bestDistance uint64
-	for _, other := range m.members {
+	for _, other := range m.order {
 		if other.status == StatusDead || m.isSubject(other) {
 			continue
 		}
--- /dev/null
+++ b/internal/peers/digest/digest_test.go
@@ -0,0 +1,74 @@
+package digest
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"testing"
+
+	"limpethub/internal/modelref"
+	"limpethub/internal/peers"
+	"limpethub/internal/scheduling"
+)
+
+func TestSplitKeepsEverythingWithinDatagrams(t *testing.T) {
+	d := Digest{Instance: "entry-0001", Sequence: math.MaxUint64, WindowMillis: 1000}
+	for i := range 100 {
+		d.Loads = append(d.Loads, ServerLoad{Server: fmt.Sprintf("server-%04d", i), Outstanding: math.MaxInt64, Tokens: math.MaxInt64})
+		d.Demands = append(d.Demands, ModelDemand{
+			Ref: modelref.New(fmt.Sprintf("model-%d", i), "1"), Arrivals: math.MaxInt64, Waiting: math.MaxInt64, Missed: math.MaxInt64, Tokens: math.MaxInt64,
+		})
+		d.States = append(d.States, ServerState{Server: fmt.Sprintf("server-%04d", i), Unreachable: true, Leaving: true})
+	}
+	datagrams, err := d.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole := Digest{Instance: d.Instance, Sequence: d.Sequence, WindowMillis: d.WindowMillis}
+	for _, data := range datagrams {
+		if len(data) > peers.MaxDatagramBytes {
+			t.Errorf("datagram of %d bytes", len(data))
+		}
+		part, err := Decode(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		whole.Loads = append(whole.Loads, part.Loads...)
+		whole.Demands = append(whole.Demands, part.Demands...)
+		whole.States = append(whole.States, part.States...)
+	}
+	if !reflect.DeepEqual(whole, d) {
+		t.Error("the parts don't make up the whole")
+	}
+}
+
+func TestEmptyDigestIsOneDatagram(t *testing.T) {
+	datagrams, err := Digest{Instance: "a", Sequence: 1}.Encode()
+	if err != nil || len(datagrams) != 1 {
+		t.Errorf("%d datagrams, %v", len(datagrams), err)
+	}
+}
+
+func TestRemotesRoundTrip(t *testing.T) {
+	remotes := []scheduling.Remote{{Instance: "a", Server: "s", Outstanding: 3, Tokens: 40, Sequence: 9}}
+	datagrams, err := FromRemotes("a", 9, remotes).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := Decode(datagrams[0])
+	if err != nil || !reflect.DeepEqual(back.Remotes(), remotes) {
+		t.Errorf("round trip: %+v, %v", back.Remotes(), err)
+	}
+}
+
+func TestMalformedIsRefused(t *testing.T) {
+	negative, err := Digest{Instance: "a", Loads: []ServerLoad{{Server: "s", Outstanding: -1}}}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, data := range [][]byte{nil, []byte("nonsense"), negative[0]} {
+		if _, err := Decode(data); err == nil {
+			t.Errorf("%q was accepted", data)
+		}
+	}
+}
