--- a/internal/peers/digest/digest_test.go
+++ b/internal/peers/digest/digest_test.go
@@ -12,11 +12,11 @@
 )
 
 func TestSplitKeepsEverythingWithinDatagrams(t *testing.T) {
-	d := Digest{Instance: "entry-0001", Sequence: math.MaxUint64, WindowMillis: 1000}
+	d := Digest{Instance: "entry-0001", Sequence: math.MaxUint64, Process: "process-1"}
 	for i := range 100 {
 		d.Loads = append(d.Loads, ServerLoad{Server: fmt.Sprintf("server-%04d", i), Outstanding: math.MaxInt64, Tokens: math.MaxInt64})
 		d.Demands = append(d.Demands, ModelDemand{
-			Ref: modelref.New(fmt.Sprintf("model-%d", i), "1"), Arrivals: math.MaxInt64, Waiting: math.MaxInt64, Missed: math.MaxInt64, Tokens: math.MaxInt64,
+			Ref: modelref.New(fmt.Sprintf("model-%d", i), "1"), Class: math.MaxInt64, Requests: math.MaxUint64, Tokens: math.MaxUint64,
 		})
 		d.States = append(d.States, ServerState{Server: fmt.Sprintf("server-%04d", i), Unreachable: true, Leaving: true})
 	}
@@ -24,7 +24,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	whole := Digest{Instance: d.Instance, Sequence: d.Sequence, WindowMillis: d.WindowMillis}
+	whole := Digest{Instance: d.Instance, Sequence: d.Sequence, Process: d.Process}
 	for _, data := range datagrams {
 		if len(data) > peers.MaxDatagramBytes {
 			t.Errorf("datagram of %d bytes", len(data))
