--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -215,6 +215,7 @@
 	bounds := d.settings.Listeners.Callers.Bounds
 	return gateway.Limits{
 		BodyBytes:    bounds.MaxBodyBytes,
+		ReadTimeout:  bounds.ReadTimeout(),
 		WriteTimeout: callerWriteTimeout,
 		KeepAlive:    callerKeepAlive,
 		EntriesTTL:   d.settings.EntriesTTL(),
--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -58,7 +58,7 @@
 // boundHeaders refuses requests with too many headers.
 func boundHeaders(next http.Handler, most int) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if len(r.Header) > most {
+		if countHeaders(r.Header) > most {
 			http.Error(w, "too many headers", http.StatusRequestHeaderFieldsTooLarge)
 			return
 		}
@@ -66,6 +66,15 @@
 	})
 }
 
+// countHeaders counts lines, so that many values of one name count as many.
+func countHeaders(h http.Header) int {
+	n := 0
+	for _, values := range h {
+		n += len(values)
+	}
+	return n
+}
+
 func (l *listener) address() string { return l.net.Addr().String() }
 
 // advertised is the address that others are told.
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -88,6 +88,7 @@
 	}
 	environment := plugin.Environment{
 		Listen: d.settings.Listeners.Peers.Address,
+		Bounds: d.settings.Listeners.Peers.Bounds,
 		TLS:    peerTLS(source),
 		Logger: d.log(logging.Peers),
 	}
@@ -165,10 +166,12 @@
 	if err != nil {
 		return fmt.Errorf("daemon: operators' tokens: %w", err)
 	}
+	bounds := d.settings.Listeners.Operators.Bounds
 	d.operatorHandler = operatorapi.NewHandler(
 		&controller{d}, operators,
 		operatorapi.WithMetrics(promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{})),
 		operatorapi.WithLog(d.log(logging.Operator)),
+		operatorapi.WithBounds(bounds.MaxBodyBytes, bounds.MaxStreams),
 	)
 	d.plugins.peers.Handle(peers.KindStatus, &remoteHandler{d})
 	return nil
--- a/internal/entries/entries.go
+++ b/internal/entries/entries.go
@@ -4,15 +4,12 @@
 
 import (
 	"math/rand/v2"
-	"time"
 
 	"limpethub/internal/membership"
 )
 
 // Bounds of answers.
 const (
-	// TTL is how long callers may keep an answer.
-	TTL = 30 * time.Second
 	// MaxEntries is how many instances one answer names.
 	MaxEntries = 16
 	// NarrowAbove is the fleet size above which a model's callers are sent to the
@@ -40,8 +37,6 @@
 // Answer lists instances, the ones to use first first.
 type Answer struct {
 	Entries []Entry `json:"entries"`
-	// TTLMillis is how long the answer may be kept, in milliseconds.
-	TTLMillis int64 `json:"ttl_ms"`
 }
 
 // Pick answers a query. Instances that are leaving or dead are left out; suspects
@@ -54,7 +49,7 @@
 		usable = candidates(Query{FailureDomain: q.FailureDomain}, members, nil)
 	}
 	r.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
-	answer := Answer{Entries: []Entry{}, TTLMillis: TTL.Milliseconds()}
+	answer := Answer{Entries: []Entry{}}
 	for rank := rankNear; rank <= rankSuspect; rank++ {
 		for _, m := range usable {
 			if rankOf(q, m) == rank && len(answer.Entries) < MaxEntries {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,8 @@
 type Limits struct {
 	// BodyBytes is the largest request body.
 	BodyBytes int64
+	// ReadTimeout bounds the reading of a request's body.
+	ReadTimeout time.Duration
 	// WriteTimeout bounds one write to a slow reader.
 	WriteTimeout time.Duration
 	// KeepAlive is the time between comments on a quiet stream.
--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -56,8 +56,12 @@
 	return defaultMaxTokens
 }
 
-// readBody reads the whole body up to the limit.
+// readBody reads the whole body up to the limits of size and time. The deadline is
+// lifted after, since the server goes on reading to notice a caller that leaves.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *verdict.Error) {
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(g.options.Limits.ReadTimeout))
+	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.options.Limits.BodyBytes))
 	if err == nil {
 		return body, nil
--- a/internal/kernel/lifecycle.go
+++ b/internal/kernel/lifecycle.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 )
 
 // Provisioner is a plug-in that prepares itself before use. It must not start
@@ -38,9 +39,12 @@
 	Plugin any
 }
 
-// Lifecycle starts parts in order and stops them in reverse order.
+// Lifecycle starts parts in order and stops them in reverse order. Its methods may be
+// called from several goroutines: a kill may come in the middle of a drain.
 type Lifecycle struct {
-	parts   []Part
+	parts []Part
+
+	mu      sync.Mutex
 	started int
 }
 
@@ -62,11 +66,23 @@
 				return errors.Join(fmt.Errorf("kernel: start %s: %w", part.Name, err), l.Stop(ctx))
 			}
 		}
-		l.started++
+		l.setStarted(l.startedParts() + 1)
 	}
 	return nil
 }
 
+func (l *Lifecycle) startedParts() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.started
+}
+
+func (l *Lifecycle) setStarted(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.started = n
+}
+
 func (l *Lifecycle) provision(ctx context.Context) error {
 	for _, part := range l.parts {
 		if p, ok := part.Plugin.(Provisioner); ok {
@@ -88,7 +104,7 @@
 // Drain drains the started parts, the last started first.
 func (l *Lifecycle) Drain(ctx context.Context) error {
 	var errs []error
-	for i := l.started - 1; i >= 0; i-- {
+	for i := l.startedParts() - 1; i >= 0; i-- {
 		part := l.parts[i]
 		if d, ok := part.Plugin.(Drainer); ok {
 			if err := d.Drain(ctx); err != nil {
@@ -102,13 +118,26 @@
 // Stop stops the started parts, the last started first.
 func (l *Lifecycle) Stop(ctx context.Context) error {
 	var errs []error
-	for ; l.started > 0; l.started-- {
-		part := l.parts[l.started-1]
+	for {
+		part, ok := l.takeLast()
+		if !ok {
+			return errors.Join(errs...)
+		}
 		if s, ok := part.Plugin.(Stopper); ok {
 			if err := s.Stop(ctx); err != nil {
 				errs = append(errs, fmt.Errorf("kernel: stop %s: %w", part.Name, err))
 			}
 		}
 	}
-	return errors.Join(errs...)
+}
+
+// takeLast takes the last started part, so that each is stopped once.
+func (l *Lifecycle) takeLast() (Part, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.started == 0 {
+		return Part{}, false
+	}
+	l.started--
+	return l.parts[l.started], true
 }
--- a/internal/peers/quictransport/configure.go
+++ b/internal/peers/quictransport/configure.go
@@ -16,7 +16,13 @@
 	if err := environment.Options.Decode(&struct{}{}); err != nil {
 		return fmt.Errorf("quictransport: options: %w", err)
 	}
-	t.setOptions(Options{Listen: environment.Listen, TLS: environment.TLS, Logger: environment.Logger})
+	t.setOptions(Options{
+		Listen:      environment.Listen,
+		TLS:         environment.TLS,
+		Logger:      environment.Logger,
+		IdleTimeout: environment.Bounds.IdleTimeout(),
+		MaxStreams:  environment.Bounds.MaxStreams,
+	})
 	return nil
 }
 
--- a/internal/peers/quictransport/transport.go
+++ b/internal/peers/quictransport/transport.go
@@ -43,6 +43,8 @@
 	// SilenceTimeout is how long a connection in use may bring nothing back before
 	// it is given up; 0 means DefaultSilenceTimeout.
 	SilenceTimeout time.Duration
+	// MaxStreams is how many calls one peer may have open; 0 means DefaultMaxStreams.
+	MaxStreams int
 }
 
 // Defaults and bounds.
@@ -54,7 +56,9 @@
 	// MaxCallBytes is the most that a call or its answer may hold.
 	MaxCallBytes = 1<<20 + 64<<10
 
-	maxStreams  = 32
+	// DefaultMaxStreams is how many calls one peer may have open.
+	DefaultMaxStreams = 32
+
 	dialTimeout = 3 * time.Second
 	// datagramDialTimeout is shorter: what waits for it soon is of no use.
 	datagramDialTimeout = time.Second
@@ -109,6 +113,9 @@
 	if options.IdleTimeout == 0 {
 		options.IdleTimeout = DefaultIdleTimeout
 	}
+	if options.MaxStreams == 0 {
+		options.MaxStreams = DefaultMaxStreams
+	}
 	if options.SilenceTimeout == 0 {
 		options.SilenceTimeout = DefaultSilenceTimeout
 	}
@@ -212,7 +219,7 @@
 		MaxStreamReceiveWindow:         MaxCallBytes + streamWindowBytes,
 		InitialConnectionReceiveWindow: streamWindowBytes,
 		MaxConnectionReceiveWindow:     4 * MaxCallBytes,
-		MaxIncomingStreams:             maxStreams,
+		MaxIncomingStreams:             int64(t.options.MaxStreams),
 		MaxIncomingUniStreams:          -1,
 		DisablePathMTUDiscovery:        true,
 		EnableDatagrams:                true,
--- a/internal/plugin/plugin.go
+++ b/internal/plugin/plugin.go
@@ -18,6 +18,8 @@
 	Endpoints []string
 	// Listen is the address to listen on, for plug-ins that listen.
 	Listen string
+	// Bounds limits what a connection may ask for, for plug-ins that listen.
+	Bounds settings.Bounds
 	// TLS is nil for plain text.
 	TLS *tls.Config
 	// Options holds the plug-in's own settings.
