--- a/internal/scheduling/sim_test.go
+++ b/internal/scheduling/sim_test.go
@@ -17,14 +17,17 @@
 // The simulation below runs several schedulers in virtual time against engines with
 // continuous batching and priorities, whose reports lag.
 const (
-	simInstances = 9
+	simInstances = 8
 	simServers   = 12
 	simModels    = 24
-	simBatch     = 16
-	simStep      = 20 * time.Millisecond
+	simBatch     = 8
+	simStep      = 25 * time.Millisecond
+	// simPrefill is how many steps a prompt takes.
+	simPrefill   = 2
 	simDelay     = 2 * time.Millisecond // between an instance and a server
-	simMaxTokens = 100
-	simLag       = 300 * time.Millisecond
+	simMinTokens = 16
+	simMaxTokens = 64
+	simLag       = 500 * time.Millisecond
 )
 
 // simOptions is one run.
@@ -112,16 +115,16 @@
 func simDocument() *site.Document {
 	return &site.Document{
 		Classes: []site.Class{
-			{Name: "urgent", TimeoutMillis: 4000, Weight: 10, QueueLimit: 200},
-			{Name: "normal", TimeoutMillis: 10_000, Weight: 3, QueueLimit: 200},
-			{Name: "overnight", TimeoutMillis: 20_000, Weight: 1, QueueLimit: 400, FloorShare: 0.02},
+			{Name: "urgent", TimeoutMillis: 3000, Weight: 10, QueueLimit: 200},
+			{Name: "normal", TimeoutMillis: 4000, Weight: 3, QueueLimit: 200},
+			{Name: "overnight", TimeoutMillis: 8000, Weight: 1, QueueLimit: 400, FloorShare: 0.05},
 		},
 		Budgets: site.Budgets{RetryShare: 0.1, LoadMillis: 4000},
 	}
 }
 
 // simShares is the share of requests per class.
-var simShares = []float64{0.3, 0.4, 0.3}
+var simShares = []float64{0.25, 0.35, 0.4}
 
 func newSim(o simOptions) *sim {
 	n := len(simShares)
@@ -173,17 +176,12 @@
 	s.after(time.Duration(s.random.Int64N(int64(period))), again)
 }
 
-// stepTime grows with the batch: a full one takes half as long again.
-func (v *simServer) stepTime() time.Duration {
-	return v.factor * (simStep + simStep/2*time.Duration(len(v.running))/simBatch)
-}
+func (v *simServer) stepTime() time.Duration { return v.factor * simStep }
 
 // capacity is the requests a second that all servers can finish.
 func capacity() float64 {
-	meanTokens := float64(simMaxTokens) * 0.6
-	steps := meanTokens + 3
-	perServer := simBatch / (steps * (simStep * 3 / 2).Seconds())
-	return simServers * perServer
+	steps := float64(simMinTokens+simMaxTokens)/2 + simPrefill
+	return simServers * simBatch / (steps * simStep.Seconds())
 }
 
 func (s *sim) run() {
@@ -255,8 +253,8 @@
 	r.Model = modelref.Ref(fmt.Sprintf("m%d@1", s.random.IntN(simModels)))
 	r.Arrived = s.now
 	r.Deadline = s.now.Add(time.Duration(simDocument().Classes[r.Class].TimeoutMillis) * time.Millisecond)
-	r.PromptTokens, r.MaxTokens = 300, simMaxTokens
-	r.tokens = simMaxTokens/5 + s.random.IntN(simMaxTokens*4/5)
+	r.tokens = simMinTokens + s.random.IntN(simMaxTokens-simMinTokens+1)
+	r.PromptTokens, r.MaxTokens = 300, r.tokens
 	s.requests[r.ID] = r
 	s.arrived[r.Class]++
 	s.apply(r.instance, s.schedulers[r.instance].Arrive(s.now, r.Request))
@@ -282,7 +280,7 @@
 		case Dispatch:
 			s.sent++
 			r.server = s.server(d.Server)
-			r.dispatched, r.priority, r.done, r.prefill, r.first = s.now, d.Priority, 0, 3, time.Time{}
+			r.dispatched, r.priority, r.done, r.prefill, r.first = s.now, d.Priority, 0, simPrefill, time.Time{}
 			s.after(simDelay, func() { s.take(r) })
 		}
 	}
