--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -24,6 +24,7 @@
 
 type endpoint struct {
 	net      *network
+	name     string
 	address  string
 	handlers map[peers.Kind]peers.Handler
 }
@@ -32,11 +33,11 @@
 	return &network{nodes: map[string]*endpoint{}, cut: map[string]bool{}}
 }
 
-func (n *network) endpoint(address string) *endpoint {
+func (n *network) endpoint(id membership.Identity) *endpoint {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	e := &endpoint{net: n, address: address, handlers: map[peers.Kind]peers.Handler{}}
-	n.nodes[address] = e
+	e := &endpoint{net: n, name: id.Name, address: id.PeerAddress, handlers: map[peers.Kind]peers.Handler{}}
+	n.nodes[e.address] = e
 	return e
 }
 
@@ -58,7 +59,7 @@
 	if to == nil || lost || to.handlers[kind] == nil {
 		return
 	}
-	time.AfterFunc(time.Millisecond, func() { to.handlers[kind].HandleDatagram(e.address, payload) })
+	time.AfterFunc(time.Millisecond, func() { to.handlers[kind].HandleDatagram(e.name, payload) })
 }
 
 func (e *endpoint) Call(context.Context, string, peers.Kind, []byte) ([]byte, error) {
@@ -119,7 +120,7 @@
 	for i := range n {
 		c := New(Options{
 			Self:      identity(i),
-			Transport: f.net.endpoint(identity(i).PeerAddress),
+			Transport: f.net.endpoint(identity(i)),
 			Lister:    f.list,
 			Seed:      uint64(i),
 		})
@@ -192,7 +193,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const budget = 5000
 		c := New(Options{
-			Self: identity(0), Transport: newNetwork().endpoint("10.0.0.0:7443"),
+			Self: identity(0), Transport: newNetwork().endpoint(identity(0)),
 			Lister: &list{}, BroadcastBytesPerSecond: budget,
 		})
 		now := time.Now()
@@ -218,3 +219,23 @@
 		}
 	})
 }
+
+func TestMessageUnderAnotherNameIsDropped(t *testing.T) {
+	c := New(Options{Self: identity(0), Transport: newNetwork().endpoint(identity(0)), Lister: &list{}})
+	message := membership.Message{
+		Type: membership.TypePing, From: "entry-1",
+		Records: []membership.Record{{Name: "entry-1", Incarnation: 1, PeerAddress: "10.0.0.1:7443"}},
+	}
+	payload, err := message.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.HandleDatagram("entry-2", payload)
+	if got := c.Stats().Malformed; got != 1 || len(c.Members()) != 1 {
+		t.Errorf("%d dropped, members %+v", got, c.Members())
+	}
+	c.HandleDatagram("entry-1", payload)
+	if len(c.Members()) != 2 {
+		t.Errorf("members %+v", c.Members())
+	}
+}
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -3,15 +3,20 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"limpethub/internal/membership"
 	"limpethub/internal/peers"
 )
 
-// HandleDatagram implements peers.Handler.
+// HandleDatagram implements peers.Handler. The sender must be the one that its
+// certificate names.
 func (c *Cluster) HandleDatagram(from string, payload []byte) {
 	message, err := membership.Decode(payload)
+	if err == nil && message.From != from {
+		err = fmt.Errorf("cluster: message of %q came from %q", message.From, from)
+	}
 	if err != nil {
 		c.stats.malformed.Add(1)
 		c.options.Logger.WithError(err).WithField("peer", from).Warn("Dropped a malformed message")
--- /dev/null
+++ b/internal/cluster/wire_bench_test.go
@@ -0,0 +1,165 @@
+package cluster
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"limpethub/internal/keys"
+	"limpethub/internal/membership"
+	"limpethub/internal/peers"
+	"limpethub/internal/peers/quictransport"
+	"limpethub/internal/platform"
+)
+
+// ignore takes digests and does nothing with them.
+type ignore struct{}
+
+func (ignore) HandleDatagram(string, []byte)                              {}
+func (ignore) HandleCall(context.Context, string, []byte) ([]byte, error) { return nil, nil }
+
+// wireFleet is a fleet over QUIC on loopback.
+type wireFleet struct {
+	clusters   []*Cluster
+	transports []*quictransport.Transport
+}
+
+func startWire(b *testing.B, n int) *wireFleet {
+	authority, err := keys.NewAuthority("bench")
+	if err != nil {
+		b.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(authority.CertPEM())
+	f := &wireFleet{}
+	shared := &list{}
+	var entries []platform.Instance
+	for i := range n {
+		transport := quictransport.New(quictransport.Options{Listen: "127.0.0.1:0", TLS: issue(b, authority, pool, i)})
+		transport.Handle(peers.KindDigest, ignore{})
+		transport.Handle(peers.KindMembership, ignore{})
+		if err := transport.Start(b.Context()); err != nil {
+			b.Fatal(err)
+		}
+		id := identity(i)
+		id.PeerAddress = transport.LocalAddress()
+		entries = append(entries, platform.Instance{
+			Name: id.Name, CallerAddress: id.CallerAddress, PeerAddress: id.PeerAddress, FailureDomain: id.FailureDomain,
+		})
+		f.transports = append(f.transports, transport)
+		f.clusters = append(f.clusters, New(Options{Self: id, Transport: transport, Lister: shared, Seed: uint64(i)}))
+	}
+	shared.set(entries, nil)
+	return f
+}
+
+func issue(b *testing.B, authority *keys.Authority, pool *x509.CertPool, i int) *tls.Config {
+	leaf, err := authority.Issue(identity(i).Name)
+	if err != nil {
+		b.Fatal(err)
+	}
+	pair, err := tls.X509KeyPair(leaf.Cert, leaf.Key)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{pair}, RootCAs: pool, ClientCAs: pool}
+}
+
+func (f *wireFleet) run(b *testing.B) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, c := range f.clusters {
+		wg.Go(func() { _ = c.Run(ctx) })
+	}
+	b.Cleanup(func() {
+		cancel()
+		wg.Wait()
+		for _, t := range f.transports {
+			_ = t.Stop(context.Background())
+		}
+	})
+}
+
+func (f *wireFleet) converged() bool {
+	for _, c := range f.clusters {
+		for _, m := range c.Members() {
+			if m.State != membership.Alive {
+				return false
+			}
+		}
+		if len(c.Members()) != len(f.clusters) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *wireFleet) sent() (bytes uint64, connections int) {
+	for _, t := range f.transports {
+		wire := t.Wire()
+		bytes += wire.BytesSent
+		connections += wire.Connections
+	}
+	return bytes, connections
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkWire measures a real fleet on loopback: bytes on the wire, processor
+// time and heap per instance, with heartbeats alone and with a digest of load.
+// Each iteration is one second.
+func BenchmarkWire(b *testing.B) {
+	for _, n := range []int{3, 9, 30} {
+		for _, digestBytes := range []int{0, 500} {
+			b.Run(fmt.Sprintf("instances=%d/digest=%d", n, digestBytes), func(b *testing.B) {
+				benchmarkWire(b, n, digestBytes)
+			})
+		}
+	}
+}
+
+func benchmarkWire(b *testing.B, n, digestBytes int) {
+	f := startWire(b, n)
+	f.run(b)
+	for !f.converged() {
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(5 * time.Second)
+	bytes, _ := f.sent()
+	processor := processorTime()
+	b.ResetTimer()
+	for range b.N {
+		for _, c := range f.clusters {
+			if digestBytes > 0 {
+				c.Broadcast(peers.KindDigest, make([]byte, digestBytes))
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	b.StopTimer()
+	after, connections := f.sent()
+	instanceSeconds := b.Elapsed().Seconds() * float64(n)
+	b.ReportMetric(float64(after-bytes)/instanceSeconds, "B/s/instance")
+	b.ReportMetric(100*(processorTime()-processor).Seconds()/instanceSeconds, "%core/instance")
+	b.ReportMetric(float64(connections)/float64(n), "connections/instance")
+	b.ReportMetric(heapBytes()/float64(n), "heap-B/instance")
+}
+
+func heapBytes() float64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc + stats.StackInuse)
+}
--- a/internal/entries/entries_test.go
+++ b/internal/entries/entries_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"limpethub/internal/membership"
 )
@@ -139,6 +140,29 @@
 	}
 }
 
+func TestPlannerPlansSeldom(t *testing.T) {
+	var p Planner
+	plans := 0
+	list := func() []string { plans++; return models(5) }
+	now := time.Unix(0, 0)
+	for i := range 600 { // A member changes each second for ten minutes.
+		if p.Cells(now.Add(time.Duration(i)*time.Second), uint64(i), 1, fleet(40), list) == nil {
+			t.Fatal("no cells")
+		}
+	}
+	if plans != 20 {
+		t.Errorf("%d plans in ten minutes, want 20", plans)
+	}
+	p.Cells(now.Add(time.Hour), 599, 1, fleet(40), list)
+	if plans != 21 {
+		t.Errorf("%d plans, want one more for the last change", plans)
+	}
+	p.Cells(now.Add(2*time.Hour), 599, 1, fleet(40), list)
+	if plans != 21 {
+		t.Errorf("%d plans, want none without a change", plans)
+	}
+}
+
 func BenchmarkPlanCells(b *testing.B) {
 	members, all := fleet(3000), models(1400)
 	for b.Loop() {
--- a/internal/peers/quictransport/link.go
+++ b/internal/peers/quictransport/link.go
@@ -17,6 +17,10 @@
 	transport *Transport
 	address   string
 	outgoing  chan []byte
+	// users counts calls and sends in progress, and used notes that there were some
+	// since the last look. The transport's lock guards both.
+	users int
+	used  bool
 
 	mu         sync.Mutex
 	connection *quic.Conn
@@ -32,11 +36,12 @@
 	data := make([]byte, 0, len(payload)+1)
 	data = append(data, byte(kind))
 	data = append(data, payload...)
-	l := t.link(address)
+	l := t.acquire(address)
 	if l == nil {
 		t.counters.dropped()
 		return
 	}
+	defer l.release()
 	select {
 	case l.outgoing <- data:
 	default:
@@ -49,10 +54,11 @@
 	if len(payload) > MaxCallBytes {
 		return nil, ErrTooLarge
 	}
-	l := t.link(address)
+	l := t.acquire(address)
 	if l == nil {
 		return nil, ErrNotStarted
 	}
+	defer l.release()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	connection, err := l.dial(ctx)
@@ -94,8 +100,9 @@
 	return reply[1:], nil
 }
 
-// link returns the link to an address, or nil when the transport isn't running.
-func (t *Transport) link(address string) *link {
+// acquire returns the link to an address, which stays until release, or nil when the
+// transport isn't running.
+func (t *Transport) acquire(address string) *link {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.running {
@@ -112,14 +119,22 @@
 		t.wg.Add(1)
 		go l.run(t.ctx)
 	}
+	l.users++
 	return l
 }
 
+func (l *link) release() {
+	l.transport.mu.Lock()
+	defer l.transport.mu.Unlock()
+	l.users--
+	l.used = true
+}
+
 // run sends queued datagrams until the transport stops or the link is idle.
 func (l *link) run(ctx context.Context) {
 	defer l.transport.wg.Done()
 	defer l.close()
-	idle := time.NewTimer(l.transport.options.IdleTimeout)
+	idle := time.NewTicker(l.transport.options.IdleTimeout)
 	defer idle.Stop()
 	for {
 		select {
@@ -129,20 +144,19 @@
 			if l.retire() {
 				return
 			}
-			idle.Reset(l.transport.options.IdleTimeout)
 		case data := <-l.outgoing:
-			idle.Reset(l.transport.options.IdleTimeout)
 			l.sendDatagram(ctx, data)
 		}
 	}
 }
 
-// retire takes an idle link out of the transport's table.
+// retire takes a link that wasn't used lately out of the transport's table.
 func (l *link) retire() bool {
 	t := l.transport
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(l.outgoing) > 0 {
+	if l.users > 0 || l.used || len(l.outgoing) > 0 {
+		l.used = false
 		return false
 	}
 	delete(t.links, l.address)
@@ -203,6 +217,7 @@
 		return nil, fmt.Errorf("quictransport: dial %s: %w", l.address, err)
 	}
 	l.transport.counters.dialed()
+	l.transport.wire.add(connection)
 	l.connection = connection
 	l.watch = silence{}
 	return connection, nil
--- a/internal/peers/quictransport/serve.go
+++ b/internal/peers/quictransport/serve.go
@@ -51,6 +51,7 @@
 // serve takes datagrams and calls from one incoming connection until it ends.
 func (t *Transport) serve(ctx context.Context, connection *quic.Conn) {
 	defer connection.CloseWithError(closeNormal, "")
+	t.wire.add(connection)
 	from := peerName(connection.ConnectionState().TLS)
 	t.track(func() { t.acceptStreams(connection, from) })
 	for {
--- a/internal/peers/quictransport/transport.go
+++ b/internal/peers/quictransport/transport.go
@@ -78,6 +78,7 @@
 	tls      *tls.Config
 	handlers map[peers.Kind]peers.Handler
 	counters counters
+	wire     wire
 
 	mu       sync.Mutex
 	running  bool
