--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -53,7 +53,7 @@
 
 // DefaultConfig returns the usual time constants.
 func DefaultConfig() Config {
-	return Config{Fast: 2 * time.Second, Steady: time.Minute, Forget: 30 * time.Minute, Deviations: 3}
+	return Config{Fast: 2 * time.Second, Steady: 3 * time.Minute, Forget: 30 * time.Minute, Deviations: 3}
 }
 
 type counterKey struct {
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"slices"
+
 	"limpethub/internal/engine"
 	"limpethub/internal/modelref"
 	"limpethub/internal/site"
@@ -28,6 +30,11 @@
 	servers []serverState
 	// copies holds, per unit, the servers with a copy that serves or will serve.
 	copies [][]int
+	// work holds, per unit and in the order of copies, the demand on each copy in
+	// tokens per second.
+	work [][]float64
+	// groups remembers each server's evictable groups until the board changes.
+	groups [][][]int
 	plan   Plan
 	loads  int
 	quota  map[string]int
@@ -39,6 +46,10 @@
 	free, soon int64
 	// states holds each unit's state on the server, by unit index.
 	states []engine.HoldingState
+	// load is the work that demand puts on the server, in tokens per second.
+	load float64
+	// parts holds that work by weight, the least urgent first.
+	parts []part
 }
 
 func newBoard(in Input) *board {
@@ -48,6 +59,7 @@
 	}
 	b.addUnits()
 	b.addServers()
+	b.forgetGroups()
 	return b
 }
 
@@ -181,6 +193,7 @@
 		})
 		b.spend(server.FailureDomain)
 	}
+	b.forgetGroups()
 	server.free -= size
 	server.states[u] = engine.StateLoading
 	b.copies[u] = append(b.copies[u], s)
@@ -207,19 +220,23 @@
 			Gain:   gain,
 		})
 	}
+	b.forgetGroups()
 	server.soon += b.units[u].MemoryMB
 	server.states[u] = engine.StateUnloading
 	b.drop(u, s)
 }
 
+// drop takes a copy off the board, with the work on it.
 func (b *board) drop(u, s int) {
-	kept := b.copies[u][:0]
-	for _, other := range b.copies[u] {
-		if other != s {
-			kept = append(kept, other)
-		}
+	k := slices.Index(b.copies[u], s)
+	if k < 0 {
+		return
+	}
+	b.copies[u] = slices.Delete(b.copies[u], k, k+1)
+	if k < len(b.work[u]) {
+		b.servers[s].load -= b.work[u][k]
+		b.work[u] = slices.Delete(b.work[u], k, k+1)
 	}
-	b.copies[u] = kept
 }
 
 func (b *board) shortfall(u int, unreachable bool, reason string) {
--- a/internal/placement/floor.go
+++ b/internal/placement/floor.go
@@ -74,7 +74,7 @@
 		if len(b.copies[u]) > 0 {
 			continue
 		}
-		if s := b.roomFor(u, ""); s >= 0 {
+		if s := b.tightest(u); s >= 0 {
 			b.load(u, s, 0, "first copy")
 			continue
 		}
@@ -88,7 +88,7 @@
 // secondCopies gives a copy in another failure domain to each unit that has copies
 // in one only, where there is free memory.
 func (b *board) secondCopies() {
-	for _, u := range b.floorOrder() {
+	for _, u := range b.secondOrder() {
 		if len(b.copies[u]) == 0 || b.domains(u, -1) > 1 {
 			continue
 		}
@@ -101,6 +101,43 @@
 	}
 }
 
+// secondOrder lists the units by the value of their work: models before adapters.
+func (b *board) secondOrder() []int {
+	order := b.floorOrder()
+	sort.SliceStable(order, func(i, j int) bool {
+		x, y := &b.units[order[i]], &b.units[order[j]]
+		if (x.base < 0) != (y.base < 0) {
+			return x.base < 0
+		}
+		return x.weight*x.tokens > y.weight*y.tokens
+	})
+	return order
+}
+
+// tightest finds the server with the least memory left over once it takes a unit and
+// the unit's adapters, or else the unit alone; -1 means none. First copies stand close
+// together, so that what remains is whole servers of copies that may be ordered out.
+func (b *board) tightest(u int) int {
+	for _, size := range []int64{b.bundleMB(u), b.units[u].MemoryMB} {
+		best := -1
+		for s := range b.servers {
+			if !b.fits(u, s) || b.room(s) < size {
+				continue
+			}
+			if best < 0 || b.room(s) < b.room(best) {
+				best = s
+			}
+		}
+		if best >= 0 {
+			return best
+		}
+	}
+	return -1
+}
+
+// room is the memory on a server once its pending unloads are done, in MiB.
+func (b *board) room(s int) int64 { return b.servers[s].free + b.servers[s].soon }
+
 // roomFor finds the server with the most memory left that can take a unit without
 // other changes, outside one failure domain; -1 means none. A server that also has
 // room for the unit's adapters goes before one that hasn't.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -66,6 +66,16 @@
 	// FloorOnly withholds moves that demand would justify, while the estimates are
 	// too young to trust.
 	FloorOnly bool
+	// Goals are those of the last plan, so that a policy finishes what it began.
+	Goals []Goal
+}
+
+// Goal is a copy that a plan began to make room for and couldn't load yet.
+type Goal struct {
+	Ref    modelref.Ref
+	Server string
+	// Began is when the goal was first set.
+	Began time.Time
 }
 
 // Move is one change that a policy asks for.
@@ -100,6 +110,7 @@
 type Plan struct {
 	Moves      []Move
 	Shortfalls []Shortfall
+	Goals      []Goal
 }
 
 // Policy decides on moves. Implementations register with the kernel under
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -56,7 +56,7 @@
 		return nil, 0, false
 	}
 	for _, g := range groups {
-		if need+b.sizeOf(g) <= 0 {
+		if need+b.sizeOf(g) <= 0 && !b.extends(g, groups) {
 			need += b.sizeOf(g)
 			continue
 		}
@@ -66,41 +66,73 @@
 	return victims, loss, true
 }
 
-// evictable lists the groups of copies on a server that may be ordered out, the
-// least valuable per MiB first. A group is a model with its adapters, or one adapter
+// extends reports whether a member of the group is an adapter of a model in one of the
+// groups, which can't go without it.
+func (b *board) extends(group []int, groups [][]int) bool {
+	for _, v := range group {
+		base := b.units[v].base
+		if base >= 0 && slices.ContainsFunc(groups, func(g []int) bool { return slices.Contains(g, base) && !slices.Contains(group, base) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// evictable lists the groups of copies on a server that may be ordered out for a unit,
+// the least valuable per MiB first. A group is a model with its adapters, or one adapter
 // whose model stays. Each copy has another one that serves.
 func (b *board) evictable(u, s int) [][]int {
-	var out [][]int
-	for v := range b.units {
-		if v == u || v == b.units[u].base {
+	if b.groups[s] == nil {
+		b.groups[s] = b.allGroups(s)
+	}
+	base := b.units[u].base
+	out := make([][]int, 0, len(b.groups[s]))
+	for _, g := range b.groups[s] {
+		if !slices.Contains(g, u) && (base < 0 || !slices.Contains(g, base)) {
+			out = append(out, slices.Clone(g))
+		}
+	}
+	return disjoint(out)
+}
+
+// forgetGroups drops what is remembered of evictable groups, since the board changed.
+func (b *board) forgetGroups() { b.groups = make([][][]int, len(b.servers)) }
+
+// allGroups lists the groups of a server, the least valuable per MiB first.
+func (b *board) allGroups(s int) [][]int {
+	type rated struct {
+		group []int
+		price float64
+	}
+	var list []rated
+	for v, state := range b.servers[s].states {
+		if state != engine.StateResident {
 			continue
 		}
 		if g, ok := b.group(v, s); ok {
-			out = append(out, g)
+			list = append(list, rated{g, b.lossOf(g, s) / float64(b.sizeOf(g))})
 		}
 	}
-	sort.SliceStable(out, func(i, j int) bool {
-		return b.lossOf(out[i], s)/float64(b.sizeOf(out[i])) < b.lossOf(out[j], s)/float64(b.sizeOf(out[j]))
-	})
-	return disjoint(out)
+	sort.SliceStable(list, func(i, j int) bool { return list[i].price < list[j].price })
+	out := make([][]int, 0, len(list))
+	for _, r := range list {
+		out = append(out, r.group)
+	}
+	return out
 }
 
-// disjoint drops groups that repeat a copy of an earlier one.
+// disjoint drops from each group the copies that an earlier one holds.
 func disjoint(groups [][]int) [][]int {
 	seen := map[int]bool{}
 	var out [][]int
 	for _, g := range groups {
-		repeated := false
-		for _, v := range g {
-			repeated = repeated || seen[v]
-		}
-		if repeated {
-			continue
-		}
+		g = slices.DeleteFunc(g, func(v int) bool { return seen[v] })
 		for _, v := range g {
 			seen[v] = true
 		}
-		out = append(out, g)
+		if len(g) > 0 {
+			out = append(out, g)
+		}
 	}
 	return out
 }
@@ -174,31 +206,20 @@
 	return true
 }
 
-// shift copies one unit to another server, so that a later plan can order out the
-// old copy and use its memory for u.
+// shift relocates what blocks the unit's first copy, where that loses the least.
 func (b *board) shift(u int) bool {
+	var best relocation
+	found := false
 	for s := range b.servers {
-		server := &b.servers[s]
-		if !b.allows(u, s) {
-			continue
-		}
-		need := b.units[u].MemoryMB - server.free - server.soon
-		if b.shiftFrom(u, s, need) {
-			return true
+		r, ok := b.relocationFor(u, s)
+		if ok && (!found || r.loss < best.loss) {
+			best, found = r, true
 		}
 	}
-	return false
-}
-
-func (b *board) shiftFrom(u, s int, need int64) bool {
-	for v := range b.units {
-		if v == b.units[u].base || !b.resident(v, s) || b.supports(v, s) || b.units[v].MemoryMB < need {
-			continue
-		}
-		if to := b.roomFor(v, ""); to >= 0 {
-			b.load(v, to, 0, fmt.Sprintf("copied before it leaves %s to %s", b.servers[s].Name, b.units[u].Ref))
-			return true
-		}
+	if !found {
+		return false
 	}
-	return false
+	b.relocate(best, u, 0)
+	b.load(u, best.from, 0, "first copy")
+	return true
 }
--- a/internal/placer/core_plan.go
+++ b/internal/placer/core_plan.go
@@ -192,6 +192,7 @@
 		Demand:    c.tracker.Estimates(),
 		Budget:    c.budget(now),
 		FloorOnly: now.Sub(c.started) < demandWarmUp,
+		Goals:     c.plan.Goals,
 	}
 	for _, a := range c.ledger.Accounts() {
 		in.Servers = append(in.Servers, c.planServer(now, a))
