Membership: the loss of many instances at once is known in time

Found by a trial that stops a third of the fleet: all others knew after 12 s (100 instances) and 28 s (300). Causes, each checked by the next run: - deaths were passed on besides suspicions, and records ran into their bound of 8 KiB/s: now deaths aren't passed on (each instance ends the suspicion by its own clock) and a burst of 64 KiB is allowed after a quiet time; - an instance whose next peers on a ring died together noticed them one after the other: it now also watches those behind a suspect; - who missed a record learned it only by the comparison each 5 s: now 0.5 s after a change, recent changes first.

--- a/internal/fleet/failure_bench_test.go
+++ b/internal/fleet/failure_bench_test.go
@@ -54,6 +54,43 @@
 	return true
 }
 
+// BenchmarkDomainLoss measures, in virtual time, how long after the loss of a third
+// of the fleet all others hold all of it dead.
+func BenchmarkDomainLoss(b *testing.B) {
+	for _, n := range []int{9, 30, 100, 300} {
+		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			total, worst := 0.0, 0.0
+			for i := range b.N {
+				w := joined(n, 3)
+				w.advance(5*time.Second + time.Duration(i)*77*time.Millisecond)
+				took := w.loseDomain(fmt.Sprintf("zone-%d", i%3)).Seconds()
+				total += took
+				worst = max(worst, took)
+			}
+			b.ReportMetric(total/float64(b.N), "virtual-s/op")
+			b.ReportMetric(worst, "virtual-s-worst")
+		})
+	}
+}
+
+// loseDomain stops a failure domain and waits until all others know it.
+func (w *world) loseDomain(domain string) time.Duration {
+	var lost []*node
+	for _, n := range w.nodes {
+		if n.id.FailureDomain == domain {
+			n.stop()
+			lost = append(lost, n)
+		}
+	}
+	start := w.now
+	for _, n := range lost {
+		for !w.seenBy(n, membership.Dead) {
+			w.advance(20 * time.Millisecond)
+		}
+	}
+	return w.now.Sub(start)
+}
+
 // BenchmarkRegionsMeet measures, in virtual time, how long a fleet takes to be
 // whole again after a third of it was cut off for a minute, and the bytes that an
 // instance sends a second meanwhile.
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -63,6 +64,15 @@
 	}
 }
 
+func TestLostFailureDomainIsDeadEverywhereWithinThreeSeconds(t *testing.T) {
+	for seed := range uint64(10) {
+		w := settled(9, seed)
+		if took := w.loseDomain(fmt.Sprintf("zone-%d", seed%3)); took > 3*time.Second {
+			t.Errorf("seed %d: the loss is known after %v", seed, took)
+		}
+	}
+}
+
 func TestLeavingIsKnownEverywhereWithinThreeSeconds(t *testing.T) {
 	for seed := range uint64(10) {
 		w := settled(9, seed)
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -69,7 +69,7 @@
 	m := &Machine{
 		settings: settings,
 		rand:     rand.New(rand.NewPCG(seed, incarnation)),
-		limiter:  rate.NewLimiter(rate.Limit(settings.RecordBytesPerSecond), settings.RecordBytesPerSecond),
+		limiter:  rate.NewLimiter(rate.Limit(settings.RecordBytesPerSecond), settings.RecordBurstBytes),
 		self:     own,
 		members:  map[string]*member{},
 		suspects: map[string]*member{},
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -67,6 +67,8 @@
 	listedLeaving bool
 	// deadline is when a suspicion becomes a death.
 	deadline int64
+	// changedAt is when the status last changed.
+	changedAt int64
 	// diedAt is when the member became dead.
 	diedAt int64
 	// ringHashes is the member's position on each ring.
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -117,12 +117,13 @@
 	m.queue.add(other.Name, false)
 }
 
+// tickSuspects ends suspicions. A death isn't passed on: the others come to it by
+// the suspicion, each in its own time, or by comparing views.
 func (m *Machine) tickSuspects(now time.Time) {
 	for _, name := range sortedNames(m.suspects) {
 		other := m.suspects[name]
 		if now.UnixNano() >= other.deadline {
 			m.change(other, func() { m.setStatus(now, other, StatusDead) })
-			m.queue.add(other.Name, false)
 		}
 	}
 }
@@ -146,8 +147,10 @@
 		}
 		return
 	}
-	if (other.status == StatusDead) != (status == StatusDead) {
-		m.stale = true
+	m.stale = true
+	other.changedAt = now.UnixNano()
+	if soon := now.Add(m.settings.ChangeSyncPeriod); m.nextSync.After(soon) {
+		m.nextSync = soon
 	}
 	delete(m.suspects, other.Name)
 	delete(m.dead, other.Name)
--- a/internal/membership/rings.go
+++ b/internal/membership/rings.go
@@ -22,7 +22,9 @@
 	return out
 }
 
-// refreshSubjects chooses the peers that get heartbeats, after a change.
+// refreshSubjects chooses the peers that get heartbeats, after a change: on each ring
+// the next live member, and while that is suspect also those that follow, so that
+// neighbors that die together are noticed together.
 func (m *Machine) refreshSubjects() {
 	if !m.stale {
 		return
@@ -30,8 +32,15 @@
 	m.stale = false
 	m.subjects = m.subjects[:0]
 	for ring := range rings {
-		if next := m.successor(ring); next != nil {
+		for range maxSubjectsPerRing {
+			next := m.successor(ring)
+			if next == nil {
+				break
+			}
 			m.subjects = append(m.subjects, next)
+			if next.status == StatusAlive {
+				break
+			}
 		}
 	}
 	m.dropStaleProbes()
--- a/internal/membership/settings.go
+++ b/internal/membership/settings.go
@@ -15,12 +15,14 @@
 	SuspicionTimeout time.Duration
 	// DeadProbePeriod is the time between two heartbeats to members held dead.
 	DeadProbePeriod time.Duration
-	// SyncPeriod is the time between two comparisons of whole views.
-	SyncPeriod time.Duration
+	// SyncPeriod is the time between two comparisons of whole views, ChangeSyncPeriod
+	// the same after a change.
+	SyncPeriod, ChangeSyncPeriod time.Duration
 	// ForgetAfter is how long a dead member that isn't listed is remembered.
 	ForgetAfter time.Duration
-	// RecordBytesPerSecond bounds the records sent.
-	RecordBytesPerSecond int
+	// RecordBytesPerSecond bounds the records sent, RecordBurstBytes how many may come
+	// at once after a quiet time.
+	RecordBytesPerSecond, RecordBurstBytes int
 }
 
 // DefaultSettings hold a dead member's detection under 3 s.
@@ -32,14 +34,21 @@
 		SuspicionTimeout:     1200 * time.Millisecond,
 		DeadProbePeriod:      time.Second,
 		SyncPeriod:           5 * time.Second,
+		ChangeSyncPeriod:     500 * time.Millisecond,
 		ForgetAfter:          10 * time.Minute,
 		RecordBytesPerSecond: 8 << 10,
+		RecordBurstBytes:     64 << 10,
 	}
 }
 
 const (
 	// rings is how many peers each instance sends heartbeats to.
 	rings = 4
+	// maxSubjectsPerRing bounds the peers of a ring that get heartbeats while the first
+	// ones are suspect.
+	maxSubjectsPerRing = 3
+	// recentChange is how long a change counts as recent in comparisons of views.
+	recentChange = time.Minute
 	// indirectProbes is how many others are asked to try a silent peer.
 	indirectProbes = 3
 	// joinProbes is how many listed members are tried per period before the first answer.
@@ -47,9 +56,9 @@
 	// sendsPerRecord is how often a record is passed on, in a quiet time.
 	sendsPerRecord = 6 * rings
 	// sendsPerRecordBusy is the same while many records wait.
-	sendsPerRecordBusy = 2 * rings
+	sendsPerRecordBusy = 3 * rings
 	// busyQueue is how many waiting records make a busy time.
-	busyQueue = 200
+	busyQueue = 20
 	// buckets is how many hashes a view is compared by.
 	buckets = 64
 	// maxRecordBytes bounds the records of one message.
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -60,33 +60,45 @@
 	}
 }
 
+// sendBuckets sends the records of the buckets that differ, recent changes first.
 func (m *Machine) sendBuckets(now time.Time, peer *member, differ [buckets]bool) {
 	batch := Message{Type: TypeRecords}
 	if differ[bucketOf(m.self.Name)] {
 		batch.Records = append(batch.Records, m.self.record(true))
 	}
 	size, sent := 0, 0
-	for _, other := range m.pick(len(m.members), func(other *member) bool {
-		return differ[bucketOf(other.Name)] && other.incarnation > 0 && other != peer
-	}) {
-		r := other.record(true)
-		if sent == maxSyncMessages-1 || !m.limiter.AllowN(now, r.size()) {
-			batch.More = true
-			break
-		}
+	for _, other := range m.differing(now, peer, differ) {
+		r := other.record(other.status != StatusDead)
 		if size+r.size() > maxRecordBytes {
 			m.sendBatch(peer, batch)
 			batch.Records, size = nil, 0
 			sent++
 		}
+		if sent == maxSyncMessages || !m.limiter.AllowN(now, r.size()) {
+			batch.More = true
+			break
+		}
 		batch.Records = append(batch.Records, r)
 		size += r.size()
 	}
-	if len(batch.Records) > 0 {
+	if len(batch.Records) > 0 || batch.More {
 		m.sendBatch(peer, batch)
 	}
 }
 
+// differing lists the members of the buckets that differ, those changed lately
+// first, each part in random order.
+func (m *Machine) differing(now time.Time, peer *member, differ [buckets]bool) []*member {
+	limit := now.Add(-recentChange).UnixNano()
+	part := func(recent bool) []*member {
+		return m.pick(len(m.order), func(other *member) bool {
+			return differ[bucketOf(other.Name)] && other.incarnation > 0 && other != peer &&
+				(other.changedAt > limit) == recent
+		})
+	}
+	return append(part(true), part(false)...)
+}
+
 // sendBatch sends records without adding others to them.
 func (m *Machine) sendBatch(peer *member, batch Message) {
 	batch.From = m.self.Name
