--- a/internal/fleet/spread_test.go
+++ b/internal/fleet/spread_test.go
@@ -90,7 +90,14 @@
 				n.storeRev = max(n.storeRev, entry.revision)
 				n.offer(entry.stored)
 			}
-			n.w.after(time.Second, func() { n.watching = n.watching && n.epoch != epoch })
+			n.w.after(time.Second, func() { n.endWatch(epoch) })
 		})
 	})
 }
+
+// endWatch lets a process watch again.
+func (n *node) endWatch(epoch int) {
+	if n.epoch == epoch {
+		n.watching = false
+	}
+}
