--- a/internal/ledger/observe.go
+++ b/internal/ledger/observe.go
@@ -32,13 +32,9 @@
 	Surprises []Surprise
 }
 
-// Ask numbers a new inventory request. Answers to earlier requests to the same
-// server count as stale from then on.
-func (l *Ledger) Ask(name string) uint64 {
-	l.asks++
-	l.server(name).asked = l.asks
-	return l.asks
-}
+// Ask notes a new inventory request by its number, which must be unique. Answers to
+// earlier requests to the same server count as stale from then on.
+func (l *Ledger) Ask(name string, ask uint64) { l.server(name).asked = ask }
 
 // Unreachable notes that an inventory request failed.
 func (l *Ledger) Unreachable(name string, ask uint64) {
@@ -136,6 +132,12 @@
 	return false
 }
 
+// Holds reports whether the server's last inventory shows the version.
+func (l *Ledger) Holds(name string, ref modelref.Ref) bool {
+	s, ok := l.servers[name]
+	return ok && s.state(ref) != ""
+}
+
 // Fenced reports whether no order of an earlier term can change the server unseen.
 func (l *Ledger) Fenced(name string) bool {
 	s, ok := l.servers[name]
--- a/internal/placer/fakes_test.go
+++ b/internal/placer/fakes_test.go
@@ -18,8 +18,8 @@
 type fakeKeys struct {
 	entries  map[string]store.Entry
 	revision store.Revision
-	// careless makes every write succeed, whatever revision it expects.
-	careless bool
+	// careless names a key whose writes succeed, whatever revision they expect.
+	careless string
 }
 
 func newFakeKeys() *fakeKeys { return &fakeKeys{entries: map[string]store.Entry{}} }
@@ -33,7 +33,7 @@
 }
 
 func (k *fakeKeys) swap(key string, value []byte, expected store.Revision) (store.Revision, error) {
-	if k.entries[key].Revision != expected && !k.careless {
+	if k.entries[key].Revision != expected && key != k.careless {
 		return 0, store.ErrConflict
 	}
 	k.revision++
@@ -56,7 +56,7 @@
 	starts      []time.Time
 	staleObeyed []string
 	// unloaded hears of each version that goes by an order.
-	unloaded func(ref modelref.Ref)
+	unloaded func(e *fakeEngine, ref modelref.Ref)
 }
 
 type fakeHolding struct {
@@ -167,7 +167,7 @@
 		e.holdings = slices.Delete(e.holdings, i, i+1)
 		e.finish(o.ID, engine.OrderDone, "")
 		if e.unloaded != nil {
-			e.unloaded(o.Ref)
+			e.unloaded(e, o.Ref)
 		}
 		return
 	}
@@ -212,13 +212,20 @@
 
 const testCell = "main"
 
+// roomyMB holds two copies of all of the test site on its four servers, tightMB
+// little more than one.
+const (
+	roomyMB = 100
+	tightMB = 55
+)
+
 // testDocument describes a small site of four servers in two failure domains.
-func testDocument(honours func(server int) bool) *site.Document {
+func testDocument(honours func(server int) bool, memoryMB int64) *site.Document {
 	doc := &site.Document{
 		Site:           "test",
 		FailureDomains: []string{"a", "b"},
 		Classes:        []site.Class{{Name: "urgent", Weight: 4}, {Name: "night", Weight: 1}},
-		Budgets:        site.Budgets{LoadsPerSecond: 2, ConcurrentLoads: 3, LoadMillis: 1000},
+		Budgets:        site.Budgets{LoadsPerSecond: 6, ConcurrentLoads: 3, LoadMillis: 1000},
 	}
 	for i, size := range []int64{40, 30, 30, 20, 20} {
 		doc.Models = append(doc.Models, site.Model{
@@ -233,7 +240,7 @@
 	for i := range 4 {
 		doc.Servers = append(doc.Servers, site.Server{
 			Name: fmt.Sprintf("s%d", i), Kind: site.KindEngine, Address: fmt.Sprintf("127.0.0.1:%d", 9000+i),
-			FailureDomain: doc.FailureDomains[i%2], MemoryMB: 100, HonoursFencing: honours(i),
+			FailureDomain: doc.FailureDomains[i%2], MemoryMB: memoryMB, HonoursFencing: honours(i),
 		})
 	}
 	return doc
--- a/internal/scheduling/waiting.go
+++ b/internal/scheduling/waiting.go
@@ -24,6 +24,7 @@
 // advance refuses what can no longer make it and dispatches what can go now.
 func (c *core) advance(now time.Time) []Decision {
 	c.ticked = now
+	c.forgetPeers(now)
 	out := c.expire(now, nil)
 	if c.queue.Len() == 0 {
 		return out
@@ -75,15 +76,19 @@
 	if c.queue.Len() == 0 {
 		return out
 	}
-	for _, r := range t.replicas {
-		out = c.drain(now, r.server, out)
+	// A dispatch can make a floor due, and so room for what found none before.
+	for before := -1; before != len(out); {
+		before = len(out)
+		for _, r := range t.replicas {
+			out = c.drain(now, r.server, out)
+		}
 	}
 	return out
 }
 
 // drain gives a server what waits for it, the most urgent first, while it has room.
 func (c *core) drain(now time.Time, s *server, out []Decision) []Decision {
-	if c.queue.Len() == 0 || !s.usable(now) {
+	if c.queue.Len() == 0 || !s.usable(now) || c.full(now, s, 0) {
 		return out
 	}
 	c.round++
@@ -100,6 +105,8 @@
 		c.queue.Remove(item)
 		a := attempt{request: item.Request, unclear: item.Unclear}
 		out = append(out, c.dispatch(now, &a, r, &candidate))
+		// The dispatch may have made a floor due, and so room for a blocked class.
+		c.round++
 	}
 	c.putBack()
 	return out
@@ -112,7 +119,7 @@
 // server has no room, it has none for the rest of the class either. Where the request
 // is only too late for this server, those behind it may yet make it.
 func (c *core) passOver(t *target, item *flowcontrol.Item, candidate *routing.Candidate) {
-	if candidate.Total >= candidate.Limit || len(c.aside) >= maxAside {
+	if (candidate.Ahead >= candidate.Limit && candidate.OwnAhead >= candidate.Share) || len(c.aside) >= maxAside {
 		t.blocked[item.Request.Class] = c.round
 		return
 	}
