--- a/internal/lab/bench/bench_test.go
+++ b/internal/lab/bench/bench_test.go
@@ -9,7 +9,7 @@
 
 func TestPlaceFitsMemoryAndCoversAllUnits(t *testing.T) {
 	for _, profile := range []Profile{Rigline(), TichyVers()} {
-		placement, err := Place(&profile.Document, profile.Shape.Popularity(&profile.Document))
+		placement, err := Place(&profile.Document, profile.Shape.Popularity(&profile.Document), true)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/lab/bench/place.go
+++ b/internal/lab/bench/place.go
@@ -24,8 +24,9 @@
 }
 
 // Place puts copies of all units on the document's engines: each model with all its
-// adapters, then again in another failure domain, then more of what is asked for most.
-func Place(document *site.Document, popularity map[modelref.Ref]float64) (map[string][]site.Unit, error) {
+// adapters, then again in another failure domain, then, if the memory is to be filled,
+// more of what is asked for most.
+func Place(document *site.Document, popularity map[modelref.Ref]float64, fill bool) (map[string][]site.Unit, error) {
 	p := &packer{
 		popularity: popularity,
 		held:       map[string]map[modelref.Ref]bool{},
@@ -49,7 +50,9 @@
 			}
 		}
 	}
-	p.fill(units)
+	if fill {
+		p.fill(units)
+	}
 	return p.out, nil
 }
 
--- a/internal/lab/bench/site.go
+++ b/internal/lab/bench/site.go
@@ -70,6 +70,8 @@
 	Store kvstore.Options
 	// Popularity is the demand for which models are placed at the start.
 	Popularity map[modelref.Ref]float64
+	// LeaveRoom places two copies of each unit and leaves the rest of the memory free.
+	LeaveRoom bool
 }
 
 // orderToken is what engines that check their orders want.
@@ -111,7 +113,7 @@
 		s.Close()
 		return nil, err
 	}
-	return s, s.preload(o.Popularity)
+	return s, s.preload(o)
 }
 
 func newWeights(o SiteOptions) *weightstore.Store {
@@ -167,8 +169,8 @@
 	return errors.Join(storeErr, listErr)
 }
 
-func (s *Site) preload(popularity map[modelref.Ref]float64) error {
-	placement, err := Place(&s.Document, popularity)
+func (s *Site) preload(o SiteOptions) error {
+	placement, err := Place(&s.Document, o.Popularity, !o.LeaveRoom)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/experiments/phases.go
+++ b/internal/lab/experiments/phases.go
@@ -28,6 +28,8 @@
 	duration time.Duration
 	daemons  int
 	json     string
+	// leaveRoom starts with two copies of each model, so that there is room to move.
+	leaveRoom bool
 }
 
 func (o *phaseOptions) addFlags(c *cobra.Command) {
@@ -42,7 +44,7 @@
 
 // MovesCommand counts moves under steady and under shifting demand.
 func MovesCommand(newFactory bench.NewFactory) *cobra.Command {
-	o := phaseOptions{}
+	o := phaseOptions{leaveRoom: true}
 	c := &cobra.Command{
 		Use:   "moves",
 		Short: "Count moves of models while the demand is steady, shifts, and shifts back",
@@ -97,7 +99,9 @@
 	if err != nil {
 		return err
 	}
-	s, err := bench.StartSite(profile.SiteOptions())
+	siteOptions := profile.SiteOptions()
+	siteOptions.LeaveRoom = o.leaveRoom
+	s, err := bench.StartSite(siteOptions)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/load/caller.go
+++ b/internal/lab/load/caller.go
@@ -25,6 +25,9 @@
 // graceAfterDeadline is how long a caller still waits for an answer that is late.
 const graceAfterDeadline = 500 * time.Millisecond
 
+// errGaveUp means that the caller broke off: its deadline and the grace had passed.
+var errGaveUp = errors.New("load: the caller gave up")
+
 // Options describes the callers of a run.
 type Options struct {
 	// Seeds are the addresses of instances that callers are configured with.
@@ -87,6 +90,10 @@
 	for {
 		t := c.try(ctx, ask, deadline, first)
 		e.err = t.err
+		if ctx.Err() != nil && t.err != nil {
+			e.err = fmt.Errorf("%w: %w", errGaveUp, t.err)
+			break
+		}
 		e.pieces = t.pieces
 		if t.sent {
 			e.sent++
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -165,3 +165,22 @@
 		t.Fatalf("asked for entries %d times, want 2: once, and after the failure", asked)
 	}
 }
+
+// What a caller breaks off itself is late; it isn't a broken promise of the system.
+func TestGivingUpIsLate(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/entries" {
+			_ = json.NewEncoder(w).Encode(map[string]any{"ttl_ms": 60_000, "entries": []Entry{{Instance: "e1", Address: r.Host}}})
+			return
+		}
+		_, _ = fmt.Fprintf(w, "data: %s\n\n", piece("q-1.1", 0))
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	o := Options{Seeds: []string{strings.TrimPrefix(server.URL, "http://")}, Callers: 1}
+	results := Run(t.Context(), o, []Ask{{ID: "q-1", Class: "c", Model: "m@1", MaxTokens: 2, Timeout: 10 * time.Millisecond, Idempotent: true}})
+	if c := results.Classes["c"]; c.Late != 1 || c.Cut != 0 {
+		t.Fatalf("late %d, cut %d", c.Late, c.Cut)
+	}
+}
--- a/internal/lab/load/results.go
+++ b/internal/lab/load/results.go
@@ -28,7 +28,8 @@
 	// Asked is how many requests callers wanted answered; Sent how often they sent one.
 	Asked int `json:"asked"`
 	Sent  int `json:"sent"`
-	// InTime and Late are whole answers before and after the deadline.
+	// InTime counts whole answers before the deadline; Late those after it and those
+	// that the caller no longer waited for.
 	InTime int `json:"in_time"`
 	Late   int `json:"late"`
 	// Tokens is how many tokens the answers in time had.
@@ -103,7 +104,7 @@
 	case e.err == nil && e.took <= e.ask.Timeout:
 		c.InTime++
 		c.recordTimes(e)
-	case e.err == nil:
+	case e.err == nil, errors.Is(e.err, errGaveUp):
 		c.Late++
 	case errors.As(e.err, &failure):
 		c.Failed[FailureKey{Code: failure.Code, Verdict: failure.Verdict}]++
