Demo: start with room, so that the leaving server's models move

Cause: the demo filled all memory at the start, and the planner never unloads what serves to make room for a second copy: 0 moves.

--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -54,7 +54,9 @@
 		return err
 	}
 	profile := bench.Rigline()
-	s, err := bench.StartSite(profile.SiteOptions())
+	options := profile.SiteOptions()
+	options.LeaveRoom = true
+	s, err := bench.StartSite(options)
 	if err != nil {
 		return err
 	}
