--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -274,8 +274,12 @@
 
 // stream asks for a streamed completion.
 func (r *rig) stream(p *entry.Process, id, model string, tokens int) reply {
+	return r.streamAt(p.CallerAddress(), id, model, tokens)
+}
+
+func (r *rig) streamAt(address, id, model string, tokens int) reply {
 	body := fmt.Sprintf(`{"model":%q,"prompt":"some words","max_tokens":%d,"stream":true}`, model, tokens)
-	return send(r.t.Context(), http.MethodPost, "http://"+p.CallerAddress()+"/v1/completions", body,
+	return send(r.t.Context(), http.MethodPost, "http://"+address+"/v1/completions", body,
 		map[string]string{request.HeaderID: id, request.HeaderIdempotent: "false"})
 }
 
