--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -201,7 +201,6 @@
 		Registry: atmostonce.New(atmostonce.Options{
 			Instance:    d.settings.Instance,
 			Incarnation: uint64(d.started.UnixNano()),
-			Started:     d.started,
 			Retention:   repeatRetention,
 			Capacity:    repeatCapacity,
 		}),
@@ -216,6 +215,7 @@
 	bounds := d.settings.Listeners.Callers.Bounds
 	return gateway.Limits{
 		BodyBytes:    bounds.MaxBodyBytes,
+		ReadTimeout:  bounds.ReadTimeout(),
 		WriteTimeout: callerWriteTimeout,
 		KeepAlive:    callerKeepAlive,
 		EntriesTTL:   d.settings.EntriesTTL(),
--- a/internal/operatorapi/operatorapi_test.go
+++ b/internal/operatorapi/operatorapi_test.go
@@ -10,9 +10,11 @@
 	"reflect"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"limpethub/internal/modelref"
+	"limpethub/internal/request"
 	"limpethub/internal/site"
 	"limpethub/internal/strictjson"
 )
@@ -169,7 +171,7 @@
 	if accepted, err := client.Configuration(ctx); err != nil || accepted.Revision != 7 {
 		t.Errorf("Configuration = %+v, %v", accepted, err)
 	}
-	change := ApplyRequest{BaseRevision: 7, ChangeID: "x", Document: site.Document{Site: "s"}}
+	change := ApplyRequest{BaseRevision: 7, ChangeID: "x", Document: validDocument(t)}
 	if accepted, err := client.Apply(ctx, change); err != nil || accepted.Revision != 8 || !reflect.DeepEqual(f.applied[0], change) {
 		t.Errorf("Apply = %+v, %v; received %+v", accepted, err, f.applied)
 	}
@@ -186,6 +188,32 @@
 	}
 }
 
+func validDocument(t *testing.T) site.Document {
+	t.Helper()
+	doc, err := site.Load("../../examples/rigline/base.json", "../../examples/rigline/pnw.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return doc
+}
+
+// TestInvalidDocumentIsRefused shows that a tool that checks nothing can't put a broken
+// configuration in force.
+func TestInvalidDocumentIsRefused(t *testing.T) {
+	f := &fakeController{}
+	server := newServer(t, f)
+	change := ApplyRequest{BaseRevision: 7, ChangeID: "x", Document: validDocument(t)}
+	change.Document.Models[0].MemoryMB = 1 << 30
+	_, err := NewClient(server.URL, goodToken, server.Client()).Apply(context.Background(), change)
+	var invalid *InvalidError
+	if !errors.As(err, &invalid) || len(invalid.Problems) == 0 {
+		t.Errorf("got %v, want *InvalidError with problems", err)
+	}
+	if len(f.applied) != 0 {
+		t.Error("the change reached the controller")
+	}
+}
+
 func TestErrorsKeepTheirTypes(t *testing.T) {
 	problem := strictjson.Problem{File: "base.json", Line: 3, Path: "site", Message: "is missing"}
 	for _, want := range []error{
@@ -219,6 +247,57 @@
 	}
 }
 
+// TestInstanceGivesUpBeforeItsClient shows that a call that takes too long ends by the
+// instance's answer, which says that nothing was changed, and not by the client's timeout.
+func TestInstanceGivesUpBeforeItsClient(t *testing.T) {
+	for header, want := range map[string]time.Duration{
+		"": 8 * time.Second, "2000": 1600 * time.Millisecond, "-1": 8 * time.Second, "x": 8 * time.Second,
+		"999999999999999": 48 * time.Second,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			r := httptest.NewRequest(http.MethodGet, PathStatus, nil)
+			r.Header.Set(request.HeaderTimeout, header)
+			start := time.Now()
+			wait := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+			bounded(wait).ServeHTTP(httptest.NewRecorder(), r)
+			if got := time.Since(start); got != want {
+				t.Errorf("with %q the work ended after %v, want %v", header, got, want)
+			}
+		})
+	}
+	r := httptest.NewRequest(http.MethodGet, PathStatus, nil)
+	sendTimeout(r, 3*time.Second)
+	if got := callTimeout(r); got != 3*time.Second {
+		t.Errorf("the client's 3 s arrive as %v", got)
+	}
+}
+
+func TestBounds(t *testing.T) {
+	f := &fakeController{}
+	auth, err := NewKeys(tokenFile(t, goodToken), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	handler := NewHandler(f, auth, WithBounds(100, 1))
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	client := NewClient(server.URL, goodToken, server.Client())
+	change := ApplyRequest{ChangeID: "x", Document: validDocument(t)}
+	if _, err := client.Apply(context.Background(), change); err == nil || !strings.Contains(err.Error(), string(CodeBadRequest)) {
+		t.Errorf("a body over the bound: %v", err)
+	}
+	handler.calls <- struct{}{}
+	_, err = client.Status(context.Background())
+	var unavailable *UnavailableError
+	if !errors.As(err, &unavailable) {
+		t.Errorf("a call over the bound: %v", err)
+	}
+	<-handler.calls
+	if _, err := client.Status(context.Background()); err != nil || f.calls != 1 {
+		t.Errorf("after the other call has ended: %v, %d calls", err, f.calls)
+	}
+}
+
 func TestUnreachableIsTyped(t *testing.T) {
 	server := newServer(t, &fakeController{})
 	server.Close()
--- a/internal/scheduling/finish.go
+++ b/internal/scheduling/finish.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -20,7 +21,7 @@
 	delete(c.running, o.ID)
 	d.target.running--
 	s := d.replica.server
-	s.load.Finished(now)
+	s.load.Finished(now, d.class)
 	if o.Err == nil {
 		c.learn(now, d, o)
 	} else {
@@ -41,35 +42,51 @@
 		FirstToken: o.FirstToken, Duration: o.Duration,
 	})
 	s.limit.Observe(now, limit.Observation{
-		Expected: d.estimate.For(o.Tokens), Actual: o.Duration, Full: d.full,
+		Expected: d.wait + d.estimate.For(o.Tokens), Actual: o.Duration, Full: d.full,
 	})
-	if s.service == 0 {
-		s.service = o.Duration
+	s.observeStay(o.Duration)
+}
+
+// observeStay learns how long requests stay on the server.
+func (s *server) observeStay(sample time.Duration) {
+	if s.stay == 0 {
+		s.stay = sample
 	}
-	s.service += (o.Duration - s.service) / 8
+	s.stay += (sample - s.stay) / 8
 }
 
 // learnFailure keeps new work away from a server that is leaving or that refuses or
 // fails requests.
 func (c *core) learnFailure(now time.Time, d *dispatched, o Outcome) {
 	s := d.replica.server
-	if o.ServerLeaving {
+	d.replica.speed.ObservePart(now, o.Tokens, o.Duration-o.FirstToken)
+	var e *verdict.Error
+	switch {
+	case o.ServerLeaving:
 		s.refusedUntil = now.Add(leavingHold)
-		return
+	case !blamesServer(now, d, o.Err):
+	case errors.As(o.Err, &e) && e.Code == verdict.CodeServerRefused:
+		d.replica.backoff = now.Add(firstBackoff)
+	default:
+		s.failed(now)
+	}
+}
+
+// blamesServer reports whether a failure is the server's: not the caller's, who
+// canceled or sent nonsense, nor the deadline's.
+func blamesServer(now time.Time, d *dispatched, err error) bool {
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) || !now.Before(d.deadline) {
+		return false
 	}
 	var e *verdict.Error
-	if !errors.As(o.Err, &e) {
-		s.failed(now)
-		return
+	if !errors.As(err, &e) {
+		return true
 	}
 	switch e.Code {
 	case verdict.CodeCanceled, verdict.CodeDeadlineExpired, verdict.CodeBadRequest:
-		// The server isn't to blame.
-	case verdict.CodeServerRefused:
-		d.replica.backoff = now.Add(firstBackoff)
-	default:
-		s.failed(now)
+		return false
 	}
+	return true
 }
 
 // Progress implements Scheduler.
--- a/internal/scheduling/predict/speed.go
+++ b/internal/scheduling/predict/speed.go
@@ -79,6 +79,14 @@
 	s.observePrefill(now, sample)
 }
 
+// ObservePart learns from an answer that was cut off after some tokens; spent is the
+// time since the first of them.
+func (s *Speed) ObservePart(now time.Time, tokens int, spent time.Duration) {
+	if tokens > 1 && spent > 0 {
+		s.decode.add(now, float64(spent)/float64(tokens-1))
+	}
+}
+
 func (s *Speed) observePrefill(now time.Time, sample Sample) {
 	if sample.PromptTokens <= 0 || sample.FirstToken <= 0 {
 		return
@@ -168,10 +176,10 @@
 	return min(s.warm.mean, cold)
 }
 
-// tokens predicts the length of an answer: the mean plus its deviation.
+// tokens predicts the length of an answer: the mean share of the most
 func (t *Target) tokens(maxTokens int) float64 {
 	if !t.length.known() {
 		return float64(maxTokens)
 	}
-	return float64(maxTokens) * min(1, t.length.mean+t.length.deviation)
+	return float64(maxTokens) * min(1, t.length.mean)
 }
