--- a/internal/scheduling/fuzz_test.go
+++ b/internal/scheduling/fuzz_test.go
@@ -86,7 +86,9 @@
 func (w *world) step() error {
 	w.now = w.now.Add(time.Duration(w.draw("pass", 200)) * time.Millisecond)
 	var out []Decision
-	switch w.draw("event", 12) {
+	switch w.draw("event", 13) {
+	case 12:
+		return w.duplicate()
 	case 0, 1, 2, 3:
 		out = w.arrive()
 	case 4, 5, 6:
@@ -117,6 +119,19 @@
 	return w.checkTick(w.now, w.s.NextTick())
 }
 
+// duplicate sends a request once more that is in progress here.
+func (w *world) duplicate() error {
+	r := w.pick([]int{phaseWaiting, phaseRunning}[w.draw("phase", 2)])
+	if r == nil {
+		return nil
+	}
+	d := w.s.Arrive(w.now, r.Request)
+	if len(d) != 1 || d[0].Action != Refuse || d[0].Err.Verdict != verdict.MayHaveRun {
+		return fmt.Errorf("duplicate of %s: decisions %+v", r.ID, d)
+	}
+	return nil
+}
+
 func (w *world) arrive() []Decision {
 	w.next++
 	r := &tracked{Request: request.Request{
