--- a/internal/scheduling/sim_test.go
+++ b/internal/scheduling/sim_test.go
@@ -60,16 +60,6 @@
 	sent       int
 }
 
-type simServer struct {
-	name     string
-	resident []modelref.Ref
-	running  []*simRequest
-	waiting  []*simRequest
-	stepping bool
-	factor   time.Duration
-	dead     bool
-}
-
 type simEvent struct {
 	at       time.Time
 	sequence int
@@ -176,8 +166,6 @@
 	s.after(time.Duration(s.random.Int64N(int64(period))), again)
 }
 
-func (v *simServer) stepTime() time.Duration { return v.factor * simStep }
-
 // capacity is the requests a second that all servers can finish.
 func capacity() float64 {
 	steps := float64(simMinTokens+simMaxTokens)/2 + simPrefill
@@ -295,80 +283,6 @@
 	return nil
 }
 
-// take is the arrival of a request at its server. At the deadline it is canceled.
-func (s *sim) take(r *simRequest) {
-	v := r.server
-	if v.dead {
-		s.end(r, verdict.NotRun, verdict.Refused(verdict.CodeServerFailed, "dial"))
-		return
-	}
-	v.waiting = append(v.waiting, r)
-	r.sent++
-	attempt := r.sent
-	s.after(r.Deadline.Sub(s.now), func() {
-		if r.server == v && r.sent == attempt {
-			v.remove(r)
-			s.end(r, verdict.MayHaveRun, verdict.Unclear(verdict.CodeDeadlineExpired, nil, "late"))
-		}
-	})
-	if !v.stepping {
-		s.step(v)
-	}
-}
-
-func (v *simServer) remove(r *simRequest) {
-	same := func(other *simRequest) bool { return other == r }
-	v.running = slices.DeleteFunc(v.running, same)
-	v.waiting = slices.DeleteFunc(v.waiting, same)
-}
-
-// step runs one step of a server's batch, after filling it by priority.
-func (s *sim) step(v *simServer) {
-	for len(v.running) < simBatch && len(v.waiting) > 0 {
-		at := 0
-		for i, r := range v.waiting {
-			if first := v.waiting[at]; r.priority < first.priority || (r.priority == first.priority && r.Deadline.Before(first.Deadline)) {
-				at = i
-			}
-		}
-		v.running = append(v.running, v.waiting[at])
-		v.waiting = slices.Delete(v.waiting, at, at+1)
-	}
-	v.stepping = len(v.running) > 0 && !v.dead
-	if !v.stepping {
-		return
-	}
-	s.after(v.stepTime(), func() {
-		if v.dead {
-			return
-		}
-		for _, r := range slices.Clone(v.running) {
-			s.token(v, r)
-		}
-		s.step(v)
-	})
-}
-
-func (s *sim) token(v *simServer, r *simRequest) {
-	if r.prefill > 0 {
-		r.prefill--
-		return
-	}
-	r.done++
-	if r.done == 1 {
-		r.first = s.now
-	}
-	if r.done < r.tokens {
-		return
-	}
-	v.remove(r)
-	s.inTime[r.Class]++
-	if r.Class == 0 {
-		s.urgentFirst = append(s.urgentFirst, float64(r.first.Sub(r.Arrived).Milliseconds()))
-	}
-	s.end(r, verdict.Ran, nil)
-}
-
 // end tells the instance how a request ended; one that didn't run is retried.
 func (s *sim) end(r *simRequest, v verdict.Verdict, err error) {
 	o := Outcome{ID: r.ID, Server: r.server.name, Verdict: v, Err: err, Duration: s.now.Sub(r.dispatched), Tokens: r.done}
@@ -385,14 +299,6 @@
 	})
 }
 
-func (s *sim) kill(v *simServer) {
-	v.dead = true
-	for _, r := range append(slices.Clone(v.running), v.waiting...) {
-		s.end(r, verdict.MayHaveRun, verdict.Unclear(verdict.CodeServerFailed, nil, "reset"))
-	}
-	v.running, v.waiting = nil, nil
-}
-
 // attainment is the share of requests that ended in time: of a class, or of all
 // when class is negative.
 func (s *sim) attainment(class int) float64 {
