--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -221,9 +221,14 @@
 
 func (d *Daemon) classStatuses(document *site.Document) []operatorapi.ClassStatus {
 	out := make([]operatorapi.ClassStatus, 0, len(document.Classes))
-	for _, class := range document.Classes {
+	loads := d.dispatcher.ClassLoads()
+	for i, class := range document.Classes {
 		counts := d.requests.Class(class.Name)
-		out = append(out, operatorapi.ClassStatus{Name: class.Name, InTime: counts.InTime, Late: counts.Late, Refused: counts.Refused})
+		status := operatorapi.ClassStatus{Name: class.Name, InTime: counts.InTime, Late: counts.Late, Refused: counts.Refused}
+		if i < len(loads) {
+			status.Waiting, status.Running = loads[i].Waiting, loads[i].Running
+		}
+		out = append(out, status)
 	}
 	return out
 }
--- a/internal/daemon/explain.go
+++ b/internal/daemon/explain.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"slices"
+	"time"
 
+	"limpethub/internal/dispatch"
 	"limpethub/internal/operatorapi"
 	"limpethub/internal/placer"
-	"limpethub/internal/servers"
+	"limpethub/internal/request"
 	"limpethub/internal/site"
 )
 
@@ -36,7 +37,7 @@
 		Status:    modelStatus(&accepted.Document, unit, known, snapshot),
 		Floor:     1,
 		Placement: placementReasons(d.placementExplanation(ctx, unit.Ref)),
-		Request:   d.outlook(unit),
+		Request:   d.outlook(&accepted.Document, unit),
 	}, nil
 }
 
@@ -57,6 +58,9 @@
 	for _, s := range e.Shortfalls {
 		out = append(out, fmt.Sprintf("not met: %s", s.Reason))
 	}
+	if e.Holding && len(out) == 0 {
+		out = append(out, fmt.Sprintf("%d copies, none of them ordered by this holder; nothing is planned", len(e.Unit.Copies)))
+	}
 	if !e.Holding {
 		out = append(out, "the placement holder can't be asked; reasons are missing")
 	}
@@ -64,39 +68,26 @@
 }
 
 // outlook says what a request for a unit would do now on this instance.
-func (d *Daemon) outlook(unit site.Unit) operatorapi.RequestOutlook {
-	var outlook operatorapi.RequestOutlook
-	for _, s := range d.monitor.Statuses() {
-		if s.Config.Kind != site.KindEngine {
-			continue
-		}
-		outlook.Candidates = append(outlook.Candidates, operatorapi.Candidate{
-			Server:        s.Config.Name,
-			FailureDomain: s.Config.FailureDomain,
-			Outstanding:   s.Report.Running + s.Report.Waiting,
-			Excluded:      exclusion(s, unit),
+func (d *Daemon) outlook(document *site.Document, unit site.Unit) operatorapi.RequestOutlook {
+	now := time.Now()
+	timeout := time.Duration(document.Classes[unit.Class].TimeoutMillis) * time.Millisecond
+	asked := d.dispatcher.Outlook(request.Request{
+		ID: outlookID, Model: unit.Ref, Class: unit.Class, Arrived: now, Deadline: now.Add(timeout),
+		Idempotent: true, MaxTokens: outlookTokens,
+	})
+	out := operatorapi.RequestOutlook{Action: dispatch.ActionWord(asked.Action), Server: asked.Server, Code: asked.Code, Reason: asked.Reason}
+	for _, c := range asked.Candidates {
+		out.Candidates = append(out.Candidates, operatorapi.Candidate{
+			Server: c.Server, FailureDomain: c.FailureDomain, Outstanding: c.Outstanding,
+			PredictedMillis: c.Finish.Milliseconds(), Excluded: c.Excluded,
 		})
 	}
-	outlook.Action, outlook.Reason = "queue", "no live server has the version resident; a request waits until its deadline can't be met"
-	for _, candidate := range outlook.Candidates {
-		if candidate.Excluded == "" {
-			outlook.Action, outlook.Server = "dispatch", candidate.Server
-			outlook.Reason = "a live server has the version resident"
-			break
-		}
-	}
-	return outlook
+	return out
 }
 
-// exclusion says why a server can't take a request for the unit; empty if it can.
-func exclusion(s servers.Status, unit site.Unit) string {
-	switch {
-	case s.Unreachable:
-		return "unreachable"
-	case s.Leaving:
-		return "leaving"
-	case !slices.Contains(s.Report.Resident, unit.Ref):
-		return "not resident"
-	}
-	return ""
-}
+const (
+	// outlookID can't be a caller's: those hold no spaces.
+	outlookID = "what would a request do"
+	// outlookTokens is the length of answer that predictions are shown for.
+	outlookTokens = 100
+)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -168,6 +168,20 @@
 	return d.scheduler.Digest()
 }
 
+// Outlook says what a request would do now.
+func (d *Dispatcher) Outlook(r request.Request) scheduling.Outlook {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.Outlook(d.now(), r)
+}
+
+// ClassLoads counts this instance's requests by class.
+func (d *Dispatcher) ClassLoads() []scheduling.ClassLoad {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.ClassLoads()
+}
+
 // Do runs a function on the scheduler under the lock, for events that only some
 // schedulers have, and applies the decisions that it returns.
 func (d *Dispatcher) Do(event func(now time.Time, s scheduling.Scheduler) []scheduling.Decision) {
@@ -258,5 +272,8 @@
 		"server":    decision.Server,
 		"reason":    decision.Reason,
 		"waited_ms": waited.Milliseconds(),
-	}).Info(actionWords[decision.Action])
+	}).Info(ActionWord(decision.Action))
 }
+
+// ActionWord names an action, for logs and operators.
+func ActionWord(a scheduling.Action) string { return actionWords[a] }
--- a/internal/scheduling/core.go
+++ b/internal/scheduling/core.go
@@ -121,6 +121,10 @@
 	Tick(now time.Time) []Decision
 	// NextTick is when Tick should next be called; zero means not needed.
 	NextTick() time.Time
+	// Outlook says what a request would do now, without doing it.
+	Outlook(now time.Time, r request.Request) Outlook
+	// ClassLoads counts this instance's requests, by class in the document's order.
+	ClassLoads() []ClassLoad
 	// Digest lists this instance's outstanding work per server.
 	Digest() []Remote
 }
