--- a/internal/scheduling/predict/predict_test.go
+++ b/internal/scheduling/predict/predict_test.go
@@ -20,7 +20,7 @@
 }
 
 func TestEstimateLearnsFromAnswers(t *testing.T) {
-	s := NewSpeed(&Server{}, &Target{})
+	s := NewSpeed(&Server{}, NewTarget(nil))
 	if s.Estimate(epoch, 100, 100, false).Known {
 		t.Fatal("known without any answer")
 	}
@@ -35,7 +35,7 @@
 
 func TestSlowServerIsForgivenWithItsReports(t *testing.T) {
 	server := &Server{}
-	s := NewSpeed(server, &Target{})
+	s := NewSpeed(server, NewTarget(nil))
 	for range 20 {
 		s.Observe(epoch, answer(100*time.Millisecond))
 	}
@@ -48,7 +48,7 @@
 }
 
 func TestWaitIsNoPrefill(t *testing.T) {
-	s := NewSpeed(&Server{}, &Target{})
+	s := NewSpeed(&Server{}, NewTarget(nil))
 	s.Observe(epoch, answer(time.Millisecond))
 	waited := answer(time.Millisecond)
 	waited.FirstToken, waited.Waited = time.Second, true
@@ -57,7 +57,7 @@
 }
 
 func TestCachedPrefixIsFaster(t *testing.T) {
-	s := NewSpeed(&Server{}, &Target{})
+	s := NewSpeed(&Server{}, NewTarget(nil))
 	s.Observe(epoch, answer(time.Millisecond))
 	near(t, "untried", s.Estimate(epoch, 100, 100, true).FirstToken, 5*time.Millisecond, time.Millisecond)
 	warm := answer(time.Millisecond)
@@ -67,10 +67,21 @@
 }
 
 func BenchmarkEstimate(b *testing.B) {
-	s := NewSpeed(&Server{}, &Target{})
+	s := NewSpeed(&Server{}, NewTarget(nil))
 	s.Observe(epoch, answer(time.Millisecond))
 	later := epoch.Add(5 * time.Second)
 	for b.Loop() {
 		s.Estimate(later, 100, 100, false)
 	}
 }
+
+func TestUnknownTargetTakesWhatIsGenerallyKnown(t *testing.T) {
+	general := NewTarget(nil)
+	server := &Server{}
+	NewSpeed(server, NewTarget(general)).Observe(epoch, answer(20*time.Millisecond))
+	e := NewSpeed(server, NewTarget(general)).Estimate(epoch, 100, 100, false)
+	if !e.Known {
+		t.Fatal("unknown, although another target was seen")
+	}
+	near(t, "total", e.Total, 10*time.Millisecond+51*20*time.Millisecond, 5*time.Millisecond)
+}
--- a/internal/scheduling/predict/speed.go
+++ b/internal/scheduling/predict/speed.go
@@ -28,6 +28,35 @@
 	prefill average
 	whole   average
 	length  average
+	// general is what is learned of all targets together; it stands in while nothing is
+	// known of this one.
+	general *Target
+}
+
+// NewTarget makes a target; general is shared by all targets, and nil for the shared
+// one itself.
+func NewTarget(general *Target) *Target {
+	t := &Target{general: general}
+	if general == nil {
+		t.general = t
+	}
+	return t
+}
+
+// orElse returns the first average, or the second while the first is unknown.
+func orElse(first, second *average) *average {
+	if first.known() {
+		return first
+	}
+	return second
+}
+
+// addBoth takes a sample into two averages, or into one that is given twice.
+func addBoth(now time.Time, own, general *average, sample float64) {
+	own.add(now, sample)
+	if general != own {
+		general.add(now, sample)
+	}
 }
 
 // Speed is what is learned of one target on one server. Durations are in
@@ -69,12 +98,12 @@
 	s.whole.add(now, float64(sample.Duration))
 	s.target.whole.add(now, float64(sample.Duration))
 	if sample.MaxTokens > 0 {
-		s.target.length.add(now, float64(sample.Tokens)/float64(sample.MaxTokens))
+		addBoth(now, &s.target.length, &s.target.general.length, float64(sample.Tokens)/float64(sample.MaxTokens))
 	}
 	if sample.Tokens > 1 {
 		perToken := float64(sample.Duration-sample.FirstToken) / float64(sample.Tokens-1)
 		s.decode.add(now, perToken)
-		s.target.decode.add(now, perToken)
+		addBoth(now, &s.target.decode, &s.target.general.decode, perToken)
 	}
 	s.observePrefill(now, sample)
 }
@@ -103,7 +132,7 @@
 	}
 	learned.add(now, perToken)
 	if !sample.Cached {
-		s.target.prefill.add(now, perToken)
+		addBoth(now, &s.target.prefill, &s.target.general.prefill, perToken)
 	}
 }
 
@@ -132,7 +161,7 @@
 		FirstToken: first,
 		PerToken:   time.Duration(decode),
 		Total:      first + rest,
-		Known:      decode > 0 && s.target.length.known(),
+		Known:      decode > 0 && orElse(&s.target.length, &s.target.general.length).known(),
 	}
 }
 
@@ -156,7 +185,7 @@
 func (s *Speed) decodePerToken(now time.Time) float64 {
 	general := s.server.step.mean
 	if !s.server.step.known() {
-		general = s.target.decode.mean
+		general = orElse(&s.target.decode, &s.target.general.decode).mean
 	}
 	trust := s.decode.trust(now, halfLife)
 	return trust*s.decode.mean + (1-trust)*general
@@ -165,7 +194,7 @@
 func (s *Speed) prefillPerToken(cached bool) float64 {
 	cold := s.cold.mean
 	if !s.cold.known() {
-		cold = s.target.prefill.mean
+		cold = orElse(&s.target.prefill, &s.target.general.prefill).mean
 	}
 	if !cached {
 		return cold
@@ -178,8 +207,9 @@
 
 // tokens predicts the length of an answer: the mean share of the most
 func (t *Target) tokens(maxTokens int) float64 {
-	if !t.length.known() {
+	length := orElse(&t.length, &t.general.length)
+	if !length.known() {
 		return float64(maxTokens)
 	}
-	return float64(maxTokens) * min(1, t.length.mean)
+	return float64(maxTokens) * min(1, length.mean)
 }
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -10,6 +10,7 @@
 	"limpethub/internal/request"
 	"limpethub/internal/scheduling/admission"
 	"limpethub/internal/scheduling/flowcontrol"
+	"limpethub/internal/scheduling/predict"
 	"limpethub/internal/scheduling/prefix"
 	"limpethub/internal/scheduling/retry"
 	"limpethub/internal/scheduling/routing"
@@ -28,10 +29,12 @@
 	// bases holds the model version that each adapter version extends.
 	bases map[modelref.Ref]modelref.Ref
 
-	servers  map[string]*server
-	targets  map[targetKey]*target
-	running  map[request.ID]*dispatched
-	queue    *flowcontrol.Queue
+	servers map[string]*server
+	targets map[targetKey]*target
+	running map[request.ID]*dispatched
+	queue   *flowcontrol.Queue
+	// general is what was learned of all targets together.
+	general  *predict.Target
 	floor    *flowcontrol.Floor
 	budget   *retry.Budget
 	prefixes *prefix.Memory
@@ -84,6 +87,7 @@
 		running:  map[request.ID]*dispatched{},
 		peers:    map[string]time.Time{},
 		busy:     map[*server]int{},
+		general:  predict.NewTarget(nil),
 		budget:   retry.NewBudget(options.Document.Budgets.RetryShare),
 		prefixes: prefix.New(),
 	}
--- a/internal/scheduling/target.go
+++ b/internal/scheduling/target.go
@@ -24,7 +24,7 @@
 // are known.
 type target struct {
 	key      targetKey
-	learned  predict.Target
+	learned  *predict.Target
 	replicas []*replica
 	lane     *flowcontrol.Lane
 	// running is how many requests this instance has dispatched for the target.
@@ -51,7 +51,7 @@
 func (c *core) target(key targetKey) *target {
 	t := c.targets[key]
 	if t == nil {
-		t = &target{key: key, lane: c.queue.NewLane(), blocked: make([]uint64, len(c.document.Classes))}
+		t = &target{key: key, learned: predict.NewTarget(c.general), lane: c.queue.NewLane(), blocked: make([]uint64, len(c.document.Classes))}
 		c.targets[key] = t
 	}
 	return t
@@ -62,7 +62,7 @@
 	t := c.target(key)
 	r := s.seen[key]
 	if r == nil {
-		r = &replica{server: s, target: t, speed: predict.NewSpeed(&s.learned, &t.learned)}
+		r = &replica{server: s, target: t, speed: predict.NewSpeed(&s.learned, t.learned)}
 		s.seen[key] = r
 	}
 	s.replicas = append(s.replicas, r)
