Lease: holders of low reach step down, candidates of low reach claim later; unit tests

A first try barred candidates of low reach from claiming at all; ruled out, since then nobody places when all reach little.

--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -23,7 +23,8 @@
 	// reaches all waits no longer. Zero turns it off.
 	ReachDelay time.Duration
 	// StepDownReach makes a holder release the lease once it has reached less than
-	// this share of the servers for a whole TTL. Zero turns it off.
+	// this share of the servers for a whole TTL, so that one that reaches more can take
+	// it. If none does, it claims again and keeps it. Zero turns it off.
 	StepDownReach float64
 }
 
@@ -84,7 +85,9 @@
 
 	reach    float64
 	lowSince time.Time
-	resign   bool
+	// steppedDown is true after a release for low reach, until the reach is better.
+	steppedDown bool
+	resign      bool
 }
 
 // New makes a candidate. The source is used for jitter and write ids.
@@ -110,7 +113,7 @@
 func (m *Machine) SetReach(now time.Time, share float64) {
 	m.reach = share
 	if share >= m.config.StepDownReach {
-		m.lowSince = time.Time{}
+		m.lowSince, m.steppedDown = time.Time{}, false
 		return
 	}
 	if m.lowSince.IsZero() {
@@ -152,6 +155,7 @@
 	case !m.known || m.unclear:
 		return Todo{Step: Read}
 	case m.holding && (m.resign || m.useless(now)):
+		m.steppedDown = !m.resign
 		return m.write(Record{Term: m.record.Term, Holder: m.config.Instance, Released: true})
 	case m.resign:
 		return Todo{}
@@ -164,14 +168,12 @@
 	}
 }
 
+// useless reports whether a holder should let go for low reach.
 func (m *Machine) useless(now time.Time) bool {
-	return !m.lowSince.IsZero() && now.Sub(m.lowSince) >= m.config.TTL
+	return !m.steppedDown && !m.lowSince.IsZero() && now.Sub(m.lowSince) >= m.config.TTL
 }
 
 func (m *Machine) mayClaim(now time.Time) bool {
-	if m.useless(now) {
-		return false
-	}
 	wait := m.claimDelay + m.reachDelay()
 	if m.record.Holder != "" && !m.record.Released {
 		wait += m.config.TTL
@@ -278,5 +280,5 @@
 
 // mayClaimSoon reports whether the key is free but for this candidate's own wait.
 func (m *Machine) mayClaimSoon(now time.Time) bool {
-	return m.known && (m.record.Holder == "" || m.record.Released) && !m.resign && !m.useless(now)
+	return m.known && (m.record.Holder == "" || m.record.Released) && !m.resign
 }
--- /dev/null
+++ b/internal/placement/value_test.go
@@ -0,0 +1,114 @@
+package placement
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"limpethub/internal/demand"
+	"limpethub/internal/engine"
+	"limpethub/internal/modelref"
+	"limpethub/internal/site"
+)
+
+// smallInput is a site of two models on three servers: big on a, small on a and b.
+func smallInput() Input {
+	doc := &site.Document{
+		FailureDomains: []string{"x", "y"},
+		Classes:        []site.Class{{Name: "urgent", Weight: 4}, {Name: "night", Weight: 1}},
+		Models: []site.Model{
+			{Name: "big", Version: "1", MemoryMB: 60, Class: "urgent"},
+			{Name: "small", Version: "1", MemoryMB: 40, Class: "night"},
+		},
+	}
+	server := func(name, domain string, refs ...modelref.Ref) Server {
+		s := Server{Name: name, FailureDomain: domain, CapacityMB: 100, TokensPerSecond: 1000, Ready: true, Reachable: true}
+		for _, ref := range refs {
+			size := int64(60)
+			if ref == "small@1" {
+				size = 40
+			}
+			s.Copies = append(s.Copies, Copy{Ref: ref, State: engine.StateResident, MemoryMB: size})
+			s.CommittedMB += size
+		}
+		return s
+	}
+	return Input{
+		Document: doc,
+		Servers: []Server{
+			server("a", "x", "big@1", "small@1"), server("b", "y", "big@1", "small@1"), server("c", "x", "small@1"),
+		},
+		Budget: Budget{Loads: 1},
+	}
+}
+
+func moves(p Plan) string {
+	var out []string
+	for _, m := range p.Moves {
+		out = append(out, string(m.Action)+" "+string(m.Ref)+" "+m.Server)
+	}
+	return strings.Join(out, ", ")
+}
+
+func TestPlans(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(in *Input)
+		want   string
+	}{
+		{"nothing to do", func(*Input) {}, ""},
+		{"lost copy comes back in the other domain", func(in *Input) {
+			in.Servers[1].Copies, in.Servers[1].CommittedMB = nil, 0
+		}, "load big@1 b"},
+		{"hot model gets a third copy", func(in *Input) {
+			in.Demand = []demand.Estimate{{Ref: "big@1", Tokens: 3000, Weight: 4}}
+		}, "load big@1 c"},
+		{"little excess moves nothing", func(in *Input) {
+			in.Demand = []demand.Estimate{{Ref: "big@1", Tokens: 1560, Weight: 4}}
+		}, ""},
+		{"young estimates move nothing", func(in *Input) {
+			in.Demand = []demand.Estimate{{Ref: "big@1", Tokens: 3000, Weight: 4}}
+			in.FloorOnly = true
+		}, ""},
+		{"no budget, no load", func(in *Input) {
+			in.Demand = []demand.Estimate{{Ref: "big@1", Tokens: 3000, Weight: 4}}
+			in.Budget.Loads = 0
+		}, ""},
+		{"removed version is unloaded", func(in *Input) {
+			in.Document.Models = in.Document.Models[:1]
+		}, "unload small@1 a, unload small@1 b, unload small@1 c"},
+		{"leaving server's copies don't count", func(in *Input) {
+			in.Servers[0].Leaving = true
+		}, "load big@1 c"},
+		{"a copy with others makes room for a first copy", func(in *Input) {
+			in.Document.Models = append(in.Document.Models, site.Model{Name: "new", Version: "1", MemoryMB: 70, Class: "urgent"})
+		}, "unload small@1 c"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			in := smallInput()
+			c.change(&in)
+			if got := moves(NewValue().Plan(in)); got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+func TestCheckFit(t *testing.T) {
+	doc := smallInput().Document
+	doc.Servers = []site.Server{{Name: "a", Kind: site.KindEngine, MemoryMB: 100}}
+	if err := CheckFit(doc); err != nil {
+		t.Errorf("exact fit refused: %v", err)
+	}
+	doc.Adapters = []site.Adapter{{Name: "ad", Version: "1", Base: "big@1", MemoryMB: 1}}
+	var refused *FitError
+	if err := CheckFit(doc); !errors.As(err, &refused) || !strings.Contains(err.Error(), "takes 101 MiB") {
+		t.Errorf("got %v, want the sum 101 MiB", err)
+	}
+	doc.Servers[0].MemoryMB = 60
+	doc.Servers = append(doc.Servers, site.Server{Name: "b", Kind: site.KindEngine, MemoryMB: 60})
+	if err := CheckFit(doc); !errors.As(err, &refused) || refused.Ref != "ad@1" {
+		t.Errorf("got %v, want ad@1 refused, which fits nowhere beside its base", err)
+	}
+}
--- a/internal/placer/experiment_test.go
+++ b/internal/placer/experiment_test.go
@@ -207,6 +207,8 @@
 	shiftFactor  = 10
 	goodEnough   = 0.95
 	recoverySpan = 5 * time.Second
+	// recoverySlack is what a recovery may take beyond the weight store's bound.
+	recoverySlack = 5 * time.Second
 )
 
 // outcome is what one policy gave in one scenario.
@@ -216,6 +218,9 @@
 	// over recoverySpan; negative means never.
 	recovery time.Duration
 	copies   int
+	// target is the time that the weight store needs for the hot model's new copies,
+	// plus recoverySlack.
+	target time.Duration
 }
 
 func (x *experiment) outcome(d time.Duration) outcome {
@@ -236,6 +241,7 @@
 func tenfoldShift(x *experiment) outcome {
 	x.run(warmUp, usual)
 	x.reset()
+	before := copies(x.w.engines, x.units[hotModel].Ref)
 	recovery := time.Duration(-1)
 	var asked, met []float64
 	begin := x.elapsed
@@ -249,6 +255,9 @@
 	}
 	o := x.outcome(shiftTime)
 	o.recovery = recovery
+	if added := o.copies - before; added > 0 {
+		o.target = storeBound(added, x.w.document.Budgets) + recoverySlack
+	}
 	return o
 }
 
@@ -336,11 +345,16 @@
 					total.attainment += o.attainment
 					total.recovery += o.recovery
 					total.copies += o.copies
+					total.target += o.target
+					if s.name == "shift" {
+						b.Logf("seed %d: recovery %v, target %v, %d copies", i+1, o.recovery, o.target, o.copies)
+					}
 				}
 				n := float64(b.N)
 				b.ReportMetric(total.movesPerHour/n, "moves/h")
 				b.ReportMetric(total.attainment/n, "attainment")
 				b.ReportMetric(total.recovery.Seconds()/n, "recovery-s")
+				b.ReportMetric(total.target.Seconds()/n, "target-s")
 				b.ReportMetric(float64(total.copies)/n, "hot-copies")
 			})
 		}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -72,6 +72,9 @@
 		TTL:      9 * time.Second,
 		Margin:   2 * time.Second,
 		Jitter:   2 * time.Second,
+
+		ReachDelay:    18 * time.Second,
+		StepDownReach: 0.5,
 	}
 }
 
