--- a/internal/scheduling/sim_test.go
+++ b/internal/scheduling/sim_test.go
@@ -17,14 +17,17 @@
 // The simulation below runs several schedulers in virtual time against engines with
 // continuous batching and priorities, whose reports lag.
 const (
-	simInstances = 9
+	simInstances = 8
 	simServers   = 12
 	simModels    = 24
-	simBatch     = 16
-	simStep      = 20 * time.Millisecond
+	simBatch     = 8
+	simStep      = 25 * time.Millisecond
+	// simPrefill is how many steps a prompt takes.
+	simPrefill   = 2
 	simDelay     = 2 * time.Millisecond // between an instance and a server
-	simMaxTokens = 100
-	simLag       = 300 * time.Millisecond
+	simMinTokens = 16
+	simMaxTokens = 64
+	simLag       = 500 * time.Millisecond
 )
 
 // simOptions is one run.
@@ -57,16 +60,6 @@
 	sent       int
 }
 
-type simServer struct {
-	name     string
-	resident []modelref.Ref
-	running  []*simRequest
-	waiting  []*simRequest
-	stepping bool
-	factor   time.Duration
-	dead     bool
-}
-
 type simEvent struct {
 	at       time.Time
 	sequence int
@@ -112,16 +105,16 @@
 func simDocument() *site.Document {
 	return &site.Document{
 		Classes: []site.Class{
-			{Name: "urgent", TimeoutMillis: 4000, Weight: 10, QueueLimit: 200},
-			{Name: "normal", TimeoutMillis: 10_000, Weight: 3, QueueLimit: 200},
-			{Name: "overnight", TimeoutMillis: 20_000, Weight: 1, QueueLimit: 400, FloorShare: 0.02},
+			{Name: "urgent", TimeoutMillis: 3000, Weight: 10, QueueLimit: 200},
+			{Name: "normal", TimeoutMillis: 4000, Weight: 3, QueueLimit: 200},
+			{Name: "overnight", TimeoutMillis: 8000, Weight: 1, QueueLimit: 400, FloorShare: 0.05},
 		},
 		Budgets: site.Budgets{RetryShare: 0.1, LoadMillis: 4000},
 	}
 }
 
 // simShares is the share of requests per class.
-var simShares = []float64{0.3, 0.4, 0.3}
+var simShares = []float64{0.25, 0.35, 0.4}
 
 func newSim(o simOptions) *sim {
 	n := len(simShares)
@@ -173,17 +166,10 @@
 	s.after(time.Duration(s.random.Int64N(int64(period))), again)
 }
 
-// stepTime grows with the batch: a full one takes half as long again.
-func (v *simServer) stepTime() time.Duration {
-	return v.factor * (simStep + simStep/2*time.Duration(len(v.running))/simBatch)
-}
-
 // capacity is the requests a second that all servers can finish.
 func capacity() float64 {
-	meanTokens := float64(simMaxTokens) * 0.6
-	steps := meanTokens + 3
-	perServer := simBatch / (steps * (simStep * 3 / 2).Seconds())
-	return simServers * perServer
+	steps := float64(simMinTokens+simMaxTokens)/2 + simPrefill
+	return simServers * simBatch / (steps * simStep.Seconds())
 }
 
 func (s *sim) run() {
@@ -255,8 +241,8 @@
 	r.Model = modelref.Ref(fmt.Sprintf("m%d@1", s.random.IntN(simModels)))
 	r.Arrived = s.now
 	r.Deadline = s.now.Add(time.Duration(simDocument().Classes[r.Class].TimeoutMillis) * time.Millisecond)
-	r.PromptTokens, r.MaxTokens = 300, simMaxTokens
-	r.tokens = simMaxTokens/5 + s.random.IntN(simMaxTokens*4/5)
+	r.tokens = simMinTokens + s.random.IntN(simMaxTokens-simMinTokens+1)
+	r.PromptTokens, r.MaxTokens = 300, r.tokens
 	s.requests[r.ID] = r
 	s.arrived[r.Class]++
 	s.apply(r.instance, s.schedulers[r.instance].Arrive(s.now, r.Request))
@@ -282,7 +268,7 @@
 		case Dispatch:
 			s.sent++
 			r.server = s.server(d.Server)
-			r.dispatched, r.priority, r.done, r.prefill, r.first = s.now, d.Priority, 0, 3, time.Time{}
+			r.dispatched, r.priority, r.done, r.prefill, r.first = s.now, d.Priority, 0, simPrefill, time.Time{}
 			s.after(simDelay, func() { s.take(r) })
 		}
 	}
@@ -297,80 +283,6 @@
 	return nil
 }
 
-// take is the arrival of a request at its server. At the deadline it is canceled.
-func (s *sim) take(r *simRequest) {
-	v := r.server
-	if v.dead {
-		s.end(r, verdict.NotRun, verdict.Refused(verdict.CodeServerFailed, "dial"))
-		return
-	}
-	v.waiting = append(v.waiting, r)
-	r.sent++
-	attempt := r.sent
-	s.after(r.Deadline.Sub(s.now), func() {
-		if r.server == v && r.sent == attempt {
-			v.remove(r)
-			s.end(r, verdict.MayHaveRun, verdict.Unclear(verdict.CodeDeadlineExpired, nil, "late"))
-		}
-	})
-	if !v.stepping {
-		s.step(v)
-	}
-}
-
-func (v *simServer) remove(r *simRequest) {
-	same := func(other *simRequest) bool { return other == r }
-	v.running = slices.DeleteFunc(v.running, same)
-	v.waiting = slices.DeleteFunc(v.waiting, same)
-}
-
-// step runs one step of a server's batch, after filling it by priority.
-func (s *sim) step(v *simServer) {
-	for len(v.running) < simBatch && len(v.waiting) > 0 {
-		at := 0
-		for i, r := range v.waiting {
-			if first := v.waiting[at]; r.priority < first.priority || (r.priority == first.priority && r.Deadline.Before(first.Deadline)) {
-				at = i
-			}
-		}
-		v.running = append(v.running, v.waiting[at])
-		v.waiting = slices.Delete(v.waiting, at, at+1)
-	}
-	v.stepping = len(v.running) > 0 && !v.dead
-	if !v.stepping {
-		return
-	}
-	s.after(v.stepTime(), func() {
-		if v.dead {
-			return
-		}
-		for _, r := range slices.Clone(v.running) {
-			s.token(v, r)
-		}
-		s.step(v)
-	})
-}
-
-func (s *sim) token(v *simServer, r *simRequest) {
-	if r.prefill > 0 {
-		r.prefill--
-		return
-	}
-	r.done++
-	if r.done == 1 {
-		r.first = s.now
-	}
-	if r.done < r.tokens {
-		return
-	}
-	v.remove(r)
-	s.inTime[r.Class]++
-	if r.Class == 0 {
-		s.urgentFirst = append(s.urgentFirst, float64(r.first.Sub(r.Arrived).Milliseconds()))
-	}
-	s.end(r, verdict.Ran, nil)
-}
-
 // end tells the instance how a request ended; one that didn't run is retried.
 func (s *sim) end(r *simRequest, v verdict.Verdict, err error) {
 	o := Outcome{ID: r.ID, Server: r.server.name, Verdict: v, Err: err, Duration: s.now.Sub(r.dispatched), Tokens: r.done}
@@ -387,14 +299,6 @@
 	})
 }
 
-func (s *sim) kill(v *simServer) {
-	v.dead = true
-	for _, r := range append(slices.Clone(v.running), v.waiting...) {
-		s.end(r, verdict.MayHaveRun, verdict.Unclear(verdict.CodeServerFailed, nil, "reset"))
-	}
-	v.running, v.waiting = nil, nil
-}
-
 // attainment is the share of requests that ended in time: of a class, or of all
 // when class is negative.
 func (s *sim) attainment(class int) float64 {
