--- a/internal/placer/experiment_test.go
+++ b/internal/placer/experiment_test.go
@@ -286,6 +286,13 @@
 	return x.outcome(flapTime)
 }
 
+// storeBound is the least time in which the weight store can give so many copies.
+func storeBound(loads int, budgets site.Budgets) time.Duration {
+	rounds := (loads + budgets.ConcurrentLoads - 1) / budgets.ConcurrentLoads
+	byRate := time.Duration(float64(loads-1)/budgets.LoadsPerSecond*float64(time.Second)) + loadTime
+	return max(time.Duration(rounds)*loadTime, byRate)
+}
+
 // freeLRU lifts the ledger's guard over last copies, as the baseline has none.
 type freeLRU struct{ placement.LRU }
 
