--- a/internal/lab/experiments/phases.go
+++ b/internal/lab/experiments/phases.go
@@ -28,6 +28,8 @@
 	duration time.Duration
 	daemons  int
 	json     string
+	// zipf, if positive, replaces the shape's exponent of popularity.
+	zipf float64
 	// leaveRoom starts with two copies of each model, so that there is room to move.
 	leaveRoom bool
 }
@@ -38,6 +40,7 @@
 	f.Float64Var(&o.load, "load", 0.7, "rate, as a multiple of the capacity")
 	f.Uint64Var(&o.seed, "seed", 1, "seed of the run")
 	f.DurationVar(&o.duration, "duration", 15*time.Second, "time in which requests arrive, for each phase")
+	f.Float64Var(&o.zipf, "zipf", 0, "exponent of the models' popularity; 0 leaves that of the site's shape")
 	f.IntVar(&o.daemons, "daemons", 8, "entry instances")
 	f.StringVar(&o.json, "json", "", "file for all figures as JSON")
 }
@@ -95,6 +98,9 @@
 	if err != nil {
 		return err
 	}
+	if o.zipf > 0 {
+		profile.Shape.ZipfExponent = o.zipf
+	}
 	factory, err := newFactory()
 	if err != nil {
 		return err
