A repeat can prove that its first attempt never arrived

Cause: the first instance proves that it remembers only to a question that names its incarnation, and no caller could know it, so that every repeat of what had never arrived ended as may-have-run. /v1/entries now gives each instance's incarnation, and callers give it back with the age. TestRepeatOfWhatNeverArrived: the repeat runs at the other instance, and the late first attempt is turned away with the verdict ran. Ruled out: proof by age alone (a paused process gets late attempts; the fuzzing of atmostonce had found that), and accepting later incarnations than the process's own.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -200,7 +200,7 @@
 	return repeats.New(repeats.Options{
 		Registry: atmostonce.New(atmostonce.Options{
 			Instance:    d.settings.Instance,
-			Incarnation: uint64(d.started.UnixNano()),
+			Incarnation: d.incarnation(),
 			Retention:   repeatRetention,
 			Capacity:    repeatCapacity,
 		}),
@@ -211,6 +211,14 @@
 	})
 }
 
+// incarnation is what entries tell callers of this process. Should the instance have to
+// refute its death, entries tell a higher one, and a repeat that names that one gets no
+// proof: safe, though less helpful.
+func (d *Daemon) incarnation() uint64 {
+	self, _ := d.cluster.Member(d.settings.Instance)
+	return self.Incarnation
+}
+
 func (d *Daemon) gatewayLimits() gateway.Limits {
 	bounds := d.settings.Listeners.Callers.Bounds
 	return gateway.Limits{
--- a/internal/daemon/directories.go
+++ b/internal/daemon/directories.go
@@ -29,7 +29,7 @@
 	answer := entries.Pick(entries.Query{Model: model, FailureDomain: from}, c.cluster.Members(), nil, r)
 	out := make([]gateway.Entry, 0, len(answer.Entries))
 	for _, e := range answer.Entries {
-		out = append(out, gateway.Entry{Instance: e.Instance, Address: e.Address, FailureDomain: e.FailureDomain})
+		out = append(out, gateway.Entry{Instance: e.Instance, Address: e.Address, FailureDomain: e.FailureDomain, Incarnation: e.Incarnation})
 	}
 	return out
 }
--- a/internal/entries/entries.go
+++ b/internal/entries/entries.go
@@ -32,6 +32,8 @@
 	Instance      string `json:"instance"`
 	Address       string `json:"address"`
 	FailureDomain string `json:"failure_domain"`
+	// Incarnation is that of the instance's process, unless it had to refute its death.
+	Incarnation uint64 `json:"incarnation"`
 }
 
 // Answer lists instances, the ones to use first first.
@@ -57,6 +59,7 @@
 					Instance:      m.Name,
 					Address:       m.CallerAddress,
 					FailureDomain: m.FailureDomain,
+					Incarnation:   m.Incarnation,
 				})
 			}
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,6 +48,9 @@
 	Instance      string `json:"instance"`
 	Address       string `json:"address"`
 	FailureDomain string `json:"failure_domain"`
+	// Incarnation tells processes of one instance apart. Callers give it back when they
+	// repeat a request elsewhere.
+	Incarnation uint64 `json:"incarnation"`
 }
 
 // Directory answers which instances to use.
--- a/internal/integration/requests_test.go
+++ b/internal/integration/requests_test.go
@@ -214,3 +214,25 @@
 	}
 	return agreed
 }
+
+// TestRepeatOfWhatNeverArrived repeats a call that the first instance never got: it is
+// barred there and run by the other one, and comes too late at the first.
+func TestRepeatOfWhatNeverArrived(t *testing.T) {
+	r := newRig(t)
+	instances := r.startThree()
+	first := ""
+	for _, e := range r.entries(instances[1]) {
+		if e.Instance == "entry-1" {
+			first = fmt.Sprintf("entry-1;incarnation=%d;age=50", e.Incarnation)
+		}
+	}
+	if got := r.form(instances[1], "form-5", first); got.status != http.StatusOK {
+		t.Fatalf("repeat of what never arrived: %d %s", got.status, got.body)
+	}
+	if got := r.form(instances[0], "form-5", ""); got.status != http.StatusConflict || got.verdict() != verdict.Ran {
+		t.Fatalf("the late first attempt: %d %s %s", got.status, got.verdict(), got.body)
+	}
+	if n := r.runs("form-5"); n != 1 {
+		t.Fatalf("the call ran %d times", n)
+	}
+}
--- a/internal/lab/load/entries.go
+++ b/internal/lab/load/entries.go
@@ -15,8 +15,9 @@
 
 // Entry is one instance that may be used.
 type Entry struct {
-	Instance string `json:"instance"`
-	Address  string `json:"address"`
+	Instance    string `json:"instance"`
+	Address     string `json:"address"`
+	Incarnation uint64 `json:"incarnation"`
 }
 
 var errNoEntry = errors.New("load: no instance answers")
