Membership and transport: no new connections because a machine is slow

Late answers made instances ask random others, each over new connections, and made the transport give up connections that were only slow; the handshakes then made everything later still.

Others to ask are now taken from those that get heartbeats anyway, and a connection counts as silent after 1.5 s instead of 0.6 s.

--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -65,12 +65,16 @@
 }
 
 // askOthers asks a few live members to try a silent peer, since only this
-// instance's own path to it may be cut.
-func (m *Machine) askOthers(now time.Time, subject *member, sequence uint64) {
-	for _, helper := range m.pick(indirectProbes, func(other *member) bool {
-		return other.status == StatusAlive && other != subject
-	}) {
-		m.send(now, helper, Message{Type: TypePingRequest, Sequence: sequence, Target: subject.Name})
+// instance's own path to it may be cut. They are among those that get heartbeats
+// anyway: new connections would burden a machine that is slow already.
+func (m *Machine) askOthers(now time.Time, silent *member, sequence uint64) {
+	asked := 0
+	for _, helper := range m.subjects {
+		if helper == silent || helper.status != StatusAlive || asked == indirectProbes {
+			continue
+		}
+		asked++
+		m.send(now, helper, Message{Type: TypePingRequest, Sequence: sequence, Target: silent.Name})
 	}
 }
 
--- a/internal/peers/quictransport/transport.go
+++ b/internal/peers/quictransport/transport.go
@@ -51,8 +51,9 @@
 const (
 	// DefaultIdleTimeout is how long an unused connection is kept.
 	DefaultIdleTimeout = 15 * time.Second
-	// DefaultSilenceTimeout is above a few round trips and below the time to a death.
-	DefaultSilenceTimeout = 600 * time.Millisecond
+	// DefaultSilenceTimeout is well above the delays of a busy machine: a new connection
+	// costs far more than the old one. Membership asks others meanwhile.
+	DefaultSilenceTimeout = 1500 * time.Millisecond
 	// MaxCallBytes is the most that a call or its answer may hold.
 	MaxCallBytes = 1<<20 + 64<<10
 
