--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,6 +60,7 @@
 	confsync   *confsync.Sync
 	dispatcher *dispatch.Dispatcher
 	monitor    *servers.Monitor
+	forwarder  *forward.Forwarder
 	gateway    *gateway.Gateway
 	exchange   *exchange
 	directory  *callerDirectory
@@ -173,12 +174,12 @@
 		Intervals:     servers.DefaultIntervals,
 		Logger:        d.log(logging.Routing),
 	})
-	forwarder := forward.New(forward.Options{
+	d.forwarder = forward.New(forward.Options{
 		Dispatcher: d.dispatcher, Plane: d.plugins.engine, Directory: d.monitor, Logger: d.log(logging.Routing), Now: time.Now,
 	})
 	d.gateway = gateway.New(gateway.Options{
 		Instance:      d.settings.Instance,
-		Forwarder:     forwarder,
+		Forwarder:     d.forwarder,
 		Repeats:       d.newRepeats(),
 		Configuration: d.confsync,
 		Directory:     d.directory,
--- /dev/null
+++ b/internal/daemon/metrics.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"limpethub/internal/membership"
+)
+
+// collected is a plug-in with metrics of its own.
+type collected interface {
+	Collectors() []prometheus.Collector
+}
+
+// registerMetrics adds the metrics of the daemon as a whole and of its plug-ins.
+func (d *Daemon) registerMetrics() {
+	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	d.registry.MustRegister(
+		gauge("limpethub_configuration_revision", "Revision of the configuration in force; 0 while there is none.", func() float64 {
+			accepted, _ := d.confsync.Current()
+			return float64(accepted.Revision)
+		}),
+		gauge("limpethub_requests_open", "Requests in progress or waiting.", func() float64 { return float64(d.gateway.Open()) }),
+		gauge("limpethub_instances_alive", "Instances that this one holds alive, itself included.", func() float64 { return float64(d.aliveInstances()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "limpethub_attempts_total", Help: "Attempts sent to backend servers, retries included.",
+		}, func() float64 { return float64(d.forwarder.Attempts()) }),
+	)
+	if c, ok := d.plugins.peers.(collected); ok {
+		d.registry.MustRegister(c.Collectors()...)
+	}
+}
+
+func gauge(name, help string, value func() float64) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
+}
+
+func (d *Daemon) aliveInstances() int {
+	alive := 0
+	for _, m := range d.cluster.Members() {
+		if m.State == membership.Alive {
+			alive++
+		}
+	}
+	return alive
+}
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -173,6 +173,7 @@
 		operatorapi.WithLog(d.log(logging.Operator)),
 		operatorapi.WithBounds(bounds.MaxBodyBytes, bounds.MaxStreams),
 	)
+	d.registerMetrics()
 	d.plugins.peers.Handle(peers.KindStatus, &remoteHandler{d})
 	return nil
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -72,7 +72,7 @@
 func (f *Forwarder) Stream(ctx context.Context, call engine.Call, sink Sink) error {
 	ctx, cancel := context.WithDeadline(ctx, call.Request.Deadline)
 	defer cancel()
-	return f.run(ctx, call, func(server engine.Server, attempt engine.Call) attemptResult {
+	return f.attemptUntilEnd(ctx, call, func(server engine.Server, attempt engine.Call) attemptResult {
 		return f.streamOnce(ctx, server, attempt, sink)
 	})
 }
@@ -82,7 +82,7 @@
 	ctx, cancel := context.WithDeadline(ctx, call.Request.Deadline)
 	defer cancel()
 	var response engine.Response
-	err := f.run(ctx, call, func(server engine.Server, attempt engine.Call) attemptResult {
+	err := f.attemptUntilEnd(ctx, call, func(server engine.Server, attempt engine.Call) attemptResult {
 		got, err := f.plane.Invoke(ctx, server, attempt)
 		response = got
 		return attemptResult{err: err, repeatable: true}
@@ -99,9 +99,9 @@
 	repeatable bool
 }
 
-// run admits the request and makes attempts until one ends it. The verdict of a
+// attemptUntilEnd admits the request and makes attempts until one ends it. The verdict of a
 // failure covers all attempts, not just the last one.
-func (f *Forwarder) run(ctx context.Context, call engine.Call, attempt func(engine.Server, engine.Call) attemptResult) error {
+func (f *Forwarder) attemptUntilEnd(ctx context.Context, call engine.Call, attempt func(engine.Server, engine.Call) attemptResult) error {
 	decision, err := f.dispatcher.Admit(ctx, call.Request)
 	if err != nil {
 		return f.explainEnd(ctx, err)
--- a/internal/lab/entry/host.go
+++ b/internal/lab/entry/host.go
@@ -18,8 +18,8 @@
 
 const (
 	loopback = "127.0.0.1:0"
-	// operatorToken is what the lab shows as an operator.
-	operatorToken = "lab-operator-token-0001"
+	// OperatorToken is what the lab shows as an operator.
+	OperatorToken = "lab-operator-token-0001"
 	keyFileMode   = 0o600
 	// entriesTTLMillis is short, so that a planned stop in the lab is.
 	entriesTTLMillis = 1000
@@ -72,7 +72,7 @@
 	if err != nil {
 		return s, err
 	}
-	tokens, err := h.write("operators", operatorToken)
+	tokens, err := h.write("operators", OperatorToken)
 	if err != nil {
 		return s, err
 	}
--- a/internal/lab/entry/inprocess.go
+++ b/internal/lab/entry/inprocess.go
@@ -46,7 +46,7 @@
 	if err := d.Start(ctx); err != nil {
 		return nil, fmt.Errorf("entry: %w", err)
 	}
-	instance := &Instance{Daemon: d, Operator: operatorapi.NewClient("http://"+d.OperatorAddress(), operatorToken, http.DefaultClient)}
+	instance := &Instance{Daemon: d, Operator: operatorapi.NewClient("http://"+d.OperatorAddress(), OperatorToken, http.DefaultClient)}
 	if err := h.applyOnce(ctx, instance.Operator, o.Document); err != nil {
 		d.Kill()
 		return nil, err
--- a/internal/lab/entry/process.go
+++ b/internal/lab/entry/process.go
@@ -99,7 +99,7 @@
 	case <-p.exited:
 		return nil, fmt.Errorf("%w: %s", errNotStarted, p.Logs())
 	}
-	p.Operator = operatorapi.NewClient("http://"+p.addresses.Operators, operatorToken, http.DefaultClient)
+	p.Operator = operatorapi.NewClient("http://"+p.addresses.Operators, OperatorToken, http.DefaultClient)
 	return p, nil
 }
 
@@ -160,3 +160,6 @@
 
 // Resume lets a paused process go on.
 func (p *Process) Resume() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
+
+// OperatorAddress is host:port of the operators' listener.
+func (p *Process) OperatorAddress() string { return p.addresses.Operators }
