--- a/internal/lab/entry/process.go
+++ b/internal/lab/entry/process.go
@@ -16,6 +16,7 @@
 	"limpethub/internal/lab/bench"
 	"limpethub/internal/operatorapi"
 	"limpethub/internal/settings"
+	"limpethub/internal/strictjson"
 )
 
 // Processes starts instances as processes of the daemon's binary.
@@ -75,6 +76,7 @@
 }
 
 func (h *Processes) launch(s settings.Settings) (*Process, error) {
+	strictjson.FillLists(&s)
 	data, err := json.MarshalIndent(s, "", "  ")
 	if err != nil {
 		return nil, fmt.Errorf("entry: encode settings: %w", err)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -140,7 +140,7 @@
 	// Name is the dotted name, as in "store.etcd".
 	Name string `json:"name" validate:"required"`
 	// Endpoints lists the addresses to connect to, for plug-ins that connect.
-	Endpoints []string `json:"endpoints,omitempty" validate:"dive,ip_port"`
+	Endpoints []string `json:"endpoints" validate:"dive,ip_port"`
 	// Options holds the plug-in's own settings, which the plug-in checks.
 	Options strictjson.Raw `json:"options"`
 }
