--- a/internal/lab/entry/process.go
+++ b/internal/lab/entry/process.go
@@ -60,11 +60,7 @@
 
 // Start implements bench.Factory.
 func (h *Processes) Start(ctx context.Context, o bench.DaemonOptions) (bench.Daemon, error) {
-	s, err := h.settings(o)
-	if err != nil {
-		return nil, err
-	}
-	p, err := h.launch(s)
+	p, err := h.StartUnconfigured(o)
 	if err != nil {
 		return nil, err
 	}
@@ -75,6 +71,15 @@
 	return p, nil
 }
 
+// StartUnconfigured starts an instance and puts no configuration in force.
+func (h *Processes) StartUnconfigured(o bench.DaemonOptions) (*Process, error) {
+	s, err := h.settings(o)
+	if err != nil {
+		return nil, err
+	}
+	return h.launch(s)
+}
+
 func (h *Processes) launch(s settings.Settings) (*Process, error) {
 	strictjson.FillLists(&s)
 	data, err := json.MarshalIndent(s, "", "  ")
