--- /dev/null
+++ b/internal/gateway/paced_bench_test.go
@@ -0,0 +1,152 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"limpethub/internal/dispatch"
+	"limpethub/internal/engine"
+	"limpethub/internal/engine/httpengine"
+	"limpethub/internal/forward"
+	"limpethub/internal/gateway"
+	"limpethub/internal/modelref"
+	"limpethub/internal/scheduling"
+	"limpethub/internal/site"
+)
+
+const (
+	pacedModel = "m@1"
+	// pacedInterval is the time between two tokens of one stream.
+	pacedInterval = 65 * time.Millisecond
+	pacedTokens   = 40
+)
+
+// pacedEngine streams tokens at a fixed pace.
+func pacedEngine() *httptest.Server {
+	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		id := r.Header.Get(httpengine.HeaderRequestID)
+		w.Header().Set(httpengine.HeaderRequestID, id)
+		controller := http.NewResponseController(w)
+		_ = controller.Flush()
+		ticker := time.NewTicker(pacedInterval)
+		defer ticker.Stop()
+		for i := range pacedTokens {
+			<-ticker.C
+			fmt.Fprintf(w, "id: %s/%d\ndata: {\"choices\":[{\"index\":0,\"text\":\" word\"}]}\n\n", id, i)
+			_ = controller.Flush()
+		}
+		fmt.Fprintf(w, "id: %s/%d\ndata: [DONE]\n\n", id, pacedTokens)
+	}))
+}
+
+type oneServer struct{ address string }
+
+func (o oneServer) Server(name string) (engine.Server, bool) {
+	return engine.Server{Name: name, Address: o.address}, true
+}
+
+type fixed struct{ document site.Document }
+
+func (f fixed) Current() (site.Accepted, bool) {
+	return site.Accepted{Revision: 1, Document: f.document}, true
+}
+
+// pacedGateway serves the engine with the real scheduler, forwarder and adapter.
+func pacedGateway(b *testing.B, address string) *httptest.Server {
+	b.Helper()
+	document := site.Document{
+		Site: "bench", FailureDomains: []string{"a"},
+		Classes: []site.Class{{Name: "c", TimeoutMillis: 60_000, Weight: 1, QueueLimit: 100_000}},
+		Models:  []site.Model{{Name: "m", Version: "1", Default: true, MemoryMB: 1, Class: "c"}},
+	}
+	scheduler, err := scheduling.New(scheduling.Options{Instance: "i", FailureDomain: "a", Document: &document})
+	if err != nil {
+		b.Fatal(err)
+	}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	log := logrus.NewEntry(logger)
+	d := dispatch.New(dispatch.Options{Scheduler: scheduler, Logger: log, Now: time.Now})
+	d.SetServers([]scheduling.Server{{Name: "s", FailureDomain: "a", Near: true}})
+	d.ObserveReport("s", engine.Report{Sequence: 1, Taken: time.Now(), MaxBatch: 100_000, StepMillis: 1, Resident: []modelref.Ref{pacedModel}})
+	f := forward.New(forward.Options{Dispatcher: d, Plane: httpengine.New(httpengine.Options{}), Directory: oneServer{address}, Logger: log, Now: time.Now})
+	g := gateway.New(gateway.Options{
+		Instance: "i", Forwarder: f, Configuration: fixed{document},
+		Limits: gateway.Limits{BodyBytes: 1 << 16, ReadTimeout: time.Minute, WriteTimeout: time.Minute, KeepAlive: time.Minute, MaxTimeout: time.Hour, OpenRequests: 100_000},
+		Logger: log, Now: time.Now,
+	})
+	server := httptest.NewServer(g)
+	b.Cleanup(server.Close)
+	return server
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkPacedStreams holds many streams open at the pace of real engines. The
+// figures are of the whole process: the engine and the callers are in them, so an
+// instance by itself takes less.
+func BenchmarkPacedStreams(b *testing.B) {
+	for _, streams := range []int{100, 1000, 4000} {
+		b.Run(fmt.Sprint("streams=", streams), func(b *testing.B) { benchmarkPaced(b, streams) })
+	}
+}
+
+func benchmarkPaced(b *testing.B, streams int) {
+	target := pacedEngine()
+	defer target.Close()
+	server := pacedGateway(b, strings.TrimPrefix(target.URL, "http://"))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: streams}}
+	var processor time.Duration
+	var memory uint64
+	for b.Loop() {
+		before := processorTime()
+		var all sync.WaitGroup
+		for range streams {
+			all.Go(func() { readPaced(b, client, server.URL) })
+		}
+		time.Sleep(pacedInterval * pacedTokens / 2)
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		memory = stats.HeapAlloc + stats.StackInuse
+		all.Wait()
+		processor += processorTime() - before
+	}
+	b.ReportMetric(float64(processor.Nanoseconds())/float64(b.N*streams*pacedTokens), "cpu-ns/token")
+	b.ReportMetric(float64(memory)/float64(streams), "B/stream")
+}
+
+func readPaced(b *testing.B, client *http.Client, url string) {
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url+"/v1/completions", strings.NewReader(`{"model":"m","stream":true,"max_tokens":40}`))
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	resp, err := client.Do(r)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil || !strings.HasSuffix(strings.TrimSpace(string(text)), "[DONE]") {
+		b.Errorf("status %d, error %v", resp.StatusCode, err)
+	}
+}
--- /dev/null
+++ b/internal/gateway/stream_bench_test.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"limpethub/internal/engine"
+	"limpethub/internal/forward"
+)
+
+// tokensPerStream is the length of the benchmarks' answers.
+const tokensPerStream = 1000
+
+// benchForwarder delivers events as fast as they are taken.
+type benchForwarder struct{ data []byte }
+
+func (f *benchForwarder) Stream(_ context.Context, _ engine.Call, sink forward.Sink) error {
+	for i := range tokensPerStream {
+		if err := sink.Event(engine.Event{Offset: i, Data: f.data}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *benchForwarder) Invoke(context.Context, engine.Call) (engine.Response, error) {
+	return engine.Response{}, nil
+}
+
+// BenchmarkStreamToCaller measures one streamed token from the forwarder to a caller
+// over loopback, the caller's reading included.
+func BenchmarkStreamToCaller(b *testing.B) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	g := New(Options{
+		Instance: "entry-1", Forwarder: &benchForwarder{data: []byte(`{"object":"text_completion","choices":[{"index":0,"text":" word"}]}`)},
+		Repeats: nil, Configuration: fixedConfiguration{configured()}, Directory: fixedDirectory{},
+		Limits: Limits{BodyBytes: 1000, ReadTimeout: time.Minute, WriteTimeout: time.Minute, KeepAlive: time.Minute, EntriesTTL: time.Second, MaxTimeout: time.Hour, OpenRequests: 10},
+		Logger: logrus.NewEntry(logger), Now: time.Now,
+	})
+	server := httptest.NewServer(g)
+	defer server.Close()
+	b.ReportAllocs()
+	for b.Loop() {
+		resp, err := http.Post(server.URL+"/v1/completions", "application/json", strings.NewReader(`{"model":"m","stream":true}`))
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			b.Fatal(err)
+		}
+		resp.Body.Close()
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/tokensPerStream, "ns/token")
+}
