--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -38,7 +38,10 @@
 	logger    *logrus.Entry
 	now       func() time.Time
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// lines are log lines to write once the lock is released, so that a slow log holds
+	// up no other request.
+	lines   []line
 	waiters map[request.ID]*waiter
 	timer   *time.Timer
 	closed  bool
@@ -51,6 +54,13 @@
 	ready   chan scheduling.Decision
 }
 
+// line is a decision to log.
+type line struct {
+	request  request.Request
+	decision scheduling.Decision
+	waited   time.Duration
+}
+
 // New makes a Dispatcher.
 func New(options Options) *Dispatcher {
 	return &Dispatcher{
@@ -82,10 +92,10 @@
 
 func (d *Dispatcher) await(ctx context.Context, r request.Request, event func(time.Time) []scheduling.Decision) (scheduling.Decision, error) {
 	w := &waiter{request: r, since: d.now(), ready: make(chan scheduling.Decision, 1)}
-	d.mu.Lock()
-	d.waiters[r.ID] = w
-	d.apply(event(d.now()))
-	d.mu.Unlock()
+	d.locked(func() {
+		d.waiters[r.ID] = w
+		d.apply(event(d.now()))
+	})
 
 	select {
 	case decision := <-w.ready:
@@ -98,23 +108,29 @@
 // abandon ends the wait of a request whose caller has gone. A dispatch that was
 // decided meanwhile is undone, since nothing was sent.
 func (d *Dispatcher) abandon(w *waiter) (scheduling.Decision, error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	gone := verdict.Refused(verdict.CodeCanceled, "the caller canceled the request before it was dispatched")
-	select {
-	case decision := <-w.ready:
-		if decision.Action == scheduling.Dispatch {
-			d.apply(d.scheduler.Finish(d.now(), scheduling.Outcome{
-				ID: w.request.ID, Server: decision.Server, Verdict: verdict.NotRun, Err: gone,
-			}))
+	d.locked(func() {
+		select {
+		case decision := <-w.ready:
+			d.undo(w, decision, gone)
+		default:
+			delete(d.waiters, w.request.ID)
+			d.apply(d.scheduler.Cancel(d.now(), w.request.ID))
 		}
-	default:
-		delete(d.waiters, w.request.ID)
-		d.apply(d.scheduler.Cancel(d.now(), w.request.ID))
-	}
+	})
 	return scheduling.Decision{}, gone
 }
 
+// undo gives back the place of a dispatch of which nothing was sent. The lock is held.
+func (d *Dispatcher) undo(w *waiter, decision scheduling.Decision, cause error) {
+	if decision.Action != scheduling.Dispatch {
+		return
+	}
+	d.apply(d.scheduler.Finish(d.now(), scheduling.Outcome{
+		ID: w.request.ID, Server: decision.Server, Verdict: verdict.NotRun, Err: cause,
+	}))
+}
+
 func conclude(decision scheduling.Decision) (scheduling.Decision, error) {
 	if decision.Action == scheduling.Refuse {
 		return decision, decision.Err
@@ -206,9 +222,19 @@
 }
 
 func (d *Dispatcher) event(f func(now time.Time) []scheduling.Decision) {
+	d.locked(func() { d.apply(f(d.now())) })
+}
+
+// locked runs f under the lock and then writes the log lines that came of it.
+func (d *Dispatcher) locked(f func()) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.apply(f(d.now()))
+	f()
+	lines := d.lines
+	d.lines = nil
+	d.mu.Unlock()
+	for _, l := range lines {
+		d.log(l.request, l.decision, l.waited)
+	}
 }
 
 // apply carries out decisions and arms the timer for the next tick. The lock is held.
@@ -225,7 +251,7 @@
 		return
 	}
 	waited := d.now().Sub(w.since)
-	d.log(w.request, decision, waited)
+	d.lines = append(d.lines, line{request: w.request, decision: decision, waited: waited})
 	if d.observer != nil {
 		d.observer.ObserveDecision(w.request, decision, waited)
 	}
@@ -250,12 +276,11 @@
 }
 
 func (d *Dispatcher) tick() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.closed {
-		return
-	}
-	d.apply(d.scheduler.Tick(d.now()))
+	d.locked(func() {
+		if !d.closed {
+			d.apply(d.scheduler.Tick(d.now()))
+		}
+	})
 }
 
 var actionWords = [...]string{scheduling.Dispatch: "dispatch", scheduling.Queue: "queue", scheduling.Refuse: "refuse"}
