predict: the time for a prompt follows the low end of what was seen

Cause: time per prompt token was a mean of times to the first token, and a first sample that held a wait in a crowded engine stood for the target on that server. Whether a sample held a wait was judged by load estimates, which are worst when it matters. Now a low: falls by half of the difference, rises by a fiftieth, and no target is believed to be more than 3 times slower than all are.

--- a/internal/scheduling/finish.go
+++ b/internal/scheduling/finish.go
@@ -38,7 +38,7 @@
 	s.failures = 0
 	d.replica.speed.Observe(now, predict.Sample{
 		PromptTokens: d.prompt, MaxTokens: d.max, Tokens: o.Tokens,
-		Cached: d.cached, Waited: d.waited,
+		Cached:     d.cached,
 		FirstToken: o.FirstToken, Duration: o.Duration,
 	})
 	s.limit.Observe(now, limit.Observation{
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -24,7 +24,6 @@
 	tokens int
 	cached bool
 	full   bool
-	waited bool
 	// wait is the predicted wait in the server.
 	wait time.Duration
 	// estimate is what was predicted without a wait.
@@ -92,13 +91,11 @@
 // dispatch sends a request to the chosen replica.
 func (c *core) dispatch(now time.Time, a *attempt, r *replica, chosen *routing.Candidate) Decision {
 	s := r.server
-	batch := s.limit.Batch()
 	c.running[a.request.ID] = &dispatched{
 		target: r.target, replica: r, class: a.request.Class, deadline: a.request.Deadline,
 		prompt: a.request.PromptTokens, max: a.request.MaxTokens,
 		cached:   chosen.Cached,
 		full:     chosen.Ahead+1 >= chosen.Limit,
-		waited:   batch > 0 && chosen.Total >= batch,
 		wait:     chosen.Wait,
 		estimate: chosen.Estimate,
 	}
--- a/internal/scheduling/predict/predict_test.go
+++ b/internal/scheduling/predict/predict_test.go
@@ -48,12 +48,15 @@
 }
 
 func TestWaitIsNoPrefill(t *testing.T) {
-	s := NewSpeed(&Server{}, NewTarget(nil))
+	s := NewSpeed(&Server{}, NewTarget(NewTarget(nil)))
 	s.Observe(epoch, answer(time.Millisecond))
 	waited := answer(time.Millisecond)
-	waited.FirstToken, waited.Waited = time.Second, true
+	waited.FirstToken = time.Second
 	s.Observe(epoch, waited)
 	near(t, "first token", s.Estimate(epoch, 100, 100, false).FirstToken, 10*time.Millisecond, time.Millisecond)
+	other := NewSpeed(&Server{}, NewTarget(s.target.general))
+	other.Observe(epoch, waited)
+	near(t, "first token of a target that only waited", other.Estimate(epoch, 100, 100, false).FirstToken, 30*time.Millisecond, 2*time.Millisecond)
 }
 
 func TestCachedPrefixIsFaster(t *testing.T) {
--- a/internal/scheduling/predict/speed.go
+++ b/internal/scheduling/predict/speed.go
@@ -10,6 +10,10 @@
 // while none was seen.
 const cachedShare = 0.5
 
+// allowance is how many times slower one target or server is believed to be than they
+// are in general, in the time for a prompt.
+const allowance = 3
+
 // Server is what is learned of a server whatever it runs.
 type Server struct {
 	step average
@@ -25,7 +29,7 @@
 // Target is what is learned of a model, adapter or service on all servers.
 type Target struct {
 	decode  average
-	prefill average
+	prefill low
 	whole   average
 	length  average
 	// general is what is learned of all targets together; it stands in while nothing is
@@ -65,8 +69,8 @@
 	server *Server
 	target *Target
 	decode average
-	cold   average
-	warm   average
+	cold   low
+	warm   low
 	whole  average
 }
 
@@ -84,9 +88,6 @@
 	Tokens int
 	// Cached is true when the prompt's prefix was expected in the server's cache.
 	Cached bool
-	// Waited is true when the server was full at dispatch, so that the time to the
-	// first token holds a wait.
-	Waited bool
 	// FirstToken is the time from dispatch to the first token.
 	FirstToken time.Duration
 	// Duration is the time from dispatch to the end.
@@ -105,7 +106,7 @@
 		s.decode.add(now, perToken)
 		addBoth(now, &s.target.decode, &s.target.general.decode, perToken)
 	}
-	s.observePrefill(now, sample)
+	s.observePrefill(sample)
 }
 
 // ObservePart learns from an answer that was cut off after some tokens; spent is the
@@ -116,23 +117,21 @@
 	}
 }
 
-func (s *Speed) observePrefill(now time.Time, sample Sample) {
+// observePrefill learns from the time to the first token, which holds the wait in the
+// server too.
+func (s *Speed) observePrefill(sample Sample) {
 	if sample.PromptTokens <= 0 || sample.FirstToken <= 0 {
 		return
 	}
 	perToken := float64(sample.FirstToken) / float64(sample.PromptTokens)
-	learned := &s.cold
 	if sample.Cached {
-		learned = &s.warm
-	}
-	// A wait in the engine says nothing of prefill, unless even with it the time is
-	// below what was thought.
-	if sample.Waited && (!learned.known() || perToken > learned.mean) {
+		s.warm.add(perToken)
 		return
 	}
-	learned.add(now, perToken)
-	if !sample.Cached {
-		addBoth(now, &s.target.prefill, &s.target.general.prefill, perToken)
+	s.cold.add(perToken)
+	s.target.prefill.add(perToken)
+	if s.target.general != s.target {
+		s.target.general.prefill.add(perToken)
 	}
 }
 
@@ -192,17 +191,27 @@
 }
 
 func (s *Speed) prefillPerToken(cached bool) float64 {
-	cold := s.cold.mean
-	if !s.cold.known() {
-		cold = orElse(&s.target.prefill, &s.target.general.prefill).mean
-	}
+	cold := s.coldPerToken()
 	if !cached {
 		return cold
 	}
-	if !s.warm.known() {
+	if !s.warm.seen {
 		return cold * cachedShare
 	}
-	return min(s.warm.mean, cold)
+	return min(s.warm.value, cold)
+}
+
+// coldPerToken is what is known here, or else of the target, or else of all targets.
+// It is bounded by an allowance on the last, since few samples may all hold a wait.
+func (s *Speed) coldPerToken() float64 {
+	general := s.target.general.prefill.value
+	if s.cold.seen {
+		return min(s.cold.value, allowance*general)
+	}
+	if s.target.prefill.seen {
+		return min(s.target.prefill.value, allowance*general)
+	}
+	return general
 }
 
 // tokens predicts the length of an answer: the mean share of the most
