--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,6 +60,7 @@
 	confsync   *confsync.Sync
 	dispatcher *dispatch.Dispatcher
 	monitor    *servers.Monitor
+	forwarder  *forward.Forwarder
 	gateway    *gateway.Gateway
 	exchange   *exchange
 	directory  *callerDirectory
@@ -173,12 +174,12 @@
 		Intervals:     servers.DefaultIntervals,
 		Logger:        d.log(logging.Routing),
 	})
-	forwarder := forward.New(forward.Options{
+	d.forwarder = forward.New(forward.Options{
 		Dispatcher: d.dispatcher, Plane: d.plugins.engine, Directory: d.monitor, Logger: d.log(logging.Routing), Now: time.Now,
 	})
 	d.gateway = gateway.New(gateway.Options{
 		Instance:      d.settings.Instance,
-		Forwarder:     forwarder,
+		Forwarder:     d.forwarder,
 		Repeats:       d.newRepeats(),
 		Configuration: d.confsync,
 		Directory:     d.directory,
@@ -200,7 +201,7 @@
 	return repeats.New(repeats.Options{
 		Registry: atmostonce.New(atmostonce.Options{
 			Instance:    d.settings.Instance,
-			Incarnation: uint64(d.started.UnixNano()),
+			Incarnation: d.incarnation(),
 			Retention:   repeatRetention,
 			Capacity:    repeatCapacity,
 		}),
@@ -211,6 +212,14 @@
 	})
 }
 
+// incarnation is what entries tell callers of this process. Should the instance have to
+// refute its death, entries tell a higher one, and a repeat that names that one gets no
+// proof: safe, though less helpful.
+func (d *Daemon) incarnation() uint64 {
+	self, _ := d.cluster.Member(d.settings.Instance)
+	return self.Incarnation
+}
+
 func (d *Daemon) gatewayLimits() gateway.Limits {
 	bounds := d.settings.Listeners.Callers.Bounds
 	return gateway.Limits{
--- a/internal/lab/entry/process.go
+++ b/internal/lab/entry/process.go
@@ -16,6 +16,7 @@
 	"limpethub/internal/lab/bench"
 	"limpethub/internal/operatorapi"
 	"limpethub/internal/settings"
+	"limpethub/internal/strictjson"
 )
 
 // Processes starts instances as processes of the daemon's binary.
@@ -59,11 +60,7 @@
 
 // Start implements bench.Factory.
 func (h *Processes) Start(ctx context.Context, o bench.DaemonOptions) (bench.Daemon, error) {
-	s, err := h.settings(o)
-	if err != nil {
-		return nil, err
-	}
-	p, err := h.launch(s)
+	p, err := h.StartUnconfigured(o)
 	if err != nil {
 		return nil, err
 	}
@@ -74,7 +71,17 @@
 	return p, nil
 }
 
+// StartUnconfigured starts an instance and puts no configuration in force.
+func (h *Processes) StartUnconfigured(o bench.DaemonOptions) (*Process, error) {
+	s, err := h.settings(o)
+	if err != nil {
+		return nil, err
+	}
+	return h.launch(s)
+}
+
 func (h *Processes) launch(s settings.Settings) (*Process, error) {
+	strictjson.FillLists(&s)
 	data, err := json.MarshalIndent(s, "", "  ")
 	if err != nil {
 		return nil, fmt.Errorf("entry: encode settings: %w", err)
@@ -99,7 +106,7 @@
 	case <-p.exited:
 		return nil, fmt.Errorf("%w: %s", errNotStarted, p.Logs())
 	}
-	p.Operator = operatorapi.NewClient("http://"+p.addresses.Operators, operatorToken, http.DefaultClient)
+	p.Operator = operatorapi.NewClient("http://"+p.addresses.Operators, OperatorToken, http.DefaultClient)
 	return p, nil
 }
 
@@ -160,3 +167,6 @@
 
 // Resume lets a paused process go on.
 func (p *Process) Resume() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
+
+// OperatorAddress is host:port of the operators' listener.
+func (p *Process) OperatorAddress() string { return p.addresses.Operators }
