kvstore: refused and hanging calls count, too

The outage experiment showed 0 calls a second while the service hung or was down: the stand-in counted a call only when it was carried out. The platform counts each call, and calls during an outage are the ones that matter.

--- a/internal/fleet/inforce_bench_test.go
+++ b/internal/fleet/inforce_bench_test.go
@@ -129,7 +129,7 @@
 			defer wg.Wait()
 			defer cancel()
 			apply(b, f, 0)
-			calls := f.service.Stats().Calls()
+			calls := f.service.Stats().Received
 			worst := time.Duration(0)
 			b.ResetTimer()
 			for i := range b.N {
@@ -139,7 +139,7 @@
 			}
 			b.StopTimer()
 			b.ReportMetric(float64(worst.Milliseconds()), "ms-worst")
-			b.ReportMetric(float64(f.service.Stats().Calls()-calls)/float64(b.N), "calls/op")
+			b.ReportMetric(float64(f.service.Stats().Received-calls)/float64(b.N), "calls/op")
 		})
 	}
 }
--- a/internal/lab/bench/result.go
+++ b/internal/lab/bench/result.go
@@ -146,7 +146,7 @@
 	}
 	weights := s.Weights.Stats()
 	c.loadViolations = weights.RateViolations + weights.OverlapViolations
-	c.storeCalls = s.Store.Stats().Calls()
+	c.storeCalls = s.Store.Stats().Received
 	return c
 }
 
--- a/internal/lab/standin/kvstore/http.go
+++ b/internal/lab/standin/kvstore/http.go
@@ -40,6 +40,7 @@
 // endpoint applies faults and rates before a call.
 func (s *Service) endpoint(limit *rate.Limiter, handle http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.count(func(st *Stats) { st.Received++ })
 		faults := s.currentFaults()
 		if faults.Hang {
 			<-r.Context().Done()
--- a/internal/lab/standin/kvstore/kvstore.go
+++ b/internal/lab/standin/kvstore/kvstore.go
@@ -36,6 +36,8 @@
 
 // Stats counts calls.
 type Stats struct {
+	// Received counts all calls, also those that a fault or a rate refused.
+	Received   int `json:"received"`
 	Reads      int `json:"reads"`
 	Writes     int `json:"writes"`
 	Watches    int `json:"watches"`
@@ -48,9 +50,6 @@
 	LostAnswers int `json:"lost_answers"`
 }
 
-// Calls is the number of calls in all.
-func (s Stats) Calls() int { return s.Reads + s.Writes + s.Watches + s.KeepAlives }
-
 type record struct {
 	key         string
 	value       []byte
--- a/internal/store/etcdstore/etcdstore_test.go
+++ b/internal/store/etcdstore/etcdstore_test.go
@@ -168,4 +168,7 @@
 	if _, err := s.Get(ctx, "k"); err == nil || errors.Is(err, store.ErrNotFound) {
 		t.Fatalf("outage: %v", err)
 	}
+	if got := service.Stats().Received; got != 3 {
+		t.Fatalf("%d calls counted, want 3: refused ones count, too", got)
+	}
 }
