--- a/internal/lab/standin/modelengine/step.go
+++ b/internal/lab/standin/modelengine/step.go
@@ -34,7 +34,7 @@
 		}
 		timer.Reset(time.Until(next))
 		<-timer.C
-		e.finishStep(duration)
+		e.finishStep()
 	}
 }
 
@@ -79,15 +79,14 @@
 }
 
 // finishStep reads prompts within the step's budget and gives each run that has
-// read its prompt one more token.
-func (e *Engine) finishStep(duration time.Duration) {
+// read its prompt one more token. A slow engine reads no more in its longer steps.
+func (e *Engine) finishStep() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.faults.Paused {
 		return
 	}
-	factor := float64(duration) / float64(e.options.StepTime)
-	budget := e.options.PrefillPerSecond * duration.Seconds() / factor
+	budget := e.options.PrefillPerSecond * e.options.StepTime.Seconds()
 	kept := e.batch[:0]
 	for _, r := range e.batch {
 		read := min(budget, r.prefillLeft)
