Placement: no thrash between hot units; quicker recovery; steady demand moves nothing

A copy is now safe from others' demand for its first 3 minutes; room for a first copy is made all the same.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -42,18 +42,26 @@
 type Config struct {
 	// Fast is the time constant of the average that sees bursts.
 	Fast time.Duration
+	// Middle is the time constant of the average that sizes them.
+	Middle time.Duration
 	// Steady is the time constant of the average that follows the mean.
 	Steady time.Duration
 	// Forget is the time constant by which a past peak fades.
 	Forget time.Duration
-	// Deviations is by how many standard deviations the fast average must exceed
-	// the held estimate before it raises it.
+	// Deviations is by how many standard deviations the fast and the middle average must
+	// exceed the held estimate before they raise it.
 	Deviations float64
 }
 
 // DefaultConfig returns the usual time constants.
 func DefaultConfig() Config {
-	return Config{Fast: 2 * time.Second, Steady: 3 * time.Minute, Forget: 30 * time.Minute, Deviations: 3}
+	return Config{
+		Fast:       2 * time.Second,
+		Middle:     15 * time.Second,
+		Steady:     3 * time.Minute,
+		Forget:     30 * time.Minute,
+		Deviations: 4,
+	}
 }
 
 type counterKey struct {
@@ -68,13 +76,13 @@
 }
 
 type track struct {
-	fast, steady, held float64
-	tokensPerRequest   float64
-	weight             float64
-	pending            float64
-	pendingTokens      float64
-	pendingWeight      float64
-	lastUsed           time.Time
+	fast, middle, steady, held float64
+	tokensPerRequest           float64
+	weight                     float64
+	pending                    float64
+	pendingTokens              float64
+	pendingWeight              float64
+	lastUsed                   time.Time
 }
 
 // Tracker turns samples into estimates. It isn't safe for concurrent use.
@@ -181,6 +189,7 @@
 func (tr *track) advance(elapsed time.Duration, config Config) {
 	rate := tr.pending / elapsed.Seconds()
 	tr.fast = blend(tr.fast, rate, elapsed, config.Fast)
+	tr.middle = blend(tr.middle, rate, elapsed, config.Middle)
 	tr.steady = blend(tr.steady, rate, elapsed, config.Steady)
 	if tr.pending > 0 {
 		tr.tokensPerRequest = mix(tr.tokensPerRequest, tr.pendingTokens/tr.pending)
@@ -188,12 +197,16 @@
 	}
 	tr.pending, tr.pendingTokens, tr.pendingWeight = 0, 0, 0
 	tr.held *= math.Exp(-elapsed.Seconds() / config.Forget.Seconds())
-	tr.held = max(tr.held, tr.steady, tr.fast-config.Deviations*tr.noise(config))
+	tr.held = max(tr.held, config.sure(tr.fast, config.Fast), config.sure(tr.middle, config.Middle))
 }
 
-// noise is the standard deviation of the fast average of a Poisson stream.
-func (tr *track) noise(config Config) float64 {
-	return math.Sqrt(tr.fast / (2 * config.Fast.Seconds()))
+// rate is the estimate: a burst is held, the noise of the mean isn't.
+func (tr *track) rate() float64 { return max(tr.held, tr.steady) }
+
+// sure is the part of an average that the noise of a Poisson stream doesn't explain.
+func (c Config) sure(average float64, constant time.Duration) float64 {
+	deviation := math.Sqrt(average / (2 * constant.Seconds()))
+	return average - c.Deviations*deviation
 }
 
 func blend(old, value float64, elapsed, constant time.Duration) float64 {
@@ -214,8 +227,8 @@
 	for ref, tr := range t.tracks {
 		out = append(out, Estimate{
 			Ref:      ref,
-			Requests: tr.held,
-			Tokens:   tr.held * tr.tokensPerRequest,
+			Requests: tr.rate(),
+			Tokens:   tr.rate() * tr.tokensPerRequest,
 			Weight:   tr.weight,
 			LastUsed: tr.lastUsed,
 		})
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"limpethub/internal/engine"
 	"limpethub/internal/modelref"
@@ -35,6 +36,8 @@
 	work [][]float64
 	// groups remembers each server's evictable groups until the board changes.
 	groups [][][]int
+	// urgent is true while room is made for first copies, to which new copies give way.
+	urgent bool
 	plan   Plan
 	loads  int
 	quota  map[string]int
@@ -46,6 +49,8 @@
 	free, soon int64
 	// states holds each unit's state on the server, by unit index.
 	states []engine.HoldingState
+	// since holds when each unit was loaded, by unit index.
+	since []time.Time
 	// load is the work that demand puts on the server, in tokens per second.
 	load float64
 	// parts holds that work by weight, the least urgent first.
@@ -99,6 +104,7 @@
 			Server: server,
 			free:   server.CapacityMB - server.CommittedMB,
 			states: make([]engine.HoldingState, len(b.units)),
+			since:  make([]time.Time, len(b.units)),
 		}
 		for _, c := range server.Copies {
 			b.addCopy(&s, c)
@@ -113,10 +119,16 @@
 		s.soon += c.MemoryMB
 	}
 	if u, ok := b.index[c.Ref]; ok {
-		s.states[u] = c.State
+		s.states[u], s.since[u] = c.State, c.Since
 	}
 }
 
+// young reports whether a copy is too new to go for another's demand.
+func (b *board) young(u, s int) bool {
+	since := b.servers[s].since[u]
+	return !b.urgent && !since.IsZero() && b.in.Now.Sub(since) < settleTime
+}
+
 // countCopies enters a server's copies. One of a server that can't be reached or is
 // leaving doesn't count, nor does an adapter without its base.
 func (b *board) countCopies(s int) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -20,6 +20,8 @@
 	State engine.HoldingState
 	// MemoryMB is what it takes, in MiB.
 	MemoryMB int64
+	// Since is when the holder saw it loaded; zero means before its time.
+	Since time.Time
 }
 
 // Server is what is known of one engine server.
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -106,7 +106,7 @@
 	}
 	var list []rated
 	for v, state := range b.servers[s].states {
-		if state != engine.StateResident {
+		if state != engine.StateResident || b.young(v, s) {
 			continue
 		}
 		if g, ok := b.group(v, s); ok {
--- a/internal/placement/value.go
+++ b/internal/placement/value.go
@@ -33,6 +33,8 @@
 	coldness = 0.01
 	// mostGoals bounds the copies for demand that are made room for at once.
 	mostGoals = 4
+	// settleTime is how long a new copy isn't ordered out for another's demand.
+	settleTime = 3 * time.Minute
 	// goalLimit is how long a goal is pursued.
 	goalLimit = time.Minute
 	// mostTargets is how many servers are looked at for one copy.
@@ -49,16 +51,22 @@
 func NewValue() *Value { return &Value{} }
 
 // Plan implements Policy. Copies for demand come before second copies, which are
-// worth less than work that misses now and never displace others.
+// worth less than work that misses now, never displace others, and leave the weight
+// store to goals.
 func (p *Value) Plan(in Input) Plan {
 	b := newBoard(in)
 	b.retire()
 	b.spread()
+	b.urgent = true
 	b.firstCopies()
+	b.urgent = false
+	b.forgetGroups()
 	if !in.FloorOnly {
 		b.demandCopies()
 	}
-	b.secondCopies()
+	if len(b.plan.Goals) == 0 {
+		b.secondCopies()
+	}
 	return b.plan
 }
 
@@ -102,14 +110,12 @@
 		if u < 0 || s < 0 || b.in.Now.Sub(g.Began) > goalLimit {
 			continue
 		}
-		if excess, _ := b.relief(u); excess <= 0 {
-			continue
-		}
 		t, ok := b.targetOn(u, s)
 		if !ok {
 			t.relocation, t.relocates = b.relocationFor(u, s)
 		}
-		if ok || t.relocates {
+		b.rate(&t)
+		if (ok || t.relocates) && t.gain > 0 {
 			b.take(t, g.Began)
 			b.spread()
 		}
@@ -187,9 +193,7 @@
 			continue
 		}
 		looked++
-		t.gain = work*missWeight - b.displaced(s, work)
-		loss := b.lossOf(t.victims, s) + t.relocation.loss
-		t.net = t.gain - loss
+		loss := b.rate(&t)
 		if t.gain >= least*missWeight && t.gain >= hysteresis*loss {
 			out = append(out, t)
 		}
@@ -197,6 +201,18 @@
 	return out
 }
 
+// rate works out what a target gains, and returns what it loses.
+func (b *board) rate(t *target) (loss float64) {
+	excess, missWeight := b.relief(t.unit)
+	work := min(excess, b.roomForWeight(t.server, b.units[t.unit].weight))
+	if work > 0 {
+		t.gain = work*missWeight - b.displaced(t.server, work)
+	}
+	loss = b.lossOf(t.victims, t.server) + t.relocation.loss
+	t.net = t.gain - loss
+	return loss
+}
+
 // safety is what a copy in a second failure domain is worth.
 func (b *board) safety(u, s int) float64 {
 	return b.units[u].weight * (leastSafety*b.servers[s].TokensPerSecond + safetyShare*b.units[u].tokens)
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -15,7 +15,7 @@
 // Times of the core.
 const (
 	// busyInventory is the time between inventories of a server with something open.
-	busyInventory = 300 * time.Millisecond
+	busyInventory = 200 * time.Millisecond
 	// idleInventory is the least time between inventories of a quiet server, and
 	// idlePerServer what each server of the cell adds to it.
 	idleInventory = 2 * time.Second
@@ -130,8 +130,9 @@
 	nextPlan time.Time
 	plan     placement.Plan
 	planned  time.Time
-	// reasons says why each copy was loaded.
+	// reasons says why each copy was loaded, and loaded when.
 	reasons map[copyKey]string
+	loaded  map[copyKey]time.Time
 
 	effects []effect
 	events  []event
@@ -149,6 +150,7 @@
 		contacts: map[string]*contact{},
 		sent:     map[string]sending{},
 		reasons:  map[copyKey]string{},
+		loaded:   map[copyKey]time.Time{},
 	}
 }
 
--- a/internal/placer/core_plan.go
+++ b/internal/placer/core_plan.go
@@ -215,7 +215,7 @@
 		Ready:           ready,
 		Reachable:       a.Known && (a.Reachable || now.Sub(t.answered) < unreachableGrace),
 		Leaving:         slices.Contains(c.leaving, a.Spec.Name),
-		Copies:          copiesOf(a),
+		Copies:          c.copiesOf(a),
 	}
 }
 
@@ -234,10 +234,10 @@
 
 // copiesOf lists the versions on a server as they will be once its pending orders
 // are done.
-func copiesOf(a ledger.Account) []placement.Copy {
+func (c *core) copiesOf(a ledger.Account) []placement.Copy {
 	var out []placement.Copy
 	for _, h := range a.Holdings {
-		copy := placement.Copy{Ref: h.Ref, State: h.State, MemoryMB: h.MemoryMB}
+		copy := placement.Copy{Ref: h.Ref, State: h.State, MemoryMB: h.MemoryMB, Since: c.loaded[copyKey{a.Spec.Name, h.Ref}]}
 		for _, p := range a.Pending {
 			if p.Order.Ref == h.Ref && p.Order.Action == engine.ActionUnload {
 				copy.State = engine.StateUnloading
--- a/internal/placer/core_servers.go
+++ b/internal/placer/core_servers.go
@@ -213,6 +213,9 @@
 		c.dirty = now
 	}
 	delete(c.sent, s.Pending.Order.ID)
+	if s.Pending.Order.Action == engine.ActionLoad && s.State == engine.OrderDone {
+		c.loaded[copyKey{s.Pending.Server, s.Pending.Order.Ref}] = now
+	}
 	e := event{
 		kind:    eventSettled,
 		message: "Order " + string(s.State) + ".",
