--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -72,9 +72,14 @@
 		Models: []site.Model{
 			{Name: "alpha", Version: "1", Default: true, MemoryMB: 4000, Class: "urgent"},
 			{Name: "beta", Version: "1", Default: true, MemoryMB: 3000, Class: "batch"},
+			// The model that docs/CALLERS.md asks for.
+			{Name: "appraisal", Version: "1", Default: true, MemoryMB: 500, Class: "urgent"},
 		},
-		Services: []site.Service{{Name: "forms", Servers: []string{"service-1", "service-2"}, Class: "urgent"}},
-		Budgets:  site.Budgets{LoadsPerSecond: 10, ConcurrentLoads: 2, LoadMillis: 500, RetryShare: 0.2, StoreCallsPerSecond: 20},
+		Services: []site.Service{
+			{Name: "forms", Servers: []string{"service-1", "service-2"}, Class: "urgent"},
+			{Name: "financing", Servers: []string{"service-1"}, Class: "urgent"},
+		},
+		Budgets: site.Budgets{LoadsPerSecond: 10, ConcurrentLoads: 2, LoadMillis: 500, RetryShare: 0.2, StoreCallsPerSecond: 20},
 	}
 	for i, domain := range domains {
 		d.Servers = append(d.Servers, site.Server{
--- a/internal/integration/instances_test.go
+++ b/internal/integration/instances_test.go
@@ -256,3 +256,25 @@
 	}
 	return out
 }
+
+// TestPlannedStopInAnOutage stops the instance that places models while calls of the
+// key-value service hang: its stream ends whole, and the process ends by itself.
+func TestPlannedStopInAnOutage(t *testing.T) {
+	const tokens = 100
+	r := newRig(t)
+	instances := r.startThree()
+	holder := r.holder(instances)
+	r.Store.SetFaults(kvstore.Faults{Hang: true})
+	answer := async(func() reply { return r.stream(holder, "outage-stop", "alpha", tokens) })
+	r.eventually("the stream runs", func() bool { return r.runs("outage-stop") == 1 })
+	if err := holder.Drain(context.Background()); err != nil {
+		t.Fatalf("the process ended with %v", err)
+	}
+	if err := wholeStream(<-answer, "outage-stop", tokens); err != nil {
+		t.Fatal(err)
+	}
+	others := without(instances, holder)
+	if got := r.complete(others[0], "alpha", 2); got.status != http.StatusOK {
+		t.Fatalf("the others: %d %s", got.status, got.body)
+	}
+}
