--- a/internal/scheduling/candidate.go
+++ b/internal/scheduling/candidate.go
@@ -45,17 +45,18 @@
 // candidate describes a replica to the routing policy.
 func (c *core) candidate(now time.Time, r *replica, k *seeker) routing.Candidate {
 	s := r.server
-	cached := k.holders.Has(now, s.Name)
+	cached := k.holders != nil && k.holders.Has(now, s.Name)
 	total, ahead := s.load.Total(now), s.load.UpTo(now, k.class)
+	limit := s.limit.Value()
 	return routing.Candidate{
 		Name:     s.Name,
 		Near:     s.Near,
 		Own:      s.load.Own(),
 		Total:    total,
 		Ahead:    ahead,
-		Limit:    s.limit.Value(),
+		Limit:    limit,
 		OwnAhead: s.load.OwnUpTo(k.class),
-		Share:    c.share(s),
+		Share:    c.share(limit),
 		Cached:   cached,
 		Probe:    k.probe,
 		Wait:     s.wait(total, ahead),
@@ -103,16 +104,15 @@
 // full reports whether the server has no room for a request of the class. Less
 // urgent requests on it don't count, since the server lets them wait.
 func (c *core) full(now time.Time, s *server, class int) bool {
-	if !c.limited || s.load.UpTo(now, class) < s.limit.Value() {
+	limit := s.limit.Value()
+	if !c.limited || s.load.UpTo(now, class) < limit {
 		return false
 	}
-	return s.load.OwnUpTo(class) >= c.share(s)
+	return s.load.OwnUpTo(class) >= c.share(limit)
 }
 
 // share is this instance's part of a server's limit.
-func (c *core) share(s *server) int {
-	return max(1, s.limit.Value()/(1+len(c.peers)))
-}
+func (c *core) share(limit int) int { return max(1, limit/(1+len(c.peers))) }
 
 func (r *replica) usable(now time.Time, avoid string) bool {
 	return r.server.usable(now) && !now.Before(r.backoff) && r.server.Name != avoid
