--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -54,6 +54,7 @@
 }
 
 func TestKilledInstanceIsDeadEverywhereWithinThreeSeconds(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		w := settled(9, seed)
 		w.nodes[seed%9].stop()
@@ -65,6 +66,7 @@
 }
 
 func TestLostFailureDomainIsDeadEverywhereWithinThreeSeconds(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		w := settled(9, seed)
 		if took := w.loseDomain(fmt.Sprintf("zone-%d", seed%3)); took > 3*time.Second {
@@ -74,6 +76,7 @@
 }
 
 func TestLeavingIsKnownEverywhereWithinThreeSeconds(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		w := settled(9, seed)
 		leaver := w.nodes[seed%9]
@@ -87,6 +90,7 @@
 }
 
 func TestLossAloneKillsNobody(t *testing.T) {
+	t.Parallel()
 	w := settled(9, 1)
 	w.lossPerMil = 50
 	if got := w.deaths(10*time.Minute, ""); got != 0 {
@@ -95,6 +99,7 @@
 }
 
 func TestOneWayCutsBetweenPairsKillNobody(t *testing.T) {
+	t.Parallel()
 	w := settled(9, 2)
 	for i := range w.nodes { // Each instance can't reach its two next ones.
 		for step := 1; step <= 2; step++ {
@@ -107,6 +112,7 @@
 }
 
 func TestDeafInstanceKillsNobodyElse(t *testing.T) {
+	t.Parallel()
 	for _, deaf := range []bool{true, false} {
 		w := settled(9, 3)
 		odd := w.nodes[4].id.Name
@@ -132,6 +138,7 @@
 }
 
 func TestPausedInstanceComesBackWithoutKillingOthers(t *testing.T) {
+	t.Parallel()
 	w := settled(9, 4)
 	paused := w.nodes[3]
 	paused.pausedUntil = w.now.Add(20 * time.Second)
@@ -150,6 +157,7 @@
 
 // TestRegionsMeetAgain cuts a third of the fleet off for two minutes.
 func TestRegionsMeetAgain(t *testing.T) {
+	t.Parallel()
 	w := settled(30, 5)
 	for _, a := range w.nodes {
 		for _, b := range w.nodes {
