--- a/internal/placement/relocate.go
+++ b/internal/placement/relocate.go
@@ -21,7 +21,7 @@
 
 // relocationFor finds the cheapest relocation after which a unit fits on a server. It
 // is empty while one is under way.
-func (b *board) relocationFor(u, s int) (best relocation, ok bool) {
+func (b *board) relocationFor(u, s int) (best relocation, found bool) {
 	if !b.allows(u, s) {
 		return best, false
 	}
@@ -30,25 +30,31 @@
 		need -= b.sizeOf(g)
 	}
 	for v := range b.units {
-		if v == u || v == b.units[u].base || b.units[v].base >= 0 || !b.resident(v, s) {
-			continue
-		}
-		if _, counted := b.group(v, s); counted {
-			continue
-		}
-		group, whole := b.residentGroup(v, s)
-		if !whole || b.sizeOf(group) < need {
+		group, ok := b.blocking(v, u, s)
+		if !ok || b.sizeOf(group) < need {
 			continue
 		}
 		if b.covered(group, s) {
 			return relocation{from: s}, true
 		}
-		r, found := b.cheapestMove(group, s)
-		if found && (!ok || r.loss < best.loss) {
-			best, ok = r, true
+		r, fits := b.cheapestMove(group, s)
+		if fits && (!found || r.loss < best.loss) {
+			best, found = r, true
 		}
 	}
-	return best, ok
+	return best, found
+}
+
+// blocking returns the group of a model on a server that can't be ordered out for the
+// unit, since one of its copies has no other.
+func (b *board) blocking(v, u, s int) (group []int, ok bool) {
+	if v == u || v == b.units[u].base || b.units[v].base >= 0 || !b.resident(v, s) {
+		return nil, false
+	}
+	if _, evictable := b.group(v, s); evictable {
+		return nil, false
+	}
+	return b.residentGroup(v, s)
 }
 
 // residentGroup lists a model on a server with its adapters there; it isn't whole
