Transport: who waits for another's dial can give up; a dead address fails soon

A call to an address where nobody answers waited for the link's lock behind other dials, each up to 3 s, whatever its own time was: found in a goroutine dump of a status call to an instance that had just stopped. Test: 20 calls at once.

--- a/internal/peers/quictransport/link.go
+++ b/internal/peers/quictransport/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -22,9 +21,14 @@
 	users int
 	used  bool
 
-	mu         sync.Mutex
+	// lock guards what follows. It is a channel, so that whoever waits for another's
+	// dial can give up.
+	lock       chan struct{}
 	connection *quic.Conn
 	watch      silence
+	// failed and failedAt are the last dial's error and its time.
+	failed   error
+	failedAt time.Time
 }
 
 // Datagram sends without waiting; it is dropped when the peer's queue is full.
@@ -114,6 +118,7 @@
 			transport: t,
 			address:   address,
 			outgoing:  make(chan []byte, datagramQueue),
+			lock:      make(chan struct{}, 1),
 		}
 		t.links[address] = l
 		t.wg.Add(1)
@@ -164,8 +169,8 @@
 }
 
 func (l *link) close() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.lock <- struct{}{}
+	defer l.unlock()
 	if l.connection != nil {
 		_ = l.connection.CloseWithError(closeNormal, "")
 	}
@@ -205,17 +210,33 @@
 	}
 }
 
-// dial returns the live connection, or makes a new one.
+// unlock releases lock.
+func (l *link) unlock() { <-l.lock }
+
+// dial returns the live connection, or makes a new one. An address that didn't
+// answer just now fails at once.
 func (l *link) dial(ctx context.Context) (*quic.Conn, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	select {
+	case l.lock <- struct{}{}:
+		defer l.unlock()
+	case <-ctx.Done():
+		return nil, fmt.Errorf("quictransport: dial %s: %w", l.address, ctx.Err())
+	}
 	if l.connection != nil && l.usable(time.Now()) {
 		return l.connection, nil
 	}
+	if l.failed != nil && time.Since(l.failedAt) < redialPause {
+		return nil, l.failed
+	}
 	connection, err := quic.DialAddr(ctx, l.address, l.transport.tls, l.transport.quicConfig())
 	if err != nil {
-		return nil, fmt.Errorf("quictransport: dial %s: %w", l.address, err)
+		l.failed = fmt.Errorf("quictransport: dial %s: %w", l.address, err)
+		l.failedAt = time.Now()
+		return nil, l.failed
 	}
+	l.failed = nil
 	l.transport.counters.dialed()
 	l.transport.wire.add(connection)
 	l.connection = connection
--- a/internal/peers/quictransport/transport.go
+++ b/internal/peers/quictransport/transport.go
@@ -61,6 +61,8 @@
 	DefaultMaxStreams = 32
 
 	dialTimeout = 3 * time.Second
+	// redialPause is how long an address that didn't answer isn't dialed again.
+	redialPause = 200 * time.Millisecond
 	// datagramDialTimeout is shorter: what waits for it soon is of no use.
 	datagramDialTimeout = time.Second
 	callTimeout         = 10 * time.Second
--- a/internal/peers/quictransport/transport_test.go
+++ b/internal/peers/quictransport/transport_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -197,6 +199,32 @@
 	}
 }
 
+// TestDeadAddressFailsAllCallersTogether makes many calls of an address where nobody
+// listens: none waits for another's dial beyond its own time.
+func TestDeadAddressFailsAllCallersTogether(t *testing.T) {
+	ca := newAuthority(t)
+	a := start(t, "127.0.0.1:0", ca.issue(t, "a"), newEcho())
+	silent, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 4*dialTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for range 20 {
+		wg.Go(func() {
+			if _, err := a.Call(ctx, silent.LocalAddr().String(), peers.KindStatus, nil); err == nil {
+				t.Error("a silent address answered")
+			}
+		})
+	}
+	wg.Wait()
+	if ctx.Err() != nil {
+		t.Error("the calls waited for one another")
+	}
+}
+
 func TestValidate(t *testing.T) {
 	ca := newAuthority(t)
 	noAuthority := ca.issue(t, "a")
