--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
+	"limpethub/internal/logging"
 	"limpethub/internal/membership"
 	"limpethub/internal/peers"
 	"limpethub/internal/platform"
@@ -106,7 +107,7 @@
 		options.BytesPerSecond = DefaultBytesPerSecond
 	}
 	if options.Logger == nil {
-		options.Logger = discardLogger()
+		options.Logger = logging.Discard()
 	}
 	return options
 }
--- a/internal/cluster/stats.go
+++ b/internal/cluster/stats.go
@@ -1,10 +1,7 @@
 package cluster
 
 import (
-	"io"
 	"sync/atomic"
-
-	"github.com/sirupsen/logrus"
 )
 
 type stats struct {
@@ -36,9 +33,3 @@
 		Malformed:          c.stats.malformed.Load(),
 	}
 }
-
-func discardLogger() *logrus.Entry {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	return logrus.NewEntry(logger)
-}
--- a/internal/fleet/fuzz_test.go
+++ b/internal/fleet/fuzz_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"flag"
-	"os"
 	"runtime"
-	"strconv"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"limpethub/internal/lab/fuzzing"
 )
 
 // Bounds of the fuzzing in CI.
@@ -25,19 +25,7 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	setDefault("rapid.seed", "0", "20261203")
-	setDefault("rapid.steps", "30", strconv.Itoa(fuzzSteps))
-	setDefault("rapid.checks", "100", strconv.Itoa(fuzzChecks))
-	setDefault("rapid.nofailfile", "false", "true")
-	os.Exit(m.Run())
-}
-
-// setDefault gives a flag another value unless the command line did.
-func setDefault(name, unset, value string) {
-	if f := flag.Lookup(name); f.Value.String() == unset {
-		_ = f.Value.Set(value)
-	}
+	fuzzing.Main(m, fuzzing.Settings{Seed: 20261203, Steps: fuzzSteps, Checks: fuzzChecks})
 }
 
 // script is the state machine that rapid drives.
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -10,10 +10,9 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"limpethub/internal/dispatch"
 	"limpethub/internal/engine"
+	"limpethub/internal/logging"
 	"limpethub/internal/request"
 	"limpethub/internal/scheduling"
 	"limpethub/internal/verdict"
@@ -139,12 +138,6 @@
 
 func (anyServer) Server(name string) (engine.Server, bool) { return engine.Server{Name: name}, true }
 
-func quiet() *logrus.Entry {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	return logrus.NewEntry(logger)
-}
-
 type trial struct {
 	scheduler  *fakeScheduler
 	plane      *fakePlane
@@ -154,8 +147,8 @@
 
 func (tr *trial) run(ctx context.Context) error {
 	tr.plane.canceled = make(chan request.ID, 4)
-	d := dispatch.New(dispatch.Options{Scheduler: tr.scheduler, Logger: quiet(), Now: time.Now})
-	f := New(Options{Dispatcher: d, Plane: tr.plane, Directory: anyServer{}, Logger: quiet(), Now: time.Now})
+	d := dispatch.New(dispatch.Options{Scheduler: tr.scheduler, Logger: logging.Discard(), Now: time.Now})
+	f := New(Options{Dispatcher: d, Plane: tr.plane, Directory: anyServer{}, Logger: logging.Discard(), Now: time.Now})
 	call := engine.Call{Request: request.Request{ID: "r", Idempotent: tr.idempotent, Deadline: time.Now().Add(10 * time.Second)}}
 	return f.Stream(ctx, call, &tr.sink)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -13,10 +13,9 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"limpethub/internal/engine"
 	"limpethub/internal/forward"
+	"limpethub/internal/logging"
 	"limpethub/internal/request"
 	"limpethub/internal/site"
 	"limpethub/internal/verdict"
@@ -95,14 +94,12 @@
 
 func start(t *testing.T, forwarder *fakeForwarder, accepted *site.Accepted) fixture {
 	t.Helper()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	repeats := &fakeRepeats{begun: map[request.ID]bool{}}
 	g := New(Options{
 		Instance: "entry-1", Forwarder: forwarder, Repeats: repeats,
 		Configuration: fixedConfiguration{accepted}, Directory: fixedDirectory{},
 		Limits: Limits{BodyBytes: 1000, ReadTimeout: time.Minute, WriteTimeout: time.Minute, KeepAlive: time.Minute, EntriesTTL: 5 * time.Second, MaxTimeout: time.Hour, OpenRequests: 10},
-		Logger: logrus.NewEntry(logger), Now: time.Now,
+		Logger: logging.Discard(), Now: time.Now,
 	})
 	server := httptest.NewServer(g)
 	t.Cleanup(server.Close)
--- a/internal/gateway/paced_bench_test.go
+++ b/internal/gateway/paced_bench_test.go
@@ -13,13 +13,12 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"limpethub/internal/dispatch"
 	"limpethub/internal/engine"
 	"limpethub/internal/engine/httpengine"
 	"limpethub/internal/forward"
 	"limpethub/internal/gateway"
+	"limpethub/internal/logging"
 	"limpethub/internal/modelref"
 	"limpethub/internal/scheduling"
 	"limpethub/internal/site"
@@ -75,9 +74,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	log := logrus.NewEntry(logger)
+	log := logging.Discard()
 	d := dispatch.New(dispatch.Options{Scheduler: scheduler, Logger: log, Now: time.Now})
 	d.SetServers([]scheduling.Server{{Name: "s", FailureDomain: "a", Near: true}})
 	d.ObserveReport("s", engine.Report{Sequence: 1, Taken: time.Now(), MaxBatch: 100_000, StepMillis: 1, Resident: []modelref.Ref{pacedModel}})
--- a/internal/gateway/stream_bench_test.go
+++ b/internal/gateway/stream_bench_test.go
@@ -9,10 +9,9 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"limpethub/internal/engine"
 	"limpethub/internal/forward"
+	"limpethub/internal/logging"
 )
 
 // tokensPerStream is the length of the benchmarks' answers.
@@ -37,13 +36,11 @@
 // BenchmarkStreamToCaller measures one streamed token from the forwarder to a caller
 // over loopback, the caller's reading included.
 func BenchmarkStreamToCaller(b *testing.B) {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	g := New(Options{
 		Instance: "entry-1", Forwarder: &benchForwarder{data: []byte(`{"object":"text_completion","choices":[{"index":0,"text":" word"}]}`)},
 		Repeats: nil, Configuration: fixedConfiguration{configured()}, Directory: fixedDirectory{},
 		Limits: Limits{BodyBytes: 1000, ReadTimeout: time.Minute, WriteTimeout: time.Minute, KeepAlive: time.Minute, EntriesTTL: time.Second, MaxTimeout: time.Hour, OpenRequests: 10},
-		Logger: logrus.NewEntry(logger), Now: time.Now,
+		Logger: logging.Discard(), Now: time.Now,
 	})
 	server := httptest.NewServer(g)
 	defer server.Close()
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -36,3 +36,11 @@
 func For(logger *logrus.Logger, part Part, instance string) *logrus.Entry {
 	return logger.WithFields(logrus.Fields{"part": string(part), "instance": instance})
 }
+
+// Discard makes a logger for parts that were given none.
+func Discard() *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	logger.SetLevel(logrus.PanicLevel)
+	return logrus.NewEntry(logger)
+}
--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -9,6 +9,7 @@
 	"github.com/gorilla/mux"
 	"github.com/sirupsen/logrus"
 
+	"limpethub/internal/logging"
 	"limpethub/internal/sitecheck"
 	"limpethub/internal/strictjson"
 )
@@ -70,9 +71,7 @@
 
 // NewHandler makes a handler.
 func NewHandler(controller Controller, auth Auth, options ...Option) *Handler {
-	silent := logrus.New()
-	silent.SetLevel(logrus.PanicLevel)
-	h := &Handler{controller: controller, auth: auth, log: logrus.NewEntry(silent)}
+	h := &Handler{controller: controller, auth: auth, log: logging.Discard()}
 	WithBounds(defaultMaxBodyBytes, defaultMaxCalls)(h)
 	for _, option := range options {
 		option(h)
--- a/internal/peers/quictransport/tls.go
+++ b/internal/peers/quictransport/tls.go
@@ -5,9 +5,6 @@
 	"crypto/x509"
 	"errors"
 	"fmt"
-	"io"
-
-	"github.com/sirupsen/logrus"
 )
 
 func validateTLS(config *tls.Config) error {
@@ -65,9 +62,3 @@
 	}
 	return state.PeerCertificates[0].Subject.CommonName
 }
-
-func discardLogger() *logrus.Entry {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	return logrus.NewEntry(logger)
-}
--- a/internal/peers/quictransport/transport.go
+++ b/internal/peers/quictransport/transport.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"limpethub/internal/kernel"
+	"limpethub/internal/logging"
 	"limpethub/internal/peers"
 )
 
@@ -124,7 +125,7 @@
 		options.SilenceTimeout = DefaultSilenceTimeout
 	}
 	if options.Logger == nil {
-		options.Logger = discardLogger()
+		options.Logger = logging.Discard()
 	}
 	t.options = options
 	if t.handlers == nil {
--- a/internal/placer/fuzz_test.go
+++ b/internal/placer/fuzz_test.go
@@ -2,38 +2,24 @@
 
 import (
 	"flag"
-	"fmt"
-	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"limpethub/internal/lab/fuzzing"
 )
 
 // fuzzSeed fixes the runs, so that each has the same verdict.
-const fuzzSeed = "20261203"
+const fuzzSeed = 20261203
 
 // stepsPerRun is how many steps one run takes before it must converge.
 const stepsPerRun = 2500
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	set := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	for name, value := range map[string]string{
-		"rapid.seed": fuzzSeed, "rapid.checks": "14", "rapid.nofailfile": "true", "rapid.shrinktime": "1s",
-	} {
-		if set[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
-		}
-	}
-	os.Exit(m.Run())
+	fuzzing.Main(m, fuzzing.Settings{Seed: fuzzSeed, Checks: 14, Shrink: time.Second})
 }
 
 // step lets one thing happen in the world.
--- a/internal/scheduling/main_test.go
+++ b/internal/scheduling/main_test.go
@@ -1,19 +1,9 @@
 package scheduling
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"limpethub/internal/lab/fuzzing"
 )
 
-// TestMain fixes the seed of rapid, so that each run has the same verdict. A flag on
-// the command line goes first.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "4", "rapid.checks": "60"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fuzzing.Main(m, fuzzing.Settings{Seed: 4, Checks: 60}) }
