Stand-in engine: cache events, late and with gaps; KV cache exported and imported

Cause: the stand-in lacked them, though the platform's engines have them. By block keys, since the stand-in's cache holds no more. The product uses neither yet.

--- a/internal/lab/standin/modelengine/engine.go
+++ b/internal/lab/standin/modelengine/engine.go
@@ -36,6 +36,10 @@
 	MaxWaiting int
 	// PrefixBlocks is how many prompt blocks the prefix cache holds.
 	PrefixBlocks int
+	// CacheEventLag is how late cache events come.
+	CacheEventLag time.Duration
+	// LoseCacheEvery makes each n-th cache event get lost; 0 means none.
+	LoseCacheEvery int
 	// ReportLag is how old a report is when it is read.
 	ReportLag time.Duration
 	// UnloadTime is how long an unload takes.
@@ -144,6 +148,7 @@
 	e.fence = 0
 	e.leaving = false
 	e.prefixes = newPrefixCache(e.options.PrefixBlocks)
+	e.prefixes.loseEvery = e.options.LoseCacheEvery
 	e.life, e.end = context.WithCancel(context.Background())
 }
 
--- a/internal/lab/standin/modelengine/http.go
+++ b/internal/lab/standin/modelengine/http.go
@@ -59,6 +59,9 @@
 	r.HandleFunc("/v1/requests/{id}", e.handleCancel).Methods(http.MethodDelete)
 	r.HandleFunc("/v1/report", e.handleReport).Methods(http.MethodGet)
 	r.HandleFunc("/v1/inventory", e.handleInventory).Methods(http.MethodGet)
+	r.HandleFunc("/v1/cache-events", e.handleCacheEvents).Methods(http.MethodGet)
+	r.HandleFunc("/v1/kv", e.handleExport).Methods(http.MethodGet)
+	r.HandleFunc("/v1/kv", e.handleImport).Methods(http.MethodPost)
 	r.HandleFunc("/v1/orders", e.handleOrder).Methods(http.MethodPost)
 	return e.pausable(r)
 }
--- a/internal/lab/standin/modelengine/prefix.go
+++ b/internal/lab/standin/modelengine/prefix.go
@@ -22,6 +22,9 @@
 	limit  int
 	recent *list.List
 	blocks map[uint64]*list.Element
+	log    cacheLog
+	// loseEvery makes each n-th event get lost; 0 means none.
+	loseEvery int
 }
 
 func newPrefixCache(limit int) *prefixCache {
@@ -59,8 +62,19 @@
 	if len(c.blocks) >= c.limit {
 		oldest := c.recent.Back()
 		delete(c.blocks, oldest.Value.(uint64))
+		c.log.add(CacheEvicted, oldest.Value.(uint64), c.loseEvery)
 		c.recent.Remove(oldest)
 	}
 	c.blocks[key] = c.recent.PushFront(key)
+	c.log.add(CacheStored, key, c.loseEvery)
 	return false
 }
+
+// keys lists the blocks, the most recent first.
+func (c *prefixCache) keys() []uint64 {
+	out := make([]uint64, 0, len(c.blocks))
+	for element := c.recent.Front(); element != nil; element = element.Next() {
+		out = append(out, element.Value.(uint64))
+	}
+	return out
+}
