Operators' tool leaves no idle connections; demand within the byte budget; cells wired

Causes, each found by tests or figures of others on this tree: - TestAgainstDaemons failed in complete runs: each command left an idle connection open, and the operators' listener takes 64.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -148,8 +148,10 @@
 		return nil, &usageError{err: err}
 	}
 	client := &http.Client{
-		Timeout:   time.Duration(s.TimeoutMillis) * time.Millisecond,
-		Transport: &http.Transport{DialTLSContext: source.DialContext},
+		Timeout: time.Duration(s.TimeoutMillis) * time.Millisecond,
+		// A command makes a call or two. Idle connections would take places on the
+		// instance's bounded listener.
+		Transport: &http.Transport{DialTLSContext: source.DialContext, DisableKeepAlives: true},
 	}
 	return operatorapi.NewClient(s.Server, token, client), nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -164,7 +164,7 @@
 	}
 	d.requests = metrics.NewRequests(d.registry)
 	d.demand = newDemandBoard(d.processName())
-	d.directory = &callerDirectory{cluster: d.cluster, domain: d.settings.FailureDomain, seed: d.seed}
+	d.directory = &callerDirectory{cluster: d.cluster, configuration: d.confsync, domain: d.settings.FailureDomain, seed: d.seed}
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Scheduler: scheduler, Observer: &arrivals{Requests: d.requests, demand: d.demand}, Logger: d.log(logging.Routing), Now: time.Now,
 	})
--- a/internal/daemon/directories.go
+++ b/internal/daemon/directories.go
@@ -2,20 +2,29 @@
 
 import (
 	"math/rand/v2"
+	"strings"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"limpethub/internal/cluster"
 	"limpethub/internal/entries"
 	"limpethub/internal/gateway"
 	"limpethub/internal/membership"
+	"limpethub/internal/site"
 )
 
-// callerDirectory answers callers which instances to use.
+// callerDirectory answers callers which instances to use. In a large fleet a model's
+// callers are sent to the instances of its cell.
 type callerDirectory struct {
-	cluster *cluster.Cluster
-	domain  string
-	seed    uint64
-	asked   atomic.Uint64
+	cluster       *cluster.Cluster
+	configuration gateway.Configuration
+	domain        string
+	seed          uint64
+	asked         atomic.Uint64
+
+	mu      sync.Mutex
+	planner entries.Planner
 }
 
 var _ gateway.Directory = (*callerDirectory)(nil)
@@ -26,7 +35,9 @@
 		from = c.domain
 	}
 	r := rand.New(rand.NewPCG(c.seed, c.asked.Add(1)))
-	answer := entries.Pick(entries.Query{Model: model, FailureDomain: from}, c.cluster.Members(), nil, r)
+	name, _, _ := strings.Cut(model, "@")
+	members := c.cluster.Members()
+	answer := entries.Pick(entries.Query{Model: name, FailureDomain: from}, members, c.cells(members), r)
 	out := make([]gateway.Entry, 0, len(answer.Entries))
 	for _, e := range answer.Entries {
 		out = append(out, gateway.Entry{Instance: e.Instance, Address: e.Address, FailureDomain: e.FailureDomain, Incarnation: e.Incarnation})
@@ -34,6 +45,29 @@
 	return out
 }
 
+// cells returns the cells of the members and models of now.
+func (c *callerDirectory) cells(members []membership.Member) *entries.Cells {
+	accepted, _ := c.configuration.Current()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.planner.Cells(time.Now(), c.cluster.Version(), accepted.Revision, members, func() []string {
+		return unitNames(&accepted.Document)
+	})
+}
+
+// unitNames lists the names of models and adapters, each once.
+func unitNames(document *site.Document) []string {
+	seen := map[string]bool{}
+	var out []string
+	for _, unit := range document.Units() {
+		if name := unit.Ref.Name(); !seen[name] {
+			seen[name] = true
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // peerDirectory finds peers' addresses.
 type peerDirectory struct{ cluster *cluster.Cluster }
 
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -27,7 +27,6 @@
 	process    string
 	dispatcher *dispatch.Dispatcher
 	cluster    *cluster.Cluster
-	transport  peers.Transport
 	demand     *demandBoard
 	// holder is the instance that holds the placement lease; empty if unknown.
 	holder     func() string
@@ -41,7 +40,7 @@
 
 func newExchange(process string, dispatcher *dispatch.Dispatcher, c *cluster.Cluster, transport peers.Transport, logger *logrus.Entry) *exchange {
 	e := &exchange{
-		process: process, dispatcher: dispatcher, cluster: c, transport: transport,
+		process: process, dispatcher: dispatcher, cluster: c,
 		logger: logger, sequence: uint64(time.Now().UnixNano()),
 	}
 	transport.Handle(peers.KindDigest, e)
@@ -94,8 +93,7 @@
 	holder := e.holder()
 	all := holder != e.lastHolder || e.rounds%(demandEvery*fullDemandEvery) == 0
 	e.lastHolder = holder
-	member, ok := e.cluster.Member(holder)
-	if !ok || holder == e.cluster.Self() {
+	if holder == "" || holder == e.cluster.Self() {
 		return
 	}
 	e.sequence++
@@ -104,7 +102,7 @@
 		return
 	}
 	for _, payload := range e.encode(d) {
-		e.transport.Datagram(member.PeerAddress, peers.KindDigest, payload)
+		e.cluster.Send(holder, peers.KindDigest, payload)
 	}
 }
 
