Forwarder: a run that must not repeat is resumed also when its answer never began

It is now asked for by id and resumed from its start; an idempotent one of which nothing came is tried elsewhere at once, as before. The new case of TestStreamEnds fails without the change (server_failed, 0 events).

--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -191,6 +191,7 @@
 		{name: "a resumed stream that starts early is not delivered twice", generate: []script{{to: 2, err: cut}}, resume: []script{{from: 0, to: 5}}, wantEvents: 5, wantRuns: 1},
 		{name: "a resumed stream with a gap is cut", generate: []script{{to: 2, err: cut}}, resume: []script{{from: 3, to: 5}, {from: 3, to: 5}, {from: 3, to: 5}}, wantErr: verdict.CodeStreamCut, wantVerdict: verdict.Ran, wantEvents: 2, wantRuns: 1},
 		{name: "a partial answer is never joined with another run", generate: []script{{to: 2, err: cut}}, idempotent: true, retries: 1, wantErr: verdict.CodeStreamCut, wantVerdict: verdict.Ran, wantEvents: 2, wantRuns: 1},
+		{name: "a run that must not repeat is resumed from its start", generate: []script{{err: reset}}, resume: []script{{to: 3}}, wantEvents: 3, wantRuns: 1},
 		{name: "another request's answer is final", generate: []script{{err: wrong}}, wantErr: verdict.CodeWrongAnswer, wantVerdict: verdict.MayHaveRun, wantRuns: 1},
 		{name: "a server that does not know the run proves nothing", generate: []script{{err: cut}}, resume: []script{{err: unknown}}, wantErr: verdict.CodeRunUnknown, wantVerdict: verdict.MayHaveRun, wantRuns: 1},
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -38,7 +38,7 @@
 	if err == nil {
 		err = f.copyEvents(stream, r)
 	}
-	for tries := 0; tries < maxResumes && resumable(ctx, err); tries++ {
+	for tries := 0; tries < maxResumes && r.resumable(ctx, err); tries++ {
 		f.logger.WithFields(logrus.Fields{"request": r.call.Request.ID, "server": r.server.Name, "offset": r.delivered, "error": err.Error()}).Info("resume")
 		stream, resumeErr := f.plane.Resume(ctx, r.server, r.call.Request.ID, r.delivered-1)
 		if resumeErr != nil {
@@ -63,25 +63,26 @@
 	return first
 }
 
-// resumable reports whether a broken stream may continue on a new connection.
-func resumable(ctx context.Context, err error) bool {
+// resumable reports whether a broken stream may continue on a new connection. A run
+// of which nothing came is given up if it may be tried elsewhere: its server has failed.
+func (r *run) resumable(ctx context.Context, err error) bool {
 	if err == nil || ctx.Err() != nil || isSinkError(err) {
 		return false
 	}
-	return verdict.Of(err) != verdict.NotRun && !isFinal(err)
+	if verdict.Of(err) == verdict.NotRun || isFinal(err) {
+		return false
+	}
+	return !hasCode(err, verdict.CodeServerFailed) || r.delivered > 0 || !r.call.Request.Idempotent
+}
+
+func hasCode(err error, code verdict.Code) bool {
+	var e *verdict.Error
+	return errors.As(err, &e) && e.Code == code
 }
 
 // isFinal reports failures that no new connection to the same run can mend.
 func isFinal(err error) bool {
-	var e *verdict.Error
-	if !errors.As(err, &e) {
-		return false
-	}
-	switch e.Code {
-	case verdict.CodeWrongAnswer, verdict.CodeServerRefused, verdict.CodeServerFailed, verdict.CodeRunUnknown:
-		return true
-	}
-	return false
+	return hasCode(err, verdict.CodeWrongAnswer) || hasCode(err, verdict.CodeServerRefused) || hasCode(err, verdict.CodeRunUnknown)
 }
 
 // settle gives the final failure of a run its verdict: a run of which events were
@@ -92,7 +93,7 @@
 	}
 	var e *verdict.Error
 	if errors.As(err, &e) && e.Code == verdict.CodeCanceled {
-		return &verdict.Error{Verdict: verdict.Ran, Code: e.Code, Message: e.Message, Err: e.Err}
+		return e.With(verdict.Ran)
 	}
 	return &verdict.Error{Verdict: verdict.Ran, Code: verdict.CodeStreamCut, Message: "the answer broke off and could not be resumed", Err: err}
 }
