--- /dev/null
+++ b/internal/daemon/requests.go
@@ -0,0 +1,116 @@
+package daemon
+
+import (
+	"fmt"
+	"time"
+
+	"limpethub/internal/atmostonce"
+	"limpethub/internal/dispatch"
+	"limpethub/internal/forward"
+	"limpethub/internal/gateway"
+	"limpethub/internal/logging"
+	"limpethub/internal/metrics"
+	"limpethub/internal/repeats"
+	"limpethub/internal/scheduling"
+	"limpethub/internal/servers"
+	"limpethub/internal/site"
+)
+
+const (
+	// maxTimeout is the longest deadline that callers may ask for.
+	maxTimeout = 24 * time.Hour
+	// repeatRetention is how long an ended non-idempotent request is remembered. Those
+	// in progress are never forgotten.
+	repeatRetention = 6 * time.Hour
+	// repeatCapacity bounds the remembered requests, at some 230 bytes each. Together
+	// with the retention it carries 23 non-idempotent requests a second.
+	repeatCapacity = 500_000
+	// callerWriteTimeout bounds one write to a slow reader.
+	callerWriteTimeout = 10 * time.Second
+	// callerKeepAlive is the time between comments on a quiet stream.
+	callerKeepAlive = 5 * time.Second
+)
+
+func (d *Daemon) buildRequests() error {
+	scheduler, err := scheduling.New(scheduling.Options{
+		Instance:      d.settings.Instance,
+		FailureDomain: d.settings.FailureDomain,
+		Seed:          d.seed,
+		Policy:        d.settings.Plugins.Routing.Name,
+		Document:      emptyDocument(),
+	})
+	if err != nil {
+		return fmt.Errorf("daemon: routing: %w", err)
+	}
+	d.requests = metrics.NewRequests(d.registry)
+	d.demand = newDemandBoard(d.processName())
+	d.directory = &callerDirectory{cluster: d.cluster, configuration: d.confsync, domain: d.settings.FailureDomain, seed: d.seed}
+	d.dispatcher = dispatch.New(dispatch.Options{
+		Scheduler: scheduler, Observer: &arrivals{Requests: d.requests, demand: d.demand}, Logger: d.log(logging.Routing), Now: time.Now,
+	})
+	d.monitor = servers.New(servers.Options{
+		FailureDomain: d.settings.FailureDomain,
+		Reporter:      d.plugins.engine,
+		Lister:        d.plugins.instances,
+		Sink:          d.dispatcher,
+		Intervals:     servers.DefaultIntervals,
+		Logger:        d.log(logging.Routing),
+	})
+	d.forwarder = forward.New(forward.Options{
+		Dispatcher: d.dispatcher, Plane: d.plugins.engine, Directory: d.monitor, Logger: d.log(logging.Routing), Now: time.Now,
+	})
+	d.gateway = gateway.New(gateway.Options{
+		Instance:      d.settings.Instance,
+		Forwarder:     d.forwarder,
+		Repeats:       d.newRepeats(),
+		Configuration: d.confsync,
+		Directory:     d.directory,
+		Observer:      d.requests,
+		Limits:        d.gatewayLimits(),
+		Logger:        d.log(logging.Gateway),
+		Now:           time.Now,
+	})
+	d.exchange = newExchange(d.processName(), d.dispatcher, d.cluster, d.plugins.peers, d.log(logging.Peers))
+	return nil
+}
+
+// emptyDocument stands until a configuration is in force; callers are refused until then.
+func emptyDocument() *site.Document {
+	return &site.Document{Classes: []site.Class{{Name: "none", TimeoutMillis: 1, Weight: 1, QueueLimit: 1}}}
+}
+
+func (d *Daemon) newRepeats() *repeats.Guard {
+	return repeats.New(repeats.Options{
+		Registry: atmostonce.New(atmostonce.Options{
+			Instance:    d.settings.Instance,
+			Incarnation: d.incarnation(),
+			Retention:   repeatRetention,
+			Capacity:    repeatCapacity,
+		}),
+		Transport: d.plugins.peers,
+		Directory: &peerDirectory{cluster: d.cluster},
+		Logger:    d.log(logging.Gateway),
+		Now:       time.Now,
+	})
+}
+
+// incarnation is what entries tell callers of this process. Should the instance have to
+// refute its death, entries tell a higher one, and a repeat that names that one gets no
+// proof: safe, though less helpful.
+func (d *Daemon) incarnation() uint64 {
+	self, _ := d.cluster.Member(d.settings.Instance)
+	return self.Incarnation
+}
+
+func (d *Daemon) gatewayLimits() gateway.Limits {
+	bounds := d.settings.Listeners.Callers.Bounds
+	return gateway.Limits{
+		BodyBytes:    bounds.MaxBodyBytes,
+		ReadTimeout:  bounds.ReadTimeout(),
+		WriteTimeout: callerWriteTimeout,
+		KeepAlive:    callerKeepAlive,
+		EntriesTTL:   d.settings.EntriesTTL(),
+		MaxTimeout:   maxTimeout,
+		OpenRequests: int64(bounds.MaxStreams),
+	}
+}
--- /dev/null
+++ b/internal/daemon/stop.go
@@ -0,0 +1,84 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"limpethub/internal/logging"
+)
+
+// Drain makes the planned stop: it leaves the answers to callers, waits out the time
+// that callers may keep an answer, finishes every request in progress, hands over its
+// leases and stops. It may be called more than once; all calls return when it is done.
+// Work that the drain timeout cuts off is reported in the error.
+func (d *Daemon) Drain(ctx context.Context) error {
+	d.drainOnce.Do(func() {
+		defer close(d.drained)
+		d.drainErr = d.drain(ctx)
+	})
+	<-d.drained
+	return d.drainErr
+}
+
+// Drained is closed when a planned stop is done.
+func (d *Daemon) Drained() <-chan struct{} { return d.drained }
+
+func (d *Daemon) drain(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.DrainTimeout())
+	defer cancel()
+	log := d.log(logging.Daemon)
+	log.Info("drain started")
+	d.gateway.Leave()
+	leaveErr := d.cluster.Leave(ctx)
+	sleep(ctx, d.settings.EntriesTTL())
+	idleErr := d.finishRequests(ctx)
+	stopErr := d.Stop(context.WithoutCancel(ctx))
+	err := errors.Join(leaveErr, idleErr, stopErr)
+	log.WithField("error", errorText(err)).Info("drain ended")
+	return err
+}
+
+// finishRequests closes the callers' listener and waits for the requests in progress.
+func (d *Daemon) finishRequests(ctx context.Context) error {
+	shutdownErr := d.callers.shutdown(ctx)
+	idleErr := d.gateway.WaitIdle(ctx)
+	if idleErr != nil {
+		return fmt.Errorf("daemon: drain timeout cut off %d requests: %w", d.gateway.Open(), idleErr)
+	}
+	return shutdownErr
+}
+
+// Stop ends the daemon at once; a planned stop is Drain.
+func (d *Daemon) Stop(ctx context.Context) error {
+	d.stop()
+	err := d.lifecycle.Stop(ctx)
+	d.running.Wait()
+	d.dispatcher.Close()
+	return err
+}
+
+// Kill ends the daemon as a process that dies: connections break, and nothing is
+// handed over.
+func (d *Daemon) Kill() {
+	d.plugins.store.Close()
+	d.closeListeners()
+	_ = d.Stop(context.Background())
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
