--- /dev/null
+++ b/internal/servers/reports.go
@@ -0,0 +1,78 @@
+package servers
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"limpethub/internal/engine"
+)
+
+// poll reads one server's reports until ctx ends.
+func (m *Monitor) poll(ctx context.Context, server engine.Server) {
+	ticker := time.NewTicker(m.options.Intervals.Poll)
+	defer ticker.Stop()
+	failures := 0
+	for {
+		report, err := m.readReport(ctx, server)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err == nil:
+			failures = 0
+			m.takeReport(server.Name, report)
+		default:
+			failures++
+			if failures == failuresUntilUnreachable {
+				m.takeUnreachable(server.Name, err)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *Monitor) readReport(ctx context.Context, server engine.Server) (engine.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.options.Intervals.PollTimeout)
+	defer cancel()
+	return m.options.Reporter.Report(ctx, server)
+}
+
+func (m *Monitor) takeReport(name string, report engine.Report) {
+	m.mu.Lock()
+	w, ok := m.watches[name]
+	if !ok {
+		m.mu.Unlock()
+		return
+	}
+	returned := w.unreachable
+	changed := w.leaving != report.Leaving
+	w.unreachable, w.leaving, w.report, w.seen = false, report.Leaving, report, time.Now()
+	m.mu.Unlock()
+	if returned {
+		m.options.Logger.WithField("server", name).Info("server answers again")
+	}
+	if changed {
+		m.options.Logger.WithFields(logrus.Fields{"server": name, "leaving": report.Leaving}).Info("server changed its leaving mark")
+		m.publish()
+	}
+	m.options.Sink.ObserveReport(name, report)
+}
+
+func (m *Monitor) takeUnreachable(name string, cause error) {
+	m.mu.Lock()
+	w, ok := m.watches[name]
+	if ok {
+		w.unreachable = true
+	}
+	m.mu.Unlock()
+	if !ok {
+		return
+	}
+	m.options.Logger.WithFields(logrus.Fields{"server": name, "error": cause.Error()}).Warn("server unreachable")
+	m.options.Sink.ObserveUnreachable(name)
+}
