--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -132,6 +132,17 @@
 	return f, cancel
 }
 
+// withFleet runs a test in virtual time with a fleet that ends with it.
+func withFleet(t *testing.T, n int, test func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		var wg sync.WaitGroup
+		f, cancel := runFleet(t, n, &wg)
+		defer wg.Wait()
+		defer cancel()
+		test(t, f)
+	})
+}
+
 func (f *fleet) states(of string) map[membership.State]int {
 	out := map[membership.State]int{}
 	for _, c := range f.clusters {
@@ -142,11 +153,7 @@
 }
 
 func TestFleetSeesDeathWithinThreeSecondsAndReturn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		var wg sync.WaitGroup
-		f, cancel := runFleet(t, 9, &wg)
-		defer wg.Wait()
-		defer cancel()
+	withFleet(t, 9, func(t *testing.T, f *fleet) {
 		time.Sleep(3 * time.Second)
 		if got := f.states("entry-4"); got[membership.Alive] != 9 {
 			t.Fatalf("states after the start: %v", got)
@@ -167,11 +174,7 @@
 }
 
 func TestLeaveAndWrongList(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		var wg sync.WaitGroup
-		f, cancel := runFleet(t, 9, &wg)
-		defer wg.Wait()
-		defer cancel()
+	withFleet(t, 9, func(t *testing.T, f *fleet) {
 		time.Sleep(3 * time.Second)
 		if err := f.clusters[2].Leave(t.Context()); err != nil {
 			t.Fatal(err)
@@ -192,11 +195,7 @@
 // TestControlStaysWithinItsBudget broadcasts far more than the budget allows, with
 // heartbeats going on.
 func TestControlStaysWithinItsBudget(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		var wg sync.WaitGroup
-		f, cancel := runFleet(t, 9, &wg)
-		defer wg.Wait()
-		defer cancel()
+	withFleet(t, 9, func(t *testing.T, f *fleet) {
 		time.Sleep(5 * time.Second)
 		before := f.clusters[0].Stats()
 		const seconds = 30
