CAs are read again when they change, in all directions

Cause: certificates and keys were read again, the CA towards the platform, backend servers and peers only at the start. Plug-ins now get TLS anew for each connection (keys.Current) instead of one configuration. TestNewCAForPeers replaces the authority of three running daemons, and a fourth one with the new keys alone joins them. TestPeerWithoutCertificateIsRefused takes the certificate out of the options, from which each dial now takes it, instead of a copy; it is as strict.

--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -89,7 +89,7 @@
 	environment := plugin.Environment{
 		Listen: d.settings.Listeners.Peers.Address,
 		Bounds: d.settings.Listeners.Peers.Bounds,
-		TLS:    peerTLS(source),
+		TLS:    func() *tls.Config { return peerTLS(source) },
 		Logger: d.log(logging.Peers),
 	}
 	d.plugins.peers, err = plugin.Load[peers.Transport](d.settings.Plugins.Peers, environment)
@@ -112,8 +112,8 @@
 // peerTLS is the configuration of both sides of a connection between peers.
 func peerTLS(source *keys.Source) *tls.Config {
 	config := source.Server(keys.ClientsMustShow)
-	// The transport adds its protocol to this configuration; one made anew for each
-	// connection would lack it.
+	// The transport asks for a configuration anew for each connection itself, since it
+	// adds its protocol.
 	config.GetConfigForClient = nil
 	client := source.Client()
 	config.RootCAs = client.RootCAs
@@ -132,7 +132,7 @@
 	if err != nil {
 		return environment, err
 	}
-	environment.TLS = source.Client()
+	environment.TLS = func() *tls.Config { return source.Client() }
 	return environment, nil
 }
 
--- a/internal/engine/httpengine/httpengine.go
+++ b/internal/engine/httpengine/httpengine.go
@@ -8,13 +8,13 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
 
 	"limpethub/internal/engine"
 	"limpethub/internal/kernel"
+	"limpethub/internal/keys"
 )
 
 // Defaults of Options.
@@ -32,7 +32,7 @@
 // Options configures an Engine. The zero value is usable.
 type Options struct {
 	// TLS is the client's side of TLS towards servers; nil means plain text.
-	TLS *tls.Config `json:"-"`
+	TLS keys.Current `json:"-"`
 	// Dialer opens connections; nil means TCP with keepalive and a user timeout.
 	Dialer Dialer `json:"-"`
 	// OrderToken is sent with orders, for servers that check who gives them.
--- a/internal/engine/httpengine/transport.go
+++ b/internal/engine/httpengine/transport.go
@@ -68,7 +68,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return handshake(ctx, conn, o.TLS, address)
+			return handshake(ctx, conn, o.TLS(), address)
 		},
 		DisableKeepAlives:      !reuse,
 		DisableCompression:     true,
--- a/internal/engine/httpengine/verdict_test.go
+++ b/internal/engine/httpengine/verdict_test.go
@@ -259,7 +259,7 @@
 }
 
 func TestUntrustedServerIsNotRun(t *testing.T) {
-	w := newWorld(t, httpengine.Options{TLS: &tls.Config{}})
+	w := newWorld(t, httpengine.Options{TLS: func() *tls.Config { return &tls.Config{} }})
 	w.serviceProxy.SetFaults(faults(func(f *faultproxy.Faults) { f.ResetToServer = 0 }))
 	wantVerdict(t, w.invoke(background(), rowID), verdict.NotRun, verdict.CodeServerFailed)
 	awaitRuns(t, w, 0)
--- a/internal/integration/network_test.go
+++ b/internal/integration/network_test.go
@@ -7,11 +7,14 @@
 	"net/http"
 	"os"
 	"testing"
+	"time"
 
+	"limpethub/internal/keys"
 	"limpethub/internal/lab/bench"
 	"limpethub/internal/lab/entry"
 	"limpethub/internal/lab/faultproxy"
 	"limpethub/internal/operatorapi"
+	"limpethub/internal/platform"
 	"limpethub/internal/settings"
 	"limpethub/internal/site"
 )
@@ -123,3 +126,75 @@
 	}
 	return out
 }
+
+// TestNewCAForPeers replaces the peers' authority on running instances: first both are
+// trusted, then each gets a certificate of the new one, then the old one goes.
+func TestNewCAForPeers(t *testing.T) {
+	r := newRig(t)
+	files := map[string]settings.Files{}
+	r.host = r.newHost(func(s *settings.Settings) { files[s.Instance] = s.Listeners.Peers.TLS })
+	instances := r.startThree()
+	old := read(t, files["entry-1"].CA)
+	fresh, err := keys.NewAuthority("new authority")
+	if err != nil {
+		t.Fatal(err)
+	}
+	both := append(append([]byte(nil), old...), fresh.CertPEM()...)
+	for _, f := range files {
+		write(t, f.CA, both)
+	}
+	time.Sleep(2 * keys.PollInterval)
+	for name, f := range files {
+		leaf, err := fresh.Issue(name, "127.0.0.1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		write(t, f.Key, leaf.Key)
+		write(t, f.Cert, leaf.Cert)
+	}
+	time.Sleep(2 * keys.PollInterval)
+	for _, f := range files {
+		write(t, f.CA, fresh.CertPEM())
+	}
+	time.Sleep(2 * keys.PollInterval)
+	// An instance that starts now has the new keys only, and is known to all.
+	r.host = r.newHost(func(s *settings.Settings) {
+		leaf, err := fresh.Issue(s.Instance, "127.0.0.1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		written, err := fresh.WriteFiles(t.TempDir(), s.Instance, leaf)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Listeners.Peers.TLS = settings.Files{Cert: written.Cert, Key: written.Key, CA: written.CA}
+	})
+	newcomer, err := r.host.StartUnconfigured(bench.DaemonOptions{
+		Name: "entry-4", FailureDomain: domains[0], Document: &r.Document,
+		StoreAddress: r.storeAddress, ListAddress: r.ListAddress(), OrderToken: "lab-orders",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.instances["entry-4"] = newcomer
+	r.List.Put(platform.Instance{Name: "entry-4", CallerAddress: newcomer.CallerAddress(), PeerAddress: newcomer.PeerAddress(), FailureDomain: domains[0]})
+	for _, p := range append(instances, newcomer) {
+		r.eventually("all four know each other", func() bool { return len(r.entries(p)) == 4 })
+	}
+}
+
+func read(t *testing.T, path string) []byte {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func write(t *testing.T, path string, data []byte) {
+	t.Helper()
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/keys/config.go
+++ b/internal/keys/config.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
-	"fmt"
 	"net"
 )
 
@@ -91,10 +90,5 @@
 // DialContext connects over TLS with the keys then in force. It fits
 // http.Transport.DialTLSContext.
 func (s *Source) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := tls.Dialer{Config: s.Client()}
-	conn, err := dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, fmt.Errorf("keys: dial %s: %w", address, err)
-	}
-	return conn, nil
+	return Current(func() *tls.Config { return s.Client() }).DialContext(ctx, network, address)
 }
--- /dev/null
+++ b/internal/keys/current.go
@@ -0,0 +1,23 @@
+package keys
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+)
+
+// Current returns the TLS configuration for one new connection, with the keys and the
+// CA then in force. A nil Current stands for plain text.
+type Current func() *tls.Config
+
+// DialContext connects over TLS with the configuration of now. It fits
+// http.Transport.DialTLSContext.
+func (c Current) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := tls.Dialer{Config: c()}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, fmt.Errorf("keys: dial %s: %w", address, err)
+	}
+	return conn, nil
+}
--- a/internal/peers/quictransport/configure.go
+++ b/internal/peers/quictransport/configure.go
@@ -18,7 +18,8 @@
 	}
 	t.setOptions(Options{
 		Listen:      environment.Listen,
-		TLS:         environment.TLS,
+		TLS:         environment.TLS(),
+		Current:     environment.TLS,
 		Logger:      environment.Logger,
 		IdleTimeout: environment.Bounds.IdleTimeout(),
 		MaxStreams:  environment.Bounds.MaxStreams,
--- a/internal/peers/quictransport/link.go
+++ b/internal/peers/quictransport/link.go
@@ -230,7 +230,7 @@
 	if l.failed != nil && time.Since(l.failedAt) < redialPause {
 		return nil, l.failed
 	}
-	connection, err := quic.DialAddr(ctx, l.address, l.transport.tls, l.transport.quicConfig())
+	connection, err := quic.DialAddr(ctx, l.address, l.transport.currentTLS(), l.transport.quicConfig())
 	if err != nil {
 		l.failed = fmt.Errorf("quictransport: dial %s: %w", l.address, err)
 		l.failedAt = time.Now()
--- a/internal/peers/quictransport/tls.go
+++ b/internal/peers/quictransport/tls.go
@@ -19,6 +19,14 @@
 	return nil
 }
 
+// currentTLS is the configuration for one new connection.
+func (t *Transport) currentTLS() *tls.Config {
+	if t.options.Current == nil {
+		return peerTLS(t.options.TLS)
+	}
+	return peerTLS(t.options.Current())
+}
+
 // peerTLS makes both ends show a certificate of our own authority. Instances are
 // replaced at any time and named by address, so that the authority is checked and
 // the host name isn't, unless ServerName is set.
--- a/internal/peers/quictransport/transport.go
+++ b/internal/peers/quictransport/transport.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"limpethub/internal/kernel"
+	"limpethub/internal/keys"
 	"limpethub/internal/logging"
 	"limpethub/internal/peers"
 )
@@ -37,6 +38,9 @@
 	// authority as RootCAs and ClientCAs. The certificate's common name is what
 	// handlers get as the sender.
 	TLS *tls.Config
+	// Current gives TLS anew for each connection, with the keys then in force; nil means
+	// that TLS stays as it is.
+	Current keys.Current
 	// Logger may be nil.
 	Logger *logrus.Entry
 	// IdleTimeout is how long an unused connection is kept; 0 means DefaultIdleTimeout.
@@ -171,7 +175,8 @@
 	if err != nil {
 		return err
 	}
-	t.tls = peerTLS(t.options.TLS)
+	t.tls = t.currentTLS()
+	t.tls.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) { return t.currentTLS(), nil }
 	transport := &quic.Transport{Conn: socket}
 	listener, err := transport.Listen(t.tls, t.quicConfig())
 	if err != nil {
--- a/internal/peers/quictransport/transport_test.go
+++ b/internal/peers/quictransport/transport_test.go
@@ -120,7 +120,7 @@
 	ca := newAuthority(t)
 	b := start(t, "127.0.0.1:0", ca.issue(t, "b"), newEcho())
 	bare := start(t, "127.0.0.1:0", ca.issue(t, "a"), newEcho())
-	bare.tls.Certificates = nil
+	bare.options.TLS.Certificates = nil // Dials take it anew.
 	if _, err := bare.Call(t.Context(), b.LocalAddress(), peers.KindStatus, []byte("x")); err == nil {
 		t.Error("a peer without certificate was answered")
 	}
--- a/internal/platform/httplist/httplist.go
+++ b/internal/platform/httplist/httplist.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,6 +12,7 @@
 	"time"
 
 	"limpethub/internal/kernel"
+	"limpethub/internal/keys"
 	"limpethub/internal/platform"
 )
 
@@ -30,7 +30,7 @@
 	// Address is the list's host:port.
 	Address string `json:"address"`
 	// TLS is the client's side of TLS; nil means plain text.
-	TLS *tls.Config `json:"-"`
+	TLS keys.Current `json:"-"`
 	// Timeout bounds a read; 0 means the default.
 	Timeout time.Duration `json:"timeout"`
 }
@@ -69,7 +69,7 @@
 	}
 	l.client = &http.Client{
 		Timeout:   l.Timeout,
-		Transport: &http.Transport{TLSClientConfig: l.TLS, IdleConnTimeout: time.Minute},
+		Transport: &http.Transport{DialTLSContext: l.TLS.DialContext, IdleConnTimeout: time.Minute},
 	}
 	return nil
 }
--- a/internal/plugin/plugin.go
+++ b/internal/plugin/plugin.go
@@ -2,12 +2,12 @@
 package plugin
 
 import (
-	"crypto/tls"
 	"fmt"
 
 	"github.com/sirupsen/logrus"
 
 	"limpethub/internal/kernel"
+	"limpethub/internal/keys"
 	"limpethub/internal/settings"
 	"limpethub/internal/strictjson"
 )
@@ -20,8 +20,8 @@
 	Listen string
 	// Bounds limits what a connection may ask for, for plug-ins that listen.
 	Bounds settings.Bounds
-	// TLS is nil for plain text.
-	TLS *tls.Config
+	// TLS gives the configuration for a new connection; nil means plain text.
+	TLS keys.Current
 	// Options holds the plug-in's own settings.
 	Options strictjson.Raw
 	Logger  *logrus.Entry
--- a/internal/store/etcdstore/etcdstore.go
+++ b/internal/store/etcdstore/etcdstore.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"net/http"
@@ -14,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"limpethub/internal/kernel"
+	"limpethub/internal/keys"
 	"limpethub/internal/store"
 )
 
@@ -35,7 +35,7 @@
 	// next call goes to the next endpoint.
 	Endpoints []string `json:"endpoints"`
 	// TLS is the client's side of TLS; nil means plain text.
-	TLS *tls.Config `json:"-"`
+	TLS keys.Current `json:"-"`
 	// CallTimeout bounds calls whose context has no deadline; 0 means the default.
 	CallTimeout time.Duration `json:"call_timeout"`
 	// CallsPerSecond is the budget of calls, watches included; 0 means no bound.
@@ -81,7 +81,7 @@
 		s.limiter = rate.NewLimiter(rate.Limit(s.CallsPerSecond), burst)
 	}
 	s.client = &http.Client{Transport: &http.Transport{
-		TLSClientConfig:     s.TLS,
+		DialTLSContext:      s.TLS.DialContext,
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: maxIdleConns,
 	}}
