--- a/internal/servers/monitor_test.go
+++ b/internal/servers/monitor_test.go
@@ -58,6 +58,13 @@
 	return w.servers[0].Leaving
 }
 
+// counts is how many reports came, and how often the server was told unreachable.
+func (w *world) counts() (reports, unreachable int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.reports, w.unreachable
+}
+
 func TestDeadAndLeavingServersAreToldWithinThreeSeconds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{}
@@ -67,8 +74,8 @@
 		m.SetDocument(ctx, &site.Document{Servers: []site.Server{{Name: "s", Address: "x:1", FailureDomain: "a"}}})
 		go m.Run(ctx)
 		time.Sleep(time.Second)
-		if w.reports == 0 || w.leaving() || m.Reach() != 1 {
-			t.Fatalf("at first: %d reports, leaving %v, reach %v", w.reports, w.leaving(), m.Reach())
+		if reports, _ := w.counts(); reports == 0 || w.leaving() || m.Reach() != 1 {
+			t.Fatalf("at first: %d reports, leaving %v, reach %v", reports, w.leaving(), m.Reach())
 		}
 		w.set(func() { w.listed = []platform.Instance{{Name: "s", Leaving: true}} })
 		time.Sleep(3 * time.Second)
@@ -77,8 +84,8 @@
 		}
 		w.set(func() { w.down, w.listed = true, nil })
 		time.Sleep(3 * time.Second)
-		if w.unreachable != 1 || w.leaving() || m.Reach() != 0 {
-			t.Fatalf("dead: told %d times, leaving %v, reach %v", w.unreachable, w.leaving(), m.Reach())
+		if _, told := w.counts(); told != 1 || w.leaving() || m.Reach() != 0 {
+			t.Fatalf("dead: told %d times, leaving %v, reach %v", told, w.leaving(), m.Reach())
 		}
 		w.set(func() { w.down = false })
 		time.Sleep(time.Second)
