Gateway: a request waits a moment for a starting instance's configuration

Ruled out: leaving out members whose heartbeats carry revision 0 (in a larger fleet most instances never hear that member's heartbeats), and joining only with a configuration (it comes from the members). Requests now wait up to 2 s for the first configuration; TestRequestsWaitForTheFirstConfiguration holds both ends in virtual time. The stand-in's lost cache events can be switched while it runs.

--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -27,6 +27,9 @@
 	repeatCapacity = 500_000
 	// callerWriteTimeout bounds one write to a slow reader.
 	callerWriteTimeout = 10 * time.Second
+	// configurationWait is how long a request waits for a starting instance to get its
+	// configuration, which takes some tens of milliseconds with the service or a peer.
+	configurationWait = 2 * time.Second
 	// callerKeepAlive is the time between comments on a quiet stream.
 	callerKeepAlive = 5 * time.Second
 )
@@ -112,5 +115,7 @@
 		EntriesTTL:   d.settings.EntriesTTL(),
 		MaxTimeout:   maxTimeout,
 		OpenRequests: int64(bounds.MaxStreams),
+
+		ConfigurationWait: configurationWait,
 	}
 }
--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -45,9 +45,9 @@
 // completionCall builds the call from the caller's HTTP request.
 func (g *Gateway) completionCall(w http.ResponseWriter, r *http.Request) (completionBody, engine.Call, *verdict.Error) {
 	var call engine.Call
-	accepted, ok := g.options.Configuration.Current()
-	if !ok {
-		return completionBody{}, call, notReady()
+	accepted, failure := g.configuration(r.Context())
+	if failure != nil {
+		return completionBody{}, call, failure
 	}
 	raw, failure := g.readBody(w, r)
 	if failure != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,9 @@
 	EntriesTTL time.Duration
 	// MaxTimeout is the longest deadline that callers may ask for.
 	MaxTimeout time.Duration
+	// ConfigurationWait is how long a request waits for the instance's first
+	// configuration: callers may be told of an instance just before it has one.
+	ConfigurationWait time.Duration
 	// OpenRequests is how many requests the instance holds at once.
 	OpenRequests int64
 }
@@ -166,7 +169,7 @@
 	return nil
 }
 
-// idlePoll is the time between two looks at the number of open requests.
+// idlePoll is the time between two looks at what is waited for.
 const idlePoll = 10 * time.Millisecond
 
 func (g *Gateway) handleHealth(w http.ResponseWriter, _ *http.Request) {
@@ -183,6 +186,27 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// configuration returns the configuration in force, waiting a little for the first one.
+func (g *Gateway) configuration(ctx context.Context) (site.Accepted, *verdict.Error) {
+	accepted, ok := g.options.Configuration.Current()
+	if ok {
+		return accepted, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, g.options.Limits.ConfigurationWait)
+	defer cancel()
+	ticker := time.NewTicker(idlePoll)
+	defer ticker.Stop()
+	for !ok {
+		select {
+		case <-ctx.Done():
+			return accepted, notReady()
+		case <-ticker.C:
+			accepted, ok = g.options.Configuration.Current()
+		}
+	}
+	return accepted, nil
+}
+
 // enter counts a request in, up to the limit of open requests.
 func (g *Gateway) enter() (leave func(), err *verdict.Error) {
 	if g.open.Add(1) > g.options.Limits.OpenRequests {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"limpethub/internal/engine"
@@ -69,6 +70,35 @@
 	return *c.accepted, true
 }
 
+// lateConfiguration is there from a time on.
+type lateConfiguration struct {
+	from     time.Time
+	accepted site.Accepted
+}
+
+func (c lateConfiguration) Current() (site.Accepted, bool) {
+	return c.accepted, !time.Now().Before(c.from)
+}
+
+// TestRequestsWaitForTheFirstConfiguration asks an instance just before and long before
+// it has its configuration.
+func TestRequestsWaitForTheFirstConfiguration(t *testing.T) {
+	for delay, want := range map[time.Duration]int{time.Second: http.StatusOK, time.Minute: http.StatusServiceUnavailable} {
+		synctest.Test(t, func(t *testing.T) {
+			g := New(Options{
+				Instance: "entry-1", Forwarder: &fakeForwarder{events: 1}, Configuration: lateConfiguration{time.Now().Add(delay), *configured()},
+				Limits: Limits{BodyBytes: 1000, MaxTimeout: time.Hour, OpenRequests: 1, ConfigurationWait: 2 * time.Second},
+				Logger: logging.Discard(), Now: time.Now,
+			})
+			w := httptest.NewRecorder()
+			g.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(`{"model":"m"}`)))
+			if w.Code != want {
+				t.Errorf("configuration after %v: %d, want %d", delay, w.Code, want)
+			}
+		})
+	}
+}
+
 type fixedDirectory struct{}
 
 func (fixedDirectory) Entries(string, string) []Entry {
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -44,9 +44,9 @@
 // serviceCall builds the call of a plain service from the caller's HTTP request.
 func (g *Gateway) serviceCall(w http.ResponseWriter, r *http.Request) (engine.Call, *verdict.Error) {
 	var call engine.Call
-	accepted, ok := g.options.Configuration.Current()
-	if !ok {
-		return call, notReady()
+	accepted, failure := g.configuration(r.Context())
+	if failure != nil {
+		return call, failure
 	}
 	name := mux.Vars(r)["service"]
 	service, ok := accepted.Document.Service(name)
--- a/internal/lab/standin/modelengine/engine.go
+++ b/internal/lab/standin/modelengine/engine.go
@@ -38,8 +38,6 @@
 	PrefixBlocks int
 	// CacheEventLag is how late cache events come.
 	CacheEventLag time.Duration
-	// LoseCacheEvery makes each n-th cache event get lost; 0 means none.
-	LoseCacheEvery int
 	// ReportLag is how old a report is when it is read.
 	ReportLag time.Duration
 	// UnloadTime is how long an unload takes.
@@ -73,6 +71,8 @@
 	DropEvery int
 	// ReportLag, if positive, replaces the lag of reports.
 	ReportLag time.Duration
+	// LoseCacheEvery makes each n-th cache event get lost; 0 means none.
+	LoseCacheEvery int
 }
 
 // Engine is the stand-in. It is safe for concurrent use.
@@ -148,7 +148,7 @@
 	e.fence = 0
 	e.leaving = false
 	e.prefixes = newPrefixCache(e.options.PrefixBlocks)
-	e.prefixes.loseEvery = e.options.LoseCacheEvery
+	e.prefixes.loseEvery = e.faults.LoseCacheEvery
 	e.life, e.end = context.WithCancel(context.Background())
 }
 
@@ -169,6 +169,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.faults = f
+	e.prefixes.loseEvery = f.LoseCacheEvery
 	e.wakeLocked()
 }
 
