The configured budget of key-value calls is in force; the adapter's second budget goes

Found on a last read of the whole change: store_calls_per_second of an accepted configuration was checked and documented, but read by nothing: storecall kept its default of 20. It is now set with each configuration, for all views at once (TestBudgetChangesForAllViews). etcdstore held a budget of its own that nothing set: storecall is the one place for it, so that one is taken out. Ruled out: a budget made anew with each configuration, which would give a full burst at each change.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -178,6 +178,7 @@
 		return s.SetDocument(now, document)
 	})
 	d.monitor.SetDocument(d.background, document)
+	d.plugins.store.SetCallsPerSecond(document.Budgets.StoreCallsPerSecond)
 	d.log(logging.Config).WithField("revision", accepted.Revision).Info("configuration in force")
 }
 
--- a/internal/store/etcdstore/call.go
+++ b/internal/store/etcdstore/call.go
@@ -39,9 +39,6 @@
 // open sends a question and returns the answer's body. It is never sent twice:
 // net/http doesn't repeat a POST once a byte of it was written.
 func (s *Store) open(ctx context.Context, path string, question any) (io.ReadCloser, error) {
-	if s.limiter != nil && !s.limiter.Allow() {
-		return nil, fmt.Errorf("etcdstore: %s: budget spent: %w", path, store.ErrThrottled)
-	}
 	text, err := json.Marshal(question)
 	if err != nil {
 		return nil, fmt.Errorf("etcdstore: %s: encode: %w", path, err)
--- a/internal/store/etcdstore/etcdstore.go
+++ b/internal/store/etcdstore/etcdstore.go
@@ -10,8 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"limpethub/internal/kernel"
 	"limpethub/internal/keys"
 	"limpethub/internal/store"
@@ -38,8 +36,6 @@
 	TLS keys.Current `json:"-"`
 	// CallTimeout bounds calls whose context has no deadline; 0 means the default.
 	CallTimeout time.Duration `json:"call_timeout"`
-	// CallsPerSecond is the budget of calls, watches included; 0 means no bound.
-	CallsPerSecond float64 `json:"calls_per_second"`
 }
 
 // Store is the client. It is safe for concurrent use.
@@ -48,7 +44,6 @@
 	Options
 
 	client   *http.Client
-	limiter  *rate.Limiter
 	endpoint atomic.Uint32
 }
 
@@ -76,10 +71,6 @@
 	if s.CallTimeout <= 0 {
 		s.CallTimeout = DefaultCallTimeout
 	}
-	if s.CallsPerSecond > 0 {
-		burst := max(1, int(s.CallsPerSecond))
-		s.limiter = rate.NewLimiter(rate.Limit(s.CallsPerSecond), burst)
-	}
 	s.client = &http.Client{Transport: &http.Transport{
 		DialTLSContext:      s.TLS.DialContext,
 		IdleConnTimeout:     idleTimeout,
--- a/internal/storecall/storecall.go
+++ b/internal/storecall/storecall.go
@@ -110,6 +110,11 @@
 	return &view
 }
 
+// SetCallsPerSecond changes the budget of all views, from now on.
+func (s *Store) SetCallsPerSecond(callsPerSecond float64) {
+	s.limiter.SetLimit(rate.Limit(callsPerSecond))
+}
+
 // Get implements store.Store.
 func (s *Store) Get(ctx context.Context, key string) (store.Entry, error) {
 	return call(ctx, s, opGet, s.options.Timeout, func(ctx context.Context) (store.Entry, error) {
--- a/internal/storecall/storecall_test.go
+++ b/internal/storecall/storecall_test.go
@@ -58,6 +58,19 @@
 	})
 }
 
+func TestBudgetChangesForAllViews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner := &service{}
+		s := New(Options{Store: inner, CallsPerSecond: 1, Burst: 1})
+		view := s.For(PurposeConfig)
+		s.SetCallsPerSecond(10)
+		hammer(view, time.Minute)
+		if inner.calls < 590 || inner.calls > 610 {
+			t.Errorf("%d calls in a minute, want 10 a second", inner.calls)
+		}
+	})
+}
+
 func TestBackOffWhileTheServiceIsAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		inner := &service{err: errAway}
