--- a/cmd/limpethubd/main.go
+++ b/cmd/limpethubd/main.go
@@ -6,14 +6,17 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/spf13/cobra"
 
 	"limpethub/internal/daemon"
+	"limpethub/internal/logging"
 	"limpethub/internal/settings"
 
 	_ "limpethub/internal/plugins"
+	_ "limpethub/platform"
 )
 
 func main() {
@@ -45,13 +48,19 @@
 	if err != nil {
 		return err
 	}
-	d, err := daemon.New(loaded, os.Stderr)
+	limitMemory(loaded.MemoryMB)
+	logs := logging.NewAsync(os.Stdout)
+	defer logs.Close()
+	d, err := daemon.New(loaded, logs)
 	if err != nil {
 		return err
 	}
 	if err := d.Start(context.Background()); err != nil {
 		return err
 	}
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go reload(reloads, path, d)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	select {
@@ -66,3 +75,28 @@
 	}()
 	return d.Drain(ctx)
 }
+
+// Shares of the process's memory bound: from where the garbage collector works harder,
+// and how much the heap may grow between two collections.
+const (
+	softMemoryShare = 0.6
+	heapGrowth      = 100
+	mib             = 1 << 20
+)
+
+// limitMemory keeps the process below its bound.
+func limitMemory(megabytes int64) {
+	if megabytes <= 0 {
+		return
+	}
+	debug.SetGCPercent(heapGrowth)
+	debug.SetMemoryLimit(int64(softMemoryShare * float64(megabytes) * mib))
+}
+
+// reload reads the settings again at each SIGHUP.
+func reload(signals <-chan os.Signal, path string, d *daemon.Daemon) {
+	for range signals {
+		loaded, err := settings.Load(path)
+		d.Reload(loaded, err)
+	}
+}
--- a/internal/confsync/spread.go
+++ b/internal/confsync/spread.go
@@ -43,7 +43,7 @@
 	maxFetches = 2
 	// retryPeriod is the first wait after a failed fetch or read.
 	retryPeriod = 200 * time.Millisecond
-	// maxRetryPeriod is the longest wait after failures.
+	// maxRetryPeriod is the longest wait after failures, unless the options say less.
 	maxRetryPeriod = 5 * time.Second
 	// readPeriod is the time between two reads of the store that only make sure.
 	readPeriod = time.Minute
@@ -56,6 +56,8 @@
 type Spread struct {
 	self string
 	rand *rand.Rand
+	// longestWait bounds the wait after failures.
+	longestWait time.Duration
 
 	held      uint64
 	heldSince time.Time
@@ -79,10 +81,11 @@
 // NewSpread makes the state of a new instance, which holds nothing.
 func NewSpread(self string, seed uint64) *Spread {
 	return &Spread{
-		self:     self,
-		rand:     rand.New(rand.NewPCG(seed, 2)),
-		heard:    map[string]uint64{},
-		fetching: map[string]bool{},
+		self:        self,
+		rand:        rand.New(rand.NewPCG(seed, 2)),
+		longestWait: maxRetryPeriod,
+		heard:       map[string]uint64{},
+		fetching:    map[string]bool{},
 	}
 }
 
@@ -239,7 +242,7 @@
 }
 
 func (s *Spread) backOff(wait time.Duration) time.Duration {
-	wait = min(max(2*wait, retryPeriod), maxRetryPeriod)
+	wait = min(max(2*wait, retryPeriod), s.longestWait)
 	return s.jitter(wait)
 }
 
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -48,6 +48,9 @@
 	Logger *logrus.Entry
 	// Seed is the source of random choices.
 	Seed uint64
+	// LongestWait bounds the wait after a failed read, watch or fetch; 0 means the
+	// default.
+	LongestWait time.Duration
 }
 
 const (
@@ -97,6 +100,9 @@
 		key:     Key(options.Site),
 		spread:  NewSpread(options.Members.Self(), options.Seed),
 	}
+	if options.LongestWait > 0 {
+		s.spread.longestWait = options.LongestWait
+	}
 	options.Transport.Handle(peers.KindConfiguration, s)
 	options.Members.OnRevision(func(peer string, revision uint64) {
 		s.mu.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -53,6 +53,9 @@
 	placer     *placer.Placer
 	callers    *listener
 	operators  *listener
+	metrics    *listener
+	// hosted holds the parts for serving in a platform's way; nil without a front.
+	hosted *hosted
 
 	operatorHandler http.Handler
 
@@ -100,6 +103,9 @@
 // build makes the parts in the order of their dependence.
 func (d *Daemon) build() error {
 	steps := []func() error{d.buildPlugins, d.buildListeners, d.buildCluster, d.buildRequests, d.buildPlacement, d.buildHandlers}
+	if d.settings.Hosted() {
+		steps = []func() error{d.buildPlugins, d.buildListeners, d.buildCluster, d.buildHosted, d.buildHandlers}
+	}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			d.closeListeners()
@@ -113,7 +119,7 @@
 	d.cluster = cluster.New(cluster.Options{
 		Self: membership.Identity{
 			Name:          d.settings.Instance,
-			CallerAddress: d.callers.advertised(d.settings.Listeners.Callers),
+			CallerAddress: d.CallerAddress(),
 			PeerAddress:   d.PeerAddress(),
 			FailureDomain: d.settings.FailureDomain,
 		},
@@ -129,6 +135,8 @@
 		Members:   d.cluster,
 		Logger:    d.log(logging.Config),
 		Seed:      d.seed,
+
+		LongestWait: d.settings.Platform.MaxBackOff(),
 	})
 	return nil
 }
@@ -177,16 +185,47 @@
 	d.dispatcher.Do(func(now time.Time, s scheduling.Scheduler) []scheduling.Decision {
 		return s.SetDocument(now, document)
 	})
-	d.monitor.SetDocument(d.background, document)
+	if d.hosted != nil {
+		d.hosted.putInForce(accepted)
+	} else {
+		d.monitor.SetDocument(d.background, document)
+	}
 	d.plugins.store.SetCallsPerSecond(document.Budgets.StoreCallsPerSecond)
 	d.log(logging.Config).WithField("revision", accepted.Revision).Info("configuration in force")
 }
 
 // CallerAddress is host:port of the callers' listener.
-func (d *Daemon) CallerAddress() string { return d.callers.address() }
+func (d *Daemon) CallerAddress() string {
+	if d.callers == nil {
+		return d.settings.Listeners.Callers.AdvertisedAddress()
+	}
+	return d.callers.advertised(d.settings.Listeners.Callers)
+}
 
 // OperatorAddress is host:port of the operators' listener.
-func (d *Daemon) OperatorAddress() string { return d.operators.address() }
+func (d *Daemon) OperatorAddress() string {
+	if d.operators == nil {
+		return ""
+	}
+	return d.operators.address()
+}
+
+// Reload takes settings that were read again, or why they couldn't be. The log level
+// comes into force at once; all else needs a restart, and is logged.
+func (d *Daemon) Reload(s settings.Settings, err error) {
+	log := d.log(logging.Daemon)
+	if err != nil {
+		log.WithError(err).Error("Settings can't be used, the former ones stay")
+		return
+	}
+	level, err := logrus.ParseLevel(s.Log.Level)
+	if err != nil {
+		log.WithError(err).Error("Log level can't be used, the former one stays")
+		return
+	}
+	d.logger.SetLevel(level)
+	log.WithFields(logrus.Fields{"level": level.String(), "restart_needed": d.settings.NeedsRestart(s)}).Info("Settings read again")
+}
 
 // Instance is the daemon's name.
 func (d *Daemon) Instance() string { return d.settings.Instance }
--- a/internal/daemon/demand.go
+++ b/internal/daemon/demand.go
@@ -48,7 +48,10 @@
 	peer map[string]map[demandKey]demandCounter
 }
 
-var _ placer.DemandSource = (*demandBoard)(nil)
+var (
+	_ placer.DemandSource = (*demandBoard)(nil)
+	_ feed                = (*demandBoard)(nil)
+)
 
 func newDemandBoard(process string) *demandBoard {
 	return &demandBoard{process: process, own: map[demandKey]*demandCounter{}, peer: map[string]map[demandKey]demandCounter{}}
@@ -106,6 +109,15 @@
 	}
 }
 
+// ForHolder implements feed.
+func (b *demandBoard) ForHolder(all bool) digest.Digest { return digest.Digest{Demands: b.Take(all)} }
+
+// AddForAll implements feed. Only the placement holder needs demand.
+func (b *demandBoard) AddForAll(*digest.Digest) {}
+
+// Observe implements feed.
+func (b *demandBoard) Observe(d digest.Digest) { b.ObserveDigest(d) }
+
 // Forget drops the counters of an instance that died.
 func (b *demandBoard) Forget(instance string) {
 	b.mu.Lock()
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -22,18 +22,35 @@
 	fullDemandEvery = 10
 )
 
+// feed is what an exchange carries besides load.
+type feed interface {
+	// ForHolder returns what the placement holder should know: what changed, or all. It
+	// may be empty.
+	ForHolder(all bool) digest.Digest
+	// AddForAll adds what all peers should know.
+	AddForAll(d *digest.Digest)
+	// Observe takes a peer's digest, and Forget drops what a dead instance said.
+	Observe(d digest.Digest)
+	Forget(instance string)
+}
+
 // exchange tells peers of this instance's load, and the placement holder of its demand.
 type exchange struct {
 	process    string
 	dispatcher *dispatch.Dispatcher
 	cluster    *cluster.Cluster
-	demand     *demandBoard
+	// feed is what travels besides load.
+	feed feed
 	// holder is the instance that holds the placement lease; empty if unknown.
 	holder     func() string
 	lastHolder string
 	logger     *logrus.Entry
 	sequence   uint64
 	rounds     int
+	// hurry makes the next digests go out at once.
+	hurry chan struct{}
+	// every is how many digests of load go out per digest of demand.
+	every int
 }
 
 var _ peers.Handler = (*exchange)(nil)
@@ -42,6 +59,7 @@
 	e := &exchange{
 		process: process, dispatcher: dispatcher, cluster: c,
 		logger: logger, sequence: uint64(time.Now().UnixNano()),
+		hurry: make(chan struct{}, 1), every: demandEvery,
 	}
 	transport.Handle(peers.KindDigest, e)
 	c.OnChange(e.memberChanged)
@@ -52,7 +70,7 @@
 func (e *exchange) memberChanged(t membership.Transition) {
 	if t.Member.State == membership.Dead {
 		e.dispatcher.ForgetRemote(t.Member.Name)
-		e.demand.Forget(t.Member.Name)
+		e.feed.Forget(t.Member.Name)
 	}
 }
 
@@ -64,16 +82,27 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-e.hurry:
+			e.sendLoad()
+			e.sendDemand()
 		case <-ticker.C:
 			e.send()
 		}
 	}
 }
 
+// Hurry makes the next digests go out at once.
+func (e *exchange) Hurry() {
+	select {
+	case e.hurry <- struct{}{}:
+	default:
+	}
+}
+
 func (e *exchange) send() {
 	e.rounds++
 	e.sendLoad()
-	if e.rounds%demandEvery == 0 {
+	if e.rounds%e.every == 0 {
 		e.sendDemand()
 	}
 }
@@ -83,6 +112,7 @@
 func (e *exchange) sendLoad() {
 	e.sequence++
 	d := digest.FromRemotes(e.cluster.Self(), e.sequence, e.dispatcher.Digest())
+	e.feed.AddForAll(&d)
 	for _, payload := range e.encode(d) {
 		e.cluster.Broadcast(peers.KindDigest, payload)
 	}
@@ -91,16 +121,17 @@
 // sendDemand tells the placement holder alone: nobody else plans.
 func (e *exchange) sendDemand() {
 	holder := e.holder()
-	all := holder != e.lastHolder || e.rounds%(demandEvery*fullDemandEvery) == 0
+	all := holder != e.lastHolder || e.rounds%(e.every*fullDemandEvery) == 0
 	e.lastHolder = holder
 	if holder == "" || holder == e.cluster.Self() {
 		return
 	}
 	e.sequence++
-	d := digest.Digest{Instance: e.cluster.Self(), Process: e.process, Sequence: e.sequence, Demands: e.demand.Take(all)}
-	if len(d.Demands) == 0 {
+	d := e.feed.ForHolder(all)
+	if len(d.Demands) == 0 && len(d.RefLoads) == 0 {
 		return
 	}
+	d.Instance, d.Process, d.Sequence = e.cluster.Self(), e.process, e.sequence
 	for _, payload := range e.encode(d) {
 		e.cluster.Send(holder, peers.KindDigest, payload)
 	}
@@ -124,7 +155,7 @@
 	for _, remote := range d.Remotes() {
 		e.dispatcher.ObserveRemote(remote)
 	}
-	e.demand.ObserveDigest(d)
+	e.feed.Observe(d)
 }
 
 // HandleCall implements peers.Handler. Digests use no calls.
--- /dev/null
+++ b/internal/daemon/hosted.go
@@ -0,0 +1,239 @@
+package daemon
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"limpethub/internal/discovery"
+	"limpethub/internal/dispatch"
+	"limpethub/internal/forward"
+	"limpethub/internal/front"
+	"limpethub/internal/lease"
+	"limpethub/internal/logging"
+	"limpethub/internal/membership"
+	"limpethub/internal/metrics"
+	"limpethub/internal/plugin"
+	"limpethub/internal/request"
+	"limpethub/internal/residency"
+	"limpethub/internal/scheduling"
+	"limpethub/internal/site"
+	"limpethub/internal/storecall"
+)
+
+const (
+	// defaultPlacementLease is how long the lease for orders lasts without renewal.
+	defaultPlacementLease = 3 * time.Second
+	// placementMarginShare and placementJitterShare are parts of that time: by how much
+	// a holder stops earlier, and by how much candidates spread their claims.
+	placementMarginShare = 6
+	placementJitterShare = 10
+)
+
+// hosted holds the parts of an instance whose callers and servers follow a platform's
+// way: servers announce themselves, requests are passed on unchanged.
+type hosted struct {
+	front   front.Front
+	relay   *forward.Relay
+	watcher *discovery.Watcher
+	manager *residency.Manager
+	feed    *residencyFeed
+	inForce atomic.Pointer[front.InForce]
+}
+
+// buildHosted makes the parts in place of those for the product's own interfaces.
+func (d *Daemon) buildHosted() error {
+	environment := plugin.Environment{Logger: d.log(logging.Gateway), Store: d.plugins.storeFor(storecall.PurposeOther)}
+	source, err := plugin.Load[discovery.Source](d.settings.Plugins.Discovery.Plugin(), environment)
+	if err != nil {
+		return err
+	}
+	h := &hosted{feed: newResidencyFeed()}
+	if h.front, err = plugin.Load[front.Front](d.settings.Plugins.Front.Plugin(), environment); err != nil {
+		return err
+	}
+	d.hosted = h
+	if err := d.buildHostedRequests(h, source); err != nil {
+		return err
+	}
+	d.buildResidency(h)
+	return nil
+}
+
+func (d *Daemon) buildHostedRequests(h *hosted, source discovery.Source) error {
+	scheduler, err := scheduling.New(scheduling.Options{
+		Instance: d.settings.Instance, FailureDomain: d.settings.FailureDomain,
+		Seed: d.seed, Policy: d.settings.Plugins.Routing.Name, Document: emptyDocument(),
+	})
+	if err != nil {
+		return fmt.Errorf("daemon: routing: %w", err)
+	}
+	d.requests = metrics.NewRequests(d.registry)
+	d.dispatcher = dispatch.New(dispatch.Options{
+		Scheduler: scheduler, Observer: &hostedArrivals{Requests: d.requests, waits: d.requestWaits},
+		Logger: d.log(logging.Routing), Now: time.Now,
+	})
+	h.watcher = discovery.New(discovery.Options{
+		FailureDomain: d.settings.FailureDomain,
+		Source:        source,
+		Sink:          d.dispatcher,
+		Pooled:        h.pooled,
+		OnLeaving:     h.feed.ServerLeaves,
+		Logger:        d.log(logging.Routing),
+	})
+	h.relay = forward.NewRelay(forward.RelayOptions{
+		Dispatcher: d.dispatcher, Plane: d.plugins.relayer, Directory: h.watcher,
+		Logger: d.log(logging.Routing), Now: time.Now,
+	})
+	d.directory = &callerDirectory{cluster: d.cluster, configuration: d.confsync, domain: d.settings.FailureDomain, seed: d.seed}
+	h.front.Use(front.Services{
+		Relay:         h.relay,
+		Configuration: h.inForce.Load,
+		Entries:       d.hostedEntries,
+		Observe:       d.requests.ObserveRequest,
+		Logger:        d.log(logging.Gateway),
+		Now:           time.Now,
+	})
+	d.exchange = newExchange(d.processName(), d.dispatcher, d.cluster, d.plugins.peers, d.log(logging.Peers))
+	d.exchange.feed, d.exchange.every = h.feed, 1
+	d.exchange.holder = func() string { return h.manager.Holder() }
+	h.feed.watcher, h.feed.wake = h.watcher, func() { h.manager.Wake() }
+	return nil
+}
+
+func (d *Daemon) buildResidency(h *hosted) {
+	ttl := d.settings.PlacementLease()
+	if ttl == 0 {
+		ttl = defaultPlacementLease
+	}
+	h.manager = residency.New(residency.Options{
+		Instance: d.settings.Instance,
+		Key:      "/limpethub/" + d.settings.Site + "/residency-lease",
+		Store:    d.plugins.storeFor(purposePlacer),
+		Servers:  d.plugins.relayer,
+		Document: h.document,
+		Known:    h.watcher.Servers,
+		Gauges:   d.gauges,
+		OnMoved: func(moved []residency.Moved) {
+			h.feed.Tell(moved)
+			d.exchange.Hurry()
+		},
+		Lease: lease.Config{
+			TTL: ttl, Margin: ttl / placementMarginShare, Jitter: ttl / placementJitterShare,
+		},
+		Now:    bootTime,
+		Seed:   d.seed,
+		Logger: d.log(logging.Placement),
+	})
+	h.feed.load = d.dispatcher.RefLoads
+}
+
+// leastEntries is how many instances callers should know, so that they have another one
+// when one fails.
+const leastEntries = 2
+
+// hostedEntries lists the instances that callers in a failure domain should use: those
+// of their own domain if there are enough, or else all that are alive.
+func (d *Daemon) hostedEntries(domain string) []entry {
+	all := d.directory.Entries("", domain)
+	alive := slices.DeleteFunc(slices.Clone(all), func(e entry) bool { return !d.aliveInstance(e.Instance) })
+	near := slices.DeleteFunc(slices.Clone(alive), func(e entry) bool { return e.FailureDomain != domain })
+	switch {
+	case len(near) >= leastEntries:
+		return near
+	case len(alive) > 0:
+		return alive
+	}
+	return all
+}
+
+func (d *Daemon) aliveInstance(name string) bool {
+	member, ok := d.cluster.Member(name)
+	return ok && member.State == membership.Alive
+}
+
+// requestWaits is called when a request waits because no server holds what it needs.
+func (d *Daemon) requestWaits() {
+	if d.hosted.manager.Holding() {
+		d.hosted.manager.Wake()
+		return
+	}
+	d.exchange.Hurry()
+}
+
+// gauges gathers the requests of all instances.
+func (d *Daemon) gauges() (map[ref]residency.Gauge, map[string]int) {
+	return d.hosted.feed.Gauges(time.Now()), d.dispatcher.ServerLoads()
+}
+
+// bootTime is a clock that also runs while the machine is suspended.
+func bootTime() time.Time {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		return time.Now()
+	}
+	return time.Unix(now.Unix())
+}
+
+// putInForce takes a new configuration.
+func (h *hosted) putInForce(accepted site.Accepted) {
+	inForce := &front.InForce{Accepted: accepted}
+	inForce.Routes = site.NewRouteTable(&inForce.Document)
+	h.inForce.Store(inForce)
+	h.watcher.Refresh()
+	h.manager.Wake()
+}
+
+func (h *hosted) document() *site.Document {
+	if inForce := h.inForce.Load(); inForce != nil {
+		return &inForce.Document
+	}
+	return nil
+}
+
+// pooled reports whether a service's servers are model engines.
+func (h *hosted) pooled(service string) bool {
+	document := h.document()
+	if document == nil {
+		return false
+	}
+	_, ok := document.Pool(service)
+	return ok
+}
+
+// hostedArrivals passes what the dispatcher observes to the metrics.
+type hostedArrivals struct {
+	*metrics.Requests
+	// waits is called when a request has to wait.
+	waits func()
+}
+
+var _ dispatch.Observer = (*hostedArrivals)(nil)
+
+// ObserveArrival implements dispatch.Observer.
+func (a *hostedArrivals) ObserveArrival(request.Request) {}
+
+// ObserveDecision implements dispatch.Observer.
+func (a *hostedArrivals) ObserveDecision(r request.Request, d scheduling.Decision, waited time.Duration) {
+	a.Requests.ObserveDecision(r, d, waited)
+	if d.Action == scheduling.Queue && r.Model != "" {
+		a.waits()
+	}
+}
+
+// residencyFeed carries what instances tell each other about models on discovered
+// servers: who needs what, what changed on a server, which servers leave.
+type residencyFeed struct {
+	watcher *discovery.Watcher
+	wake    func()
+	load    func() map[ref]scheduling.RefLoad
+
+	mu      sync.Mutex
+	peers   map[string]peerLoads
+	told    []toldNews
+	leaving []leavingNews
+}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -20,17 +20,32 @@
 			accepted, _ := d.confsync.Current()
 			return float64(accepted.Revision)
 		}),
-		gauge("limpethub_requests_open", "Requests in progress or waiting.", func() float64 { return float64(d.gateway.Open()) }),
+		gauge("limpethub_requests_open", "Requests in progress or waiting.", func() float64 { return float64(d.openRequests()) }),
 		gauge("limpethub_instances_alive", "Instances that this one holds alive, itself included.", func() float64 { return float64(d.aliveInstances()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "limpethub_attempts_total", Help: "Attempts sent to backend servers, retries included.",
-		}, func() float64 { return float64(d.forwarder.Attempts()) }),
+		}, func() float64 { return float64(d.attempts()) }),
 	)
 	if c, ok := d.plugins.peers.(collected); ok {
 		d.registry.MustRegister(c.Collectors()...)
 	}
 }
 
+// openRequests is the number of requests in progress or waiting.
+func (d *Daemon) openRequests() int64 {
+	if d.hosted != nil {
+		return d.hosted.front.Open()
+	}
+	return d.gateway.Open()
+}
+
+func (d *Daemon) attempts() uint64 {
+	if d.hosted != nil {
+		return d.hosted.relay.Attempts()
+	}
+	return d.forwarder.Attempts()
+}
+
 func gauge(name, help string, value func() float64) prometheus.Collector {
 	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
 }
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -28,9 +28,11 @@
 
 // plugins holds the daemon's plug-ins.
 type plugins struct {
-	store     *storecall.Store
-	rawStore  store.Store
-	engine    engine.Adapter
+	store    *storecall.Store
+	rawStore store.Store
+	engine   engine.Adapter
+	// relayer takes the engine's place with a front.
+	relayer   engine.Relayer
 	instances platform.Lister
 	peers     peers.Transport
 	// peerAddress is the address that the transport is bound to.
@@ -59,7 +61,10 @@
 	if err != nil {
 		return err
 	}
-	d.plugins.store = storecall.New(storecall.Options{Store: d.plugins.rawStore, Registerer: d.registry, Seed: d.seed})
+	d.plugins.store = storecall.New(storecall.Options{
+		Store: d.plugins.rawStore, Registerer: d.registry, Seed: d.seed,
+		Timeout: d.settings.Platform.CallTimeout(), MaxBackOff: d.settings.Platform.MaxBackOff(),
+	})
 	return nil
 }
 
@@ -68,6 +73,10 @@
 	if err != nil {
 		return err
 	}
+	if d.settings.Hosted() {
+		d.plugins.relayer, err = plugin.Load[engine.Relayer](d.settings.Plugins.Engine, environment)
+		return err
+	}
 	d.plugins.engine, err = plugin.Load[engine.Adapter](d.settings.Plugins.Engine, environment)
 	return err
 }
@@ -77,20 +86,26 @@
 	if err != nil {
 		return err
 	}
+	environment.Store = d.plugins.storeFor(storecall.PurposeOther)
+	environment.Instance, environment.FailureDomain = d.settings.Instance, d.settings.FailureDomain
+	environment.CallerAddress = d.settings.Listeners.Callers.AdvertisedAddress()
+	environment.PeerAddress = d.settings.Listeners.Peers.AdvertisedAddress()
 	d.plugins.instances, err = plugin.Load[platform.Lister](d.settings.Plugins.Instances, environment)
 	return err
 }
 
 func (d *Daemon) buildPeers() error {
-	source, err := openKeys(d.settings.Listeners.Peers.TLS, d.keyError)
+	current, err := d.peerKeys()
 	if err != nil {
 		return err
 	}
 	environment := plugin.Environment{
 		Listen: d.settings.Listeners.Peers.Address,
 		Bounds: d.settings.Listeners.Peers.Bounds,
-		TLS:    func() *tls.Config { return peerTLS(source) },
+		TLS:    current,
 		Logger: d.log(logging.Peers),
+
+		Unauthenticated: d.settings.Listeners.Peers.Unauthenticated,
 	}
 	d.plugins.peers, err = plugin.Load[peers.Transport](d.settings.Plugins.Peers, environment)
 	if err != nil {
@@ -109,6 +124,19 @@
 	return nil
 }
 
+// peerKeys gives the keys of connections between peers.
+func (d *Daemon) peerKeys() (keys.Current, error) {
+	if d.settings.Listeners.Peers.Unauthenticated {
+		own, err := keys.Ephemeral(d.settings.Instance)
+		return func() *tls.Config { return own }, err
+	}
+	source, err := openKeys(d.settings.Listeners.Peers.TLS, d.keyError)
+	if err != nil {
+		return nil, err
+	}
+	return func() *tls.Config { return peerTLS(source) }, nil
+}
+
 // peerTLS is the configuration of both sides of a connection between peers.
 func peerTLS(source *keys.Source) *tls.Config {
 	config := source.Server(keys.ClientsMustShow)
@@ -145,16 +173,25 @@
 
 func (d *Daemon) buildListeners() error {
 	var err error
-	d.callers, err = listen(d.settings.Listeners.Callers, keys.ClientsNeedNone, d.keyError)
-	if err != nil {
-		return err
+	if !d.settings.Listeners.Callers.Disabled {
+		if d.callers, err = listen(d.settings.Listeners.Callers, keys.ClientsNeedNone, d.keyError); err != nil {
+			return err
+		}
+	}
+	if !d.settings.Listeners.Operators.Disabled {
+		if d.operators, err = listen(d.settings.Listeners.Operators, keys.ClientsMayShow, d.keyError); err != nil {
+			return err
+		}
+	}
+	if address := d.settings.Listeners.Metrics.Address; address != "" {
+		plain := settings.Listener{Address: address, Plaintext: true, Bounds: settings.Default().Listeners.Operators.Bounds}
+		d.metrics, err = listen(plain, keys.ClientsNeedNone, d.keyError)
 	}
-	d.operators, err = listen(d.settings.Listeners.Operators, keys.ClientsMayShow, d.keyError)
 	return err
 }
 
 func (d *Daemon) closeListeners() {
-	for _, l := range []*listener{d.callers, d.operators} {
+	for _, l := range []*listener{d.callers, d.operators, d.metrics} {
 		if l != nil {
 			_ = l.close()
 		}
@@ -162,6 +199,10 @@
 }
 
 func (d *Daemon) buildHandlers() error {
+	d.registerMetrics()
+	if d.settings.Listeners.Operators.Disabled {
+		return nil
+	}
 	operators, err := operatorapi.NewKeys(d.settings.Operators.TokenFile, d.keyError)
 	if err != nil {
 		return fmt.Errorf("daemon: operators' tokens: %w", err)
@@ -173,7 +214,6 @@
 		operatorapi.WithLog(d.log(logging.Operator)),
 		operatorapi.WithBounds(bounds.MaxBodyBytes, bounds.MaxStreams),
 	)
-	d.registerMetrics()
 	d.plugins.peers.Handle(peers.KindStatus, &remoteHandler{d})
 	return nil
 }
@@ -181,7 +221,11 @@
 // addParts puts the parts under the life cycle, in the order of their start.
 func (d *Daemon) addParts() {
 	d.lifecycle.Add("store", d.plugins.rawStore)
-	d.lifecycle.Add("engine", d.plugins.engine)
+	if d.settings.Hosted() {
+		d.lifecycle.Add("engine", d.plugins.relayer)
+	} else {
+		d.lifecycle.Add("engine", d.plugins.engine)
+	}
 	d.lifecycle.Add("instances", d.plugins.instances)
 	d.lifecycle.Add("peers", d.plugins.peers)
 	d.lifecycle.Add("loops", &loops{d})
@@ -202,8 +246,13 @@
 	d.run(func(ctx context.Context) { _ = d.cluster.Run(ctx) })
 	d.run(func(ctx context.Context) { _ = d.confsync.Run(ctx) })
 	d.run(d.followConfiguration)
-	d.run(d.monitor.Run)
 	d.run(d.exchange.loop)
+	if d.hosted != nil {
+		d.run(d.hosted.watcher.Run)
+		d.run(d.hosted.manager.Run)
+		return nil
+	}
+	d.run(d.monitor.Run)
 	d.run(func(ctx context.Context) { _ = d.placer.Run(ctx) })
 	return nil
 }
@@ -224,14 +273,34 @@
 )
 
 // Start implements kernel.Starter.
-func (o *openListeners) Start(context.Context) error {
+func (o *openListeners) Start(ctx context.Context) error {
 	d := o.daemon
-	d.callers.serve(d.gateway, d.settings.Listeners.Callers.Bounds)
-	d.operators.serve(d.operatorHandler, d.settings.Listeners.Operators.Bounds)
+	if d.callers != nil {
+		d.callers.serve(d.gateway, d.settings.Listeners.Callers.Bounds)
+	}
+	if d.operators != nil {
+		d.operators.serve(d.operatorHandler, d.settings.Listeners.Operators.Bounds)
+	}
+	if d.metrics != nil {
+		metrics := promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{})
+		d.metrics.serve(metrics, settings.Default().Listeners.Operators.Bounds)
+	}
+	if d.hosted != nil {
+		return d.hosted.front.Start(ctx)
+	}
 	return nil
 }
 
 // Stop implements kernel.Stopper.
-func (o *openListeners) Stop(context.Context) error {
-	return errors.Join(o.daemon.callers.close(), o.daemon.operators.close())
+func (o *openListeners) Stop(ctx context.Context) error {
+	var errs []error
+	for _, l := range []*listener{o.daemon.callers, o.daemon.operators, o.daemon.metrics} {
+		if l != nil {
+			errs = append(errs, l.close())
+		}
+	}
+	if o.daemon.hosted != nil {
+		errs = append(errs, o.daemon.hosted.front.Stop(ctx))
+	}
+	return errors.Join(errs...)
 }
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return fmt.Errorf("daemon: %w", err)
 	}
-	d.exchange.demand = d.demand
+	d.exchange.feed = d.demand
 	d.exchange.holder = d.placementHolder
 	return nil
 }
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -30,16 +30,36 @@
 	defer cancel()
 	log := d.log(logging.Daemon)
 	log.Info("drain started")
-	d.gateway.Leave()
+	d.leave()
 	leaveErr := d.cluster.Leave(ctx)
 	sleep(ctx, d.settings.EntriesTTL())
-	idleErr := d.finishRequests(ctx)
+	idleErr := d.finish(ctx)
 	stopErr := d.Stop(context.WithoutCancel(ctx))
 	err := errors.Join(leaveErr, idleErr, stopErr)
 	log.WithField("error", errorText(err)).Info("drain ended")
 	return err
 }
 
+// leave tells callers to use other instances.
+func (d *Daemon) leave() {
+	if d.hosted != nil {
+		d.hosted.front.Leave()
+		return
+	}
+	d.gateway.Leave()
+}
+
+// finish serves what is in progress to its end.
+func (d *Daemon) finish(ctx context.Context) error {
+	if d.hosted == nil {
+		return d.finishRequests(ctx)
+	}
+	if err := d.hosted.front.Shutdown(ctx); err != nil {
+		return fmt.Errorf("daemon: drain timeout cut off %d requests: %w", d.hosted.front.Open(), err)
+	}
+	return nil
+}
+
 // finishRequests closes the callers' listener and waits for the requests in progress.
 func (d *Daemon) finishRequests(ctx context.Context) error {
 	shutdownErr := d.callers.shutdown(ctx)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"limpethub/internal/engine"
+	"limpethub/internal/modelref"
 	"limpethub/internal/request"
 	"limpethub/internal/scheduling"
 	"limpethub/internal/verdict"
@@ -160,6 +161,16 @@
 	d.event(func(now time.Time) []scheduling.Decision { return d.scheduler.ObserveReport(now, server, report) })
 }
 
+// ObserveLoad passes on what a server told of its load with an answer.
+func (d *Dispatcher) ObserveLoad(server string, load engine.Load) {
+	d.event(func(now time.Time) []scheduling.Decision { return d.scheduler.ObserveLoad(now, server, load) })
+}
+
+// ObserveResident passes on what a server holds.
+func (d *Dispatcher) ObserveResident(server string, refs []modelref.Ref) {
+	d.event(func(now time.Time) []scheduling.Decision { return d.scheduler.ObserveResident(now, server, refs) })
+}
+
 // ObserveUnreachable passes on that a server didn't answer.
 func (d *Dispatcher) ObserveUnreachable(server string) {
 	d.event(func(now time.Time) []scheduling.Decision { return d.scheduler.ObserveUnreachable(now, server) })
@@ -191,6 +202,20 @@
 	return d.scheduler.Outlook(d.now(), r)
 }
 
+// RefLoads counts this instance's requests, by version.
+func (d *Dispatcher) RefLoads() map[modelref.Ref]scheduling.RefLoad {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.RefLoads(d.now())
+}
+
+// ServerLoads estimates the requests on each server, from all instances.
+func (d *Dispatcher) ServerLoads() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.ServerLoads(d.now())
+}
+
 // ClassLoads counts this instance's requests by class.
 func (d *Dispatcher) ClassLoads() []scheduling.ClassLoad {
 	d.mu.Lock()
--- a/internal/engine/refusal.go
+++ b/internal/engine/refusal.go
@@ -37,3 +37,18 @@
 	var refusal *RefusalError
 	return errors.As(err, &refusal) && refusal.Reason == RefusalLeaving
 }
+
+// UnsentError marks a failure of which not one byte reached the server.
+type UnsentError struct{ Err error }
+
+// Error implements error.
+func (e *UnsentError) Error() string { return "engine: nothing was sent: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *UnsentError) Unwrap() error { return e.Err }
+
+// IsUnsent reports whether err proves that nothing reached the server.
+func IsUnsent(err error) bool {
+	var unsent *UnsentError
+	return errors.As(err, &unsent)
+}
--- a/internal/peers/digest/digest.go
+++ b/internal/peers/digest/digest.go
@@ -24,6 +24,8 @@
 	Tokens int `cbor:"3,keyasint,omitempty"`
 	// Classes splits Outstanding by class, the most urgent first.
 	Classes []int `cbor:"4,keyasint,omitempty"`
+	// Unread is how many prompt tokens of those the server still has to read.
+	Unread int `cbor:"5,keyasint,omitempty"`
 }
 
 // ModelDemand counts the sender's demand for one model or adapter version, since the
@@ -47,6 +49,29 @@
 	Leaving bool `cbor:"3,keyasint,omitempty"`
 }
 
+// ServerLeaving is a server that the sender knows to leave.
+type ServerLeaving struct {
+	Server string `cbor:"1,keyasint"`
+	// Born tells starts of one server apart.
+	Born int64 `cbor:"2,keyasint,omitempty"`
+}
+
+// RefLoad is how many of the sender's requests for a version run and wait.
+type RefLoad struct {
+	Ref     modelref.Ref `cbor:"1,keyasint"`
+	Running int          `cbor:"2,keyasint,omitempty"`
+	// Waiting counts those that wait because no server holds the version.
+	Waiting int `cbor:"3,keyasint,omitempty"`
+}
+
+// Residency is news that a version can be used on a server, or no longer.
+type Residency struct {
+	Server  string       `cbor:"1,keyasint"`
+	Born    int64        `cbor:"2,keyasint,omitempty"`
+	Ref     modelref.Ref `cbor:"3,keyasint"`
+	Present bool         `cbor:"4,keyasint,omitempty"`
+}
+
 // Digest is one datagram.
 type Digest struct {
 	// Instance is the sender.
@@ -55,15 +80,18 @@
 	// share it.
 	Sequence uint64 `cbor:"2,keyasint"`
 	// Process is unique to a start of the sender; demand counts from there.
-	Process string        `cbor:"3,keyasint,omitempty"`
-	Loads   []ServerLoad  `cbor:"4,keyasint,omitempty"`
-	Demands []ModelDemand `cbor:"5,keyasint,omitempty"`
-	States  []ServerState `cbor:"6,keyasint,omitempty"`
+	Process     string          `cbor:"3,keyasint,omitempty"`
+	Loads       []ServerLoad    `cbor:"4,keyasint,omitempty"`
+	Demands     []ModelDemand   `cbor:"5,keyasint,omitempty"`
+	States      []ServerState   `cbor:"6,keyasint,omitempty"`
+	Leaving     []ServerLeaving `cbor:"7,keyasint,omitempty"`
+	RefLoads    []RefLoad       `cbor:"8,keyasint,omitempty"`
+	Residencies []Residency     `cbor:"9,keyasint,omitempty"`
 }
 
 const (
 	// itemOverheadBytes is the most that CBOR adds to an item's string.
-	itemOverheadBytes = 44
+	itemOverheadBytes = 50
 	headOverheadBytes = 48
 	// classBytes is the most that CBOR takes for one class of a load's split, which
 	// holds a number of requests below 2^32.
@@ -93,6 +121,18 @@
 		s.reserve(len(state.Server))
 		s.part.States = append(s.part.States, state)
 	}
+	for _, leaving := range d.Leaving {
+		s.reserve(len(leaving.Server))
+		s.part.Leaving = append(s.part.Leaving, leaving)
+	}
+	for _, load := range d.RefLoads {
+		s.reserve(len(load.Ref))
+		s.part.RefLoads = append(s.part.RefLoads, load)
+	}
+	for _, news := range d.Residencies {
+		s.reserve(len(news.Server) + len(news.Ref))
+		s.part.Residencies = append(s.part.Residencies, news)
+	}
 	s.flush()
 	return s.out, s.err
 }
@@ -142,7 +182,7 @@
 		return Digest{}, errMalformed
 	}
 	for _, load := range d.Loads {
-		if load.Outstanding < 0 || load.Tokens < 0 || !validClasses(load.Classes) {
+		if load.Outstanding < 0 || load.Tokens < 0 || load.Unread < 0 || !validClasses(load.Classes) {
 			return Digest{}, errMalformed
 		}
 	}
@@ -160,7 +200,7 @@
 func FromRemotes(instance string, sequence uint64, remotes []scheduling.Remote) Digest {
 	d := Digest{Instance: instance, Sequence: sequence}
 	for _, r := range remotes {
-		d.Loads = append(d.Loads, ServerLoad{Server: r.Server, Outstanding: r.Outstanding, Tokens: r.Tokens, Classes: r.Classes})
+		d.Loads = append(d.Loads, ServerLoad{Server: r.Server, Outstanding: r.Outstanding, Tokens: r.Tokens, Classes: r.Classes, Unread: r.Unread})
 	}
 	return d
 }
@@ -175,6 +215,7 @@
 			Outstanding: load.Outstanding,
 			Tokens:      load.Tokens,
 			Classes:     load.Classes,
+			Unread:      load.Unread,
 			Sequence:    d.Sequence,
 		})
 	}
--- a/internal/peers/quictransport/configure.go
+++ b/internal/peers/quictransport/configure.go
@@ -23,6 +23,8 @@
 		Logger:      environment.Logger,
 		IdleTimeout: environment.Bounds.IdleTimeout(),
 		MaxStreams:  environment.Bounds.MaxStreams,
+
+		Unauthenticated: environment.Unauthenticated,
 	})
 	return nil
 }
--- a/internal/peers/quictransport/tls.go
+++ b/internal/peers/quictransport/tls.go
@@ -7,13 +7,13 @@
 	"fmt"
 )
 
-func validateTLS(config *tls.Config) error {
+func validateTLS(config *tls.Config, unauthenticated bool) error {
 	switch {
 	case config == nil:
 		return errors.New("quictransport: no TLS settings")
 	case len(config.Certificates) == 0 && config.GetCertificate == nil:
 		return errors.New("quictransport: no certificate")
-	case config.ClientCAs == nil || config.RootCAs == nil:
+	case !unauthenticated && (config.ClientCAs == nil || config.RootCAs == nil):
 		return errors.New("quictransport: no certificate authority")
 	}
 	return nil
@@ -21,10 +21,25 @@
 
 // currentTLS is the configuration for one new connection.
 func (t *Transport) currentTLS() *tls.Config {
-	if t.options.Current == nil {
-		return peerTLS(t.options.TLS)
+	base := t.options.TLS
+	if t.options.Current != nil {
+		base = t.options.Current()
 	}
-	return peerTLS(t.options.Current())
+	if t.options.Unauthenticated {
+		return openTLS(base)
+	}
+	return peerTLS(base)
+}
+
+// openTLS takes whatever certificate the other side shows, on a network that only
+// instances reach.
+func openTLS(base *tls.Config) *tls.Config {
+	config := base.Clone()
+	config.MinVersion = tls.VersionTLS13
+	config.NextProtos = []string{alpn}
+	config.ClientAuth = tls.RequireAnyClientCert
+	config.InsecureSkipVerify = true
+	return config
 }
 
 // peerTLS makes both ends show a certificate of our own authority. Instances are
--- a/internal/peers/quictransport/transport.go
+++ b/internal/peers/quictransport/transport.go
@@ -50,6 +50,8 @@
 	SilenceTimeout time.Duration
 	// MaxStreams is how many calls one peer may have open; 0 means DefaultMaxStreams.
 	MaxStreams int
+	// Unauthenticated takes any certificate of a peer.
+	Unauthenticated bool
 }
 
 // Defaults and bounds.
@@ -142,7 +144,7 @@
 	if t.options.Listen == "" {
 		return errors.New("quictransport: no listen address")
 	}
-	return validateTLS(t.options.TLS)
+	return validateTLS(t.options.TLS, t.options.Unauthenticated)
 }
 
 // Handle sets the handler of a kind. It is called before Start.
--- a/internal/plugin/plugin.go
+++ b/internal/plugin/plugin.go
@@ -9,6 +9,7 @@
 	"limpethub/internal/kernel"
 	"limpethub/internal/keys"
 	"limpethub/internal/settings"
+	"limpethub/internal/store"
 	"limpethub/internal/strictjson"
 )
 
@@ -22,9 +23,17 @@
 	Bounds settings.Bounds
 	// TLS gives the configuration for a new connection; nil means plain text.
 	TLS keys.Current
+	// Unauthenticated is true where any certificate of a peer is taken.
+	Unauthenticated bool
 	// Options holds the plug-in's own settings.
 	Options strictjson.Raw
 	Logger  *logrus.Entry
+	// Store is the key-value service, for plug-ins that build on it.
+	Store store.Store
+	// Instance and FailureDomain are the daemon's.
+	Instance, FailureDomain string
+	// CallerAddress and PeerAddress are where the daemon is reached.
+	CallerAddress, PeerAddress string
 }
 
 // Configurable is a plug-in that takes its settings before Provision.
--- /dev/null
+++ b/internal/request/prefix.go
@@ -0,0 +1,9 @@
+package request
+
+// PrefixPart is a part of a prompt with all parts before it.
+type PrefixPart struct {
+	// Key identifies the model and the prompt up to the end of the part.
+	Key uint64
+	// Tokens is the length of the prompt up to the end of the part.
+	Tokens int
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -48,6 +48,14 @@
 	Idempotent bool
 	// PrefixKey is a hash of the prompt's start; zero means none.
 	PrefixKey uint64
+	// Prefix lists the parts of the prompt that requests may share, the shortest first;
+	// empty when the caller told none. It is more exact than PrefixKey.
+	Prefix []PrefixPart
+	// Objective is when the whole answer, or the first event of a stream, should be there;
+	// zero means Deadline.
+	Objective time.Time
+	// MaxAttempts is to how many servers the request may be sent; 0 means no bound.
+	MaxAttempts int
 	// PromptTokens is the estimated length of the prompt.
 	PromptTokens int
 	// MaxTokens is the most tokens the answer may have.
--- /dev/null
+++ b/internal/residency/adapters.go
@@ -0,0 +1,93 @@
+package residency
+
+import (
+	"fmt"
+	"sort"
+
+	"limpethub/internal/engine"
+	"limpethub/internal/modelref"
+)
+
+// planAdapters gives each adapter in use a copy beside its base, and each other one
+// where a slot is free. It answers many adapters that share few slots: those that
+// requests wait for come first, and displace what nobody uses.
+func (b *board) planAdapters() {
+	order := make([]Adapter, len(b.Adapters))
+	copy(order, b.Adapters)
+	sort.SliceStable(order, func(i, j int) bool {
+		x, y := b.Needs[order[i].Ref], b.Needs[order[j].Ref]
+		if x.Waiting != y.Waiting {
+			return x.Waiting > y.Waiting
+		}
+		return x.Held > y.Held
+	})
+	for _, a := range order {
+		if b.adapterCopies(a) < b.adapterWanted(a) {
+			b.provideAdapter(a)
+		}
+	}
+}
+
+func (b *board) adapterWanted(a Adapter) int {
+	return 1 + int(b.Needs[a.Ref].Held/adapterCopyLoad)
+}
+
+// adapterCopies counts the copies of an adapter that serve or are being loaded.
+func (b *board) adapterCopies(a Adapter) int {
+	n := 0
+	for _, p := range b.places {
+		if state, has := p.Adapters[a.Ref]; has && state != engine.StateUnloading && p.Models[a.Base] == engine.StateResident {
+			n++
+		}
+	}
+	return n
+}
+
+// provideAdapter orders an adapter, or the unload of one that makes a slot free.
+func (b *board) provideAdapter(a Adapter) {
+	var best *place
+	for _, p := range b.places {
+		if !b.takesAdapter(a, p) {
+			continue
+		}
+		if best == nil || p.slots > best.slots || (p.slots == best.slots && p.Requests < best.Requests) {
+			best = p
+		}
+	}
+	if best == nil {
+		return
+	}
+	need := b.Needs[a.Ref]
+	if best.slots > 0 && best.free >= a.MemoryMB {
+		best.slots--
+		best.free -= a.MemoryMB
+		b.order(best, Move{Action: engine.ActionLoad, Ref: a.Ref,
+			Reason: fmt.Sprintf("adapter without a copy, %.1f requests at once, %d wait", need.Load, need.Waiting)})
+		return
+	}
+	if need.Waiting == 0 {
+		return
+	}
+	if victim, ok := b.idleAdapter(best); ok {
+		b.order(best, Move{Action: engine.ActionUnload, Ref: victim, Reason: fmt.Sprintf("makes a slot free for %s", a.Ref)})
+	}
+}
+
+func (b *board) takesAdapter(a Adapter, p *place) bool {
+	_, has := p.Adapters[a.Ref]
+	return p.Ready && !has && p.Models[a.Base] == engine.StateResident
+}
+
+// idleAdapter picks the adapter on a server that was unused for longest.
+func (b *board) idleAdapter(p *place) (victim modelref.Ref, ok bool) {
+	for _, ref := range sortedRefs(p.Adapters) {
+		need := b.Needs[ref]
+		if p.Adapters[ref] != engine.StateResident || need.Waiting > 0 || b.Now.Sub(need.LastUsed) < adapterTurnTime {
+			continue
+		}
+		if !ok || need.LastUsed.Before(b.Needs[victim].LastUsed) {
+			victim, ok = ref, true
+		}
+	}
+	return victim, ok
+}
--- a/internal/scheduling/candidate.go
+++ b/internal/scheduling/candidate.go
@@ -19,6 +19,9 @@
 	avoid   string
 	holders *prefix.Holders
 	probe   bool
+	// shared is the deepest part of the prompt that other requests may have too; nil
+	// when there is none.
+	shared *request.PrefixPart
 	// class is the class as which the request competes for room.
 	class int
 }
@@ -29,6 +32,7 @@
 		avoid:   avoid,
 		holders: c.prefixes.Holders(r.PrefixKey),
 		probe:   t.running == 0 && now.Sub(t.probed) >= probePeriod,
+		shared:  sharedPart(r.Prefix),
 		class:   c.rank(r.Class),
 	}
 }
@@ -46,6 +50,11 @@
 func (c *core) candidate(now time.Time, r *replica, k *seeker) routing.Candidate {
 	s := r.server
 	cached := k.holders != nil && k.holders.Has(now, s.Name)
+	prompt := k.request.PromptTokens
+	known := c.cachedTokens(now, s, k.request.Prefix)
+	if len(k.request.Prefix) > 0 {
+		cached, prompt = false, prompt-known
+	}
 	total, ahead := s.load.Total(now), s.load.UpTo(now, k.class)
 	limit := s.limit.Value()
 	return routing.Candidate{
@@ -58,9 +67,12 @@
 		OwnAhead: s.load.OwnUpTo(k.class),
 		Share:    c.share(limit),
 		Cached:   cached,
+		Unread:   prompt,
+		Backlog:  s.backlog(now, r),
+		Saving:   k.saving(r),
 		Probe:    k.probe,
 		Wait:     s.wait(total, ahead),
-		Estimate: r.speed.Estimate(now, k.request.PromptTokens, k.request.MaxTokens, cached),
+		Estimate: r.speed.Estimate(now, prompt, k.request.MaxTokens, cached),
 	}
 }
 
@@ -94,6 +106,9 @@
 		return nil, routing.Candidate{}
 	}
 	c.query = routing.Query{Now: now, Deadline: k.request.Deadline, Random: c.random, Turn: t.turn}
+	if k.shared != nil {
+		c.query.Affinity = k.shared.Key
+	}
 	i := c.policy.Choose(&c.query, c.candidates)
 	if i < 0 {
 		return nil, routing.Candidate{}
--- a/internal/scheduling/core.go
+++ b/internal/scheduling/core.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"limpethub/internal/engine"
+	"limpethub/internal/modelref"
 	"limpethub/internal/request"
 	"limpethub/internal/site"
 	"limpethub/internal/verdict"
@@ -52,6 +53,10 @@
 	Leaving bool
 	// Services lists the plain services that the server offers; empty for engines.
 	Services []string
+	// Pool is the service whose models a discovered engine runs; empty for all others.
+	Pool string
+	// Slots is how many requests the server runs at once; 0 if it doesn't say.
+	Slots int
 }
 
 // Outcome says how a dispatched request ended.
@@ -70,6 +75,10 @@
 	Tokens int
 	// ServerLeaving is true when the server refused because it is leaving.
 	ServerLeaving bool
+	// Unsent is true when nothing of the request reached the server.
+	Unsent bool
+	// NotResident is true when the server refused because it doesn't hold the model.
+	NotResident bool
 }
 
 // Remote is another instance's digest of its work on one server.
@@ -83,6 +92,8 @@
 	Classes []int
 	// Tokens is how many tokens those still need.
 	Tokens int
+	// Unread is how many prompt tokens of those the server still has to read.
+	Unread int
 	// Sequence grows with each digest of one peer.
 	Sequence uint64
 }
@@ -94,6 +105,10 @@
 	SetServers(now time.Time, servers []Server) []Decision
 	// ObserveReport takes a server's lagging report, read at now.
 	ObserveReport(now time.Time, server string, report engine.Report) []Decision
+	// ObserveLoad takes what a server told of its load with an answer.
+	ObserveLoad(now time.Time, server string, load engine.Load) []Decision
+	// ObserveResident takes the list of versions that a server holds.
+	ObserveResident(now time.Time, server string, refs []modelref.Ref) []Decision
 	// ObserveUnreachable notes that a server didn't answer a report in time.
 	ObserveUnreachable(now time.Time, server string) []Decision
 	// SetDocument takes a new configuration: its classes, adapters and budgets.
@@ -125,6 +140,10 @@
 	Outlook(now time.Time, r request.Request) Outlook
 	// ClassLoads counts this instance's requests, by class in the document's order.
 	ClassLoads() []ClassLoad
+	// RefLoads counts this instance's requests, by version.
+	RefLoads(now time.Time) map[modelref.Ref]RefLoad
+	// ServerLoads estimates the requests on each server, from all instances.
+	ServerLoads(now time.Time) map[string]int
 	// Digest lists this instance's outstanding work per server.
 	Digest() []Remote
 }
--- a/internal/scheduling/digest.go
+++ b/internal/scheduling/digest.go
@@ -21,6 +21,7 @@
 	}
 	c.peers[remote.Instance] = now
 	s.load.ObserveRemote(now, remote.Instance, remote.classes(), remote.Sequence)
+	s.observeUnread(now, remote.Instance, remote.Unread)
 	return c.drainAfterExpiry(now, s)
 }
 
@@ -57,7 +58,7 @@
 	for s, left := range c.busy {
 		out = append(out, Remote{
 			Instance: c.instance, Server: s.Name,
-			Outstanding: s.load.Own(), Classes: s.load.OwnByClass(), Tokens: tokens[s], Sequence: c.sequence,
+			Outstanding: s.load.Own(), Classes: s.load.OwnByClass(), Tokens: tokens[s], Unread: s.unread, Sequence: c.sequence,
 		})
 		c.countDigest(s, left)
 	}
--- a/internal/scheduling/document.go
+++ b/internal/scheduling/document.go
@@ -22,7 +22,10 @@
 func (c *core) useDocument(document *site.Document) {
 	old := c.document
 	c.document = document
-	c.budget.SetShare(document.Budgets.RetryShare)
+	for _, b := range c.budgets {
+		b.SetShare(document.Budgets.RetryShare)
+		b.SetSpare(document.Budgets.RetrySpare)
+	}
 	var waiting []*flowcontrol.Item
 	if c.queue != nil {
 		waiting = c.queue.All()
--- a/internal/scheduling/finish.go
+++ b/internal/scheduling/finish.go
@@ -22,6 +22,7 @@
 	d.target.running--
 	s := d.replica.server
 	s.load.Finished(now, d.class)
+	d.begun()
 	if o.Err == nil {
 		c.learn(now, d, o)
 	} else {
@@ -34,11 +35,12 @@
 // learn takes a whole answer into the predictions and the limit.
 func (c *core) learn(now time.Time, d *dispatched, o Outcome) {
 	s := d.replica.server
-	c.budget.Success(now)
+	c.budgetOf(d.target).Success(now)
 	s.failures = 0
 	d.replica.speed.Observe(now, predict.Sample{
 		PromptTokens: d.prompt, MaxTokens: d.max, Tokens: o.Tokens,
 		Cached:     d.cached,
+		Uncertain:  d.uncertain,
 		FirstToken: o.FirstToken, Duration: o.Duration,
 	})
 	s.limit.Observe(now, limit.Observation{
@@ -65,6 +67,8 @@
 	case o.ServerLeaving:
 		s.refusedUntil = now.Add(leavingHold)
 	case !blamesServer(now, d, o.Err):
+	case o.NotResident:
+		d.replica.backoff = now.Add(notResidentBackoff)
 	case errors.As(o.Err, &e) && e.Code == verdict.CodeServerRefused:
 		d.replica.backoff = now.Add(firstBackoff)
 	default:
@@ -93,11 +97,13 @@
 func (c *core) Progress(_ time.Time, id request.ID, tokens int) {
 	if d := c.running[id]; d != nil {
 		d.tokens = tokens
+		d.begun()
 	}
 }
 
 // Retry implements Scheduler. A request that a leaving server refused costs no
-// budget: the server gets no more, so such refusals can't multiply.
+// budget, unless the site counts all that servers get: the server gets no more, so
+// such refusals can't multiply.
 func (c *core) Retry(now time.Time, r request.Request, last Outcome) []Decision {
 	if c.running[r.ID] != nil || c.queue.Has(r.ID) {
 		return []Decision{refuse(&attempt{request: r, unclear: true}, verdict.CodeDuplicate, 0,
@@ -108,13 +114,37 @@
 	if !retry.MayRepeat(last.Verdict, r.Idempotent) {
 		return []Decision{giveUp(&a, last, "the request may have run and must not repeat")}
 	}
-	if !last.ServerLeaving && !c.budget.Take(now) {
+	if !c.free(&last) && !c.budgetOf(c.target(keyOf(&r))).Take(now) {
 		return []Decision{giveUp(&a, last, "the retry budget is used up")}
 	}
 	a.avoid = c.avoidable(now, &r, last.Server)
 	return c.place(now, a)
 }
 
+// free reports whether another attempt costs no budget.
+func (c *core) free(last *Outcome) bool {
+	if last.Unsent {
+		return true
+	}
+	return last.ServerLeaving && c.document.Budgets.RetrySpare == 0
+}
+
+// budgetOf returns the retry budget of a target: one for each service that is routed
+// to, and one for all else.
+func (c *core) budgetOf(t *target) *retry.Budget {
+	service := t.key.service
+	if c.document.Budgets.RetrySpare == 0 {
+		service = ""
+	}
+	b := c.budgets[service]
+	if b == nil {
+		b = retry.NewBudget(c.document.Budgets.RetryShare)
+		b.SetSpare(c.document.Budgets.RetrySpare)
+		c.budgets[service] = b
+	}
+	return b
+}
+
 // avoidable returns the last server if another one can take the request.
 func (c *core) avoidable(now time.Time, r *request.Request, last string) string {
 	for _, other := range c.target(keyOf(r)).replicas {
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -18,12 +18,19 @@
 	replica  *replica
 	class    int
 	deadline time.Time
-	prompt   int
-	max      int
+	// prompt is how many tokens of the prompt the server probably has to read.
+	prompt int
+	max    int
+	// unread is what the server's unread tokens count for the request until its answer
+	// begins.
+	unread int
 	// tokens is how many events have come.
 	tokens int
 	cached bool
-	full   bool
+	// uncertain is true when others may have brought a large part of the prompt into the
+	// server's cache.
+	uncertain bool
+	full      bool
 	// wait is the predicted wait in the server.
 	wait time.Duration
 	// estimate is what was predicted without a wait.
@@ -72,7 +79,7 @@
 func (c *core) wait(now time.Time, t *target, a *attempt) Decision {
 	r := &a.request
 	service, _ := c.fastest(now, t, r)
-	wait := c.predictWait(now, t, r.Class)
+	wait := c.predictWait(now, t, r.Class) + c.predictLoad(t)
 	answer := c.admit.Admit(admission.Query{Now: now, Deadline: r.Deadline, Wait: wait, Service: service})
 	if !answer.Admit {
 		return refuse(a, verdict.CodeCannotMeet, c.comeBack(answer.RetryAfter),
@@ -93,11 +100,12 @@
 	s := r.server
 	c.running[a.request.ID] = &dispatched{
 		target: r.target, replica: r, class: a.request.Class, deadline: a.request.Deadline,
-		prompt: a.request.PromptTokens, max: a.request.MaxTokens,
-		cached:   chosen.Cached,
-		full:     chosen.Ahead+1 >= chosen.Limit,
-		wait:     chosen.Wait,
-		estimate: chosen.Estimate,
+		prompt: chosen.Unread, max: a.request.MaxTokens,
+		cached:    chosen.Cached,
+		uncertain: mayBeCached(&a.request, chosen.Unread),
+		full:      chosen.Ahead+1 >= chosen.Limit,
+		wait:      chosen.Wait,
+		estimate:  chosen.Estimate,
 	}
 	if chosen.Probe {
 		r.target.probed = now
@@ -112,6 +120,7 @@
 	}
 	c.floor.Dispatched(a.request.Class, c.queue)
 	c.prefixes.Ran(now, a.request.PrefixKey, s.Name)
+	c.sendPrefix(now, &a.request, s, chosen.Unread)
 	return Decision{
 		ID: a.request.ID, Action: Dispatch, Server: s.Name, Priority: priority,
 		Reason: reason(now, a.request.Deadline, chosen),
--- a/internal/scheduling/predict/speed.go
+++ b/internal/scheduling/predict/speed.go
@@ -88,6 +88,9 @@
 	Tokens int
 	// Cached is true when the prompt's prefix was expected in the server's cache.
 	Cached bool
+	// Uncertain is true when a large part of the prompt may have been in the server's
+	// cache unknown to this instance, so that the sample tells nothing of its reading.
+	Uncertain bool
 	// FirstToken is the time from dispatch to the first token.
 	FirstToken time.Duration
 	// Duration is the time from dispatch to the end.
@@ -120,7 +123,7 @@
 // observePrefill learns from the time to the first token, which holds the wait in the
 // server too.
 func (s *Speed) observePrefill(sample Sample) {
-	if sample.PromptTokens <= 0 || sample.FirstToken <= 0 {
+	if sample.PromptTokens <= 0 || sample.FirstToken <= 0 || sample.Uncertain {
 		return
 	}
 	perToken := float64(sample.FirstToken) / float64(sample.PromptTokens)
@@ -164,6 +167,12 @@
 	}
 }
 
+// Read predicts how long the server takes to read so many tokens of prompts that it
+// doesn't have in its cache.
+func (s *Speed) Read(tokens int) time.Duration {
+	return time.Duration(s.coldPerToken() * float64(tokens))
+}
+
 // For is the predicted time to the end of an answer of the given length.
 func (e Estimate) For(tokens int) time.Duration {
 	if e.PerToken == 0 || !e.Known {
--- /dev/null
+++ b/internal/scheduling/refload.go
@@ -0,0 +1,77 @@
+package scheduling
+
+import (
+	"time"
+
+	"limpethub/internal/modelref"
+)
+
+// RefLoad counts the requests for one version on this instance.
+type RefLoad struct {
+	Running int
+	// Waiting counts those that wait because no server can take requests for the version.
+	Waiting int
+}
+
+// RefLoads implements Scheduler. Requests for an adapter count for its base too.
+func (c *core) RefLoads(now time.Time) map[modelref.Ref]RefLoad {
+	out := map[modelref.Ref]RefLoad{}
+	add := func(ref modelref.Ref, running, waiting int) {
+		load := out[ref]
+		load.Running += running
+		load.Waiting += waiting
+		out[ref] = load
+	}
+	for _, d := range c.running {
+		add(d.target.key.model, 1, 0)
+		if base, ok := c.bases[d.target.key.model]; ok {
+			add(base, 1, 0)
+		}
+	}
+	for _, t := range c.targets {
+		if t.lane.Len() == 0 || t.key.model == "" {
+			continue
+		}
+		c.addWaiting(now, t, add)
+	}
+	delete(out, "")
+	return out
+}
+
+// addWaiting adds the requests that wait for a target, as waiting for a copy where
+// there is none.
+func (c *core) addWaiting(now time.Time, t *target, add func(ref modelref.Ref, running, waiting int)) {
+	count := func(key targetKey) {
+		if c.served(now, c.targets[key]) {
+			add(key.model, t.lane.Len(), 0)
+			return
+		}
+		add(key.model, 0, t.lane.Len())
+	}
+	count(t.key)
+	if base, ok := c.bases[t.key.model]; ok {
+		count(targetKey{model: base, service: t.key.service})
+	}
+}
+
+// served reports whether any server can take requests for the target.
+func (c *core) served(now time.Time, t *target) bool {
+	if t == nil {
+		return false
+	}
+	for _, r := range t.replicas {
+		if r.server.usable(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// ServerLoads implements Scheduler.
+func (c *core) ServerLoads(now time.Time) map[string]int {
+	out := make(map[string]int, len(c.servers))
+	for name, s := range c.servers {
+		out[name] = s.load.Total(now)
+	}
+	return out
+}
--- a/internal/scheduling/retry/budget.go
+++ b/internal/scheduling/retry/budget.go
@@ -12,7 +12,8 @@
 	window = 10 * time.Second
 	// slots divide the window.
 	slots = 10
-	// spare is how many retries per window are allowed without any success.
+	// spare is how many retries per window are allowed without any success, unless
+	// SetSpare says otherwise.
 	spare = 3
 )
 
@@ -26,15 +27,25 @@
 // an overload.
 type Budget struct {
 	share float64
+	extra float64
 	slots [slots]slot
 }
 
 // NewBudget makes a budget; share is retries per success, 0 to 1.
-func NewBudget(share float64) *Budget { return &Budget{share: share} }
+func NewBudget(share float64) *Budget { return &Budget{share: share, extra: spare} }
 
 // SetShare changes the share.
 func (b *Budget) SetShare(share float64) { b.share = share }
 
+// SetSpare changes how many retries per window are allowed without any success; 0
+// means the default.
+func (b *Budget) SetSpare(retries float64) {
+	if retries == 0 {
+		retries = spare
+	}
+	b.extra = retries
+}
+
 // Success counts a request that ended well.
 func (b *Budget) Success(now time.Time) { b.at(now).successes++ }
 
@@ -42,7 +53,7 @@
 func (b *Budget) Take(now time.Time) bool {
 	current := b.at(now)
 	successes, retries := b.recent(current.number)
-	if float64(retries) >= b.share*float64(successes)+spare {
+	if float64(retries) >= b.share*float64(successes)+b.extra {
 		return false
 	}
 	current.retries++
--- a/internal/scheduling/routing/finish.go
+++ b/internal/scheduling/routing/finish.go
@@ -18,5 +18,5 @@
 // Score implements Scorer.
 func (finish) Score(_ *Query, c *Candidate) float64 {
 	used := float64(c.Total) / float64(max(1, c.Limit))
-	return c.Wait.Seconds() + c.Estimate.Total.Seconds()*(1+crowding*used)
+	return c.Wait.Seconds() + c.Backlog.Seconds() + c.Estimate.Total.Seconds()*(1+crowding*used)
 }
--- a/internal/scheduling/routing/routing.go
+++ b/internal/scheduling/routing/routing.go
@@ -23,6 +23,8 @@
 	Deadline time.Time
 	// Random is the source of random choices.
 	Random *rand.Rand
+	// Affinity identifies the part of the prompt that other requests share; 0 means none.
+	Affinity uint64
 	// Turn counts the decisions about the same target.
 	Turn uint64
 }
@@ -48,6 +50,14 @@
 	Share int
 	// Cached is true when the server is expected to hold the prompt's prefix.
 	Cached bool
+	// Unread is how many tokens of the prompt the server probably has to read.
+	Unread int
+	// Backlog is the time that the server needs to read the prompts that were sent to it
+	// and that it hasn't begun to answer.
+	Backlog time.Duration
+	// Saving is the time that reading the shared part of the prompt takes where it isn't
+	// cached.
+	Saving time.Duration
 	// Probe lets the request through where nothing else would show the server's
 	// present speed.
 	Probe bool
@@ -58,7 +68,7 @@
 }
 
 // Finish is the predicted time until the end of the request.
-func (c *Candidate) Finish() time.Duration { return c.Wait + c.Estimate.Total }
+func (c *Candidate) Finish() time.Duration { return c.Wait + c.Backlog + c.Estimate.Total }
 
 // Filter drops candidates.
 type Filter interface {
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -34,9 +34,10 @@
 	running map[request.ID]*dispatched
 	queue   *flowcontrol.Queue
 	// general is what was learned of all targets together.
-	general  *predict.Target
-	floor    *flowcontrol.Floor
-	budget   *retry.Budget
+	general *predict.Target
+	floor   *flowcontrol.Floor
+	// budgets holds the retry budgets by service; see budgetOf.
+	budgets  map[string]*retry.Budget
 	prefixes *prefix.Memory
 
 	// peers holds when the last digest of each peer came.
@@ -88,7 +89,7 @@
 		peers:    map[string]time.Time{},
 		busy:     map[*server]int{},
 		general:  predict.NewTarget(nil),
-		budget:   retry.NewBudget(options.Document.Budgets.RetryShare),
+		budgets:  map[string]*retry.Budget{},
 		prefixes: prefix.New(),
 	}
 	c.useDocument(options.Document)
--- a/internal/scheduling/server.go
+++ b/internal/scheduling/server.go
@@ -20,6 +20,9 @@
 	firstBackoff = 100 * time.Millisecond
 	// maxBackoff bounds the doubling.
 	maxBackoff = 3 * time.Second
+	// notResidentBackoff is how long a server gets no requests for what it said that it
+	// doesn't hold. News of what it holds usually come sooner.
+	notResidentBackoff = time.Second
 )
 
 // server is a backend server with all that was learned of it.
@@ -46,6 +49,10 @@
 	learned predict.Server
 	load    load.Server
 	limit   *limit.Limit
+	// unread is how many prompt tokens this instance has sent that the server hasn't
+	// begun to answer, and unreadElsewhere the same of each peer.
+	unread          int
+	unreadElsewhere map[string]peerUnread
 	// stay is the mean duration of this instance's requests on the server. It holds
 	// their wait too, which makes up for the more urgent ones that will overtake.
 	stay time.Duration
@@ -91,9 +98,10 @@
 		s = newServer()
 		c.servers[described.Name] = s
 	}
-	same := slices.Equal(s.Services, described.Services)
+	same := slices.Equal(s.Services, described.Services) && s.Pool == described.Pool
 	s.Server = described
 	s.listed = true
+	s.limit.ObserveBatch(described.Slots)
 	if !same {
 		c.index(s)
 	}
@@ -140,6 +148,28 @@
 	return c.drainAfterExpiry(now, s)
 }
 
+// ObserveLoad implements Scheduler.
+func (c *core) ObserveLoad(now time.Time, name string, told engine.Load) []Decision {
+	s := c.servers[name]
+	if s == nil || !s.listed {
+		return nil
+	}
+	s.limit.ObserveBatch(told.Slots)
+	s.load.ObserveReport(now, load.Report{Taken: now, Total: told.Running + told.Waiting})
+	return c.drainAfterExpiry(now, s)
+}
+
+// ObserveResident implements Scheduler.
+func (c *core) ObserveResident(now time.Time, name string, refs []modelref.Ref) []Decision {
+	s := c.servers[name]
+	if s == nil || !s.listed || slices.Equal(s.resident, refs) {
+		return nil
+	}
+	s.resident = slices.Clone(refs)
+	c.index(s)
+	return c.drainAfterExpiry(now, s)
+}
+
 // ObserveUnreachable implements Scheduler.
 func (c *core) ObserveUnreachable(now time.Time, name string) []Decision {
 	if s := c.servers[name]; s != nil {
@@ -154,12 +184,15 @@
 	for _, service := range s.Services {
 		c.addReplica(s, targetKey{service: service})
 	}
+	if s.Pool != "" {
+		c.addReplica(s, targetKey{service: s.Pool})
+	}
 	for _, ref := range s.resident {
 		base, isAdapter := c.bases[ref]
 		if isAdapter && !slices.Contains(s.resident, base) {
 			continue
 		}
-		c.addReplica(s, targetKey{model: ref})
+		c.addReplica(s, targetKey{model: ref, service: s.Pool})
 	}
 }
 
--- /dev/null
+++ b/internal/scheduling/unread.go
@@ -0,0 +1,108 @@
+package scheduling
+
+import (
+	"time"
+
+	"limpethub/internal/request"
+)
+
+// unreadLifetime is how long a peer's count of unread tokens is believed.
+const unreadLifetime = time.Second
+
+// peerUnread is how many tokens a peer has sent to a server that it hasn't begun to
+// answer.
+type peerUnread struct {
+	tokens int
+	seen   time.Time
+}
+
+// sharedPart returns the deepest part of a prompt that other requests may have too. The
+// last part belongs to the request or its session alone.
+func sharedPart(parts []request.PrefixPart) *request.PrefixPart {
+	switch len(parts) {
+	case 0:
+		return nil
+	case 1:
+		return &parts[0]
+	}
+	return &parts[len(parts)-2]
+}
+
+// cachedTokens returns how much of a prompt the server probably holds.
+func (c *core) cachedTokens(now time.Time, s *server, parts []request.PrefixPart) int {
+	for i := len(parts) - 1; i >= 0; i-- {
+		if c.prefixes.Holders(parts[i].Key).Has(now, s.Name) {
+			return parts[i].Tokens
+		}
+	}
+	return 0
+}
+
+// sendPrefix notes what a server will hold and has to read once a request is there.
+func (c *core) sendPrefix(now time.Time, r *request.Request, s *server, unread int) {
+	if len(r.Prefix) == 0 {
+		return
+	}
+	for _, part := range r.Prefix {
+		c.prefixes.Ran(now, part.Key, s.Name)
+	}
+	c.running[r.ID].unread = unread
+	s.unread += unread
+}
+
+// begun notes that the server has read the prompt, or never will.
+func (d *dispatched) begun() {
+	d.replica.server.unread -= d.unread
+	d.unread = 0
+}
+
+func (s *server) observeUnread(now time.Time, instance string, tokens int) {
+	if tokens == 0 && s.unreadElsewhere == nil {
+		return
+	}
+	if s.unreadElsewhere == nil {
+		s.unreadElsewhere = map[string]peerUnread{}
+	}
+	s.unreadElsewhere[instance] = peerUnread{tokens: tokens, seen: now}
+}
+
+// backlog is the time that the server needs for the prompts that are on their way to it.
+// It answers bursts: long prompts hold up all requests of a server, and the load that
+// counts requests alone doesn't show them.
+func (s *server) backlog(now time.Time, r *replica) time.Duration {
+	tokens := s.unread
+	for _, peer := range s.unreadElsewhere {
+		if now.Sub(peer.seen) < unreadLifetime {
+			tokens += peer.tokens
+		}
+	}
+	return r.speed.Read(tokens)
+}
+
+// saving is the time that reading the shared part of the prompt takes.
+func (k *seeker) saving(r *replica) time.Duration {
+	if k.shared == nil {
+		return 0
+	}
+	return r.speed.Read(k.shared.Tokens)
+}
+
+// predictLoad is how long a request waits for the model to be loaded where no server
+// holds it.
+func (c *core) predictLoad(t *target) time.Duration {
+	if len(t.replicas) > 0 || t.key.model == "" || len(c.document.Pools) == 0 {
+		return 0
+	}
+	return time.Duration(c.document.Budgets.LoadMillis) * time.Millisecond
+}
+
+// mayBeCached reports whether more than half of what a server seems to have to read is
+// shared with other requests, which other instances may have sent there.
+func mayBeCached(r *request.Request, unread int) bool {
+	shared := sharedPart(r.Prefix)
+	if shared == nil {
+		return false
+	}
+	own := r.PromptTokens - shared.Tokens
+	return unread > 2*own
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -63,7 +63,10 @@
 }
 
 func (c *checker) listener(path string, l Listener) {
-	if !l.Plaintext {
+	if l.Disabled {
+		return
+	}
+	if !l.Plaintext && !l.Unauthenticated {
 		c.pair(path+".tls", l.TLS, "or set plaintext to true")
 	}
 	unspecified := strings.HasPrefix(l.Address, "0.0.0.0:") || strings.HasPrefix(l.Address, "[::]:")
@@ -86,7 +89,7 @@
 	if l.Plaintext {
 		c.report("listeners.peers.plaintext", "remove it and name key files", "peers talk over QUIC, which has no plain text")
 	}
-	if l.TLS.CA == "" {
+	if l.TLS.CA == "" && !l.Unauthenticated {
 		c.report("listeners.peers.tls.ca_file", "name the file that signs the peers' certificates", "is missing")
 	}
 }
@@ -94,6 +97,9 @@
 // operators requires a way for operators to show who they are.
 func (c *checker) operators(s *Settings) {
 	l := s.Listeners.Operators
+	if l.Disabled {
+		return
+	}
 	if l.Plaintext && s.Operators.TokenFile == "" {
 		c.report("operators.token_file", "name a file of tokens", "is missing, and the operators' listener has no TLS, so that nobody could be an operator")
 	}
@@ -131,6 +137,11 @@
 	c.plugin("peers", p.Peers)
 	c.plugin("routing", p.Routing)
 	c.plugin("placement", p.Placement)
+	c.plugin("front", p.Front.Plugin())
+	c.plugin("discovery", p.Discovery.Plugin())
+	if (p.Front.Name == "") != (p.Discovery.Name == "") {
+		c.report("plugins.discovery.name", "name both or none", "front and discovery go together")
+	}
 }
 
 func (c *checker) plugin(kind string, p Plugin) {
@@ -150,6 +161,9 @@
 	}
 	plain(s.Listeners.Callers.Plaintext, "callers are served")
 	plain(s.Listeners.Operators.Plaintext, "operators and their tokens are served")
+	if s.Listeners.Peers.Unauthenticated {
+		out = append(out, "whoever reaches the peers' listener counts as a peer, since the settings say so")
+	}
 	plain(s.Platform.Plaintext, "the platform is reached")
 	plain(s.Servers.Plaintext, "backend servers are reached")
 	return out
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,6 +4,7 @@
 package settings
 
 import (
+	"reflect"
 	"time"
 
 	"limpethub/internal/strictjson"
@@ -31,6 +32,14 @@
 	Log Log `json:"log"`
 	// DrainTimeoutMillis bounds a planned stop, in milliseconds.
 	DrainTimeoutMillis int64 `json:"drain_timeout_ms" validate:"gt=0"`
+	// DrainTimeoutSeconds is the same in seconds, and goes before it if it isn't 0.
+	DrainTimeoutSeconds float64 `json:"drain_timeout_s,omitempty" validate:"gte=0"`
+	// PlacementLeaseMillis is how long the lease for orders to discovered servers lasts
+	// without renewal, in milliseconds; 0 means the default.
+	PlacementLeaseMillis int64 `json:"placement_lease_ms,omitempty" validate:"gte=0"`
+	// MemoryMB is how much memory the process may take, in MB; 0 means no bound. It
+	// works the harder to free memory the nearer it comes.
+	MemoryMB int64 `json:"memory_mb,omitempty" validate:"gte=0"`
 	// EntriesTTLMillis is how long callers may keep an answer of /v1/entries, in
 	// milliseconds.
 	EntriesTTLMillis int64 `json:"entries_ttl_ms" validate:"gt=0"`
@@ -44,17 +53,31 @@
 	Operators Listener `json:"operators"`
 	// Peers serves other instances over QUIC.
 	Peers Listener `json:"peers"`
+	// Metrics serves GET /metrics in plain text to whoever reaches it. It is off unless
+	// an address is given.
+	Metrics MetricsListener `json:"metrics,omitzero"`
+}
+
+// MetricsListener holds the settings of the listener for metrics alone.
+type MetricsListener struct {
+	// Address is the IP number and port to listen on; empty turns the listener off.
+	Address string `json:"address" validate:"omitempty,ip_port"`
 }
 
 // Listener holds the settings of one listener.
 type Listener struct {
+	// Disabled turns the listener off, where an adapter serves in its place.
+	Disabled bool `json:"disabled,omitempty"`
 	// Address is the IP number and port to listen on; port 0 takes a free one.
-	Address string `json:"address" validate:"required,ip_port"`
+	Address string `json:"address" validate:"required_if=Disabled false,omitempty,ip_port"`
 	// Advertise is the IP number and port that others are told; empty means Address.
 	Advertise string `json:"advertise" validate:"omitempty,ip_port"`
 	// Plaintext turns TLS off. The daemon then warns.
 	Plaintext bool `json:"plaintext"`
-	// TLS names the key files; unused with Plaintext.
+	// Unauthenticated makes each instance use a certificate of its own making, for a
+	// network that only instances reach. It is for peers alone. The daemon then warns.
+	Unauthenticated bool `json:"unauthenticated,omitempty"`
+	// TLS names the key files; unused with Plaintext and Unauthenticated.
 	TLS Files `json:"tls"`
 	// Bounds limits what a connection may ask for.
 	Bounds Bounds `json:"bounds"`
@@ -117,8 +140,18 @@
 	Plaintext bool `json:"plaintext"`
 	// TLS names the key files; unused with Plaintext.
 	TLS Files `json:"tls"`
+	// CallTimeoutMillis bounds a call, in milliseconds, and MaxBackOffMillis the wait
+	// after calls that failed; 0 means the default. They are for the platform alone.
+	CallTimeoutMillis int64 `json:"call_timeout_ms,omitempty" validate:"gte=0"`
+	MaxBackOffMillis  int64 `json:"max_back_off_ms,omitempty" validate:"gte=0"`
 }
 
+// CallTimeout returns CallTimeoutMillis as a duration.
+func (u Upstream) CallTimeout() time.Duration { return millis(u.CallTimeoutMillis) }
+
+// MaxBackOff returns MaxBackOffMillis as a duration.
+func (u Upstream) MaxBackOff() time.Duration { return millis(u.MaxBackOffMillis) }
+
 // Plugins names the plug-in of each kind.
 type Plugins struct {
 	// Store is the adapter for the key-value service.
@@ -133,8 +166,25 @@
 	Routing Plugin `json:"routing"`
 	// Placement is the placement policy.
 	Placement Plugin `json:"placement"`
+	// Front is the adapter that serves callers in the platform's way in place of the
+	// callers' listener; an empty name means that there is none.
+	Front OptionalPlugin `json:"front,omitzero"`
+	// Discovery is the adapter that finds backend servers which announce themselves. It
+	// goes with Front.
+	Discovery OptionalPlugin `json:"discovery,omitzero"`
+}
+
+// OptionalPlugin names a plug-in that may be left out.
+type OptionalPlugin struct {
+	// Name is the dotted name; empty means none.
+	Name string `json:"name"`
+	// Options holds the plug-in's own settings, which the plug-in checks.
+	Options strictjson.Raw `json:"options"`
 }
 
+// Plugin returns the plug-in that is named.
+func (p OptionalPlugin) Plugin() Plugin { return Plugin{Name: p.Name, Options: p.Options} }
+
 // Plugin names one plug-in.
 type Plugin struct {
 	// Name is the dotted name, as in "store.etcd".
@@ -151,10 +201,27 @@
 	Level string `json:"level" validate:"oneof=error warning info debug"`
 }
 
-// DrainTimeout returns DrainTimeoutMillis as a duration.
-func (s Settings) DrainTimeout() time.Duration { return millis(s.DrainTimeoutMillis) }
+// Hosted reports whether an adapter serves callers in the platform's way.
+func (s Settings) Hosted() bool { return s.Plugins.Front.Name != "" }
+
+// DrainTimeout returns the bound of a planned stop.
+func (s Settings) DrainTimeout() time.Duration {
+	if s.DrainTimeoutSeconds > 0 {
+		return time.Duration(s.DrainTimeoutSeconds * float64(time.Second))
+	}
+	return millis(s.DrainTimeoutMillis)
+}
+
+// PlacementLease returns PlacementLeaseMillis as a duration.
+func (s Settings) PlacementLease() time.Duration { return millis(s.PlacementLeaseMillis) }
 
 // EntriesTTL returns EntriesTTLMillis as a duration.
 func (s Settings) EntriesTTL() time.Duration { return millis(s.EntriesTTLMillis) }
 
+// NeedsRestart reports whether other settings differ in more than the log level.
+func (s Settings) NeedsRestart(other Settings) bool {
+	other.Log = s.Log
+	return !reflect.DeepEqual(s, other)
+}
+
 func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -119,10 +119,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, value := range []any{Settings{}, Listeners{}, Listener{}, Files{}, Bounds{}, Operators{}, Upstream{}, Plugins{}, Plugin{}, Log{}} {
+	for _, value := range []any{Settings{}, Listeners{}, Listener{}, Files{}, Bounds{}, Operators{}, Upstream{}, Plugins{}, Plugin{}, OptionalPlugin{}, MetricsListener{}, Log{}} {
 		fields := reflect.TypeOf(value)
 		for i := range fields.NumField() {
-			name := fields.Field(i).Tag.Get("json")
+			name, _, _ := strings.Cut(fields.Field(i).Tag.Get("json"), ",")
 			if !strings.Contains(string(page), name) {
 				t.Errorf("%s.%s is not on the page", fields.Name(), name)
 			}
--- a/internal/site/document.go
+++ b/internal/site/document.go
@@ -25,6 +25,13 @@
 	Services []Service `json:"services" validate:"dive"`
 	// Budgets holds the limits of the site.
 	Budgets Budgets `json:"budgets"`
+	// Routes sends callers' requests to services by host and path, where an adapter
+	// serves callers in the platform's way.
+	Routes []Route `json:"routes,omitempty" validate:"dive"`
+	// Pools lists the services whose servers are model engines that are discovered.
+	Pools []Pool `json:"pools,omitempty" validate:"dive"`
+	// CallerLimits bounds what callers may send on routes.
+	CallerLimits CallerLimits `json:"caller_limits,omitzero"`
 }
 
 // Class is a class of work. Its position in the list is its urgency.
@@ -54,6 +61,14 @@
 	MemoryMB int64 `json:"memory_mb" validate:"gt=0"`
 	// Class is the class of requests that state none.
 	Class string `json:"class" validate:"required"`
+	// Service is the pool whose servers run the model; empty means every engine.
+	Service string `json:"service,omitempty"`
+	// LoadMillis is how long a load from the weight store takes, in milliseconds, and
+	// DiskMillis and WarmMillis the same from a server's own disk and memory. 0 means
+	// that it isn't known.
+	LoadMillis int64 `json:"load_ms,omitempty" validate:"gte=0"`
+	DiskMillis int64 `json:"disk_ms,omitempty" validate:"gte=0"`
+	WarmMillis int64 `json:"warm_ms,omitempty" validate:"gte=0"`
 }
 
 // Ref returns the model version's reference.
@@ -133,6 +148,9 @@
 	LoadMillis int64 `json:"load_ms" validate:"gt=0"`
 	// RetryShare is how many retries are allowed per successful request, 0 to 1.
 	RetryShare float64 `json:"retry_share" validate:"gte=0,lte=1"`
+	// RetrySpare is how many retries each instance may make to a service in the retry
+	// window besides the share, also when a server refused; 0 means the default.
+	RetrySpare float64 `json:"retry_spare,omitempty" validate:"gte=0"`
 	// StoreCallsPerSecond is each instance's budget of key-value calls.
 	StoreCallsPerSecond float64 `json:"store_calls_per_second" validate:"gt=0"`
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -34,6 +34,9 @@
 	ErrConflict = errors.New("store: revision conflict")
 	// ErrLeaseLost means that the lease no longer exists.
 	ErrLeaseLost = errors.New("store: lease lost")
+	// ErrCompacted means that the service no longer has the history that a watch asked
+	// for. The keys have to be listed again.
+	ErrCompacted = errors.New("store: history compacted")
 	// ErrThrottled means that the call was refused, by the service or by the
 	// instance's own budget, before it took effect.
 	ErrThrottled = errors.New("store: too many calls")
@@ -59,3 +62,37 @@
 	// Revoke ends a lease and removes its keys.
 	Revoke(ctx context.Context, lease LeaseID) error
 }
+
+// Listing is all keys below a prefix at about one moment.
+type Listing struct {
+	Entries []Entry
+	// Revision is the service's revision before the first key was read: a watch from
+	// there misses no later change.
+	Revision Revision
+}
+
+// Changes is what happened below a prefix after a revision.
+type Changes struct {
+	// Entries lists keys as they were written, in order.
+	Entries []Entry
+	// Removed lists keys that went, with the revision at which they did.
+	Removed []Removal
+	// Revision is where the next watch goes on.
+	Revision Revision
+}
+
+// Removal is a key that went.
+type Removal struct {
+	Key      string
+	Revision Revision
+}
+
+// PrefixReader is offered by services that can read and watch many keys at once.
+type PrefixReader interface {
+	// List reads all keys below a prefix. A stale listing is cheaper and may be seconds
+	// old.
+	List(ctx context.Context, prefix string, stale bool) (Listing, error)
+	// WatchPrefix blocks until something below the prefix changes after a revision, or
+	// some seconds have passed without a change. A history that is gone is ErrCompacted.
+	WatchPrefix(ctx context.Context, prefix string, after Revision) (Changes, error)
+}
--- a/internal/storecall/metrics.go
+++ b/internal/storecall/metrics.go
@@ -18,6 +18,7 @@
 	opGrant  operation = "grant"
 	opRenew  operation = "renew"
 	opRevoke operation = "revoke"
+	opList   operation = "list"
 )
 
 type metrics struct {
@@ -60,6 +61,8 @@
 		return "conflict"
 	case errors.Is(err, store.ErrLeaseLost):
 		return "lease_lost"
+	case errors.Is(err, store.ErrCompacted):
+		return "compacted"
 	case errors.Is(err, store.ErrThrottled):
 		return "throttled"
 	}
--- a/internal/storecall/storecall.go
+++ b/internal/storecall/storecall.go
@@ -38,6 +38,8 @@
 	Burst          int
 	// Timeout bounds a call, WatchTimeout a watch. 0 means the defaults.
 	Timeout, WatchTimeout time.Duration
+	// MaxBackOff bounds the wait after failures; 0 means the default.
+	MaxBackOff time.Duration
 	// Registerer takes the metrics; it may be nil.
 	Registerer prometheus.Registerer
 	// Now is the clock; nil means time.Now.
@@ -74,7 +76,12 @@
 	closed  bool
 }
 
-var _ store.Store = (*Store)(nil)
+var (
+	_ store.Store        = (*Store)(nil)
+	_ store.PrefixReader = (*Store)(nil)
+)
+
+var errNoPrefixes = errors.New("storecall: the service can't read many keys at once")
 
 // New wraps a service.
 func New(options Options) *Store {
@@ -90,6 +97,9 @@
 	if options.WatchTimeout == 0 {
 		options.WatchTimeout = DefaultWatchTimeout
 	}
+	if options.MaxBackOff == 0 {
+		options.MaxBackOff = maxBackOff
+	}
 	if options.Now == nil {
 		options.Now = time.Now
 	}
@@ -98,7 +108,7 @@
 		limiter: rate.NewLimiter(rate.Limit(options.CallsPerSecond), options.Burst),
 		metrics: newMetrics(options.Registerer),
 		purpose: PurposeOther,
-		gate:    &gate{rand: rand.New(rand.NewPCG(options.Seed, 3))},
+		gate:    &gate{backOff: backOff{most: options.MaxBackOff}, rand: rand.New(rand.NewPCG(options.Seed, 3))},
 	}
 }
 
@@ -164,6 +174,29 @@
 	})
 }
 
+// List implements store.PrefixReader, if the service does.
+func (s *Store) List(ctx context.Context, prefix string, stale bool) (store.Listing, error) {
+	reader, ok := s.options.Store.(store.PrefixReader)
+	if !ok {
+		return store.Listing{}, errNoPrefixes
+	}
+	return call(ctx, s, opList, s.options.Timeout, func(ctx context.Context) (store.Listing, error) {
+		return reader.List(ctx, prefix, stale)
+	})
+}
+
+// WatchPrefix implements store.PrefixReader, if the service does. The whole wait is one
+// call.
+func (s *Store) WatchPrefix(ctx context.Context, prefix string, after store.Revision) (store.Changes, error) {
+	reader, ok := s.options.Store.(store.PrefixReader)
+	if !ok {
+		return store.Changes{}, errNoPrefixes
+	}
+	return call(ctx, s, opWatch, s.options.WatchTimeout, func(ctx context.Context) (store.Changes, error) {
+		return reader.WatchPrefix(ctx, prefix, after)
+	})
+}
+
 func callError(ctx context.Context, s *Store, op operation, do func(context.Context) error) error {
 	_, err := call(ctx, s, op, s.options.Timeout, func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, do(ctx)
@@ -244,5 +277,5 @@
 // answered reports whether the service gave an answer.
 func answered(err error) bool {
 	return err == nil || errors.Is(err, store.ErrNotFound) ||
-		errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrLeaseLost)
+		errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrLeaseLost)
 }
