Residency: copies wanted by engine use; a first copy displaces any spare one

A model that lost its only copy in a crash stayed without one for 15 s, and the next model in demand got its second copy after 5 s. Ruled out: the weight store's rate (2 loads were free) and the servers' order slots.

Now a copy is counted as full by prompts still to be read (1.5) and streams in progress (20), and what is wanted is forgotten in 4 s instead of 8. A first copy may displace any copy that isn't the last one, another copy one whose model is left with clearly less load.

--- a/internal/daemon/residency_feed.go
+++ b/internal/daemon/residency_feed.go
@@ -48,7 +48,7 @@
 func (f *residencyFeed) ForHolder(bool) digest.Digest {
 	var d digest.Digest
 	for ref, load := range f.load() {
-		d.RefLoads = append(d.RefLoads, digest.RefLoad{Ref: ref, Running: load.Running, Waiting: load.Waiting})
+		d.RefLoads = append(d.RefLoads, digest.RefLoad{Ref: ref, Running: load.Running, Unbegun: load.Unbegun, Waiting: load.Waiting})
 	}
 	return d
 }
@@ -157,14 +157,15 @@
 // Gauges adds up the requests of all instances.
 func (f *residencyFeed) Gauges(now time.Time) map[ref]residency.Gauge {
 	out := map[ref]residency.Gauge{}
-	add := func(r ref, running, waiting int) {
+	add := func(r ref, more residency.Gauge) {
 		g := out[r]
-		g.Running += running
-		g.Waiting += waiting
+		g.Running += more.Running
+		g.Unbegun += more.Unbegun
+		g.Waiting += more.Waiting
 		out[r] = g
 	}
 	for r, load := range f.load() {
-		add(r, load.Running, load.Waiting)
+		add(r, residency.Gauge(load))
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -173,7 +174,7 @@
 			continue
 		}
 		for _, load := range peer.loads {
-			add(load.Ref, load.Running, load.Waiting)
+			add(load.Ref, residency.Gauge{Running: load.Running, Unbegun: load.Unbegun, Waiting: load.Waiting})
 		}
 	}
 	return out
--- a/internal/peers/digest/digest.go
+++ b/internal/peers/digest/digest.go
@@ -60,6 +60,8 @@
 type RefLoad struct {
 	Ref     modelref.Ref `cbor:"1,keyasint"`
 	Running int          `cbor:"2,keyasint,omitempty"`
+	// Unbegun counts those that a server hasn't begun to answer.
+	Unbegun int `cbor:"4,keyasint,omitempty"`
 	// Waiting counts those that wait because no server holds the version.
 	Waiting int `cbor:"3,keyasint,omitempty"`
 }
--- a/internal/residency/adapters.go
+++ b/internal/residency/adapters.go
@@ -62,7 +62,7 @@
 		best.slots--
 		best.free -= a.MemoryMB
 		b.order(best, Move{Action: engine.ActionLoad, Ref: a.Ref,
-			Reason: fmt.Sprintf("adapter without a copy, %.1f requests at once, %d wait", need.Load, need.Waiting)})
+			Reason: fmt.Sprintf("adapter without a copy, load of %.1f copies, %d wait", need.Load, need.Waiting)})
 		return
 	}
 	if need.Waiting == 0 {
--- a/internal/residency/needs.go
+++ b/internal/residency/needs.go
@@ -11,14 +11,28 @@
 	// riseTime is the time constant by which the load of a model follows its requests,
 	// and fallTime the one by which a past load is forgotten.
 	riseTime = 700 * time.Millisecond
-	fallTime = 8 * time.Second
+	fallTime = 4 * time.Second
 	// forgetAfter is how long a version that nobody asks for is remembered.
 	forgetAfter = 10 * time.Minute
 )
 
-// Gauge is how many requests for a version run and wait at one moment.
+// Gauge counts the requests for a version at one moment: those that a server answers,
+// those that one hasn't begun to answer, and those that wait for lack of a copy.
 type Gauge struct {
-	Running, Waiting int
+	Running, Unbegun, Waiting int
+}
+
+const (
+	// runningPerCopy is how many requests in progress fill a copy, and unbegunPerCopy how
+	// many whose prompt is still to be read: a server reads prompts one after the other,
+	// and all other requests on it wait meanwhile.
+	runningPerCopy = 20.0
+	unbegunPerCopy = 1.5
+)
+
+// copies is how many copies the requests would fill.
+func (g Gauge) copies() float64 {
+	return float64(g.Running)/runningPerCopy + float64(g.Unbegun+g.Waiting)/unbegunPerCopy
 }
 
 // Tracker averages gauges into needs. It answers demand that moves to other models
@@ -45,8 +59,8 @@
 	keep := math.Exp(-elapsed.Seconds() / fallTime.Seconds())
 	for ref, need := range t.needs {
 		gauge := gauges[ref]
-		count := gauge.Running + gauge.Waiting
-		need.Load += rise * (float64(count) - need.Load)
+		count := gauge.Running + gauge.Unbegun + gauge.Waiting
+		need.Load += rise * (gauge.copies() - need.Load)
 		need.Held = max(need.Load, need.Held*keep)
 		need.Waiting = gauge.Waiting
 		if count > 0 {
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -21,13 +21,16 @@
 
 // Planning constants.
 const (
-	// copyLoad is how many requests at once make another copy of a model worthwhile.
-	copyLoad = 6.0
-	// spareLoad is from how many requests at once a model gets a second copy, so that a
-	// lost server doesn't take all of a model in use.
-	spareLoad = 0.7
-	// adapterCopyLoad is the same as copyLoad for adapters.
-	adapterCopyLoad = 8.0
+	// copyUse is the part of a copy that should be in use at most.
+	copyUse = 0.8
+	// spareLoad is from which load on a model gets a second copy, so that a lost server
+	// doesn't take all of a model in use.
+	spareLoad = 0.12
+	// adapterCopyLoad is the load for which an adapter gets another copy.
+	adapterCopyLoad = 1.5
+	// gainFactor is by how much the load of each copy must exceed that of a copy that
+	// gives way to another one.
+	gainFactor = 1.6
 	// turnTime is how long a model must have been unused to give way to one for which
 	// requests wait, where not all have room at once.
 	turnTime = 2 * time.Second
@@ -44,7 +47,7 @@
 	costSameDomain = 0.3
 	costBusy       = 1.0
 	costNoBudget   = 3.0
-	costPerRequest = 0.01
+	costPerRequest = 0.03
 )
 
 // Model is a model that must stay reachable.
@@ -64,8 +67,8 @@
 
 // Need is how much a model or adapter is asked for.
 type Need struct {
-	// Load is how many requests run or wait, averaged over the last second, and Held the
-	// same, slow to fall.
+	// Load is how many copies the requests would fill, averaged over the last second, and
+	// Held the same, slow to fall.
 	Load, Held float64
 	// Waiting is how many requests wait for lack of a copy.
 	Waiting int
@@ -185,7 +188,7 @@
 // copiesWanted is how many copies the demand for a model calls for.
 func (b *board) copiesWanted(ref modelref.Ref) int {
 	need := b.Needs[ref]
-	n := int(math.Ceil(need.Held / copyLoad))
+	n := int(math.Ceil(need.Held / copyUse))
 	if need.Held >= spareLoad {
 		n = max(n, 2)
 	}
@@ -290,7 +293,7 @@
 
 func (b *board) reason(w want) string {
 	need := b.Needs[w.model.Ref]
-	return fmt.Sprintf("%d of %d copies, %.1f requests at once, %d wait", b.copies[w.model.Ref]-1, b.wanted[w.model.Ref], need.Load, need.Waiting)
+	return fmt.Sprintf("%d of %d copies, load of %.1f copies, %d wait", b.copies[w.model.Ref]-1, b.wanted[w.model.Ref], need.Load, need.Waiting)
 }
 
 // mayLoad reports whether the weight store may be asked for the model.
@@ -375,8 +378,11 @@
 func (b *board) mayGo(w want, ref modelref.Ref) (may bool, harm float64) {
 	need := b.Needs[ref]
 	left := b.copies[ref] - 1
-	if left >= b.wanted[ref] {
-		return true, need.Held / float64(left)
+	if left >= 1 {
+		each := need.Held / float64(left)
+		if left >= b.wanted[ref] || w.first || each*gainFactor < w.value {
+			return true, each
+		}
 	}
 	idle := need.Waiting == 0 && b.Now.Sub(need.LastUsed) >= turnTime
 	if w.waiting && idle {
--- a/internal/scheduling/refload.go
+++ b/internal/scheduling/refload.go
@@ -8,7 +8,9 @@
 
 // RefLoad counts the requests for one version on this instance.
 type RefLoad struct {
-	Running int
+	// Running counts those that a server has begun to answer, and Unbegun those that one
+	// hasn't.
+	Running, Unbegun int
 	// Waiting counts those that wait because no server can take requests for the version.
 	Waiting int
 }
@@ -16,16 +18,21 @@
 // RefLoads implements Scheduler. Requests for an adapter count for its base too.
 func (c *core) RefLoads(now time.Time) map[modelref.Ref]RefLoad {
 	out := map[modelref.Ref]RefLoad{}
-	add := func(ref modelref.Ref, running, waiting int) {
+	add := func(ref modelref.Ref, more RefLoad) {
 		load := out[ref]
-		load.Running += running
-		load.Waiting += waiting
+		load.Running += more.Running
+		load.Unbegun += more.Unbegun
+		load.Waiting += more.Waiting
 		out[ref] = load
 	}
 	for _, d := range c.running {
-		add(d.target.key.model, 1, 0)
+		one := RefLoad{Unbegun: 1}
+		if d.tokens > 0 {
+			one = RefLoad{Running: 1}
+		}
+		add(d.target.key.model, one)
 		if base, ok := c.bases[d.target.key.model]; ok {
-			add(base, 1, 0)
+			add(base, one)
 		}
 	}
 	for _, t := range c.targets {
@@ -40,13 +47,13 @@
 
 // addWaiting adds the requests that wait for a target, as waiting for a copy where
 // there is none.
-func (c *core) addWaiting(now time.Time, t *target, add func(ref modelref.Ref, running, waiting int)) {
+func (c *core) addWaiting(now time.Time, t *target, add func(ref modelref.Ref, more RefLoad)) {
 	count := func(key targetKey) {
 		if c.served(now, c.targets[key]) {
-			add(key.model, t.lane.Len(), 0)
+			add(key.model, RefLoad{Unbegun: t.lane.Len()})
 			return
 		}
-		add(key.model, 0, t.lane.Len())
+		add(key.model, RefLoad{Waiting: t.lane.Len()})
 	}
 	count(t.key)
 	if base, ok := c.bases[t.key.model]; ok {
