--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -124,6 +124,7 @@
 		},
 		Lease: lease.Config{
 			TTL: ttl, Margin: ttl / placementMarginShare, Jitter: ttl / placementJitterShare,
+			ReadPeriod: ttl / 2,
 		},
 		Now:    bootTime,
 		Seed:   d.seed,
--- /dev/null
+++ b/internal/discovery/registry_test.go
@@ -0,0 +1,201 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"limpethub/internal/logging"
+	"limpethub/internal/modelref"
+	"limpethub/internal/scheduling"
+	"limpethub/internal/store"
+)
+
+func server(id string, born, beat int64, refs ...modelref.Ref) Server {
+	return Server{ID: id, Service: "svc", Address: id + ":1", Born: born, Beat: beat, Resident: refs}
+}
+
+func ids(r *Registry) string {
+	var out []string
+	for _, s := range r.Servers() {
+		out = append(out, s.ID)
+	}
+	return fmt.Sprint(out)
+}
+
+func TestOlderAnnouncementsAreIgnored(t *testing.T) {
+	now := time.Now()
+	r := NewRegistry()
+	r.Announced(now, server("a", 5, 3, "m@1"))
+	r.Announced(now, server("a", 5, 2, "old@1"))
+	r.Announced(now, server("a", 4, 9, "older@1"))
+	if got := r.Servers()[0].Resident; fmt.Sprint(got) != "[m@1]" {
+		t.Errorf("holds %v", got)
+	}
+	r.Announced(now, server("a", 6, 1))
+	if got := r.Servers()[0]; got.Born != 6 || len(got.Resident) != 0 {
+		t.Errorf("after a restart under the same id: %+v", got)
+	}
+}
+
+func TestMissingServersGetAMomentOnlyAfterAnOutage(t *testing.T) {
+	now := time.Now()
+	r := NewRegistry()
+	r.Listed(now, []Server{server("a", 1, 1), server("b", 1, 1), server("c", 1, 1)}, false)
+	r.Listed(now, []Server{server("a", 1, 2), server("b", 1, 2)}, false)
+	if ids(r) != "[a b]" {
+		t.Fatalf("without an outage: %s", ids(r))
+	}
+	r.Listed(now, nil, true)
+	r.Tick(now.Add(outageGrace))
+	if ids(r) != "[a b]" {
+		t.Fatalf("right after an outage: %s", ids(r))
+	}
+	r.Announced(now.Add(time.Second), server("b", 1, 3))
+	r.Tick(now.Add(outageGrace + time.Millisecond))
+	if ids(r) != "[b]" {
+		t.Fatalf("once the moment is over: %s", ids(r))
+	}
+}
+
+func TestNewsGoBeforeOlderAnnouncements(t *testing.T) {
+	now := time.Now()
+	r := NewRegistry()
+	r.Announced(now, server("a", 1, 1, "m@1", "n@1"))
+	r.Moved(now, "a", 1, "m@1", false)
+	r.Moved(now, "a", 1, "x@1", true)
+	r.Moved(now, "a", 0, "y@1", true) // Of an earlier start.
+	r.Announced(now, server("a", 1, 2, "m@1", "n@1"))
+	if got := fmt.Sprint(r.Servers()[0].Resident); got != "[n@1 x@1]" {
+		t.Errorf("holds %s", got)
+	}
+	r.Tick(now.Add(overrideLifetime + time.Second))
+	if got := fmt.Sprint(r.Servers()[0].Resident); got != "[m@1 n@1]" {
+		t.Errorf("once the news are old: %s", got)
+	}
+}
+
+func TestLeavingIsTakenFromPeersForThatStartAlone(t *testing.T) {
+	now := time.Now()
+	r := NewRegistry()
+	r.Announced(now, server("a", 2, 1))
+	r.Leaving("a", 1)
+	if r.Servers()[0].Leaving {
+		t.Error("word of an earlier start counts")
+	}
+	r.Leaving("a", 2)
+	if !r.Servers()[0].Leaving {
+		t.Error("word of a peer doesn't count")
+	}
+}
+
+// fakeSource is a service that can be away, and whose watch can forget its history.
+type fakeSource struct {
+	mu       sync.Mutex
+	servers  []Server
+	revision store.Revision
+	down     bool
+	// compacted fails all watches from before this revision.
+	compacted store.Revision
+	// deaf makes watches miss changes, as a broken one does.
+	deaf bool
+}
+
+func (s *fakeSource) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	f()
+}
+
+func (s *fakeSource) List(context.Context) (Update, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return Update{}, errors.New("away")
+	}
+	return Update{Announced: append([]Server(nil), s.servers...), Revision: s.revision}, nil
+}
+
+func (s *fakeSource) Watch(ctx context.Context, after store.Revision) (Update, error) {
+	for range 10 {
+		s.mu.Lock()
+		down, compacted, revision, deaf := s.down, s.compacted, s.revision, s.deaf
+		servers := append([]Server(nil), s.servers...)
+		s.mu.Unlock()
+		switch {
+		case down:
+			return Update{}, errors.New("away")
+		case after < compacted:
+			return Update{}, store.ErrCompacted
+		case revision > after && !deaf:
+			return Update{Announced: servers, Revision: revision}, nil
+		}
+		sleep(ctx, 100*time.Millisecond)
+	}
+	return Update{Revision: after}, ctx.Err()
+}
+
+type fakeSink struct {
+	mu      sync.Mutex
+	servers []scheduling.Server
+}
+
+func (s *fakeSink) SetServers(servers []scheduling.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers = servers
+}
+
+func (s *fakeSink) ObserveResident(string, []modelref.Ref) {}
+
+func (s *fakeSink) names() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for _, server := range s.servers {
+		name := server.Name
+		if server.Leaving {
+			name += " leaving"
+		}
+		out = append(out, name)
+	}
+	return fmt.Sprint(out)
+}
+
+func TestWatcherFollowsThroughOutagesAndLostHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &fakeSource{servers: []Server{server("a", 1, 1), server("b", 1, 1)}, revision: 1}
+		sink := &fakeSink{}
+		w := New(Options{Source: source, Sink: sink, Pooled: func(string) bool { return false }, Logger: logging.Discard()})
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go w.Run(ctx)
+		step := func(what, want string, after time.Duration, change func()) {
+			t.Helper()
+			source.set(change)
+			time.Sleep(after)
+			if got := sink.names(); got != want {
+				t.Errorf("%s: %s, want %s", what, got, want)
+			}
+		}
+		step("start", "[a b]", time.Second, func() {})
+		step("leaving", "[a b leaving]", time.Second, func() {
+			source.servers[1] = server("b", 1, 2)
+			source.servers[1].Leaving = true
+		})
+		step("history lost while a watch heard nothing", "[a c]", 2*time.Second, func() {
+			source.deaf, source.servers, source.compacted = true, []Server{server("a", 1, 3), server("c", 1, 1)}, source.revision
+		})
+		source.set(func() { source.deaf = false })
+		step("away", "[a c]", 5*time.Second, func() { source.down = true })
+		step("back, entries lapsed", "[a c]", time.Second, func() {
+			source.down, source.servers, source.compacted = false, nil, source.revision
+		})
+		step("one came back", "[a]", 3*time.Second, func() { source.servers = []Server{server("a", 1, 4)} })
+	})
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -23,8 +23,10 @@
 	outageAfter = 1500 * time.Millisecond
 	// tickPeriod is how often the registry forgets what has run out.
 	tickPeriod = 100 * time.Millisecond
-	// batchPause is how long changes are gathered: each watch that ends costs a call.
-	batchPause = 40 * time.Millisecond
+	// batchPause is how long changes are gathered: each watch that ends costs a call of
+	// the service, and most changes are of no use here. It is well below the time that a
+	// leaving server still takes requests.
+	batchPause = 400 * time.Millisecond
 )
 
 // Update is what happened to announcements.
--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -19,6 +19,9 @@
 	Margin time.Duration
 	// Jitter is the most that a candidate waits, at random, before it claims.
 	Jitter time.Duration
+	// ReadPeriod is the mean time between two looks of a candidate; 0 means a third of
+	// TTL.
+	ReadPeriod time.Duration
 	// ReachDelay is how much longer a candidate waits that reaches no server; one that
 	// reaches all waits no longer. Zero turns it off.
 	ReachDelay time.Duration
@@ -272,6 +275,9 @@
 		m.nextCall = m.sentAt.Add(period)
 		return
 	}
+	if m.config.ReadPeriod > 0 {
+		period = m.config.ReadPeriod
+	}
 	m.nextCall = now.Add(period/2 + time.Duration(m.random.Int64N(int64(period)+1)))
 	if m.mayClaimSoon(now) {
 		m.nextCall = now.Add(m.claimDelay/2 + 1)
