--- a/internal/residency/account.go
+++ b/internal/residency/account.go
@@ -20,6 +20,8 @@
 	// adapterDelay is how long an adapter takes from the answer to its order until
 	// requests for it are taken.
 	adapterDelay = 25 * time.Millisecond
+	// goalTime is how long room that was made is kept for its model.
+	goalTime = 8 * time.Second
 	// refreshPeriod is the time between two reads of an account for which nothing is open.
 	refreshPeriod = 20 * time.Second
 )
@@ -58,6 +60,9 @@
 	nextAsk  time.Time
 	ordering bool
 	open     *openOrder
+	// goal is the model for which room was made, up to goalUntil.
+	goal      modelref.Ref
+	goalUntil time.Time
 	// unanswered are orders without an answer; lost are those of earlier starts.
 	unanswered []lostOrder
 	lost       []lostOrder
--- a/internal/residency/adapters.go
+++ b/internal/residency/adapters.go
@@ -3,13 +3,18 @@
 import (
 	"fmt"
 	"sort"
+	"time"
 
 	"limpethub/internal/engine"
 	"limpethub/internal/modelref"
 )
 
-// planAdapters gives each adapter in use a copy beside its base, and each other one
-// where a slot is free. It answers many adapters that share few slots: those that
+// adapterMemory is how long after its last request an adapter still gets a copy without
+// one that waits. Its load takes some milliseconds, so that there is no need to load
+// adapters ahead.
+const adapterMemory = 10 * time.Second
+
+// planAdapters gives each adapter in use a copy beside its base. It answers many adapters that share few slots: those that
 // requests wait for come first, and displace what nobody uses.
 func (b *board) planAdapters() {
 	order := make([]Adapter, len(b.Adapters))
@@ -22,6 +27,10 @@
 		return x.Held > y.Held
 	})
 	for _, a := range order {
+		need := b.Needs[a.Ref]
+		if need.LastUsed.IsZero() || b.Now.Sub(need.LastUsed) > adapterMemory {
+			continue
+		}
 		if b.adapterCopies(a) < b.adapterWanted(a) {
 			b.provideAdapter(a)
 		}
--- a/internal/residency/core.go
+++ b/internal/residency/core.go
@@ -16,6 +16,10 @@
 	// unloadNotice is how long before its order an unload is told to all instances, so
 	// that no request for the model is on its way.
 	unloadNotice = 60 * time.Millisecond
+	// settling is how long no new server must have shown up for a new holder to plan, and
+	// longestSettling how long it waits for that at most.
+	settling        = 1800 * time.Millisecond
+	longestSettling = 8 * time.Second
 	// loadBurst is how many loads from the weight store may begin at once.
 	loadBurst = 3
 	// loadShare is the part of the weight store's rate that is used: orders that are
@@ -91,6 +95,8 @@
 	adapters map[modelref.Ref]site.Adapter
 
 	accounts map[string]*account
+	// cameLast is when a server was last new to this holder.
+	cameLast time.Time
 	notices  map[string]notice
 	tracker  *Tracker
 	requests map[string]int
@@ -147,15 +153,21 @@
 		return
 	}
 	c.refill(now)
-	c.sync(o.servers)
+	c.sync(now, o.servers)
 	for _, a := range c.accounts {
 		c.stepAccount(now, a)
 	}
-	if now.Sub(c.since) >= c.takeover {
+	if now.Sub(c.since) >= c.takeover && c.settled(now) {
 		c.giveOrders(now)
 	}
 }
 
+// settled reports whether the servers that are known are probably all there are. A new
+// holder that plans with the first of them takes the models of all others for lost.
+func (c *core) settled(now time.Time) bool {
+	return now.Sub(c.since) > longestSettling || now.Sub(c.cameLast) >= settling
+}
+
 func (c *core) stepLease(now time.Time) {
 	if todo := c.lease.Next(now); todo.Step != lease.Wait {
 		kind := effectReadLease
@@ -199,7 +211,7 @@
 }
 
 // sync takes the servers that exist.
-func (c *core) sync(servers []discovery.Known) {
+func (c *core) sync(now time.Time, servers []discovery.Known) {
 	present := make(map[string]bool, len(servers))
 	for _, s := range servers {
 		if _, pooled := c.document.Pool(s.Service); !pooled {
@@ -211,6 +223,7 @@
 			continue
 		}
 		c.accounts[s.ID] = newAccount(s)
+		c.cameLast = now
 	}
 	for id := range c.accounts {
 		if !present[id] {
@@ -305,6 +318,9 @@
 		InMemory: a.inMemory, OnDisk: a.onDisk,
 		Requests: c.requests[a.server.ID],
 	}
+	if now.Before(a.goalUntil) {
+		view.Goal = a.goal
+	}
 	if !a.known {
 		// Until the server's own account was read, its announcement tells what it holds.
 		view.Models = c.announced(a.server.Resident)
@@ -355,6 +371,7 @@
 	}
 	if _, model := c.models[m.Ref]; m.Action == engine.ActionUnload && model {
 		c.notices[m.Server] = notice{move: m, at: now}
+		a.goal, a.goalUntil = m.For, now.Add(goalTime)
 		c.leave(a, m.Ref)
 		return
 	}
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -25,7 +25,7 @@
 	copyUse = 0.8
 	// spareLoad is from which load on a model gets a second copy, so that a lost server
 	// doesn't take all of a model in use.
-	spareLoad = 0.12
+	spareLoad = 0.5
 	// adapterCopyLoad is the load for which an adapter gets another copy.
 	adapterCopyLoad = 1.5
 	// gainFactor is by how much the load of each copy must exceed that of a copy that
@@ -91,6 +91,8 @@
 	InMemory, OnDisk map[modelref.Ref]bool
 	// Requests is how many requests the server has.
 	Requests int
+	// Goal is the model for which room was or is being made; empty for none.
+	Goal modelref.Ref
 }
 
 // Snapshot is all that Plan decides from.
@@ -112,6 +114,8 @@
 	Ref    modelref.Ref
 	// FromStore is true for a load that the weight store must serve.
 	FromStore bool
+	// For is, for an unload, the model for which it makes room.
+	For modelref.Ref
 	// Reason is one short sentence for the log.
 	Reason string
 }
@@ -207,6 +211,7 @@
 // planModels provides the copies that are missing, the most urgent first.
 func (b *board) planModels() {
 	b.retire()
+	b.pursueGoals()
 	for _, w := range b.wants() {
 		b.provide(w)
 	}
@@ -223,6 +228,23 @@
 	}
 }
 
+// pursueGoals loads the models for which room was made, before anything else uses it.
+// Without it each plan would make room anew where that seems cheaper now.
+func (b *board) pursueGoals() {
+	for _, p := range b.places {
+		m, configured := b.models[p.Goal]
+		if _, has := p.Models[p.Goal]; !configured || has || b.copies[m.Ref] >= b.wanted[m.Ref] {
+			continue
+		}
+		w := want{model: m, first: b.copies[m.Ref] == 0}
+		o := option{place: p}
+		_, o.fromStore = b.loadTime(m, p)
+		if p.free+p.soon >= m.MemoryMB {
+			b.take(w, o)
+		}
+	}
+}
+
 func (b *board) wants() []want {
 	var out []want
 	for _, m := range b.Models {
@@ -260,17 +282,19 @@
 // provide orders what the cheapest option needs next, if its server takes an order now,
 // and counts on it for the rest of the plan.
 func (b *board) provide(w want) {
-	best, ok := b.bestOption(w)
-	if !ok {
-		return
+	if best, ok := b.bestOption(w); ok {
+		b.take(w, best)
 	}
+}
+
+func (b *board) take(w want, best option) {
 	p := best.place
 	b.copies[w.model.Ref]++
 	switch {
 	case best.victim != "":
 		b.copies[best.victim]--
 		p.soon += b.models[best.victim].MemoryMB
-		b.order(p, Move{Action: engine.ActionUnload, Ref: best.victim,
+		b.order(p, Move{Action: engine.ActionUnload, Ref: best.victim, For: w.model.Ref,
 			Reason: fmt.Sprintf("makes room for %s", w.model.Ref)})
 	case p.free >= w.model.MemoryMB && (!best.fromStore || b.mayLoad(w)):
 		if best.fromStore {
--- a/internal/residency/plan_test.go
+++ b/internal/residency/plan_test.go
@@ -123,6 +123,25 @@
 	}
 }
 
+// TestRoomThatIsMadeIsKeptForItsModel replays a quiet day on which each plan made room
+// for the same copy on yet another server, as long as the first unload took.
+func TestRoomThatIsMadeIsKeptForItsModel(t *testing.T) {
+	s := newShop(4)
+	s.add(0, 1, 2)
+	s.add(0, 1, 2).OnDisk[model(3)] = true
+	first := &s.snapshot.Servers[0]
+	first.Ready, first.Goal = false, model(3)
+	first.Models[model(0)] = engine.StateUnloading
+	if got := s.plan(); got != "[]" {
+		t.Errorf("while room is being made: %s", got)
+	}
+	delete(first.Models, model(0))
+	first.Ready = true
+	if got := s.plan(); got != "[s0 load m03@1]" {
+		t.Errorf("once there is room: %s", got)
+	}
+}
+
 // TestShiftedDemandGetsCopies replays a shift: the busiest model falls silent, and
 // another one with a single copy takes all of its requests.
 func TestShiftedDemandGetsCopies(t *testing.T) {
@@ -151,6 +170,10 @@
 	for i := range 3 {
 		s.snapshot.Adapters = append(s.snapshot.Adapters, Adapter{Ref: modelref.Ref(fmt.Sprintf("a%d@1", i)), Base: model(0), MemoryMB: 1})
 	}
+	if got := s.plan(); got != "[]" {
+		t.Errorf("adapters that nobody asked for: %s", got)
+	}
+	s.snapshot.Needs["a0@1"] = Need{LastUsed: s.snapshot.Now.Add(-time.Second)}
 	if got := s.plan(); got != "[s0 load a0@1]" {
 		t.Errorf("with free slots: %s", got)
 	}
