Residency: a copy that serves stays while the other is only loading

Besides, copies on servers that no longer answered counted until their announcements lapsed, and requests that waited for an adapter counted as load of its model. Each server's account is now read each 3 s, and one that can't be read twice doesn't count.

--- a/internal/residency/account.go
+++ b/internal/residency/account.go
@@ -23,7 +23,10 @@
 	// goalTime is how long room that was made is kept for its model.
 	goalTime = 8 * time.Second
 	// refreshPeriod is the time between two reads of an account for which nothing is open.
-	refreshPeriod = 20 * time.Second
+	// A server that is gone shows then, before its announcement lapses.
+	refreshPeriod = 3 * time.Second
+	// lostAfter is after how many failed reads a server's copies no longer count.
+	lostAfter = 2
 )
 
 // openOrder is a model order that a server carries out.
@@ -56,6 +59,8 @@
 	inMemory   map[modelref.Ref]bool
 	onDisk     map[modelref.Ref]bool
 
+	// failures counts reads of the account that failed in a row.
+	failures int
 	asking   bool
 	nextAsk  time.Time
 	ordering bool
@@ -125,6 +130,7 @@
 // ignored.
 func (a *account) observe(now time.Time, state engine.SequencedState) (stale bool) {
 	a.asking = false
+	a.failures = 0
 	if state.Sequence < a.sequence {
 		a.nextAsk = now.Add(reportLag)
 		return true
--- a/internal/residency/core.go
+++ b/internal/residency/core.go
@@ -291,7 +291,7 @@
 		}
 	}
 	for _, id := range c.sortedAccounts() {
-		if a := c.accounts[id]; a.server.Service == pool.Service && !a.server.Leaving {
+		if a := c.accounts[id]; a.server.Service == pool.Service && !a.server.Leaving && a.failures < lostAfter {
 			s.Servers = append(s.Servers, c.view(now, pool, a))
 		}
 	}
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -143,6 +143,8 @@
 	places []*place
 	// copies counts the copies that serve or are being loaded.
 	copies map[modelref.Ref]int
+	// serving counts the copies that serve now, less those that give way.
+	serving map[modelref.Ref]int
 	// wanted is how many copies each model should have.
 	wanted map[modelref.Ref]int
 	moves  []Move
@@ -153,6 +155,7 @@
 		Snapshot: s,
 		models:   make(map[modelref.Ref]Model, len(s.Models)),
 		copies:   map[modelref.Ref]int{},
+		serving:  map[modelref.Ref]int{},
 		wanted:   map[modelref.Ref]int{},
 	}
 	for _, m := range s.Models {
@@ -181,6 +184,9 @@
 			continue
 		}
 		b.copies[ref]++
+		if state == engine.StateResident {
+			b.serving[ref]++
+		}
 	}
 	for ref := range view.Adapters {
 		p.free -= adapters[ref].MemoryMB
@@ -293,6 +299,7 @@
 	switch {
 	case best.victim != "":
 		b.copies[best.victim]--
+		b.serving[best.victim]--
 		p.soon += b.models[best.victim].MemoryMB
 		b.order(p, Move{Action: engine.ActionUnload, Ref: best.victim, For: w.model.Ref,
 			Reason: fmt.Sprintf("makes room for %s", w.model.Ref)})
@@ -402,7 +409,7 @@
 func (b *board) mayGo(w want, ref modelref.Ref) (may bool, harm float64) {
 	need := b.Needs[ref]
 	left := b.copies[ref] - 1
-	if left >= 1 {
+	if left >= 1 && b.serving[ref] > 1 {
 		each := need.Held / float64(left)
 		if left >= b.wanted[ref] || w.first || each*gainFactor < w.value {
 			return true, each
--- a/internal/residency/plan_test.go
+++ b/internal/residency/plan_test.go
@@ -79,6 +79,21 @@
 	}
 }
 
+// TestCopyThatServesStaysWhileTheOtherIsOnlyLoading replays a day on which the one copy
+// that served was unloaded while a second one still took four seconds to load.
+func TestCopyThatServesStaysWhileTheOtherIsOnlyLoading(t *testing.T) {
+	s := newShop(2)
+	s.add(0).MemoryMB = 10
+	loading := s.add()
+	loading.MemoryMB, loading.Ready = 10, false
+	loading.Models[model(0)] = engine.StateLoading
+	s.need(0, 0.1, 0)
+	s.need(1, 3, 4)
+	if got := s.plan(); got != "[]" {
+		t.Errorf("planned %s", got)
+	}
+}
+
 func TestLastCopyStaysUnlessOthersWaitAndNobodyAsksForIt(t *testing.T) {
 	s := newShop(2)
 	s.add(0).MemoryMB = 10
--- a/internal/residency/results.go
+++ b/internal/residency/results.go
@@ -69,6 +69,7 @@
 	}
 	if r.err != nil {
 		a.nextAsk = now.Add(retryAsk)
+		a.failures++
 		c.note("Account of a server can't be read", map[string]any{"server": a.server.ID, "error": r.err.Error()}, true)
 		return
 	}
--- a/internal/scheduling/refload.go
+++ b/internal/scheduling/refload.go
@@ -48,16 +48,14 @@
 // addWaiting adds the requests that wait for a target, as waiting for a copy where
 // there is none.
 func (c *core) addWaiting(now time.Time, t *target, add func(ref modelref.Ref, more RefLoad)) {
-	count := func(key targetKey) {
-		if c.served(now, c.targets[key]) {
-			add(key.model, RefLoad{Unbegun: t.lane.Len()})
-			return
-		}
-		add(key.model, RefLoad{Waiting: t.lane.Len()})
+	if c.served(now, t) {
+		add(t.key.model, RefLoad{Unbegun: t.lane.Len()})
+		return
 	}
-	count(t.key)
-	if base, ok := c.bases[t.key.model]; ok {
-		count(targetKey{model: base, service: t.key.service})
+	add(t.key.model, RefLoad{Waiting: t.lane.Len()})
+	base, ok := c.bases[t.key.model]
+	if ok && !c.served(now, c.targets[targetKey{model: base, service: t.key.service}]) {
+		add(base, RefLoad{Waiting: t.lane.Len()})
 	}
 }
 
