--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -32,6 +32,9 @@
 	// a holder stops earlier, and by how much candidates spread their claims.
 	placementMarginShare = 6
 	placementJitterShare = 10
+	// candidateReads times that is the mean time between two looks of a candidate. One
+	// looks at once when the holder seems to be gone.
+	candidateReads = 2
 )
 
 // hosted holds the parts of an instance whose callers and servers follow a platform's
@@ -124,13 +127,18 @@
 		},
 		Lease: lease.Config{
 			TTL: ttl, Margin: ttl / placementMarginShare, Jitter: ttl / placementJitterShare,
-			ReadPeriod: ttl / 2,
+			ReadPeriod: candidateReads * ttl,
 		},
 		Now:    bootTime,
 		Seed:   d.seed,
 		Logger: d.log(logging.Placement),
 	})
 	h.feed.load = d.dispatcher.RefLoads
+	d.cluster.OnChange(func(t membership.Transition) {
+		if t.Member.State != membership.Alive && t.Member.Name == h.manager.Holder() {
+			h.manager.HolderGone()
+		}
+	})
 }
 
 // leastEntries is how many instances callers should know, so that they have another one
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -24,9 +24,9 @@
 	// tickPeriod is how often the registry forgets what has run out.
 	tickPeriod = 100 * time.Millisecond
 	// batchPause is how long changes are gathered: each watch that ends costs a call of
-	// the service, and most changes are of no use here. It is well below the time that a
-	// leaving server still takes requests.
-	batchPause = 400 * time.Millisecond
+	// the service, and most changes are of no use here. It is below the time that a
+	// leaving server still takes requests, and instances tell each other of such servers.
+	batchPause = time.Second
 )
 
 // Update is what happened to announcements.
--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -131,6 +131,13 @@
 	m.record.Term = max(m.record.Term, term)
 }
 
+// Hurry makes the next look due at once, as when the holder seems to be gone.
+func (m *Machine) Hurry(now time.Time) {
+	if !m.holding && m.nextCall.After(now) {
+		m.nextCall = now
+	}
+}
+
 // Resign gives the lease up for good, as on a planned stop.
 func (m *Machine) Resign() { m.resign = true }
 
--- a/internal/residency/manager.go
+++ b/internal/residency/manager.go
@@ -96,6 +96,12 @@
 	return m.core.holding
 }
 
+// HolderGone tells that the holder of the lease seems to be gone or about to go.
+func (m *Manager) HolderGone() {
+	m.locked(func(c *core) { c.lease.Hurry(m.options.Now()) })
+	m.Wake()
+}
+
 // Wake makes the manager look at once for what is due.
 func (m *Manager) Wake() {
 	select {
