News of residency hold until a newer announcement; the lease is told to candidates

News now hold until an announcement that is surely newer. The holder tells its lease with its digests and resigns as a planned stop begins.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -104,7 +104,7 @@
 	d.exchange = newExchange(d.processName(), d.dispatcher, d.cluster, d.plugins.peers, d.log(logging.Peers))
 	d.exchange.feed, d.exchange.every = h.feed, 1
 	d.exchange.holder = func() string { return h.manager.Holder() }
-	h.feed.watcher, h.feed.wake = h.watcher, func() { h.manager.Wake() }
+	h.feed.watcher = h.watcher
 	return nil
 }
 
@@ -133,7 +133,7 @@
 		Seed:   d.seed,
 		Logger: d.log(logging.Placement),
 	})
-	h.feed.load = d.dispatcher.RefLoads
+	h.feed.load, h.feed.manager = d.dispatcher.RefLoads, h.manager
 	d.cluster.OnChange(func(t membership.Transition) {
 		if t.Member.State != membership.Alive && t.Member.Name == h.manager.Holder() {
 			h.manager.HolderGone()
@@ -238,7 +238,7 @@
 // servers: who needs what, what changed on a server, which servers leave.
 type residencyFeed struct {
 	watcher *discovery.Watcher
-	wake    func()
+	manager *residency.Manager
 	load    func() map[ref]scheduling.RefLoad
 
 	mu      sync.Mutex
--- a/internal/daemon/residency_feed.go
+++ b/internal/daemon/residency_feed.go
@@ -5,9 +5,11 @@
 
 	"limpethub/internal/discovery"
 	"limpethub/internal/gateway"
+	"limpethub/internal/lease"
 	"limpethub/internal/modelref"
 	"limpethub/internal/peers/digest"
 	"limpethub/internal/residency"
+	"limpethub/internal/store"
 )
 
 const (
@@ -56,6 +58,12 @@
 // AddForAll implements feed.
 func (f *residencyFeed) AddForAll(d *digest.Digest) {
 	now := time.Now()
+	if record, revision, ok := f.manager.Lease(); ok {
+		d.Lease = &digest.Lease{
+			Holder: record.Holder, Term: record.Term, WriteID: record.WriteID,
+			Revision: int64(revision), Released: record.Released,
+		}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	kept := f.told[:0]
@@ -118,11 +126,16 @@
 	for _, l := range d.Leaving {
 		f.watcher.Leaving(l.Server, l.Born)
 	}
+	if d.Lease != nil {
+		f.manager.Heard(lease.Record{
+			Holder: d.Lease.Holder, Term: d.Lease.Term, WriteID: d.Lease.WriteID, Released: d.Lease.Released,
+		}, store.Revision(d.Lease.Revision))
+	}
 	if len(d.RefLoads) == 0 {
 		return
 	}
 	if f.observeLoads(d) {
-		f.wake()
+		f.manager.Wake()
 	}
 }
 
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -44,6 +44,8 @@
 func (d *Daemon) leave() {
 	if d.hosted != nil {
 		d.hosted.front.Leave()
+		d.hosted.manager.Resign()
+		d.exchange.Hurry()
 		return
 	}
 	d.gateway.Leave()
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -16,7 +16,8 @@
 	// take to announce itself again.
 	outageGrace = 2500 * time.Millisecond
 	// overrideLifetime is how long news of single versions go before what a server
-	// announced, which may be older.
+	// announces, which may be older. After that the next announcement counts, but not the
+	// lack of one: the service may be away.
 	overrideLifetime = 4 * time.Second
 )
 
@@ -114,6 +115,7 @@
 	if s.Born != e.known.Born {
 		clear(e.overrides)
 	}
+	e.expireOverrides(now)
 	e.missingSince = time.Time{}
 	e.known = Known{Server: s, Seen: now}
 	r.changed = true
@@ -161,18 +163,20 @@
 	r.changed = true
 }
 
-// Tick forgets what has run out.
+// Tick forgets servers that stayed missing.
 func (r *Registry) Tick(now time.Time) {
 	for id, e := range r.servers {
 		if !e.missingSince.IsZero() && now.Sub(e.missingSince) > outageGrace {
 			r.Removed(id)
-			continue
 		}
-		for ref, o := range e.overrides {
-			if now.After(o.until) {
-				delete(e.overrides, ref)
-				r.changed = true
-			}
+	}
+}
+
+// expireOverrides drops the news that an announcement is surely newer than.
+func (e *entry) expireOverrides(now time.Time) {
+	for ref, o := range e.overrides {
+		if now.After(o.until) {
+			delete(e.overrides, ref)
 		}
 	}
 }
--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -73,9 +73,14 @@
 	if got := fmt.Sprint(r.Servers()[0].Resident); got != "[n@1 x@1]" {
 		t.Errorf("holds %s", got)
 	}
-	r.Tick(now.Add(overrideLifetime + time.Second))
+	later := now.Add(overrideLifetime + time.Second)
+	r.Tick(later)
+	if got := fmt.Sprint(r.Servers()[0].Resident); got != "[n@1 x@1]" {
+		t.Errorf("without a newer announcement, as while the service is away: %s", got)
+	}
+	r.Announced(later, server("a", 1, 3, "m@1", "n@1"))
 	if got := fmt.Sprint(r.Servers()[0].Resident); got != "[m@1 n@1]" {
-		t.Errorf("once the news are old: %s", got)
+		t.Errorf("once an announcement is surely newer: %s", got)
 	}
 }
 
--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -131,6 +131,28 @@
 	m.record.Term = max(m.record.Term, term)
 }
 
+// Heard takes the key's state as the holder told it to this candidate. It saves looks at
+// the key, and a claim that rests on it still goes by compare-and-swap.
+func (m *Machine) Heard(now time.Time, record Record, revision store.Revision) {
+	if m.holding || m.busy || m.unclear || m.resign || (m.known && revision < m.revision) {
+		return
+	}
+	if !m.known || revision != m.revision {
+		m.adopt(record, revision)
+		m.since = now
+		m.claimDelay = time.Duration(m.random.Int64N(int64(m.config.Jitter) + 1))
+	}
+	m.lastHeard = now
+	wait := m.claimDelay + m.reachDelay()
+	if !record.Released {
+		wait += m.config.TTL
+	}
+	m.nextCall = m.since.Add(wait)
+}
+
+// Revision returns the revision of the key that Record tells of.
+func (m *Machine) Revision() store.Revision { return m.revision }
+
 // Hurry makes the next look due at once, as when the holder seems to be gone.
 func (m *Machine) Hurry(now time.Time) {
 	if !m.holding && m.nextCall.After(now) {
--- a/internal/peers/digest/digest.go
+++ b/internal/peers/digest/digest.go
@@ -74,6 +74,15 @@
 	Present bool         `cbor:"4,keyasint,omitempty"`
 }
 
+// Lease is the placement lease as its holder last wrote it.
+type Lease struct {
+	Holder   string `cbor:"1,keyasint"`
+	Term     uint64 `cbor:"2,keyasint"`
+	WriteID  string `cbor:"3,keyasint"`
+	Revision int64  `cbor:"4,keyasint"`
+	Released bool   `cbor:"5,keyasint,omitempty"`
+}
+
 // Digest is one datagram.
 type Digest struct {
 	// Instance is the sender.
@@ -89,6 +98,8 @@
 	Leaving     []ServerLeaving `cbor:"7,keyasint,omitempty"`
 	RefLoads    []RefLoad       `cbor:"8,keyasint,omitempty"`
 	Residencies []Residency     `cbor:"9,keyasint,omitempty"`
+	// Lease is in the first datagram of the holder's digests alone.
+	Lease *Lease `cbor:"10,keyasint,omitempty"`
 }
 
 const (
@@ -111,6 +122,10 @@
 	}
 	s := splitter{head: Digest{Instance: d.Instance, Sequence: d.Sequence, Process: d.Process}}
 	s.reset()
+	if d.Lease != nil {
+		s.reserve(len(d.Lease.Holder) + len(d.Lease.WriteID))
+		s.part.Lease = d.Lease
+	}
 	for _, load := range d.Loads {
 		s.reserve(len(load.Server) + classBytes*len(load.Classes))
 		s.part.Loads = append(s.part.Loads, load)
--- a/internal/residency/core.go
+++ b/internal/residency/core.go
@@ -95,7 +95,8 @@
 	adapters map[modelref.Ref]site.Adapter
 
 	accounts map[string]*account
-	// cameLast is when a server was last new to this holder.
+	// seen are the servers of the last step, and cameLast is when one was last new.
+	seen     map[string]bool
 	cameLast time.Time
 	notices  map[string]notice
 	tracker  *Tracker
@@ -148,12 +149,13 @@
 	c.configure(o.document)
 	c.tracker.Update(now, o.gauges)
 	c.requests = o.requests
+	c.noteNew(now, o.servers)
 	c.stepLease(now)
 	if !c.stepHolder(now) || c.document == nil {
 		return
 	}
 	c.refill(now)
-	c.sync(now, o.servers)
+	c.sync(o.servers)
 	for _, a := range c.accounts {
 		c.stepAccount(now, a)
 	}
@@ -168,6 +170,18 @@
 	return now.Sub(c.since) > longestSettling || now.Sub(c.cameLast) >= settling
 }
 
+// noteNew notes when a server was last new to this instance, be it the holder or not.
+func (c *core) noteNew(now time.Time, servers []discovery.Known) {
+	known := make(map[string]bool, len(servers))
+	for _, s := range servers {
+		known[s.ID] = true
+		if !c.seen[s.ID] {
+			c.cameLast = now
+		}
+	}
+	c.seen = known
+}
+
 func (c *core) stepLease(now time.Time) {
 	if todo := c.lease.Next(now); todo.Step != lease.Wait {
 		kind := effectReadLease
@@ -211,7 +225,7 @@
 }
 
 // sync takes the servers that exist.
-func (c *core) sync(now time.Time, servers []discovery.Known) {
+func (c *core) sync(servers []discovery.Known) {
 	present := make(map[string]bool, len(servers))
 	for _, s := range servers {
 		if _, pooled := c.document.Pool(s.Service); !pooled {
@@ -223,7 +237,6 @@
 			continue
 		}
 		c.accounts[s.ID] = newAccount(s)
-		c.cameLast = now
 	}
 	for id := range c.accounts {
 		if !present[id] {
--- a/internal/residency/manager.go
+++ b/internal/residency/manager.go
@@ -96,6 +96,28 @@
 	return m.core.holding
 }
 
+// Lease returns the lease's record and revision while this instance holds the lease, and
+// for a moment after it gave the lease up.
+func (m *Manager) Lease() (record lease.Record, revision store.Revision, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	record = m.core.lease.Record()
+	ok = record.Holder == m.options.Instance && (m.core.holding || record.Released)
+	return record, m.core.lease.Revision(), ok
+}
+
+// Heard takes the lease as its holder told it.
+func (m *Manager) Heard(record lease.Record, revision store.Revision) {
+	m.locked(func(c *core) { c.lease.Heard(m.options.Now(), record, revision) })
+}
+
+// Resign gives the lease up, as at the begin of a planned stop: another instance can take
+// over while this one still finishes its requests.
+func (m *Manager) Resign() {
+	m.locked(func(c *core) { c.lease.Resign() })
+	m.Wake()
+}
+
 // HolderGone tells that the holder of the lease seems to be gone or about to go.
 func (m *Manager) HolderGone() {
 	m.locked(func(c *core) { c.lease.Hurry(m.options.Now()) })
