Routing: prompts on their way to a server are bounded and weighed

A server reads prompts in pieces between the tokens of its other requests, so that half a second of prompts makes their streams pause for longer than is on time; and requests piled up on the few copies of a model while others were loading.

--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -16,6 +16,8 @@
 const (
 	// exchangePeriod is the time between two digests of load.
 	exchangePeriod = 250 * time.Millisecond
+	// loadPause is the least time after a digest of load that went out early.
+	loadPause = 30 * time.Millisecond
 	// demandEvery is how many digests of load go out per digest of demand.
 	demandEvery = 4
 	// fullDemandEvery is how many digests of demand go out per full one.
@@ -48,7 +50,7 @@
 	sequence   uint64
 	rounds     int
 	// hurry makes the next digests go out at once.
-	hurry chan struct{}
+	hurry, hurryLoad chan struct{}
 	// every is how many digests of load go out per digest of demand.
 	every int
 }
@@ -59,7 +61,7 @@
 	e := &exchange{
 		process: process, dispatcher: dispatcher, cluster: c,
 		logger: logger, sequence: uint64(time.Now().UnixNano()),
-		hurry: make(chan struct{}, 1), every: demandEvery,
+		hurry: make(chan struct{}, 1), hurryLoad: make(chan struct{}, 1), every: demandEvery,
 	}
 	transport.Handle(peers.KindDigest, e)
 	c.OnChange(e.memberChanged)
@@ -82,6 +84,10 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-e.hurryLoad:
+			e.sendLoad()
+			// What comes meanwhile goes with the next digest.
+			time.Sleep(loadPause)
 		case <-e.hurry:
 			e.sendLoad()
 			e.sendDemand()
@@ -91,6 +97,14 @@
 	}
 }
 
+// HurryLoad makes the next digest of load go out at once.
+func (e *exchange) HurryLoad() {
+	select {
+	case e.hurryLoad <- struct{}{}:
+	default:
+	}
+}
+
 // Hurry makes the next digests go out at once.
 func (e *exchange) Hurry() {
 	select {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -30,6 +30,9 @@
 	Logger    *logrus.Entry
 	// Now returns the current time.
 	Now func() time.Time
+	// OnNews is called, without blocking, when peers should get a digest soon; nil means
+	// that they needn't.
+	OnNews func()
 }
 
 // Dispatcher hands requests to a Scheduler and waits for its decisions.
@@ -38,6 +41,7 @@
 	observer  Observer
 	logger    *logrus.Entry
 	now       func() time.Time
+	onNews    func()
 
 	mu sync.Mutex
 	// lines are log lines to write once the lock is released, so that a slow log holds
@@ -69,6 +73,7 @@
 		observer:  options.Observer,
 		logger:    options.Logger,
 		now:       options.Now,
+		onNews:    options.OnNews,
 		waiters:   make(map[request.ID]*waiter),
 	}
 }
@@ -256,7 +261,11 @@
 	f()
 	lines := d.lines
 	d.lines = nil
+	news := d.onNews != nil && d.scheduler.TakeNews()
 	d.mu.Unlock()
+	if news {
+		d.onNews()
+	}
 	for _, l := range lines {
 		d.log(l.request, l.decision, l.waited)
 	}
--- a/internal/scheduling/candidate.go
+++ b/internal/scheduling/candidate.go
@@ -69,6 +69,7 @@
 		Cached:   cached,
 		Unread:   prompt,
 		Backlog:  s.backlog(now, r),
+		Reading:  k.reading(r, prompt),
 		Saving:   k.saving(r),
 		Probe:    k.probe,
 		Wait:     s.wait(total, ahead),
@@ -108,6 +109,7 @@
 	c.query = routing.Query{Now: now, Deadline: k.request.Deadline, Random: c.random, Turn: t.turn}
 	if k.shared != nil {
 		c.query.Affinity = k.shared.Key
+		c.query.MostBacklog = mostBacklog(k.request)
 	}
 	i := c.policy.Choose(&c.query, c.candidates)
 	if i < 0 {
--- a/internal/scheduling/routing/policies.go
+++ b/internal/scheduling/routing/policies.go
@@ -36,7 +36,7 @@
 
 func newDeadline() *Policy {
 	return &Policy{
-		Filters:   []Filter{room{}, inTime{}},
+		Filters:   []Filter{room{}, backlog{}, inTime{}},
 		Scorer:    finish{},
 		Picker:    nearEqual{},
 		Admission: admissionDeadline,
--- a/internal/scheduling/routing/routing.go
+++ b/internal/scheduling/routing/routing.go
@@ -25,6 +25,9 @@
 	Random *rand.Rand
 	// Affinity identifies the part of the prompt that other requests share; 0 means none.
 	Affinity uint64
+	// MostBacklog bounds the backlog of a server that may get the request; 0 means no
+	// bound.
+	MostBacklog time.Duration
 	// Turn counts the decisions about the same target.
 	Turn uint64
 }
@@ -55,6 +58,8 @@
 	// Backlog is the time that the server needs to read the prompts that were sent to it
 	// and that it hasn't begun to answer.
 	Backlog time.Duration
+	// Reading is the time that the server needs to read the prompt itself.
+	Reading time.Duration
 	// Saving is the time that reading the shared part of the prompt takes where it isn't
 	// cached.
 	Saving time.Duration
--- a/internal/scheduling/unread.go
+++ b/internal/scheduling/unread.go
@@ -48,6 +48,20 @@
 	}
 	c.running[r.ID].unread = unread
 	s.unread += unread
+	if unread >= newsworthyUnread {
+		c.news = true
+	}
+}
+
+// newsworthyUnread is from how many unread tokens on a dispatch is told to peers at once:
+// it keeps a server busy for some tenths of a second.
+const newsworthyUnread = 2000
+
+// TakeNews implements Scheduler.
+func (c *core) TakeNews() bool {
+	news := c.news
+	c.news = false
+	return news
 }
 
 // begun notes that the server has read the prompt, or never will.
@@ -87,6 +101,31 @@
 	return r.speed.Read(k.shared.Tokens)
 }
 
+// reading is the time that the server needs for the request's own prompt.
+func (k *seeker) reading(r *replica, unread int) time.Duration {
+	if len(k.request.Prefix) == 0 {
+		return 0
+	}
+	return r.speed.Read(unread)
+}
+
+const (
+	// backlogShare is which part of the time up to a request's objective the prompts
+	// before it may take.
+	backlogShare = 2
+	// leastBacklog and highestBacklog bound it.
+	leastBacklog   = 300 * time.Millisecond
+	highestBacklog = 2 * time.Second
+)
+
+// mostBacklog is the backlog up to which a server may get the request.
+func mostBacklog(r *request.Request) time.Duration {
+	if r.Objective.IsZero() {
+		return highestBacklog
+	}
+	return min(max(r.Objective.Sub(r.Arrived)/backlogShare, leastBacklog), highestBacklog)
+}
+
 // predictLoad is how long a request waits for the model to be loaded where no server
 // holds it.
 func (c *core) predictLoad(t *target) time.Duration {
