News of residency go outside the byte budget; idle models displace no busy copies

News and the lease now go in datagrams of their own that the budget doesn't hold back, early digests name only the servers that changed, and a first copy without demand displaces only copies with little load.

--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -123,6 +123,17 @@
 	return len(targets)
 }
 
+// BroadcastUrgent sends a datagram to all peers that aren't dead, whatever the budget.
+// What it takes is no longer there for other digests.
+func (c *Cluster) BroadcastUrgent(kind peers.Kind, payload []byte) {
+	size := len(payload) + overheadBytes
+	for _, target := range c.targets() {
+		c.budget.ReserveN(c.options.Now(), size)
+		c.stats.digestBytes.Add(uint64(size))
+		c.options.Transport.Datagram(target.PeerAddress, kind, payload)
+	}
+}
+
 // Send sends a datagram to one peer that isn't dead, within the byte budget. It
 // reports whether it was sent.
 func (c *Cluster) Send(name string, kind peers.Kind, payload []byte) bool {
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -51,6 +53,9 @@
 	rounds     int
 	// hurry makes the next digests go out at once.
 	hurry, hurryLoad chan struct{}
+	// hurried lists the servers of the next early digest. The lock guards it.
+	mu      sync.Mutex
+	hurried []string
 	// every is how many digests of load go out per digest of demand.
 	every int
 }
@@ -85,11 +90,11 @@
 		case <-ctx.Done():
 			return
 		case <-e.hurryLoad:
-			e.sendLoad()
+			e.sendLoadOf(e.takeHurried())
 			// What comes meanwhile goes with the next digest.
 			time.Sleep(loadPause)
 		case <-e.hurry:
-			e.sendLoad()
+			e.sendNews()
 			e.sendDemand()
 		case <-ticker.C:
 			e.send()
@@ -97,8 +102,11 @@
 	}
 }
 
-// HurryLoad makes the next digest of load go out at once.
-func (e *exchange) HurryLoad() {
+// HurryLoad makes a digest of the load of some servers go out at once.
+func (e *exchange) HurryLoad(servers []string) {
+	e.mu.Lock()
+	e.hurried = append(e.hurried, servers...)
+	e.mu.Unlock()
 	select {
 	case e.hurryLoad <- struct{}{}:
 	default:
@@ -116,6 +124,7 @@
 func (e *exchange) send() {
 	e.rounds++
 	e.sendLoad()
+	e.sendNews()
 	if e.rounds%e.every == 0 {
 		e.sendDemand()
 	}
@@ -126,7 +135,6 @@
 func (e *exchange) sendLoad() {
 	e.sequence++
 	d := digest.FromRemotes(e.cluster.Self(), e.sequence, e.dispatcher.Digest())
-	e.feed.AddForAll(&d)
 	for _, payload := range e.encode(d) {
 		e.cluster.Broadcast(peers.KindDigest, payload)
 	}
@@ -151,6 +159,37 @@
 	}
 }
 
+func (e *exchange) takeHurried() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	servers := e.hurried
+	e.hurried = nil
+	return servers
+}
+
+// sendLoadOf tells all peers the load of some servers alone.
+func (e *exchange) sendLoadOf(servers []string) {
+	e.sequence++
+	d := digest.FromRemotes(e.cluster.Self(), e.sequence, e.dispatcher.Digest())
+	d.Loads = slices.DeleteFunc(d.Loads, func(l digest.ServerLoad) bool { return !slices.Contains(servers, l.Server) })
+	for _, payload := range e.encode(d) {
+		e.cluster.Broadcast(peers.KindDigest, payload)
+	}
+}
+
+// sendNews tells all peers what can't wait, whatever the budget.
+func (e *exchange) sendNews() {
+	e.sequence++
+	d := digest.Digest{Instance: e.cluster.Self(), Sequence: e.sequence}
+	e.feed.AddForAll(&d)
+	if len(d.Residencies) == 0 && len(d.Leaving) == 0 && d.Lease == nil {
+		return
+	}
+	for _, payload := range e.encode(d) {
+		e.cluster.BroadcastUrgent(peers.KindDigest, payload)
+	}
+}
+
 func (e *exchange) encode(d digest.Digest) [][]byte {
 	datagrams, err := d.Encode()
 	if err != nil {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -30,9 +30,9 @@
 	Logger    *logrus.Entry
 	// Now returns the current time.
 	Now func() time.Time
-	// OnNews is called, without blocking, when peers should get a digest soon; nil means
-	// that they needn't.
-	OnNews func()
+	// OnNews is told, without blocking, the servers whose load peers should learn soon;
+	// nil means that they needn't.
+	OnNews func(servers []string)
 }
 
 // Dispatcher hands requests to a Scheduler and waits for its decisions.
@@ -41,7 +41,7 @@
 	observer  Observer
 	logger    *logrus.Entry
 	now       func() time.Time
-	onNews    func()
+	onNews    func(servers []string)
 
 	mu sync.Mutex
 	// lines are log lines to write once the lock is released, so that a slow log holds
@@ -261,10 +261,13 @@
 	f()
 	lines := d.lines
 	d.lines = nil
-	news := d.onNews != nil && d.scheduler.TakeNews()
+	var news []string
+	if d.onNews != nil {
+		news = d.scheduler.TakeNews()
+	}
 	d.mu.Unlock()
-	if news {
-		d.onNews()
+	if len(news) > 0 {
+		d.onNews(news)
 	}
 	for _, l := range lines {
 		d.log(l.request, l.decision, l.waited)
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -31,6 +31,9 @@
 	// gainFactor is by how much the load of each copy must exceed that of a copy that
 	// gives way to another one.
 	gainFactor = 1.6
+	// idleValue is what the first copy of a model counts that nobody asks for now: it
+	// displaces only copies with little load, until somebody does.
+	idleValue = 0.5
 	// turnTime is how long a model must have been unused to give way to one for which
 	// requests wait, where not all have room at once.
 	turnTime = 2 * time.Second
@@ -48,6 +51,8 @@
 	costBusy       = 1.0
 	costNoBudget   = 3.0
 	costPerRequest = 0.03
+	// costLastCopy is that of a model's only copy, which goes only where nothing else can.
+	costLastCopy = 30
 )
 
 // Model is a model that must stay reachable.
@@ -407,17 +412,21 @@
 }
 
 func (b *board) mayGo(w want, ref modelref.Ref) (may bool, harm float64) {
+	value := w.value
+	if w.first {
+		value = max(value, idleValue)
+	}
 	need := b.Needs[ref]
 	left := b.copies[ref] - 1
 	if left >= 1 && b.serving[ref] > 1 {
 		each := need.Held / float64(left)
-		if left >= b.wanted[ref] || w.first || each*gainFactor < w.value {
+		if left >= b.wanted[ref] || w.waiting || each*gainFactor < value {
 			return true, each
 		}
 	}
 	idle := need.Waiting == 0 && b.Now.Sub(need.LastUsed) >= turnTime
 	if w.waiting && idle {
-		return true, 1 + 1/(1+b.Now.Sub(need.LastUsed).Seconds())
+		return true, costLastCopy + 1/(1+b.Now.Sub(need.LastUsed).Seconds())
 	}
 	return false, 0
 }
--- a/internal/residency/plan_test.go
+++ b/internal/residency/plan_test.go
@@ -71,12 +71,17 @@
 	s.add(0)
 	s.snapshot.Servers[1].MemoryMB = 10
 	s.need(0, 15, 0)
+	s.need(3, 0.5, 1)
 	if got := s.plan(); got != "[s0 unload m00@1]" {
 		t.Errorf("planned %s", got)
 	}
 	if got := Plan(s.snapshot); len(got) != 1 || got[0].Ref != model(0) {
 		t.Errorf("planned %v, only m00 has a copy to spare", got)
 	}
+	s.need(3, 0, 0)
+	if got := s.plan(); got != "[]" {
+		t.Errorf("planned %s for a model that nobody asks for", got)
+	}
 }
 
 // TestCopyThatServesStaysWhileTheOtherIsOnlyLoading replays a day on which the one copy
--- a/internal/scheduling/core.go
+++ b/internal/scheduling/core.go
@@ -144,8 +144,8 @@
 	RefLoads(now time.Time) map[modelref.Ref]RefLoad
 	// ServerLoads estimates the requests on each server, from all instances.
 	ServerLoads(now time.Time) map[string]int
-	// TakeNews reports, once, that peers should get a digest soon.
-	TakeNews() bool
+	// TakeNews lists, once, the servers whose load peers should learn soon.
+	TakeNews() []string
 	// Digest lists this instance's outstanding work per server.
 	Digest() []Remote
 }
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -45,8 +45,8 @@
 	// busy holds the servers that have appeared in a digest with work.
 	busy     map[*server]int
 	sequence uint64
-	// news is true when peers should get a digest soon.
-	news bool
+	// news lists the servers whose load peers should learn soon.
+	news []string
 	// round numbers the passes over waiting work.
 	round uint64
 	// ticked is when all waiting work was last looked at.
--- a/internal/scheduling/unread.go
+++ b/internal/scheduling/unread.go
@@ -49,7 +49,7 @@
 	c.running[r.ID].unread = unread
 	s.unread += unread
 	if unread >= newsworthyUnread {
-		c.news = true
+		c.news = append(c.news, s.Name)
 	}
 }
 
@@ -58,9 +58,9 @@
 const newsworthyUnread = 2000
 
 // TakeNews implements Scheduler.
-func (c *core) TakeNews() bool {
+func (c *core) TakeNews() []string {
 	news := c.news
-	c.news = false
+	c.news = nil
 	return news
 }
 
