A planned stop answers what waits before its bound

Requests that wait are now refused 1.5 s before the bound, and nothing may wait from then on; what still runs is ended with an answer 0.4 s before it.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -31,6 +31,7 @@
 	log := d.log(logging.Daemon)
 	log.Info("drain started")
 	d.leave()
+	defer d.boundWork(ctx)()
 	leaveErr := d.cluster.Leave(ctx)
 	sleep(ctx, d.settings.EntriesTTL())
 	idleErr := d.finish(ctx)
@@ -51,6 +52,31 @@
 	d.gateway.Leave()
 }
 
+const (
+	// lastCall is how long before the bound of a planned stop nothing waits any more.
+	lastCall = 1500 * time.Millisecond
+	// lastAnswer is how long before it requests that still run are ended, so that each
+	// gets an answer.
+	lastAnswer = 400 * time.Millisecond
+)
+
+// boundWork makes each request get its final answer before the bound of a planned stop.
+func (d *Daemon) boundWork(ctx context.Context) (cancel func()) {
+	deadline, ok := ctx.Deadline()
+	if d.hosted == nil || !ok {
+		return func() {}
+	}
+	call := time.AfterFunc(time.Until(deadline)-lastCall, d.dispatcher.StopWaiting)
+	cut := time.AfterFunc(time.Until(deadline)-lastAnswer, func() {
+		d.log(logging.Daemon).WithField("requests", d.hosted.front.Open()).Warn("drain timeout ends what is in progress")
+		d.hosted.front.Cut()
+	})
+	return func() {
+		call.Stop()
+		cut.Stop()
+	}
+}
+
 // finish serves what is in progress to its end.
 func (d *Daemon) finish(ctx context.Context) error {
 	if d.hosted == nil {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -50,6 +50,8 @@
 	waiters map[request.ID]*waiter
 	timer   *time.Timer
 	closed  bool
+	// stopping is true once nothing may wait any more.
+	stopping bool
 }
 
 // waiter is one request that waits for its Dispatch or Refuse decision.
@@ -228,6 +230,29 @@
 	return d.scheduler.ClassLoads()
 }
 
+// StopWaiting refuses all requests that wait, and from now on those that would have to:
+// the instance will be gone before their turn comes.
+func (d *Dispatcher) StopWaiting() {
+	d.locked(func() {
+		d.stopping = true
+		for id := range d.waiters {
+			d.scheduler.Cancel(d.now(), id)
+			d.applyOne(stopped(id))
+		}
+	})
+}
+
+// stopped refuses a request because the instance stops.
+func stopped(id request.ID) scheduling.Decision {
+	err := verdict.Refused(verdict.CodeStopping, "the instance stops; another one takes the request")
+	err.RetryAfter = stoppedRetry
+	return scheduling.Decision{ID: id, Action: scheduling.Refuse, Reason: "the instance stops", Err: err}
+}
+
+// stoppedRetry is when a caller that was refused by a stopping instance should come back
+// to another one.
+const stoppedRetry = 50 * time.Millisecond
+
 // Do runs a function on the scheduler under the lock, for events that only some
 // schedulers have, and applies the decisions that it returns.
 func (d *Dispatcher) Do(event func(now time.Time, s scheduling.Scheduler) []scheduling.Decision) {
@@ -287,6 +312,10 @@
 	if !ok {
 		return
 	}
+	if d.stopping && decision.Action == scheduling.Queue {
+		d.scheduler.Cancel(d.now(), decision.ID)
+		decision = stopped(decision.ID)
+	}
 	waited := d.now().Sub(w.since)
 	d.lines = append(d.lines, line{request: w.request, decision: decision, waited: waited})
 	if d.observer != nil {
--- /dev/null
+++ b/internal/dispatch/stopping_test.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"limpethub/internal/logging"
+	"limpethub/internal/request"
+	"limpethub/internal/scheduling"
+	"limpethub/internal/site"
+	"limpethub/internal/verdict"
+)
+
+// TestStoppingInstanceAnswersWhatWaits replays a planned stop during which a request
+// waited for a model until the process was killed, and never got an answer.
+func TestStoppingInstanceAnswersWhatWaits(t *testing.T) {
+	scheduler, err := scheduling.New(scheduling.Options{Instance: "i", Document: &site.Document{
+		Classes: []site.Class{{Name: "c", TimeoutMillis: 1000, Weight: 1, QueueLimit: 10}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := New(Options{Scheduler: scheduler, Logger: logging.Discard(), Now: time.Now})
+	defer d.Close()
+	ends := make(chan error, 2)
+	admit := func(id request.ID) {
+		now := time.Now()
+		_, err := d.Admit(t.Context(), request.Request{ID: id, Model: "m@1", Arrived: now, Deadline: now.Add(time.Minute)})
+		ends <- err
+	}
+	go admit("waits")
+	for d.Waiting() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	d.StopWaiting()
+	go admit("late")
+	for range 2 {
+		var refusal *verdict.Error
+		if err := <-ends; !errors.As(err, &refusal) || refusal.Verdict != verdict.NotRun || refusal.Code != verdict.CodeStopping || refusal.RetryAfter <= 0 {
+			t.Errorf("ended with %v", err)
+		}
+	}
+	if d.Waiting() != 0 {
+		t.Errorf("%d still wait", d.Waiting())
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -52,6 +52,9 @@
 	Leave()
 	// Open is the number of requests in progress.
 	Open() int64
+	// Cut ends all requests in progress at once, each with an answer where that is still
+	// possible.
+	Cut()
 	// Shutdown takes no new connections and waits for the requests in progress.
 	Shutdown(ctx context.Context) error
 	// Stop closes everything at once.
