Scheduling: requests whose turn can't come are refused at once

The time to read what waits ahead, by all instances, now counts in the predicted wait, and what is known of all models stands in for one without a copy.

--- a/internal/scheduling/flowcontrol/queue.go
+++ b/internal/scheduling/flowcontrol/queue.go
@@ -16,6 +16,8 @@
 	Unclear bool
 	// Work is the predicted duration of the request on a server.
 	Work time.Duration
+	// Reading is the predicted time to read the request's prompt.
+	Reading time.Duration
 	// Expiry is when the request is looked at again because it may no longer be able
 	// to meet its deadline.
 	Expiry time.Time
@@ -33,6 +35,7 @@
 type Lane struct {
 	classes []items
 	work    []time.Duration
+	reading []time.Duration
 	length  int
 }
 
@@ -52,6 +55,16 @@
 	return sum
 }
 
+// ReadingUpTo is the predicted time to read the prompts that wait in the lane, of a class
+// and the more urgent ones.
+func (l *Lane) ReadingUpTo(class int) time.Duration {
+	var sum time.Duration
+	for c := 0; c <= class; c++ {
+		sum += l.reading[c]
+	}
+	return sum
+}
+
 // Work is the predicted work waiting in the lane of a class.
 func (l *Lane) Work(class int) time.Duration { return l.work[class] }
 
@@ -76,7 +89,7 @@
 
 // NewLane makes an empty lane of the queue.
 func (q *Queue) NewLane() *Lane {
-	l := &Lane{classes: make([]items, len(q.limits)), work: make([]time.Duration, len(q.limits))}
+	l := &Lane{classes: make([]items, len(q.limits)), work: make([]time.Duration, len(q.limits)), reading: make([]time.Duration, len(q.limits))}
 	for c := range l.classes {
 		l.classes[c] = byDeadline()
 	}
@@ -114,6 +127,7 @@
 	q.lengths[class]++
 	lane.length++
 	lane.work[class] += item.Work
+	lane.reading[class] += item.Reading
 	heap.Push(&lane.classes[class], item)
 	heap.Push(&q.expiry, item)
 }
@@ -126,6 +140,7 @@
 	q.lengths[class]--
 	lane.length--
 	lane.work[class] -= item.Work
+	lane.reading[class] -= item.Reading
 	heap.Remove(&lane.classes[class], item.inLane)
 	heap.Remove(&q.expiry, item.inExpiry)
 }
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -78,14 +78,15 @@
 // wait queues a request that found no server, or refuses it.
 func (c *core) wait(now time.Time, t *target, a *attempt) Decision {
 	r := &a.request
-	service, _ := c.fastest(now, t, r)
-	wait := c.predictWait(now, t, r.Class) + c.predictLoad(t)
+	service := c.service(now, t, r)
+	reading := c.predictReading(t, r)
+	wait := c.predictWait(now, t, r.Class) + c.predictLoad(t) + c.readingAhead(now, t, r.Class)
 	answer := c.admit.Admit(admission.Query{Now: now, Deadline: r.Deadline, Wait: wait, Service: service})
 	if !answer.Admit {
 		return refuse(a, verdict.CodeCannotMeet, c.comeBack(answer.RetryAfter),
 			fmt.Sprintf("predicted wait %v and run %v exceed the time left", wait.Round(time.Millisecond), service.Round(time.Millisecond)))
 	}
-	item := &flowcontrol.Item{Request: *r, Unclear: a.unclear, Work: service, Expiry: r.Deadline.Add(-service)}
+	item := &flowcontrol.Item{Request: *r, Unclear: a.unclear, Work: service, Reading: reading, Expiry: r.Deadline.Add(-service)}
 	if !c.queue.Push(t.lane, item) {
 		return refuse(a, verdict.CodeQueueFull, c.comeBack(wait), "the queue of the class is full")
 	}
--- a/internal/scheduling/unread.go
+++ b/internal/scheduling/unread.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"limpethub/internal/request"
+	"limpethub/internal/scheduling/predict"
 )
 
 // unreadLifetime is how long a peer's count of unread tokens is believed.
@@ -126,6 +127,39 @@
 	return min(max(r.Objective.Sub(r.Arrived)/backlogShare, leastBacklog), highestBacklog)
 }
 
+// predictReading is the time that the prompt of a request that waits takes to be read.
+func (c *core) predictReading(t *target, r *request.Request) time.Duration {
+	if len(r.Prefix) == 0 {
+		return 0
+	}
+	return predict.NewSpeed(&predict.Server{}, t.learned).Read(r.PromptTokens)
+}
+
+// readingAhead predicts how long the servers of a target read the prompts that wait here
+// before a newcomer's, and those that they have already. Other instances have as much
+// waiting as this one. It answers demand that moves to a model with few copies: without
+// it requests wait until their deadline although their turn can't come.
+func (c *core) readingAhead(now time.Time, t *target, class int) time.Duration {
+	waiting := t.lane.ReadingUpTo(class)
+	if waiting == 0 || len(t.replicas) == 0 {
+		return 0
+	}
+	usable, backlog := 0, time.Duration(0)
+	for _, r := range t.replicas {
+		if !r.server.usable(now) {
+			continue
+		}
+		if b := r.server.backlog(now, r); usable == 0 || b < backlog {
+			backlog = b
+		}
+		usable++
+	}
+	if usable == 0 {
+		return 0
+	}
+	return backlog + waiting*time.Duration(1+len(c.peers))/time.Duration(usable)
+}
+
 // predictLoad is how long a request waits for the model to be loaded where no server
 // holds it.
 func (c *core) predictLoad(t *target) time.Duration {
--- a/internal/scheduling/unread_test.go
+++ b/internal/scheduling/unread_test.go
@@ -80,6 +80,27 @@
 	}
 }
 
+// TestRequestsThatWouldWaitTooLongAreRefusedAtOnce replays a shift to a model with one
+// copy: requests waited until their deadline although their turn couldn't come.
+func TestRequestsThatWouldWaitTooLongAreRefusedAtOnce(t *testing.T) {
+	c, now := pooled(t, 1)
+	queued, refused := 0, 0
+	for i := range 60 {
+		for _, d := range c.Arrive(now, prompt(fmt.Sprint("r", i), now, 2000, i+10)) {
+			switch {
+			case d.Action == Queue:
+				queued++
+			case d.Action == Refuse && d.Err.Verdict == verdict.NotRun && d.Err.RetryAfter > 0:
+				refused++
+			}
+		}
+	}
+	// One prompt takes 0.2 s, and 5 s are left.
+	if queued < 15 || queued > 26 || refused < 30 {
+		t.Errorf("%d wait and %d were refused", queued, refused)
+	}
+}
+
 func TestPromptsCountAsReadOnceTheAnswerBegins(t *testing.T) {
 	c, now := pooled(t, 1)
 	c.Arrive(now, prompt("a", now, 3000, 5))
--- a/internal/scheduling/waiting.go
+++ b/internal/scheduling/waiting.go
@@ -5,6 +5,7 @@
 
 	"limpethub/internal/request"
 	"limpethub/internal/scheduling/flowcontrol"
+	"limpethub/internal/scheduling/predict"
 	"limpethub/internal/scheduling/routing"
 	"limpethub/internal/verdict"
 )
@@ -55,11 +56,23 @@
 
 // latestStart is when the request must be on a server to make its deadline.
 func (c *core) latestStart(now time.Time, t *target, r *request.Request) time.Time {
-	service, known := c.fastest(now, t, r)
-	if !known {
-		return r.Deadline
+	return r.Deadline.Add(-c.service(now, t, r))
+}
+
+// service is the shortest predicted duration of a request; 0 while nothing is known. For
+// discovered engines what is known of all models stands in for a model that has no copy.
+func (c *core) service(now time.Time, t *target, r *request.Request) time.Duration {
+	if service, known := c.fastest(now, t, r); known {
+		return service
+	}
+	if len(r.Prefix) == 0 {
+		return 0
+	}
+	estimate := predict.NewSpeed(&predict.Server{}, t.learned).Estimate(now, r.PromptTokens, r.MaxTokens, false)
+	if !estimate.Known {
+		return 0
 	}
-	return r.Deadline.Add(-service)
+	return estimate.Total
 }
 
 func (c *core) refuseWaiting(t *target, item *flowcontrol.Item) Decision {
