Late callers of a planned stop get only what ends before it

From 2.5 s after the begin of a stop a request is taken only if its deadline lies before the end; others are refused at once and go to another instance.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -30,7 +30,8 @@
 	defer cancel()
 	log := d.log(logging.Daemon)
 	log.Info("drain started")
-	d.leave()
+	end, _ := ctx.Deadline()
+	d.leave(end.Add(-lastAnswer))
 	defer d.boundWork(ctx)()
 	leaveErr := d.cluster.Leave(ctx)
 	sleep(ctx, d.settings.EntriesTTL())
@@ -42,9 +43,9 @@
 }
 
 // leave tells callers to use other instances.
-func (d *Daemon) leave() {
+func (d *Daemon) leave(end time.Time) {
 	if d.hosted != nil {
-		d.hosted.front.Leave()
+		d.hosted.front.Leave(end)
 		d.hosted.manager.Resign()
 		d.exchange.Hurry()
 		return
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -48,8 +48,8 @@
 	// Start opens the listeners.
 	Start(ctx context.Context) error
 	// Leave tells callers and the platform to use other instances. Whoever still comes is
-	// served.
-	Leave()
+	// served, but later on only with what surely ends before the instance does.
+	Leave(end time.Time)
 	// Open is the number of requests in progress.
 	Open() int64
 	// Cut ends all requests in progress at once, each with an answer where that is still
