--- a/internal/ctl/model.go
+++ b/internal/ctl/model.go
@@ -10,7 +10,7 @@
 )
 
 func (t *tool) explainCommand() *cobra.Command {
-	return &cobra.Command{
+	c := &cobra.Command{
 		Use:   "explain MODEL",
 		Short: "Say where a model is, why, and what a request would do now",
 		Long: `Say where a model or adapter is, why it is there, and what a request for it would
@@ -30,6 +30,8 @@
 			return t.print(explanation, func(w io.Writer) error { return showExplanation(w, explanation) })
 		},
 	}
+	c.AddCommand(t.explainRequestCommand())
+	return c
 }
 
 func showExplanation(w io.Writer, e operatorapi.Explanation) error {
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -26,11 +26,44 @@
 			Name: "limpethub_attempts_total", Help: "Attempts sent to backend servers, retries included.",
 		}, func() float64 { return float64(d.attempts()) }),
 	)
+	d.registerHostedMetrics()
 	if c, ok := d.plugins.peers.(collected); ok {
 		d.registry.MustRegister(c.Collectors()...)
 	}
 }
 
+// droppingLog is a log that drops lines rather than block.
+type droppingLog interface{ Dropped() uint64 }
+
+// registerHostedMetrics adds the metrics of discovered servers and of the log.
+func (d *Daemon) registerHostedMetrics() {
+	if log, ok := d.logger.Out.(droppingLog); ok {
+		d.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "limpethub_log_lines_dropped_total", Help: "Log lines that found the buffer full.",
+		}, func() float64 { return float64(log.Dropped()) }))
+	}
+	if d.hosted == nil {
+		return
+	}
+	d.registry.MustRegister(
+		gauge("limpethub_residency_holding", "1 on the instance that gives orders to discovered servers.", func() float64 {
+			if d.hosted.manager.Holding() {
+				return 1
+			}
+			return 0
+		}),
+		gauge("limpethub_discovered_servers", "Servers that announce themselves and aren't leaving.", func() float64 {
+			staying := 0
+			for _, s := range d.hosted.watcher.Servers() {
+				if !s.Leaving {
+					staying++
+				}
+			}
+			return float64(staying)
+		}),
+	)
+}
+
 // openRequests is the number of requests in progress or waiting.
 func (d *Daemon) openRequests() int64 {
 	if d.hosted != nil {
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,51 @@
+package explain
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+func fileLogs(t *testing.T) []Open {
+	t.Helper()
+	paths, err := filepath.Glob("testdata/*.log")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no logs: %v", err)
+	}
+	var out []Open
+	for _, path := range paths {
+		out = append(out, func() (io.ReadCloser, error) { return os.Open(path) })
+	}
+	return out
+}
+
+func TestStories(t *testing.T) {
+	for _, id := range []string{"refused", "not-resident", "crash", "resumed", "killed", "absent", "late"} {
+		t.Run(id, func(t *testing.T) {
+			story, err := Tell(id, fileLogs(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var out bytes.Buffer
+			if err := story.Write(&out); err != nil {
+				t.Fatal(err)
+			}
+			goldie.New(t).Assert(t, id, out.Bytes())
+		})
+	}
+}
+
+func TestLinesThatAreNoLogAreSkipped(t *testing.T) {
+	logs := []Open{func() (io.ReadCloser, error) {
+		return io.NopCloser(strings.NewReader("panic: x\n{broken\n\n" + `  1.5 host {"msg":"Ended","request":"a","time":"2026-01-01T00:00:00Z"}` + "\n")), nil
+	}}
+	story, err := Tell("a", logs)
+	if err != nil || len(story.Lines) != 1 {
+		t.Errorf("%+v, %v", story, err)
+	}
+}
--- /dev/null
+++ b/internal/logging/async_test.go
@@ -0,0 +1,63 @@
+package logging
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// slowWriter blocks until it is released.
+type slowWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	written bytes.Buffer
+}
+
+func (w *slowWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.written.Write(p)
+}
+
+// TestFullLogNeverBlocks: with nobody reading the log, lines are dropped, counted and
+// reported, and writers go on.
+func TestFullLogNeverBlocks(t *testing.T) {
+	out := &slowWriter{release: make(chan struct{})}
+	a := NewAsync(out)
+	line := []byte(strings.Repeat("x", 1023) + "\n")
+	begin := time.Now()
+	const lines = 5000
+	for range lines {
+		if n, err := a.Write(line); n != len(line) || err != nil {
+			t.Fatal(n, err)
+		}
+	}
+	if took := time.Since(begin); took > time.Second {
+		t.Errorf("%d lines took %v", lines, took)
+	}
+	dropped := a.Dropped()
+	if dropped < lines-3000 || dropped >= lines {
+		t.Errorf("%d of %d lines of 1 KiB were dropped", dropped, lines)
+	}
+	close(out.release)
+	a.Close()
+	if text := out.written.String(); !strings.Contains(text, `"msg":"Lines were dropped","lines":`) {
+		t.Error("the loss isn't told")
+	}
+}
+
+func TestCloseWritesWhatWaits(t *testing.T) {
+	var out bytes.Buffer
+	a := NewAsync(&out)
+	for i := range 100 {
+		_, _ = fmt.Fprintln(a, i)
+	}
+	a.Close()
+	if n := strings.Count(out.String(), "\n"); n != 100 || a.Dropped() != 0 {
+		t.Errorf("%d lines, %d dropped", n, a.Dropped())
+	}
+}
