--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -83,6 +83,7 @@
 	wait := c.predictWait(now, t, r.Class) + c.predictLoad(t) + c.readingAhead(now, t, r.Class)
 	answer := c.admit.Admit(admission.Query{Now: now, Deadline: r.Deadline, Wait: wait, Service: service})
 	if !answer.Admit {
+		t.refused.add(now)
 		return refuse(a, verdict.CodeCannotMeet, c.comeBack(answer.RetryAfter),
 			fmt.Sprintf("predicted wait %v and run %v exceed the time left", wait.Round(time.Millisecond), service.Round(time.Millisecond)))
 	}
--- a/internal/scheduling/refload.go
+++ b/internal/scheduling/refload.go
@@ -36,26 +36,56 @@
 		}
 	}
 	for _, t := range c.targets {
-		if t.lane.Len() == 0 || t.key.model == "" {
-			continue
+		if waiting := t.lane.Len() + t.refused.last(now); waiting > 0 && t.key.model != "" {
+			c.addWaiting(now, t, waiting, add)
 		}
-		c.addWaiting(now, t, add)
 	}
 	delete(out, "")
 	return out
 }
 
-// addWaiting adds the requests that wait for a target, as waiting for a copy where
-// there is none.
-func (c *core) addWaiting(now time.Time, t *target, add func(ref modelref.Ref, more RefLoad)) {
+// addWaiting adds the requests that wait for a target, or that were refused lately, as
+// waiting for a copy where there is none.
+func (c *core) addWaiting(now time.Time, t *target, waiting int, add func(ref modelref.Ref, more RefLoad)) {
 	if c.served(now, t) {
-		add(t.key.model, RefLoad{Unbegun: t.lane.Len()})
+		add(t.key.model, RefLoad{Unbegun: waiting})
 		return
 	}
-	add(t.key.model, RefLoad{Waiting: t.lane.Len()})
+	add(t.key.model, RefLoad{Waiting: waiting})
 	base, ok := c.bases[t.key.model]
 	if ok && !c.served(now, c.targets[targetKey{model: base, service: t.key.service}]) {
-		add(base, RefLoad{Waiting: t.lane.Len()})
+		add(base, RefLoad{Waiting: waiting})
+	}
+}
+
+// recentWindow is for how long a refused request counts as demand.
+const recentWindow = time.Second
+
+// recentCount counts events of the last one to two windows. It answers demand that is
+// refused at once and so never shows among what waits: without it a model that no server
+// holds would get no copy as long as its requests are refused for want of one.
+type recentCount struct {
+	began         time.Time
+	current, past int
+}
+
+func (r *recentCount) add(now time.Time) {
+	r.turn(now)
+	r.current++
+}
+
+func (r *recentCount) last(now time.Time) int {
+	r.turn(now)
+	return r.current + r.past
+}
+
+// turn begins a new window when one is over.
+func (r *recentCount) turn(now time.Time) {
+	switch elapsed := now.Sub(r.began); {
+	case elapsed >= 2*recentWindow:
+		*r = recentCount{began: now}
+	case elapsed >= recentWindow:
+		*r = recentCount{began: now, past: r.current}
 	}
 }
 
--- a/internal/scheduling/target.go
+++ b/internal/scheduling/target.go
@@ -31,6 +31,8 @@
 	running int
 	// probed is when a request was last let through to learn the present speed.
 	probed time.Time
+	// refused counts the requests that were refused for lack of copies lately.
+	refused recentCount
 	// turn counts the decisions.
 	turn uint64
 	// blocked holds, per class, the last round in which its first request found no
--- a/internal/scheduling/unread.go
+++ b/internal/scheduling/unread.go
@@ -166,9 +166,13 @@
 	if len(t.replicas) > 0 || t.key.model == "" || len(c.document.Pools) == 0 {
 		return 0
 	}
-	return time.Duration(c.document.Budgets.LoadMillis) * time.Millisecond
+	return time.Duration(c.document.Budgets.LoadMillis) * time.Millisecond / loadShare
 }
 
+// loadShare divides the time of a load from the weight store for what is expected: the
+// load may be under way, or its server may have the weights at hand.
+const loadShare = 2
+
 // mayBeCached reports whether more than half of what a server seems to have to read is
 // shared with other requests, which other instances may have sent there.
 func mayBeCached(r *request.Request, unread int) bool {
--- a/internal/scheduling/unread_test.go
+++ b/internal/scheduling/unread_test.go
@@ -154,14 +154,19 @@
 	if d := c.Arrive(now, r); d[0].Action != Queue {
 		t.Errorf("with 5 s left and 4 s for a load: %+v", d[0])
 	}
-	r.ID, r.Deadline = "b", now.Add(3*time.Second)
+	r.ID, r.Deadline = "b", now.Add(1500*time.Millisecond)
 	d := c.Arrive(now, r)
 	if d[0].Action != Refuse || d[0].Err.Verdict != verdict.NotRun || d[0].Err.RetryAfter <= 0 {
-		t.Errorf("with 3 s left and 4 s for a load: %+v", d[0])
+		t.Errorf("with 1.5 s left and 4 s for a load, half of it expected: %+v", d[0])
 	}
-	if loads := c.RefLoads(now); loads["absent@1"] != (RefLoad{Waiting: 1}) {
+	// A shift moved the demand to a model without a copy, whose requests were all refused
+	// for 12 s: nobody loaded it, since nothing waited.
+	if loads := c.RefLoads(now); loads["absent@1"] != (RefLoad{Waiting: 2}) {
 		t.Errorf("told as %+v", loads)
 	}
+	if loads := c.RefLoads(now.Add(3 * time.Second)); loads["absent@1"] != (RefLoad{Waiting: 1}) {
+		t.Errorf("told as %+v three seconds later", loads)
+	}
 	if d := c.ObserveResident(now, "s0", []modelref.Ref{"absent@1"}); len(d) != 1 || d[0].Action != Dispatch {
 		t.Errorf("once it is loaded: %+v", d)
 	}
