--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -128,7 +128,7 @@
 		},
 		Lease: lease.Config{
 			TTL: ttl, Margin: ttl / placementMarginShare, Jitter: ttl / placementJitterShare,
-			ReadPeriod: candidateReads * ttl,
+			ReadPeriod: candidateReads * ttl, TrustUnchanged: true,
 		},
 		Now:    bootTime,
 		Seed:   d.seed,
--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -19,6 +19,10 @@
 	Margin time.Duration
 	// Jitter is the most that a candidate waits, at random, before it claims.
 	Jitter time.Duration
+	// TrustUnchanged lets the time before a gap in the readings count where the record is
+	// the same after it. Each renewal changes the record's revision, so that it wasn't
+	// renewed in between.
+	TrustUnchanged bool
 	// ReadPeriod is the mean time between two looks of a candidate; 0 means a third of
 	// TTL.
 	ReadPeriod time.Duration
@@ -78,13 +82,16 @@
 	nextCall  time.Time
 	lastHeard time.Time
 
-	// since is when the record was first seen in its present form, without a gap in
-	// the readings; claimDelay is this candidate's random wait after it lapsed.
+	// since is when the record was first seen in its present form, without a gap in the
+	// readings unless the config trusts an unchanged record; claimDelay is this candidate's
+	// random wait after it lapsed.
 	since      time.Time
 	claimDelay time.Duration
 
 	holding bool
 	until   time.Time
+	// vacant is how long before the last claim the record was last renewed, at least.
+	vacant time.Duration
 
 	reach    float64
 	lowSince time.Time
@@ -150,6 +157,10 @@
 	m.nextCall = m.since.Add(wait)
 }
 
+// Vacant returns for how long, at least, nobody had renewed the lease when this candidate
+// last claimed it.
+func (m *Machine) Vacant() time.Duration { return m.vacant }
+
 // Revision returns the revision of the key that Record tells of.
 func (m *Machine) Revision() store.Revision { return m.revision }
 
@@ -226,7 +237,7 @@
 // Observed takes the key's state as a read found it; revision 0 means absent.
 func (m *Machine) Observed(now time.Time, record Record, revision store.Revision) {
 	m.busy = false
-	gap := now.Sub(m.lastHeard) > m.config.TTL
+	gap := now.Sub(m.lastHeard) > m.config.TTL && !m.config.TrustUnchanged
 	changed := !m.known || revision != m.revision
 	m.settle(record)
 	if changed {
@@ -267,6 +278,9 @@
 // Written tells that the last write took effect with the given revision.
 func (m *Machine) Written(now time.Time, revision store.Revision) {
 	m.busy, m.unclear = false, false
+	if m.sent.Term != m.record.Term {
+		m.vacant = now.Sub(m.since)
+	}
 	m.took(m.sent)
 	m.adopt(m.sent, revision)
 	m.since, m.lastHeard = now, now
--- a/internal/residency/core.go
+++ b/internal/residency/core.go
@@ -216,7 +216,7 @@
 	c.refilled = now
 	for _, pool := range c.document.Pools {
 		if _, started := c.loads[pool.Service]; !started {
-			c.loads[pool.Service] = 0
+			c.loads[pool.Service] = c.firstLoads()
 			continue
 		}
 		more := loadShare * pool.LoadsPerSecond * elapsed.Seconds()
@@ -224,6 +224,12 @@
 	}
 }
 
+// firstLoads is how many loads a new holder may begin at once. The last holder may have
+// begun as many as the rate allows right until its end.
+func (c *core) firstLoads() float64 {
+	return min(loadBurst, max(1, c.lease.Vacant().Seconds()))
+}
+
 // sync takes the servers that exist.
 func (c *core) sync(servers []discovery.Known) {
 	present := make(map[string]bool, len(servers))
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -152,7 +152,10 @@
 	serving map[modelref.Ref]int
 	// wanted is how many copies each model should have.
 	wanted map[modelref.Ref]int
-	moves  []Move
+	// heldLoads is how many loads from the weight store are kept for models that requests
+	// wait for and that still lack room.
+	heldLoads int
+	moves     []Move
 }
 
 func newBoard(s Snapshot) *board {
@@ -247,7 +250,7 @@
 		if _, has := p.Models[p.Goal]; !configured || has || b.copies[m.Ref] >= b.wanted[m.Ref] {
 			continue
 		}
-		w := want{model: m, first: b.copies[m.Ref] == 0}
+		w := want{model: m, first: b.copies[m.Ref] == 0, waiting: b.Needs[m.Ref].Waiting > 0}
 		o := option{place: p}
 		_, o.fromStore = b.loadTime(m, p)
 		if p.free+p.soon >= m.MemoryMB {
@@ -308,7 +311,11 @@
 		p.soon += b.models[best.victim].MemoryMB
 		b.order(p, Move{Action: engine.ActionUnload, Ref: best.victim, For: w.model.Ref,
 			Reason: fmt.Sprintf("makes room for %s", w.model.Ref)})
-	case p.free >= w.model.MemoryMB && (!best.fromStore || b.mayLoad(w)):
+	case p.free < w.model.MemoryMB || !p.Ready:
+		if best.fromStore && w.waiting {
+			b.heldLoads++
+		}
+	case !best.fromStore || b.mayLoad(w):
 		if best.fromStore {
 			b.StoreLoads--
 		}
@@ -334,10 +341,13 @@
 
 // mayLoad reports whether the weight store may be asked for the model.
 func (b *board) mayLoad(w want) bool {
-	if w.first {
+	switch {
+	case w.waiting:
 		return b.StoreLoads > 0
+	case w.first:
+		return b.StoreLoads > b.heldLoads
 	}
-	return b.StoreLoads > reservedLoads
+	return b.StoreLoads > reservedLoads+b.heldLoads
 }
 
 func (b *board) bestOption(w want) (best option, ok bool) {
--- a/internal/residency/plan_test.go
+++ b/internal/residency/plan_test.go
@@ -162,6 +162,27 @@
 	}
 }
 
+// TestLoadsAreKeptForModelsThatRequestsWaitFor replays a takeover in which the one load
+// that the weight store allowed went to a model that nobody asked for, while room was
+// still being made for one with 115 requests.
+func TestLoadsAreKeptForModelsThatRequestsWaitFor(t *testing.T) {
+	s := newShop(3)
+	s.add(0)
+	making := &s.snapshot.Servers[0]
+	making.MemoryMB, making.Ready, making.Goal = 10, false, model(1)
+	making.Models[model(0)] = engine.StateUnloading
+	s.add().MemoryMB = 10
+	s.snapshot.Servers[1].Models[model(0)] = engine.StateResident
+	s.add().MemoryMB = 10
+	s.need(1, 60, 115)
+	s.snapshot.StoreLoads = 1
+	for _, m := range Plan(s.snapshot) {
+		if m.Ref != model(1) {
+			t.Errorf("planned %+v", m)
+		}
+	}
+}
+
 // TestShiftedDemandGetsCopies replays a shift: the busiest model falls silent, and
 // another one with a single copy takes all of its requests.
 func TestShiftedDemandGetsCopies(t *testing.T) {
