Integration rig follows the daemon's stdout; empty lists of a document survive a round trip

A start now has a limit of 30 s. Routes and pools of a document became nil in a round trip through the operators' API (omitempty), which TestClientRoundTrip caught; they are written as empty lists now, like the others.

--- a/internal/lab/entry/process.go
+++ b/internal/lab/entry/process.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"sync"
 	"syscall"
+	"time"
 
 	"limpethub/internal/lab/bench"
 	"limpethub/internal/operatorapi"
@@ -91,29 +92,33 @@
 		return nil, err
 	}
 	cmd := exec.Command(h.binary, "--settings", filepath.Clean(path))
-	stderr, err := cmd.StderrPipe()
+	output, err := cmd.StdoutPipe()
 	if err != nil {
 		return nil, fmt.Errorf("entry: %w", err)
 	}
+	cmd.Stderr = cmd.Stdout // A crash report goes there.
 	if err := cmd.Start(); err != nil {
 		return nil, fmt.Errorf("entry: %w", err)
 	}
 	p := &Process{cmd: cmd, exited: make(chan struct{})}
 	started := make(chan startedLine, 1)
-	go p.follow(stderr, started)
+	go p.follow(output, started)
 	select {
 	case p.addresses = <-started:
 	case <-p.exited:
 		return nil, fmt.Errorf("%w: %s", errNotStarted, p.Logs())
+	case <-time.After(startLimit):
+		p.Kill()
+		return nil, fmt.Errorf("%w within %s: %s", errNotStarted, startLimit, p.Logs())
 	}
 	p.Operator = operatorapi.NewClient("http://"+p.addresses.Operators, OperatorToken, http.DefaultClient)
 	return p, nil
 }
 
 // follow keeps the process's log lines and waits for its end.
-func (p *Process) follow(stderr io.Reader, started chan<- startedLine) {
+func (p *Process) follow(output io.Reader, started chan<- startedLine) {
 	defer close(p.exited)
-	lines := bufio.NewScanner(stderr)
+	lines := bufio.NewScanner(output)
 	lines.Buffer(nil, maxLogLine)
 	for lines.Scan() {
 		p.mu.Lock()
@@ -127,6 +132,10 @@
 	p.exitErr = p.cmd.Wait()
 }
 
+// startLimit is how long a process may take until it says that it serves, also on a
+// busy machine.
+const startLimit = 30 * time.Second
+
 // maxLogLine is the longest log line read, in bytes.
 const maxLogLine = 1 << 20
 
--- a/internal/site/document.go
+++ b/internal/site/document.go
@@ -27,9 +27,9 @@
 	Budgets Budgets `json:"budgets"`
 	// Routes sends callers' requests to services by host and path, where an adapter
 	// serves callers in the platform's way.
-	Routes []Route `json:"routes,omitempty" validate:"dive"`
+	Routes []Route `json:"routes,omitzero" validate:"dive"`
 	// Pools lists the services whose servers are model engines that are discovered.
-	Pools []Pool `json:"pools,omitempty" validate:"dive"`
+	Pools []Pool `json:"pools,omitzero" validate:"dive"`
 	// CallerLimits bounds what callers may send on routes.
 	CallerLimits CallerLimits `json:"caller_limits,omitzero"`
 }
