Lease: a candidate looks at the key once the holder falls silent

The holder had renewed after its last digest, so the successor's claim, a whole TTL later, conflicted, and its time began anew. Ruled out: the jitter (0.3 s at most) and the takeover wait. A candidate now looks a quarter of the TTL after it last heard from the holder, and its next look never lies behind the moment from which it may claim.

Test: TestSilentHolderIsFollowedWithinOneTerm (nobody took the lease before).

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -224,3 +224,40 @@
 		}
 	}
 }
+
+// TestSilentHolderIsFollowedWithinOneTerm replays a holder that renews, tells of an
+// earlier renewal only, and dies: its successor claims one TTL and its jitter after the
+// death, not one TTL after a claim that conflicted.
+func TestSilentHolderIsFollowedWithinOneTerm(t *testing.T) {
+	const ttl = 3 * time.Second
+	start := time.Unix(1000, 0)
+	key := &fakeKey{}
+	config := Config{TTL: ttl, Margin: ttl / 10, Jitter: ttl / 20, TrustUnchanged: true, ReadPeriod: 10 * ttl}
+	config.Instance = "holder"
+	holder := New(config, rand.New(rand.NewPCG(1, 1)))
+	config.Instance = "successor"
+	successor := New(config, rand.New(rand.NewPCG(2, 2)))
+	const step = 10 * time.Millisecond
+	death := start.Add(10*time.Second + 250*time.Millisecond)
+	var told Record
+	var toldRevision store.Revision
+	for now := start; now.Before(death.Add(3 * ttl)); now = now.Add(step) {
+		if now.Before(death) {
+			key.serve(now, holder)
+			if holder.Holds(now) && now.Sub(start)%(250*time.Millisecond) == 0 && death.Sub(now) > 300*time.Millisecond {
+				told, toldRevision = holder.Record(), holder.Revision()
+				successor.Heard(now, told, toldRevision)
+			}
+		}
+		if now.After(start.Add(time.Second)) {
+			key.serve(now, successor)
+		}
+		if successor.Holds(now) {
+			if late := now.Sub(death); late < 0 || late > ttl+ttl/4+ttl/20+step {
+				t.Errorf("the successor holds %s after the death", late)
+			}
+			return
+		}
+	}
+	t.Error("nobody took the lease")
+}
--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -60,6 +60,10 @@
 // renewalsPerTTL is how often a holder renews within one TTL.
 const renewalsPerTTL = 3
 
+// silentPerTTL divides the TTL into the time after which a candidate that heard from
+// the holder looks for itself.
+const silentPerTTL = 4
+
 // Machine is one candidate's view of one lease. It isn't safe for concurrent use.
 type Machine struct {
 	config Config
@@ -150,11 +154,25 @@
 		m.claimDelay = time.Duration(m.random.Int64N(int64(m.config.Jitter) + 1))
 	}
 	m.lastHeard = now
+	// A holder that falls silent may have renewed since it last told: only a look soon
+	// after shows from when on its last renewal counts.
+	m.nextCall = earlier(m.claimable(), now.Add(m.config.TTL/silentPerTTL))
+}
+
+// claimable is when this candidate may claim if the record stays as it is.
+func (m *Machine) claimable() time.Time {
 	wait := m.claimDelay + m.reachDelay()
-	if !record.Released {
+	if m.record.Holder != "" && !m.record.Released {
 		wait += m.config.TTL
 	}
-	m.nextCall = m.since.Add(wait)
+	return m.since.Add(wait)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // Vacant returns for how long, at least, nobody had renewed the lease when this candidate
@@ -217,11 +235,7 @@
 }
 
 func (m *Machine) mayClaim(now time.Time) bool {
-	wait := m.claimDelay + m.reachDelay()
-	if m.record.Holder != "" && !m.record.Released {
-		wait += m.config.TTL
-	}
-	return now.Sub(m.since) >= wait
+	return !now.Before(m.claimable())
 }
 
 func (m *Machine) reachDelay() time.Duration {
@@ -322,6 +336,9 @@
 		period = m.config.ReadPeriod
 	}
 	m.nextCall = now.Add(period/2 + time.Duration(m.random.Int64N(int64(period)+1)))
+	if due := m.claimable(); m.known && !m.resign && due.After(now) {
+		m.nextCall = earlier(m.nextCall, due)
+	}
 	if m.mayClaimSoon(now) {
 		m.nextCall = now.Add(m.claimDelay/2 + 1)
 	}
