--- a/internal/residency/core.go
+++ b/internal/residency/core.go
@@ -1,8 +1,6 @@
 package residency
 
 import (
-	"fmt"
-	"slices"
 	"time"
 
 	"limpethub/internal/discovery"
@@ -74,12 +72,6 @@
 	warn    bool
 }
 
-// notice is an unload that was announced and waits for its order.
-type notice struct {
-	move Move
-	at   time.Time
-}
-
 // core is the decision part of the Manager. It has no goroutine, clock or socket.
 type core struct {
 	instance string
@@ -164,12 +156,6 @@
 	}
 }
 
-// settled reports whether the servers that are known are probably all there are. A new
-// holder that plans with the first of them takes the models of all others for lost.
-func (c *core) settled(now time.Time) bool {
-	return now.Sub(c.since) > longestSettling || now.Sub(c.cameLast) >= settling
-}
-
 // noteNew notes when a server was last new to this instance, be it the holder or not.
 func (c *core) noteNew(now time.Time, servers []discovery.Known) {
 	known := make(map[string]bool, len(servers))
@@ -273,189 +259,6 @@
 	c.moved = append(c.moved, Moved{Server: a.server.ID, Born: a.server.Born, Ref: ref, Present: present})
 }
 
-// giveOrders plans each pool and gives the orders that the plan asks for.
-func (c *core) giveOrders(now time.Time) {
-	c.sendNotified(now)
-	for _, pool := range c.document.Pools {
-		for _, m := range Plan(c.snapshot(now, pool)) {
-			c.apply(now, pool, m)
-		}
-	}
-}
-
-// sendNotified gives the unloads that all instances know of by now.
-func (c *core) sendNotified(now time.Time) {
-	for id, n := range c.notices {
-		if now.Sub(n.at) < unloadNotice {
-			continue
-		}
-		delete(c.notices, id)
-		if a := c.accounts[id]; a != nil && a.ready() {
-			c.order(a, n.move)
-		}
-	}
-}
-
-func (c *core) snapshot(now time.Time, pool site.Pool) Snapshot {
-	s := Snapshot{Now: now, Needs: c.tracker.Needs(), StoreLoads: int(c.loads[pool.Service])}
-	for _, m := range c.document.Models {
-		if m.Service == pool.Service {
-			s.Models = append(s.Models, Model{Ref: m.Ref(), MemoryMB: m.MemoryMB,
-				Load: millis(m.LoadMillis), Disk: millis(m.DiskMillis), Warm: millis(m.WarmMillis)})
-		}
-	}
-	for _, a := range c.document.Adapters {
-		if base, ok := c.models[a.Base]; ok && base.Service == pool.Service {
-			s.Adapters = append(s.Adapters, Adapter{Ref: a.Ref(), Base: a.Base, MemoryMB: a.MemoryMB})
-		}
-	}
-	for _, id := range c.sortedAccounts() {
-		if a := c.accounts[id]; a.server.Service == pool.Service && !a.server.Leaving && a.failures < lostAfter {
-			s.Servers = append(s.Servers, c.view(now, pool, a))
-		}
-	}
-	return s
-}
-
-func (c *core) sortedAccounts() []string {
-	out := make([]string, 0, len(c.accounts))
-	for id := range c.accounts {
-		out = append(out, id)
-	}
-	slices.Sort(out)
-	return out
-}
-
-func (c *core) view(now time.Time, pool site.Pool, a *account) ServerView {
-	_, noticed := c.notices[a.server.ID]
-	view := ServerView{
-		ID: a.server.ID, FailureDomain: a.server.FailureDomain,
-		Ready:    a.ready() && !noticed,
-		MemoryMB: pool.MemoryMB, ReservedMB: a.reserved(now, c.sizeOf),
-		AdapterSlots: pool.AdapterSlots,
-		Models:       a.models, Adapters: a.adapters,
-		InMemory: a.inMemory, OnDisk: a.onDisk,
-		Requests: c.requests[a.server.ID],
-	}
-	if now.Before(a.goalUntil) {
-		view.Goal = a.goal
-	}
-	if !a.known {
-		// Until the server's own account was read, its announcement tells what it holds.
-		view.Models = c.announced(a.server.Resident)
-	}
-	if noticed {
-		view.Models = withState(view.Models, c.notices[a.server.ID].move.Ref, engine.StateUnloading)
-	}
-	return view
-}
-
-// announced picks the models out of what a server announced.
-func (c *core) announced(refs []modelref.Ref) map[modelref.Ref]engine.HoldingState {
-	out := map[modelref.Ref]engine.HoldingState{}
-	for _, ref := range refs {
-		if _, model := c.models[ref]; model {
-			out[ref] = engine.StateResident
-		}
-	}
-	return out
-}
-
-func withState(models map[modelref.Ref]engine.HoldingState, ref modelref.Ref, state engine.HoldingState) map[modelref.Ref]engine.HoldingState {
-	if _, model := models[ref]; !model {
-		return models
-	}
-	out := make(map[modelref.Ref]engine.HoldingState, len(models))
-	for r, s := range models {
-		out[r] = s
-	}
-	out[ref] = state
-	return out
-}
-
-func (c *core) sizeOf(ref modelref.Ref) int64 {
-	if m, ok := c.models[ref]; ok {
-		return m.MemoryMB
-	}
-	return c.adapters[ref].MemoryMB
-}
-
-// apply checks a move against the account and gives its order. A model unload is told
-// to all instances first.
-func (c *core) apply(now time.Time, pool site.Pool, m Move) {
-	a := c.accounts[m.Server]
-	if err := c.check(now, pool, a, m); err != nil {
-		c.note("Order is not given", map[string]any{"server": m.Server, "ref": m.Ref, "action": m.Action, "reason": err.Error()}, true)
-		return
-	}
-	if _, model := c.models[m.Ref]; m.Action == engine.ActionUnload && model {
-		c.notices[m.Server] = notice{move: m, at: now}
-		a.goal, a.goalUntil = m.For, now.Add(goalTime)
-		c.leave(a, m.Ref)
-		return
-	}
-	if m.FromStore {
-		c.loads[pool.Service]--
-	}
-	c.order(a, m)
-}
-
-// leave tells that a version and its adapters on a server get no more requests.
-func (c *core) leave(a *account, ref modelref.Ref) {
-	c.move(a, ref, false)
-	for adapter := range a.adapters {
-		if c.adapters[adapter].Base == ref {
-			c.move(a, adapter, false)
-		}
-	}
-}
-
-// check verifies an order against what the server holds. Nothing may exceed the
-// server's memory or its slots, whatever the plan says.
-func (c *core) check(now time.Time, pool site.Pool, a *account, m Move) error {
-	if a == nil || !a.ready() {
-		return fmt.Errorf("the server takes no order now")
-	}
-	if m.Action != engine.ActionLoad {
-		return nil
-	}
-	if adapter, ok := c.adapters[m.Ref]; ok {
-		if a.models[adapter.Base] != engine.StateResident {
-			return fmt.Errorf("base %s isn't resident", adapter.Base)
-		}
-		if len(a.adapters) >= pool.AdapterSlots {
-			return fmt.Errorf("all %d adapter slots are taken", pool.AdapterSlots)
-		}
-	}
-	committed := a.reserved(now, c.sizeOf)
-	for ref := range a.models {
-		committed += c.sizeOf(ref)
-	}
-	for ref := range a.adapters {
-		committed += c.sizeOf(ref)
-	}
-	if size := c.sizeOf(m.Ref); committed+size > pool.MemoryMB {
-		return fmt.Errorf("%d MB committed + %d MB > %d MB", committed, size, pool.MemoryMB)
-	}
-	return nil
-}
-
-func (c *core) order(a *account, m Move) {
-	order := engine.SequencedOrder{
-		Action: m.Action, Ref: m.Ref,
-		Holder: c.instance, Fence: c.lease.Term(), Expected: a.sequence,
-	}
-	a.ordering = true
-	if _, adapter := c.adapters[m.Ref]; adapter && m.Action == engine.ActionUnload {
-		c.move(a, m.Ref, false)
-	}
-	c.note("Order", map[string]any{
-		"server": m.Server, "ref": m.Ref, "action": m.Action, "from_store": m.FromStore,
-		"expected": order.Expected, "fence": order.Fence, "reason": m.Reason,
-	}, false)
-	c.emit(a, effect{kind: effectOrder, order: order})
-}
-
 func (c *core) note(message string, fields map[string]any, warn bool) {
 	c.lines = append(c.lines, line{message: message, fields: fields, warn: warn})
 }
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -11,7 +11,6 @@
 import (
 	"fmt"
 	"math"
-	"slices"
 	"sort"
 	"time"
 
@@ -55,76 +54,6 @@
 	costLastCopy = 30
 )
 
-// Model is a model that must stay reachable.
-type Model struct {
-	Ref      modelref.Ref
-	MemoryMB int64
-	// Load, Disk and Warm are the times of a load from the weight store, from a server's
-	// disk and from its memory.
-	Load, Disk, Warm time.Duration
-}
-
-// Adapter extends a model on the same server.
-type Adapter struct {
-	Ref, Base modelref.Ref
-	MemoryMB  int64
-}
-
-// Need is how much a model or adapter is asked for.
-type Need struct {
-	// Load is how many copies the requests would fill, averaged over the last second, and
-	// Held the same, slow to fall.
-	Load, Held float64
-	// Waiting is how many requests wait for lack of a copy.
-	Waiting int
-	// LastUsed is when there last was a request.
-	LastUsed time.Time
-}
-
-// ServerView is what is known of one server.
-type ServerView struct {
-	ID, FailureDomain string
-	// Ready is true when an order may be given now.
-	Ready bool
-	// MemoryMB is the memory for models and adapters, and ReservedMB the part that orders
-	// with an unclear outcome may yet take.
-	MemoryMB, ReservedMB int64
-	AdapterSlots         int
-	// Models and Adapters hold the state of each version on the server.
-	Models, Adapters map[modelref.Ref]engine.HoldingState
-	// InMemory and OnDisk tell which models the server has at hand.
-	InMemory, OnDisk map[modelref.Ref]bool
-	// Requests is how many requests the server has.
-	Requests int
-	// Goal is the model for which room was or is being made; empty for none.
-	Goal modelref.Ref
-}
-
-// Snapshot is all that Plan decides from.
-type Snapshot struct {
-	Now      time.Time
-	Models   []Model
-	Adapters []Adapter
-	// Servers lists the servers that stay.
-	Servers []ServerView
-	Needs   map[modelref.Ref]Need
-	// StoreLoads is how many loads from the weight store may begin now.
-	StoreLoads int
-}
-
-// Move is an order to give.
-type Move struct {
-	Server string
-	Action engine.Action
-	Ref    modelref.Ref
-	// FromStore is true for a load that the weight store must serve.
-	FromStore bool
-	// For is, for an unload, the model for which it makes room.
-	For modelref.Ref
-	// Reason is one short sentence for the log.
-	Reason string
-}
-
 // Plan returns the orders to give now, at most one for each server. Adapters come
 // first: a model order keeps a server from taking any other for seconds.
 func Plan(s Snapshot) []Move {
@@ -284,15 +213,6 @@
 	return out
 }
 
-// option is a way to give a model a copy on a server.
-type option struct {
-	place *place
-	// victim is the model that has to go first; empty when there is room.
-	victim    modelref.Ref
-	fromStore bool
-	cost      float64
-}
-
 // provide orders what the cheapest option needs next, if its server takes an order now,
 // and counts on it for the rest of the plan.
 func (b *board) provide(w want) {
@@ -349,103 +269,3 @@
 	}
 	return b.StoreLoads > reservedLoads+b.heldLoads
 }
-
-func (b *board) bestOption(w want) (best option, ok bool) {
-	for _, p := range b.places {
-		if _, has := p.Models[w.model.Ref]; has {
-			continue
-		}
-		o, possible := b.optionOn(w, p)
-		if possible && (!ok || o.cost < best.cost) {
-			best, ok = o, true
-		}
-	}
-	return best, ok
-}
-
-func (b *board) optionOn(w want, p *place) (option, bool) {
-	o := option{place: p}
-	o.cost, o.fromStore = b.loadTime(w.model, p)
-	if o.fromStore && !b.mayLoad(w) {
-		o.cost += costNoBudget
-	}
-	if !p.Ready {
-		o.cost += costBusy
-	}
-	o.cost += costPerRequest * float64(p.Requests)
-	if b.domainHas(w.model.Ref, p.FailureDomain) {
-		o.cost += costSameDomain
-	}
-	if p.free+p.soon >= w.model.MemoryMB {
-		return o, true
-	}
-	victim, harm, ok := b.victim(w, p)
-	o.victim = victim
-	o.cost += costEvict + harm
-	return o, ok
-}
-
-// loadTime is how long a load of the model takes on the server, in seconds.
-func (b *board) loadTime(m Model, p *place) (seconds float64, fromStore bool) {
-	switch {
-	case p.InMemory[m.Ref]:
-		return m.Warm.Seconds(), false
-	case p.OnDisk[m.Ref]:
-		return m.Disk.Seconds(), false
-	}
-	return m.Load.Seconds(), true
-}
-
-func (b *board) domainHas(ref modelref.Ref, domain string) bool {
-	for _, p := range b.places {
-		if state, has := p.Models[ref]; has && state != engine.StateUnloading && p.FailureDomain == domain {
-			return true
-		}
-	}
-	return false
-}
-
-// victim picks the model that may give way on a server with the least harm: one with
-// more copies than its demand calls for, or, for a model that has none while requests
-// wait, one that nobody has asked for lately.
-func (b *board) victim(w want, p *place) (victim modelref.Ref, harm float64, ok bool) {
-	for _, ref := range sortedRefs(p.Models) {
-		if p.Models[ref] != engine.StateResident || p.free+p.soon+b.models[ref].MemoryMB < w.model.MemoryMB {
-			continue
-		}
-		may, cost := b.mayGo(w, ref)
-		if may && (!ok || cost < harm) {
-			victim, harm, ok = ref, cost, true
-		}
-	}
-	return victim, harm, ok
-}
-
-func (b *board) mayGo(w want, ref modelref.Ref) (may bool, harm float64) {
-	value := w.value
-	if w.first {
-		value = max(value, idleValue)
-	}
-	need := b.Needs[ref]
-	left := b.copies[ref] - 1
-	if left >= 1 && b.serving[ref] > 1 {
-		each := need.Held / float64(left)
-		if left >= b.wanted[ref] || w.waiting || each*gainFactor < value {
-			return true, each
-		}
-	}
-	idle := need.Waiting == 0 && b.Now.Sub(need.LastUsed) >= turnTime
-	if w.waiting && idle {
-		return true, costLastCopy + 1/(1+b.Now.Sub(need.LastUsed).Seconds())
-	}
-	return false, 0
-}
-
-func sortedRefs(m map[modelref.Ref]engine.HoldingState) []modelref.Ref {
-	out := make([]modelref.Ref, 0, len(m))
-	for ref := range m {
-		out = append(out, ref)
-	}
-	slices.Sort(out)
-	return out
-}
--- /dev/null
+++ b/internal/residency/plan_option.go
@@ -0,0 +1,117 @@
+package residency
+
+import (
+	"slices"
+
+	"limpethub/internal/engine"
+	"limpethub/internal/modelref"
+)
+
+// option is a way to give a model a copy on a server.
+type option struct {
+	place *place
+	// victim is the model that has to go first; empty when there is room.
+	victim    modelref.Ref
+	fromStore bool
+	cost      float64
+}
+
+func (b *board) bestOption(w want) (best option, ok bool) {
+	for _, p := range b.places {
+		if _, has := p.Models[w.model.Ref]; has {
+			continue
+		}
+		o, possible := b.optionOn(w, p)
+		if possible && (!ok || o.cost < best.cost) {
+			best, ok = o, true
+		}
+	}
+	return best, ok
+}
+
+func (b *board) optionOn(w want, p *place) (option, bool) {
+	o := option{place: p}
+	o.cost, o.fromStore = b.loadTime(w.model, p)
+	if o.fromStore && !b.mayLoad(w) {
+		o.cost += costNoBudget
+	}
+	if !p.Ready {
+		o.cost += costBusy
+	}
+	o.cost += costPerRequest * float64(p.Requests)
+	if b.domainHas(w.model.Ref, p.FailureDomain) {
+		o.cost += costSameDomain
+	}
+	if p.free+p.soon >= w.model.MemoryMB {
+		return o, true
+	}
+	victim, harm, ok := b.victim(w, p)
+	o.victim = victim
+	o.cost += costEvict + harm
+	return o, ok
+}
+
+// loadTime is how long a load of the model takes on the server, in seconds.
+func (b *board) loadTime(m Model, p *place) (seconds float64, fromStore bool) {
+	switch {
+	case p.InMemory[m.Ref]:
+		return m.Warm.Seconds(), false
+	case p.OnDisk[m.Ref]:
+		return m.Disk.Seconds(), false
+	}
+	return m.Load.Seconds(), true
+}
+
+func (b *board) domainHas(ref modelref.Ref, domain string) bool {
+	for _, p := range b.places {
+		if state, has := p.Models[ref]; has && state != engine.StateUnloading && p.FailureDomain == domain {
+			return true
+		}
+	}
+	return false
+}
+
+// victim picks the model that may give way on a server with the least harm: one with
+// more copies than its demand calls for, or, for a model that has none while requests
+// wait, one that nobody has asked for lately.
+func (b *board) victim(w want, p *place) (victim modelref.Ref, harm float64, ok bool) {
+	for _, ref := range sortedRefs(p.Models) {
+		if p.Models[ref] != engine.StateResident || p.free+p.soon+b.models[ref].MemoryMB < w.model.MemoryMB {
+			continue
+		}
+		may, cost := b.mayGo(w, ref)
+		if may && (!ok || cost < harm) {
+			victim, harm, ok = ref, cost, true
+		}
+	}
+	return victim, harm, ok
+}
+
+func (b *board) mayGo(w want, ref modelref.Ref) (may bool, harm float64) {
+	value := w.value
+	if w.first {
+		value = max(value, idleValue)
+	}
+	need := b.Needs[ref]
+	left := b.copies[ref] - 1
+	if left >= 1 && b.serving[ref] > 1 {
+		each := need.Held / float64(left)
+		if left >= b.wanted[ref] || w.waiting || each*gainFactor < value {
+			return true, each
+		}
+	}
+	idle := need.Waiting == 0 && b.Now.Sub(need.LastUsed) >= turnTime
+	if w.waiting && idle {
+		return true, costLastCopy + 1/(1+b.Now.Sub(need.LastUsed).Seconds())
+	}
+	return false, 0
+}
+
+func sortedRefs(m map[modelref.Ref]engine.HoldingState) []modelref.Ref {
+	out := make([]modelref.Ref, 0, len(m))
+	for ref := range m {
+		out = append(out, ref)
+	}
+	slices.Sort(out)
+	return out
+}
