--- a/internal/residency/adapters.go
+++ b/internal/residency/adapters.go
@@ -14,8 +14,9 @@
 // adapters ahead.
 const adapterMemory = 10 * time.Second
 
-// planAdapters gives each adapter in use a copy beside its base. It answers many adapters that share few slots: those that
-// requests wait for come first, and displace what nobody uses.
+// planAdapters gives each adapter in use a copy beside its base. It answers many adapters
+// that share few slots: those that requests wait for come first, and displace what nobody
+// uses.
 func (b *board) planAdapters() {
 	order := make([]Adapter, len(b.Adapters))
 	copy(order, b.Adapters)
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -50,6 +50,8 @@
 	costBusy       = 1.0
 	costNoBudget   = 3.0
 	costPerRequest = 0.03
+	// meanRest is how long a run under way goes on, on average.
+	meanRest = 1.5
 	// costLastCopy is that of a model's only copy, which goes only where nothing else can.
 	costLastCopy = 30
 )
--- a/internal/residency/plan_option.go
+++ b/internal/residency/plan_option.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"math"
 	"slices"
 
 	"limpethub/internal/engine"
@@ -47,10 +48,28 @@
 	}
 	victim, harm, ok := b.victim(w, p)
 	o.victim = victim
-	o.cost += costEvict + harm
+	o.cost += costEvict + harm + b.drainSeconds(p, victim)
 	return o, ok
 }
 
+// drainSeconds is how long an unload waits for the runs on its model, which are its part
+// of the server's requests by load. The last of n runs that end at random ends after
+// about ln(n+1) times their mean rest.
+func (b *board) drainSeconds(p *place, victim modelref.Ref) float64 {
+	var sum, own float64
+	for ref := range p.Models {
+		load := b.Needs[ref].Load / float64(max(1, b.copies[ref]))
+		sum += load
+		if ref == victim {
+			own = load
+		}
+	}
+	if own == 0 {
+		return 0
+	}
+	return meanRest * math.Log1p(float64(p.Requests)*own/sum)
+}
+
 // loadTime is how long a load of the model takes on the server, in seconds.
 func (b *board) loadTime(m Model, p *place) (seconds float64, fromStore bool) {
 	switch {
--- a/internal/residency/plan_test.go
+++ b/internal/residency/plan_test.go
@@ -257,3 +257,21 @@
 		t.Errorf("2 s after the end: %+v", need)
 	}
 }
+
+// TestRoomIsMadeWhereItIsFreeSoon replays a day on which room for a model that a hundred
+// requests waited for was made on a server whose runs on the model that gave way took five
+// more seconds, since the server had the new one on its disk.
+func TestRoomIsMadeWhereItIsFreeSoon(t *testing.T) {
+	s := newShop(2)
+	busy := s.add(0)
+	busy.Requests, busy.OnDisk[model(1)] = 9, true
+	s.add(0)
+	for i := range s.snapshot.Servers {
+		s.snapshot.Servers[i].MemoryMB = 10
+	}
+	s.need(0, 0.4, 0)
+	s.need(1, 2, 100)
+	if got := s.plan(); got != "[s1 unload m00@1]" {
+		t.Errorf("planned %s", got)
+	}
+}
