--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -14,6 +14,7 @@
 
 	"limpethub/internal/logging"
 	"limpethub/internal/membership"
+	"limpethub/internal/pause"
 	"limpethub/internal/peers"
 	"limpethub/internal/platform"
 )
@@ -137,12 +138,8 @@
 func (c *Cluster) listLoop(ctx context.Context) {
 	for {
 		c.readList(ctx)
-		timer := time.NewTimer(c.jitter(c.options.ListPeriod))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !pause.For(ctx, c.jitter(c.options.ListPeriod)) {
 			return
-		case <-timer.C:
 		}
 	}
 }
--- a/internal/confsync/apply.go
+++ b/internal/confsync/apply.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"limpethub/internal/pause"
 	"limpethub/internal/site"
 )
 
@@ -29,7 +30,7 @@
 			continue
 		}
 		wait = min(max(2*wait, applyRetry), maxApplyWait)
-		if !sleep(ctx, wait) {
+		if !pause.For(ctx, wait) {
 			return site.Accepted{}, applier.GiveUp(ctx.Err())
 		}
 	}
--- a/internal/confsync/storecalls_test.go
+++ b/internal/confsync/storecalls_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"limpethub/internal/pause"
 	"limpethub/internal/store"
 	"limpethub/internal/storecall"
 )
@@ -101,7 +102,7 @@
 		wg.Go(func() { _ = n.sync.Run(ctx) })
 	}
 	wg.Go(func() {
-		for sleep(ctx, 250*time.Millisecond) {
+		for pause.For(ctx, 250*time.Millisecond) {
 			g.gossip()
 		}
 	})
--- a/internal/confsync/sync_test.go
+++ b/internal/confsync/sync_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"limpethub/internal/pause"
 	"limpethub/internal/site"
 	"limpethub/internal/store"
 )
@@ -26,7 +27,7 @@
 		wg.Go(func() { _ = node.sync.Run(ctx) })
 	}
 	wg.Go(func() {
-		for sleep(ctx, 250*time.Millisecond) {
+		for pause.For(ctx, 250*time.Millisecond) {
 			g.gossip()
 		}
 	})
--- a/internal/confsync/watch.go
+++ b/internal/confsync/watch.go
@@ -5,13 +5,14 @@
 	"errors"
 	"time"
 
+	"limpethub/internal/pause"
 	"limpethub/internal/store"
 )
 
 // watchLoop holds a watch on the store while this instance is chosen to.
 func (s *Sync) watchLoop(ctx context.Context) {
 	wait := time.Duration(0)
-	for sleep(ctx, max(wait, syncTickPeriod)) {
+	for pause.For(ctx, max(wait, syncTickPeriod)) {
 		if !s.watching() {
 			wait = 0
 			continue
@@ -50,15 +51,3 @@
 	defer s.mu.Unlock()
 	return s.spread.backOff(wait)
 }
-
-// sleep waits and reports whether the context still stands.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -5,11 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"time"
 
 	"github.com/spf13/cobra"
 
 	"limpethub/internal/operatorapi"
+	"limpethub/internal/pause"
 	"limpethub/internal/site"
 )
 
@@ -99,7 +99,7 @@
 		if !unclear(err, attempt) {
 			return accepted, err
 		}
-		if attempt == applyAttempts || !sleep(ctx, t.env.RetryPause) {
+		if attempt == applyAttempts || !pause.For(ctx, t.env.RetryPause) {
 			return accepted, &operatorapi.UnclearError{Reason: fmt.Sprintf(
 				"change %s may or may not have taken effect: %v; see what is in force by config show, then apply again", change.ChangeID, err)}
 		}
@@ -125,15 +125,3 @@
 	}
 	return errors.As(err, &unknown)
 }
-
-// sleep waits, and reports whether the context is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"limpethub/internal/logging"
+	"limpethub/internal/pause"
 )
 
 // Drain makes the planned stop: it leaves the answers to callers, waits out the time
@@ -34,7 +35,7 @@
 	d.leave(end.Add(-lastAnswer))
 	defer d.boundWork(ctx)()
 	leaveErr := d.cluster.Leave(ctx)
-	sleep(ctx, d.settings.EntriesTTL())
+	pause.For(ctx, d.settings.EntriesTTL())
 	idleErr := d.finish(ctx)
 	stopErr := d.Stop(context.WithoutCancel(ctx))
 	err := errors.Join(leaveErr, idleErr, stopErr)
@@ -116,15 +117,6 @@
 	_ = d.Stop(context.Background())
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -11,6 +11,7 @@
 
 	"limpethub/internal/logging"
 	"limpethub/internal/modelref"
+	"limpethub/internal/pause"
 	"limpethub/internal/scheduling"
 	"limpethub/internal/store"
 )
@@ -140,7 +141,7 @@
 		case revision > after && !deaf:
 			return Update{Announced: servers, Revision: revision}, nil
 		}
-		sleep(ctx, 100*time.Millisecond)
+		pause.For(ctx, 100*time.Millisecond)
 	}
 	return Update{Revision: after}, ctx.Err()
 }
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -10,6 +10,7 @@
 
 	"limpethub/internal/engine"
 	"limpethub/internal/modelref"
+	"limpethub/internal/pause"
 	"limpethub/internal/scheduling"
 	"limpethub/internal/store"
 )
@@ -89,7 +90,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { w.tickLoop(ctx) })
 	defer loops.Wait()
-	pause := firstPause
+	wait := firstPause
 	var revision store.Revision
 	listed := false
 	for ctx.Err() == nil {
@@ -101,16 +102,16 @@
 		}
 		switch {
 		case err == nil:
-			pause, listed = firstPause, true
-			sleep(ctx, batchPause)
+			wait, listed = firstPause, true
+			pause.For(ctx, batchPause)
 			continue
 		case errors.Is(err, store.ErrCompacted):
 			w.options.Logger.WithField("revision", revision).Info("History of announcements is gone, listing again")
 			listed = false
 		}
 		w.failed(ctx, err)
-		sleep(ctx, pause)
-		pause = min(2*pause, longestPause)
+		pause.For(ctx, wait)
+		wait = min(2*wait, longestPause)
 	}
 }
 
@@ -283,12 +284,3 @@
 	defer w.mu.Unlock()
 	return w.registry.Servers()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/lab/load/caller.go
+++ b/internal/lab/load/caller.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"limpethub/internal/pause"
 	"limpethub/internal/request"
 	"limpethub/internal/verdict"
 )
@@ -99,11 +100,11 @@
 			e.sent++
 		}
 		first = first.after(t, e.arrived)
-		pause, again := repeatAfter(ask, t.err)
-		if !again || e.sent > maxRepeats || time.Now().Add(pause).After(deadline) {
+		wait, again := repeatAfter(ask, t.err)
+		if !again || e.sent > maxRepeats || time.Now().Add(wait).After(deadline) {
 			break
 		}
-		sleep(ctx, pause)
+		pause.For(ctx, wait)
 	}
 	e.took = time.Since(e.arrived)
 	return e
@@ -138,13 +139,6 @@
 	return fmt.Sprintf("%s;incarnation=%d;age=%d", f.entry.Instance, f.entry.Incarnation, age.Milliseconds())
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // repeatAfter says whether and when a good caller repeats a request. A
 // non-idempotent one whose connection broke is repeated, too: the instance finds out
 // whether it ran.
@@ -154,9 +148,9 @@
 	case err == nil, errors.Is(err, ErrForeign), errors.Is(err, ErrOrder):
 		return 0, false
 	case errors.As(err, &failure):
-		pause := max(minRepeatPause, time.Duration(failure.RetryAfterMillis)*time.Millisecond)
+		wait := max(minRepeatPause, time.Duration(failure.RetryAfterMillis)*time.Millisecond)
 		mayRepeat := failure.Verdict == verdict.NotRun && failure.RetryAfterMillis > 0
-		return pause, mayRepeat || (ask.Idempotent && failure.Verdict != verdict.NotRun)
+		return wait, mayRepeat || (ask.Idempotent && failure.Verdict != verdict.NotRun)
 	}
 	return minRepeatPause, true
 }
--- a/internal/storecall/storecall.go
+++ b/internal/storecall/storecall.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
 
+	"limpethub/internal/pause"
 	"limpethub/internal/store"
 )
 
@@ -248,12 +249,8 @@
 		if wait <= 0 {
 			return ctx.Err()
 		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !pause.For(ctx, wait) {
 			return ctx.Err()
-		case <-timer.C:
 		}
 	}
 }
