Lease: how a call of the store ended is judged in one place

Placer and residency each turned the store's errors into Observed, Conflicted, Refused or Failed; residency decoded the record in its caller and dropped the reason when it couldn't. Machine.ReadEnded and WriteEnded serve both; a key that holds no record is now logged by residency too. The virtual world of residency's tests hands over the entry instead of the decoded record; its checks stay.

--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -248,6 +249,40 @@
 	return Todo{Step: Write, Record: record, Expected: m.revision}
 }
 
+// ReadEnded takes how the last read ended, as the store told it. The error says that the
+// key holds something else than a record.
+func (m *Machine) ReadEnded(now time.Time, entry store.Entry, err error) error {
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		m.Observed(now, Record{}, 0)
+		return nil
+	case err != nil:
+		m.Failed(now)
+		return nil
+	}
+	record, err := Decode(entry.Value)
+	if err != nil {
+		m.Failed(now)
+		return err
+	}
+	m.Observed(now, record, entry.Revision)
+	return nil
+}
+
+// WriteEnded takes how the last write ended, as the store told it.
+func (m *Machine) WriteEnded(now time.Time, revision store.Revision, err error) {
+	switch {
+	case err == nil:
+		m.Written(now, revision)
+	case errors.Is(err, store.ErrConflict):
+		m.Conflicted(now)
+	case errors.Is(err, store.ErrThrottled):
+		m.Refused(now)
+	default:
+		m.Failed(now)
+	}
+}
+
 // Observed takes the key's state as a read found it; revision 0 means absent.
 func (m *Machine) Observed(now time.Time, record Record, revision store.Revision) {
 	m.busy = false
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -275,7 +275,7 @@
 	case effectReadLease:
 		c.leaseRead(now, r)
 	case effectWriteLease:
-		c.leaseWritten(now, r)
+		c.lease.WriteEnded(now, r.revision, r.err)
 	case effectReadLedger:
 		c.ledgerRead(now, r)
 	case effectWriteLedger:
--- a/internal/placer/core_store.go
+++ b/internal/placer/core_store.go
@@ -6,39 +6,13 @@
 	"slices"
 	"time"
 
-	"limpethub/internal/lease"
 	"limpethub/internal/ledger"
 	"limpethub/internal/store"
 )
 
 func (c *core) leaseRead(now time.Time, r result) {
-	if errors.Is(r.err, store.ErrNotFound) {
-		c.lease.Observed(now, lease.Record{}, 0)
-		return
-	}
-	if r.err != nil {
-		c.lease.Failed(now)
-		return
-	}
-	record, err := lease.Decode(r.entry.Value)
-	if err != nil {
+	if err := c.lease.ReadEnded(now, r.entry, r.err); err != nil {
 		c.note(event{kind: eventLease, message: "Lease key can't be read.", reason: err.Error(), warn: true})
-		c.lease.Failed(now)
-		return
-	}
-	c.lease.Observed(now, record, r.entry.Revision)
-}
-
-func (c *core) leaseWritten(now time.Time, r result) {
-	switch {
-	case r.err == nil:
-		c.lease.Written(now, r.revision)
-	case errors.Is(r.err, store.ErrConflict):
-		c.lease.Conflicted(now)
-	case errors.Is(r.err, store.ErrThrottled):
-		c.lease.Refused(now)
-	default:
-		c.lease.Failed(now)
 	}
 }
 
--- a/internal/residency/core.go
+++ b/internal/residency/core.go
@@ -8,6 +8,7 @@
 	"limpethub/internal/lease"
 	"limpethub/internal/modelref"
 	"limpethub/internal/site"
+	"limpethub/internal/store"
 )
 
 const (
@@ -49,9 +50,9 @@
 // result is how a call ended.
 type result struct {
 	effect effect
-	record lease.Record
-	// revision is the lease key's.
-	revision int64
+	// entry is the lease key as a read found it, revision what a write of it made.
+	entry    store.Entry
+	revision store.Revision
 	state    engine.SequencedState
 	answer   engine.OrderAnswer
 	err      error
--- a/internal/residency/manager.go
+++ b/internal/residency/manager.go
@@ -221,13 +221,13 @@
 	r := result{effect: e}
 	switch e.kind {
 	case effectReadLease:
-		m.readLease(ctx, &r)
+		ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+		defer cancel()
+		r.entry, r.err = m.options.Store.Get(ctx, m.options.Key)
 	case effectWriteLease:
 		ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
 		defer cancel()
-		var revision store.Revision
-		revision, r.err = m.options.Store.CompareAndSwap(ctx, m.options.Key, e.todo.Record.Encode(), e.todo.Expected, 0)
-		r.revision = int64(revision)
+		r.revision, r.err = m.options.Store.CompareAndSwap(ctx, m.options.Key, e.todo.Record.Encode(), e.todo.Expected, 0)
 	case effectState:
 		ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 		defer cancel()
@@ -238,18 +238,6 @@
 	return r
 }
 
-func (m *Manager) readLease(ctx context.Context, r *result) {
-	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
-	defer cancel()
-	entry, err := m.options.Store.Get(ctx, m.options.Key)
-	if err != nil {
-		r.err = err
-		return
-	}
-	r.revision = int64(entry.Revision)
-	r.record, r.err = lease.Decode(entry.Value)
-}
-
 // give gives an order, unless the lease ran out in the meantime.
 func (m *Manager) give(ctx context.Context, r *result) {
 	var holds bool
--- a/internal/residency/results.go
+++ b/internal/residency/results.go
@@ -1,13 +1,10 @@
 package residency
 
 import (
-	"errors"
 	"time"
 
 	"limpethub/internal/engine"
-	"limpethub/internal/lease"
 	"limpethub/internal/modelref"
-	"limpethub/internal/store"
 )
 
 // handle takes the end of a call.
@@ -16,7 +13,7 @@
 	case effectReadLease:
 		c.leaseRead(now, r)
 	case effectWriteLease:
-		c.leaseWritten(now, r)
+		c.lease.WriteEnded(now, r.revision, r.err)
 	case effectState:
 		c.stateRead(now, r)
 	case effectOrder:
@@ -25,26 +22,8 @@
 }
 
 func (c *core) leaseRead(now time.Time, r result) {
-	switch {
-	case r.err == nil:
-		c.lease.Observed(now, r.record, store.Revision(r.revision))
-	case errors.Is(r.err, store.ErrNotFound):
-		c.lease.Observed(now, lease.Record{}, 0)
-	default:
-		c.lease.Failed(now)
-	}
-}
-
-func (c *core) leaseWritten(now time.Time, r result) {
-	switch {
-	case r.err == nil:
-		c.lease.Written(now, store.Revision(r.revision))
-	case errors.Is(r.err, store.ErrConflict):
-		c.lease.Conflicted(now)
-	case errors.Is(r.err, store.ErrThrottled):
-		c.lease.Refused(now)
-	default:
-		c.lease.Failed(now)
+	if err := c.lease.ReadEnded(now, r.entry, r.err); err != nil {
+		c.note("Lease key can't be read", map[string]any{"error": err.Error()}, true)
 	}
 }
 
--- a/internal/residency/world_test.go
+++ b/internal/residency/world_test.go
@@ -220,14 +220,14 @@
 		if w.revision == 0 {
 			r.err = store.ErrNotFound
 		}
-		r.record, r.revision = w.record, w.revision
+		r.entry = store.Entry{Value: w.record.Encode(), Revision: store.Revision(w.revision)}
 	case effectWriteLease:
 		if int64(a.effect.todo.Expected) != w.revision {
 			r.err = store.ErrConflict
 			break
 		}
 		w.revision++
-		w.record, r.revision = a.effect.todo.Record, w.revision
+		w.record, r.revision = a.effect.todo.Record, store.Revision(w.revision)
 	case effectState:
 		r.state = w.account(w.servers[a.effect.server.Name])
 	case effectOrder:
