Dead state and copies found on the last reading

Client.Forget served Close alone. The error of a request that a stopping instance refuses was made twice; verdict.Stopping makes it, each caller keeps its own time to come back. The planner looked for a model's failure domains once for each server; it does so once for each copy that is wanted. Behaviour is as before.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -13,10 +13,12 @@
 	"limpethub/internal/dispatch"
 	"limpethub/internal/forward"
 	"limpethub/internal/front"
+	"limpethub/internal/gateway"
 	"limpethub/internal/lease"
 	"limpethub/internal/logging"
 	"limpethub/internal/membership"
 	"limpethub/internal/metrics"
+	"limpethub/internal/modelref"
 	"limpethub/internal/plugin"
 	"limpethub/internal/request"
 	"limpethub/internal/residency"
@@ -148,10 +150,10 @@
 
 // hostedEntries lists the instances that callers in a failure domain should use: those
 // of their own domain if there are enough, or else all that are alive.
-func (d *Daemon) hostedEntries(domain string) []entry {
+func (d *Daemon) hostedEntries(domain string) []gateway.Entry {
 	all := d.directory.Entries("", domain)
-	alive := slices.DeleteFunc(slices.Clone(all), func(e entry) bool { return !d.aliveInstance(e.Instance) })
-	near := slices.DeleteFunc(slices.Clone(alive), func(e entry) bool { return e.FailureDomain != domain })
+	alive := slices.DeleteFunc(slices.Clone(all), func(e gateway.Entry) bool { return !d.aliveInstance(e.Instance) })
+	near := slices.DeleteFunc(slices.Clone(alive), func(e gateway.Entry) bool { return e.FailureDomain != domain })
 	switch {
 	case len(near) >= leastEntries:
 		return near
@@ -176,7 +178,7 @@
 }
 
 // gauges gathers the requests of all instances.
-func (d *Daemon) gauges() (map[ref]residency.Gauge, map[string]int) {
+func (d *Daemon) gauges() (map[modelref.Ref]residency.Gauge, map[string]int) {
 	return d.hosted.feed.Gauges(time.Now()), d.dispatcher.ServerLoads()
 }
 
@@ -240,7 +242,7 @@
 type residencyFeed struct {
 	watcher *discovery.Watcher
 	manager *residency.Manager
-	load    func() map[ref]scheduling.RefLoad
+	load    func() map[modelref.Ref]scheduling.RefLoad
 
 	mu      sync.Mutex
 	peers   map[string]peerLoads
--- a/internal/daemon/residency_feed.go
+++ b/internal/daemon/residency_feed.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"limpethub/internal/discovery"
-	"limpethub/internal/gateway"
 	"limpethub/internal/lease"
 	"limpethub/internal/modelref"
 	"limpethub/internal/peers/digest"
@@ -19,11 +18,6 @@
 	newsLifetime = 700 * time.Millisecond
 )
 
-type (
-	ref   = modelref.Ref
-	entry = gateway.Entry
-)
-
 // peerLoads is what a peer last said of its requests.
 type peerLoads struct {
 	loads    []digest.RefLoad
@@ -168,17 +162,17 @@
 }
 
 // Gauges adds up the requests of all instances.
-func (f *residencyFeed) Gauges(now time.Time) map[ref]residency.Gauge {
-	out := map[ref]residency.Gauge{}
-	add := func(r ref, more residency.Gauge) {
-		g := out[r]
+func (f *residencyFeed) Gauges(now time.Time) map[modelref.Ref]residency.Gauge {
+	out := map[modelref.Ref]residency.Gauge{}
+	add := func(ref modelref.Ref, more residency.Gauge) {
+		g := out[ref]
 		g.Running += more.Running
 		g.Unbegun += more.Unbegun
 		g.Waiting += more.Waiting
-		out[r] = g
+		out[ref] = g
 	}
-	for r, load := range f.load() {
-		add(r, residency.Gauge(load))
+	for ref, load := range f.load() {
+		add(ref, residency.Gauge(load))
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -244,9 +244,7 @@
 
 // stopped refuses a request because the instance stops.
 func stopped(id request.ID) scheduling.Decision {
-	err := verdict.Refused(verdict.CodeStopping, "the instance stops; another one takes the request")
-	err.RetryAfter = stoppedRetry
-	return scheduling.Decision{ID: id, Action: scheduling.Refuse, Reason: "the instance stops", Err: err}
+	return scheduling.Decision{ID: id, Action: scheduling.Refuse, Reason: "the instance stops", Err: verdict.Stopping(stoppedRetry)}
 }
 
 // stoppedRetry is when a caller that was refused by a stopping instance should come back
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -251,11 +251,11 @@
 		return verdict.Unclear(verdict.CodeStreamCut, nil, "the server didn't resume the stream but answered with status %d", head.Status)
 	}
 	q.end.Status = head.Status
-	return r.delivered(q.sink.Whole(head, body))
+	return delivered(q.sink.Whole(head, body))
 }
 
 // delivered marks a failure on the caller's side.
-func (r *Relay) delivered(err error) error {
+func delivered(err error) error {
 	if err == nil {
 		return nil
 	}
@@ -312,8 +312,8 @@
 	if err := r.begin(q, head); err != nil {
 		return err
 	}
-	if err := q.sink.Piece(piece.Data); err != nil {
-		return &sinkError{err: err}
+	if err := delivered(q.sink.Piece(piece.Data)); err != nil {
+		return err
 	}
 	if q.end.Events == 0 {
 		q.end.FirstEvent = r.options.Now().Sub(q.arrived)
@@ -331,7 +331,7 @@
 	}
 	q.began = true
 	q.end.Status = head.Status
-	return r.delivered(q.sink.Begin(head))
+	return delivered(q.sink.Begin(head))
 }
 
 func (r *Relay) log(q *relayed, server string, err error) *logrus.Entry {
--- a/internal/rawhttp/client.go
+++ b/internal/rawhttp/client.go
@@ -94,9 +94,8 @@
 
 // Stats counts what a Client did.
 type Stats struct {
-	// Dials counts new connections, Requests what was sent, Foreign answers that
-	// belonged to other requests.
-	Dials, Requests, Foreign atomic.Uint64
+	// Foreign counts answers that belonged to other requests.
+	Foreign atomic.Uint64
 }
 
 // Client sends requests. It is safe for concurrent use.
@@ -191,7 +190,6 @@
 	if err != nil {
 		return nil, false, err
 	}
-	c.Stats.Dials.Add(1)
 	return &conn{Conn: raw, server: server, reader: bufio.NewReaderSize(raw, readerBytes)}, false, nil
 }
 
@@ -248,28 +246,16 @@
 	}
 }
 
-// Forget closes the unused connections to a server.
-func (c *Client) Forget(server Server) {
-	c.mu.Lock()
-	list := c.idle[server]
-	delete(c.idle, server)
-	c.mu.Unlock()
-	for _, connection := range list {
-		_ = connection.Close()
-	}
-}
-
 // Close closes all unused connections and keeps none from now on.
 func (c *Client) Close() {
 	c.mu.Lock()
-	c.closed = true
-	servers := make([]Server, 0, len(c.idle))
-	for server := range c.idle {
-		servers = append(servers, server)
-	}
+	idle := c.idle
+	c.idle, c.closed = map[Server][]*conn{}, true
 	c.mu.Unlock()
-	for _, server := range servers {
-		c.Forget(server)
+	for _, list := range idle {
+		for _, connection := range list {
+			_ = connection.Close()
+		}
 	}
 }
 
--- a/internal/rawhttp/exchange.go
+++ b/internal/rawhttp/exchange.go
@@ -38,7 +38,6 @@
 		response.discard()
 		return nil, err
 	}
-	c.Stats.Requests.Add(1)
 	if err := response.readHead(request); err != nil {
 		response.discard()
 		if ctx.Err() != nil {
--- a/internal/residency/account.go
+++ b/internal/residency/account.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"slices"
 	"time"
 
 	"limpethub/internal/discovery"
@@ -107,11 +108,7 @@
 
 // shows reports whether a list of versions proves the open order done.
 func (a *account) shows(resident []modelref.Ref) bool {
-	present := false
-	for _, ref := range resident {
-		present = present || ref == a.open.order.Ref
-	}
-	return present && a.open.order.Action == engine.ActionLoad
+	return a.open.order.Action == engine.ActionLoad && slices.Contains(resident, a.open.order.Ref)
 }
 
 // complete notes that the open order is done.
@@ -129,7 +126,6 @@
 // observe takes the server's own account. One that predates an accepted order is
 // ignored.
 func (a *account) observe(now time.Time, state engine.SequencedState) (stale bool) {
-	a.asking = false
 	a.failures = 0
 	if state.Sequence < a.sequence {
 		a.nextAsk = now.Add(reportLag)
--- a/internal/residency/plan_option.go
+++ b/internal/residency/plan_option.go
@@ -18,11 +18,12 @@
 }
 
 func (b *board) bestOption(w want) (best option, ok bool) {
+	domains := b.domainsOf(w.model.Ref)
 	for _, p := range b.places {
 		if _, has := p.Models[w.model.Ref]; has {
 			continue
 		}
-		o, possible := b.optionOn(w, p)
+		o, possible := b.optionOn(w, p, domains)
 		if possible && (!ok || o.cost < best.cost) {
 			best, ok = o, true
 		}
@@ -30,7 +31,8 @@
 	return best, ok
 }
 
-func (b *board) optionOn(w want, p *place) (option, bool) {
+// optionOn weighs a server. domains are those in which the model has a copy.
+func (b *board) optionOn(w want, p *place, domains map[string]bool) (option, bool) {
 	o := option{place: p}
 	o.cost, o.fromStore = b.loadTime(w.model, p)
 	if o.fromStore && !b.mayLoad(w) {
@@ -40,7 +42,7 @@
 		o.cost += costBusy
 	}
 	o.cost += costPerRequest * float64(p.Requests)
-	if b.domainHas(w.model.Ref, p.FailureDomain) {
+	if domains[p.FailureDomain] {
 		o.cost += costSameDomain
 	}
 	if p.free+p.soon >= w.model.MemoryMB {
@@ -81,13 +83,15 @@
 	return m.Load.Seconds(), true
 }
 
-func (b *board) domainHas(ref modelref.Ref, domain string) bool {
+// domainsOf returns the failure domains in which the model has a copy that stays.
+func (b *board) domainsOf(ref modelref.Ref) map[string]bool {
+	out := map[string]bool{}
 	for _, p := range b.places {
-		if state, has := p.Models[ref]; has && state != engine.StateUnloading && p.FailureDomain == domain {
-			return true
+		if state, has := p.Models[ref]; has && state != engine.StateUnloading {
+			out[p.FailureDomain] = true
 		}
 	}
-	return false
+	return out
 }
 
 // victim picks the model that may give way on a server with the least harm: one with
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -133,6 +133,13 @@
 	return &Error{Verdict: NotRun, Code: code, Message: fmt.Sprintf(format, args...)}
 }
 
+// Stopping makes the error of a request that a stopping instance doesn't take.
+func Stopping(retryAfter time.Duration) *Error {
+	e := Refused(CodeStopping, "the instance stops; another one takes the request")
+	e.RetryAfter = retryAfter
+	return e
+}
+
 // Unclear builds a MayHaveRun error.
 func Unclear(code Code, cause error, format string, args ...any) *Error {
 	return &Error{Verdict: MayHaveRun, Code: code, Message: fmt.Sprintf(format, args...), Err: cause}
