Drain: a listener may be closed twice

The stop closes the callers' listener, and http.Server.Close closes it again if Serve hasn't returned yet; the stop then told an error of its own making. The second close returns what the first did.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -90,6 +90,15 @@
 type tracked struct {
 	net.Listener
 	conns *Conns
+	once  sync.Once
+	err   error
+}
+
+// Close implements net.Listener. The server closes its listener too, so that a second
+// close is no failure.
+func (l *tracked) Close() error {
+	l.once.Do(func() { l.err = l.Listener.Close() })
+	return l.err
 }
 
 // Accept implements net.Listener.
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -56,6 +56,20 @@
 	}
 }
 
+func TestServerMayCloseAListenerAgain(t *testing.T) {
+	var c Conns
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := c.Attach(&http.Server{}, raw)
+	for range 2 {
+		if err := listener.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 func TestNothingIsReadOnceClosed(t *testing.T) {
 	var c Conns
 	own, other := accept(t, &c, &http.Server{})
