--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -37,8 +37,21 @@
 	// candidateReads times that is the mean time between two looks of a candidate. One
 	// looks at once when the holder seems to be gone.
 	candidateReads = 2
+	// amplePlacementCores is the processor from which on a holder carries some hundred
+	// servers beside its requests. A smaller instance claims the lease later, by up to
+	// smallClaimDelay, so that a larger one gets it if there is any.
+	amplePlacementCores = 0.4
+	smallClaimDelay     = 400 * time.Millisecond
 )
 
+// claimDelay is how long an instance leaves a free lease to larger ones.
+func claimDelay(cores float64) time.Duration {
+	if cores <= 0 || cores >= amplePlacementCores {
+		return 0
+	}
+	return time.Duration((1 - cores/amplePlacementCores) * float64(smallClaimDelay))
+}
+
 // hosted holds the parts of an instance whose callers and servers follow a platform's
 // way: servers announce themselves, requests are passed on unchanged.
 type hosted struct {
@@ -131,6 +144,7 @@
 		Lease: lease.Config{
 			TTL: ttl, Margin: ttl / placementMarginShare, Jitter: ttl / placementJitterShare,
 			ReadPeriod: candidateReads * ttl, TrustUnchanged: true,
+			ClaimDelay: claimDelay(d.settings.Processor.Cores()),
 		},
 		Now:    bootTime,
 		Seed:   d.seed,
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -261,3 +261,28 @@
 	}
 	t.Error("nobody took the lease")
 }
+
+// TestSmallCandidateLeavesTheLeaseToOthers replays the death of a holder where most
+// candidates can hardly carry its work: one of the few others takes over, and a small
+// one only when there is no other.
+func TestSmallCandidateLeavesTheLeaseToOthers(t *testing.T) {
+	const delay = 3 * time.Second
+	for _, large := range []int{0, 2} {
+		for seed := range uint64(20) {
+			candidate := 0
+			g := newGroup(30, seed, func(c *Config) {
+				if candidate++; candidate > large {
+					c.ClaimDelay = delay
+				}
+			})
+			g.run(9*time.Second+5*time.Second+delay, func() {})
+			holders := g.holders()
+			if len(holders) != 1 {
+				t.Fatalf("%d large, seed %d: holders %v", large, seed, holders)
+			}
+			if large > 0 && holders[0] >= large {
+				t.Errorf("%d large, seed %d: %d holds the lease", large, seed, holders[0])
+			}
+		}
+	}
+}
--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -20,6 +20,9 @@
 	Margin time.Duration
 	// Jitter is the most that a candidate waits, at random, before it claims.
 	Jitter time.Duration
+	// ClaimDelay is what a candidate waits besides, always: one that can hardly carry the
+	// holder's work leaves the lease to others.
+	ClaimDelay time.Duration
 	// TrustUnchanged lets the time before a gap in the readings count where the record is
 	// the same after it. Each renewal changes the record's revision, so that it wasn't
 	// renewed in between.
@@ -162,13 +165,16 @@
 
 // claimable is when this candidate may claim if the record stays as it is.
 func (m *Machine) claimable() time.Time {
-	wait := m.claimDelay + m.reachDelay()
+	wait := m.ownDelay() + m.reachDelay()
 	if m.record.Holder != "" && !m.record.Released {
 		wait += m.config.TTL
 	}
 	return m.since.Add(wait)
 }
 
+// ownDelay is how long this candidate leaves a free lease to others.
+func (m *Machine) ownDelay() time.Duration { return m.claimDelay + m.config.ClaimDelay }
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
@@ -375,7 +381,7 @@
 		m.nextCall = earlier(m.nextCall, due)
 	}
 	if m.mayClaimSoon(now) {
-		m.nextCall = now.Add(m.claimDelay/2 + 1)
+		m.nextCall = now.Add(m.ownDelay()/2 + 1)
 	}
 }
 
--- a/internal/residency/adapters.go
+++ b/internal/residency/adapters.go
@@ -18,8 +18,7 @@
 // that share few slots: those that requests wait for come first, and displace what nobody
 // uses.
 func (b *board) planAdapters() {
-	order := make([]Adapter, len(b.Adapters))
-	copy(order, b.Adapters)
+	order := b.adaptersInUse()
 	sort.SliceStable(order, func(i, j int) bool {
 		x, y := b.Needs[order[i].Ref], b.Needs[order[j].Ref]
 		if x.Waiting != y.Waiting {
@@ -28,36 +27,33 @@
 		return x.Held > y.Held
 	})
 	for _, a := range order {
-		need := b.Needs[a.Ref]
-		if need.LastUsed.IsZero() || b.Now.Sub(need.LastUsed) > adapterMemory {
-			continue
-		}
-		if b.adapterCopies(a) < b.adapterWanted(a) {
+		if b.adapterCopies[a.Ref] < b.adapterWanted(a) {
 			b.provideAdapter(a)
 		}
 	}
 }
 
-func (b *board) adapterWanted(a Adapter) int {
-	return 1 + int(b.Needs[a.Ref].Held/adapterCopyLoad)
-}
-
-// adapterCopies counts the copies of an adapter that serve or are being loaded.
-func (b *board) adapterCopies(a Adapter) int {
-	n := 0
-	for _, p := range b.places {
-		if state, has := p.Adapters[a.Ref]; has && state != engine.StateUnloading && p.Models[a.Base] == engine.StateResident {
-			n++
+// adaptersInUse returns the adapters that were asked for lately.
+func (b *board) adaptersInUse() []Adapter {
+	var out []Adapter
+	for _, a := range b.Adapters {
+		need := b.Needs[a.Ref]
+		if !need.LastUsed.IsZero() && b.Now.Sub(need.LastUsed) <= adapterMemory {
+			out = append(out, a)
 		}
 	}
-	return n
+	return out
+}
+
+func (b *board) adapterWanted(a Adapter) int {
+	return 1 + int(b.Needs[a.Ref].Held/adapterCopyLoad)
 }
 
 // provideAdapter orders an adapter, or the unload of one that makes a slot free.
 func (b *board) provideAdapter(a Adapter) {
 	var best *place
-	for _, p := range b.places {
-		if !b.takesAdapter(a, p) {
+	for _, p := range b.holders[a.Base] {
+		if !takesAdapter(a, p) {
 			continue
 		}
 		if best == nil || p.slots > best.slots || (p.slots == best.slots && p.Requests < best.Requests) {
@@ -83,9 +79,10 @@
 	}
 }
 
-func (b *board) takesAdapter(a Adapter, p *place) bool {
+// takesAdapter reports whether a server that holds the base can be told to load a.
+func takesAdapter(a Adapter, p *place) bool {
 	_, has := p.Adapters[a.Ref]
-	return p.Ready && !has && p.Models[a.Base] == engine.StateResident
+	return p.Ready && !has
 }
 
 // idleAdapter picks the adapter on a server that was unused for longest.
--- /dev/null
+++ b/internal/residency/bench_test.go
@@ -0,0 +1,62 @@
+package residency
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"limpethub/internal/engine"
+	"limpethub/internal/modelref"
+)
+
+// fleetSnapshot is a pool whose servers hold three models and most of their adapters
+// each. A tenth of the models are asked for, each with one copy less than it should have.
+func fleetSnapshot(servers, models, adapters int) Snapshot {
+	now := time.Unix(1000, 0)
+	s := Snapshot{Now: now, Needs: map[modelref.Ref]Need{}, StoreLoads: 3}
+	for i := range models {
+		s.Models = append(s.Models, Model{Ref: model(i), MemoryMB: 70, Load: 4 * time.Second, Disk: time.Second, Warm: 400 * time.Millisecond})
+		if i%10 == 0 {
+			s.Needs[model(i)] = Need{Load: 2, Held: 2, LastUsed: now}
+		}
+	}
+	for i := range adapters {
+		a := Adapter{Ref: modelref.Ref(fmt.Sprintf("m%02d/a%d@1", i%models, i)), Base: model(i % models), MemoryMB: 1}
+		s.Adapters = append(s.Adapters, a)
+		if i%5 == 0 {
+			s.Needs[a.Ref] = Need{Load: 0.1, Held: 0.1, Waiting: i % 2, LastUsed: now}
+		}
+	}
+	for i := range servers {
+		v := ServerView{ID: fmt.Sprintf("s%d", i), FailureDomain: fmt.Sprintf("d%d", i%3), Ready: true, MemoryMB: 220, AdapterSlots: 8,
+			Models: map[modelref.Ref]engine.HoldingState{}, Adapters: map[modelref.Ref]engine.HoldingState{},
+			InMemory: map[modelref.Ref]bool{}, OnDisk: map[modelref.Ref]bool{}, Requests: i % 7}
+		for k := range 3 {
+			m := (i*3 + k) % models
+			v.Models[model(m)] = engine.StateResident
+			for n := m; n < adapters && len(v.Adapters) < 7; n += models {
+				v.Adapters[s.Adapters[n].Ref] = engine.StateResident
+			}
+		}
+		for k := range models {
+			if (k+i)%4 == 0 {
+				v.OnDisk[model(k)] = true
+			}
+		}
+		s.Servers = append(s.Servers, v)
+	}
+	return s
+}
+
+// BenchmarkPlan is the cost of one plan: the users' grown deployments, and two years on.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ servers, models, adapters int }{{4, 10, 25}, {60, 131, 279}, {140, 234, 727}, {10_000, 1_400, 4_000}} {
+		b.Run(fmt.Sprintf("%dx%d", size.servers, size.models), func(b *testing.B) {
+			s := fleetSnapshot(size.servers, size.models, size.adapters)
+			b.ReportAllocs()
+			for b.Loop() {
+				Plan(s)
+			}
+		})
+	}
+}
--- a/internal/residency/manager.go
+++ b/internal/residency/manager.go
@@ -13,6 +13,7 @@
 	"limpethub/internal/engine"
 	"limpethub/internal/lease"
 	"limpethub/internal/modelref"
+	"limpethub/internal/pause"
 	"limpethub/internal/site"
 	"limpethub/internal/store"
 )
@@ -27,6 +28,11 @@
 	stateTimeout    = 800 * time.Millisecond
 	leaseTimeout    = 800 * time.Millisecond
 	releaseTimeout  = time.Second
+	// restFactor times the length of a step is the rest after it, at most longestRest.
+	// Where a step is long, as on a small instance with many servers, many small events
+	// would otherwise take all of the processor from requests, peers and the lease.
+	restFactor  = 4
+	longestRest = 100 * time.Millisecond
 )
 
 var errLeaseOver = errors.New("residency: the lease ran out before the order was sent")
@@ -153,16 +159,33 @@
 		case <-timer.C:
 		case <-m.wake:
 		case r := <-m.results:
-			m.locked(func(c *core) { c.handle(m.options.Now(), r) })
+			m.take(r)
 		}
+		began := time.Now()
 		m.step(work, &calls)
 		if done == nil && m.resigned() {
 			return
 		}
+		pause.For(work, restAfter(time.Since(began)))
 		timer.Reset(m.period())
 	}
 }
 
+// restAfter is how long the manager rests after a step of a length.
+func restAfter(step time.Duration) time.Duration { return min(restFactor*step, longestRest) }
+
+// take handles a result and all others that are there, so that they share one step.
+func (m *Manager) take(r result) {
+	for {
+		m.locked(func(c *core) { c.handle(m.options.Now(), r) })
+		select {
+		case r = <-m.results:
+		default:
+			return
+		}
+	}
+}
+
 func (m *Manager) period() time.Duration {
 	if m.Holding() {
 		return tickPeriod
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -81,6 +81,10 @@
 	copies map[modelref.Ref]int
 	// serving counts the copies that serve now, less those that give way.
 	serving map[modelref.Ref]int
+	// holders lists the servers on which a model is resident, and adapterCopies counts the
+	// copies of an adapter beside its resident base that serve or are being loaded.
+	holders       map[modelref.Ref][]*place
+	adapterCopies map[modelref.Ref]int
 	// wanted is how many copies each model should have.
 	wanted map[modelref.Ref]int
 	// heldLoads is how many loads from the weight store are kept for models that requests
@@ -95,7 +99,10 @@
 		models:   make(map[modelref.Ref]Model, len(s.Models)),
 		copies:   map[modelref.Ref]int{},
 		serving:  map[modelref.Ref]int{},
+		holders:  map[modelref.Ref][]*place{},
 		wanted:   map[modelref.Ref]int{},
+
+		adapterCopies: map[modelref.Ref]int{},
 	}
 	for _, m := range s.Models {
 		b.models[m.Ref] = m
@@ -125,11 +132,16 @@
 		b.copies[ref]++
 		if state == engine.StateResident {
 			b.serving[ref]++
+			b.holders[ref] = append(b.holders[ref], p)
 		}
 	}
-	for ref := range view.Adapters {
-		p.free -= adapters[ref].MemoryMB
+	for ref, state := range view.Adapters {
+		adapter := adapters[ref]
+		p.free -= adapter.MemoryMB
 		p.slots--
+		if state != engine.StateUnloading && view.Models[adapter.Base] == engine.StateResident {
+			b.adapterCopies[ref]++
+		}
 	}
 	return p
 }
--- a/internal/residency/plan_option.go
+++ b/internal/residency/plan_option.go
@@ -23,16 +23,20 @@
 		if _, has := p.Models[w.model.Ref]; has {
 			continue
 		}
-		o, possible := b.optionOn(w, p, domains)
-		if possible && (!ok || o.cost < best.cost) {
+		limit := math.Inf(1)
+		if ok {
+			limit = best.cost
+		}
+		if o, cheaper := b.optionOn(w, p, domains, limit); cheaper {
 			best, ok = o, true
 		}
 	}
 	return best, ok
 }
 
-// optionOn weighs a server. domains are those in which the model has a copy.
-func (b *board) optionOn(w want, p *place, domains map[string]bool) (option, bool) {
+// optionOn weighs a server, and reports whether it is possible for less than limit.
+// domains are those in which the model has a copy.
+func (b *board) optionOn(w want, p *place, domains map[string]bool, limit float64) (option, bool) {
 	o := option{place: p}
 	o.cost, o.fromStore = b.loadTime(w.model, p)
 	if o.fromStore && !b.mayLoad(w) {
@@ -45,13 +49,13 @@
 	if domains[p.FailureDomain] {
 		o.cost += costSameDomain
 	}
-	if p.free+p.soon >= w.model.MemoryMB {
-		return o, true
+	if p.free+p.soon >= w.model.MemoryMB || o.cost >= limit {
+		return o, o.cost < limit
 	}
 	victim, harm, ok := b.victim(w, p)
 	o.victim = victim
 	o.cost += costEvict + harm + b.drainSeconds(p, victim)
-	return o, ok
+	return o, ok && o.cost < limit
 }
 
 // drainSeconds is how long an unload waits for the runs on its model, which are its part
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,11 +40,31 @@
 	// MemoryMB is how much memory the process may take, in MB; 0 means no bound. It
 	// works the harder to free memory the nearer it comes.
 	MemoryMB int64 `json:"memory_mb,omitempty" validate:"gte=0"`
+	// Processor is what the instance has of a processor.
+	Processor Processor `json:"processor,omitzero"`
 	// EntriesTTLMillis is how long callers may keep an answer of /v1/entries, in
 	// milliseconds.
 	EntriesTTLMillis int64 `json:"entries_ttl_ms" validate:"gt=0"`
 }
 
+// Processor is what an instance has of a processor. Placement is left to instances with
+// more of it where one is small.
+type Processor struct {
+	// Share is the part of one core's time that the process gets; 0 means as much as it
+	// asks for.
+	Share float64 `json:"share" validate:"gte=0"`
+	// Speed is how much faster the core is than a common one; 0 means 1.
+	Speed float64 `json:"speed,omitempty" validate:"gte=0"`
+}
+
+// Cores is the processor in common cores, and 0 if it isn't bounded.
+func (p Processor) Cores() float64 {
+	if p.Speed == 0 {
+		return p.Share
+	}
+	return p.Share * p.Speed
+}
+
 // Listeners holds the listeners of a daemon.
 type Listeners struct {
 	// Callers serves callers over HTTP.
