--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -35,7 +35,7 @@
 	Seed uint64
 	// Settings are the timings; zero means membership.DefaultSettings.
 	Settings membership.Settings
-	// ListPeriod is the time between two reads of the platform's list; 0 means
+	// ListPeriod is the least time between two reads of the platform's list; 0 means
 	// DefaultListPeriod.
 	ListPeriod time.Duration
 	// BytesPerSecond bounds what this instance sends to peers, heartbeats and digests
@@ -46,8 +46,13 @@
 
 // Defaults of the options.
 const (
-	// DefaultListPeriod is the time between two reads of the platform's list.
-	DefaultListPeriod = 2 * time.Second
+	// DefaultListPeriod is the time between two reads of the platform's list in a small
+	// fleet. A larger one together makes a read per listPeriodPerMember, and each instance
+	// one per longestListPeriod: beyond its first contact an instance learns of others
+	// from peers.
+	DefaultListPeriod   = 2 * time.Second
+	listPeriodPerMember = 125 * time.Millisecond
+	longestListPeriod   = 30 * time.Second
 	// DefaultBytesPerSecond is an instance's budget for control.
 	DefaultBytesPerSecond = 23_000
 
@@ -138,12 +143,16 @@
 func (c *Cluster) listLoop(ctx context.Context) {
 	for {
 		c.readList(ctx)
-		if !pause.For(ctx, c.jitter(c.options.ListPeriod)) {
+		if !pause.For(ctx, c.jitter(c.listPeriod())) {
 			return
 		}
 	}
 }
 
+func (c *Cluster) listPeriod() time.Duration {
+	return pause.Shared(c.options.ListPeriod, listPeriodPerMember, len(c.Members()), max(longestListPeriod, c.options.ListPeriod))
+}
+
 func (c *Cluster) jitter(period time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/confsync/spread.go
+++ b/internal/confsync/spread.go
@@ -4,6 +4,7 @@
 package confsync
 
 import (
+	"math"
 	"math/rand/v2"
 	"sort"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"limpethub/internal/membership"
+	"limpethub/internal/pause"
 )
 
 // Action is what a Spread wants done.
@@ -237,7 +239,7 @@
 	}
 	s.readOnce = true
 	s.readWait = 0
-	period := max(readPeriod, time.Duration(len(s.live))*readPeriodPerMember)
+	period := pause.Shared(readPeriod, readPeriodPerMember, len(s.live), math.MaxInt64)
 	s.nextRead = now.Add(s.jitter(period))
 }
 
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -101,6 +101,8 @@
 		Source:        source,
 		Sink:          d.dispatcher,
 		Pooled:        h.pooled,
+		Instances:     func() int { return len(d.cluster.Members()) },
+		Plans:         func() bool { return h.manager.Holding() },
 		OnLeaving:     h.feed.ServerLeaves,
 		Logger:        d.log(logging.Routing),
 	})
--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -205,3 +205,38 @@
 		step("one came back", "[a]", 3*time.Second, func() { source.servers = []Server{server("a", 1, 4)} })
 	})
 }
+
+// busySource has changes all the time.
+type busySource struct{ calls int }
+
+func (s *busySource) List(context.Context) (Update, error) { return Update{Revision: 1}, nil }
+
+func (s *busySource) Watch(_ context.Context, after store.Revision) (Update, error) {
+	s.calls++
+	time.Sleep(10 * time.Millisecond)
+	return Update{Revision: after + 1}, nil
+}
+
+// TestWatchesOfALargeFleetAreFewEach replays servers that change all the time under the
+// eyes of many instances: together they stay within the service's rate, and the one that
+// plans still learns of changes at once.
+func TestWatchesOfALargeFleetAreFewEach(t *testing.T) {
+	const length = time.Minute
+	for _, c := range []struct {
+		instances   int
+		plans       bool
+		least, most int
+	}{{8, false, 50, 60}, {68, false, 19, 24}, {68, true, 50, 60}, {3000, false, 17, 21}} {
+		synctest.Test(t, func(t *testing.T) {
+			source := &busySource{}
+			w := New(Options{Source: source, Sink: &fakeSink{}, Logger: logging.Discard(),
+				Instances: func() int { return c.instances }, Plans: func() bool { return c.plans }})
+			ctx, cancel := context.WithTimeout(t.Context(), length)
+			defer cancel()
+			w.Run(ctx)
+			if source.calls < c.least || source.calls > c.most {
+				t.Errorf("%d instances, planning %v: %d calls in %v", c.instances, c.plans, source.calls, length)
+			}
+		})
+	}
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -28,6 +28,10 @@
 	// the service, and most changes are of no use here. It is below the time that a
 	// leaving server still takes requests, and instances tell each other of such servers.
 	batchPause = time.Second
+	// batchPausePerInstance keeps the watches of all instances under some 25 a second, and
+	// longestBatchPause is the most that an instance learns later of a new server.
+	batchPausePerInstance = 40 * time.Millisecond
+	longestBatchPause     = 3 * time.Second
 )
 
 // Update is what happened to announcements.
@@ -62,6 +66,10 @@
 	Sink          Sink
 	// Pooled reports whether a service's servers are model engines.
 	Pooled func(service string) bool
+	// Instances counts the instances that watch; nil means one. Plans reports whether this
+	// one decides on placement, for which it must know servers early; nil means never.
+	Instances func() int
+	Plans     func() bool
 	// OnLeaving is called, without blocking, for each server that is newly known to
 	// leave; nil means nobody.
 	OnLeaving func(server Known)
@@ -103,7 +111,7 @@
 		switch {
 		case err == nil:
 			wait, listed = firstPause, true
-			pause.For(ctx, batchPause)
+			pause.For(ctx, w.batchPause())
 			continue
 		case errors.Is(err, store.ErrCompacted):
 			w.options.Logger.WithField("revision", revision).Info("History of announcements is gone, listing again")
@@ -115,6 +123,13 @@
 	}
 }
 
+func (w *Watcher) batchPause() time.Duration {
+	if w.options.Instances == nil || (w.options.Plans != nil && w.options.Plans()) {
+		return batchPause
+	}
+	return pause.Shared(batchPause, batchPausePerInstance, w.options.Instances(), longestBatchPause)
+}
+
 func (w *Watcher) list(ctx context.Context) (store.Revision, error) {
 	update, err := w.options.Source.List(ctx)
 	if err != nil {
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -1,4 +1,4 @@
-// Package pause waits within a context.
+// Package pause waits within a context, and says how long to wait.
 package pause
 
 import (
@@ -17,3 +17,10 @@
 		return true
 	}
 }
+
+// Shared is how long one of some members waits between two calls of a service that all
+// of them call: each for all members together, so that the service sees the same rate
+// whatever their number, but within least and most.
+func Shared(least, each time.Duration, members int, most time.Duration) time.Duration {
+	return min(max(least, time.Duration(members)*each), most)
+}
