--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -46,11 +46,12 @@
 
 // Defaults of the options.
 const (
-	// DefaultListPeriod is the time between two reads of the platform's list in a small
-	// fleet. A larger one together makes a read per listPeriodPerMember, and each instance
-	// one per longestListPeriod: beyond its first contact an instance learns of others
-	// from peers.
+	// DefaultListPeriod is the time between the first reads of the platform's list. It
+	// doubles with each read that names nobody new, quietDoublings times: beyond its first
+	// contact an instance learns of others from peers. All instances together make a read
+	// per listPeriodPerMember at most, but each one per longestListPeriod.
 	DefaultListPeriod   = 2 * time.Second
+	quietDoublings      = 2
 	listPeriodPerMember = 125 * time.Millisecond
 	longestListPeriod   = 30 * time.Second
 	// DefaultBytesPerSecond is an instance's budget for control.
@@ -141,16 +142,22 @@
 
 // listLoop reads the platform's list. A failed read keeps the last list.
 func (c *Cluster) listLoop(ctx context.Context) {
+	quiet := 0
 	for {
-		c.readList(ctx)
-		if !pause.For(ctx, c.jitter(c.listPeriod())) {
+		if c.readList(ctx) {
+			quiet = 0
+		}
+		if !pause.For(ctx, c.jitter(c.listPeriod(quiet))) {
 			return
 		}
+		quiet = min(quiet+1, quietDoublings)
 	}
 }
 
-func (c *Cluster) listPeriod() time.Duration {
-	return pause.Shared(c.options.ListPeriod, listPeriodPerMember, len(c.Members()), max(longestListPeriod, c.options.ListPeriod))
+// listPeriod is the time until the next read after some that named nobody new.
+func (c *Cluster) listPeriod(quiet int) time.Duration {
+	least := c.options.ListPeriod << quiet
+	return pause.Shared(least, listPeriodPerMember, len(c.Members()), max(longestListPeriod, least))
 }
 
 func (c *Cluster) jitter(period time.Duration) time.Duration {
@@ -159,20 +166,22 @@
 	return period*3/4 + time.Duration(c.rand.Int64N(int64(period)/2))
 }
 
-func (c *Cluster) readList(ctx context.Context) {
+// readList reports whether the list named an instance that wasn't known.
+func (c *Cluster) readList(ctx context.Context) (news bool) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	list, err := c.options.Lister.List(ctx)
 	if err != nil {
 		c.stats.listErrors.Add(1)
 		c.options.Logger.WithError(err).Warn("Reading the instance list failed, the last one stays")
-		return
+		return false
 	}
 	c.step(func(m *membership.Machine, now time.Time) []membership.Send {
 		c.listed = list
-		m.SetUniverse(now, entryInstances(list))
+		news = m.SetUniverse(now, entryInstances(list))
 		return nil
 	})
+	return news
 }
 
 // entryInstances picks the entry instances out of the platform's list.
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -252,3 +252,48 @@
 		t.Errorf("members %+v", c.Members())
 	}
 }
+
+// countedList names some instances and counts its reads.
+type countedList struct {
+	instances int
+	reads     int
+}
+
+func (l *countedList) List(context.Context) ([]platform.Instance, error) {
+	l.reads++
+	var out []platform.Instance
+	for i := range l.instances {
+		id := identity(i)
+		out = append(out, platform.Instance{Name: id.Name, PeerAddress: id.PeerAddress})
+	}
+	return out, nil
+}
+
+// TestListIsReadLessOnceItSaysNothingNew replays a start and the quiet time after it: the
+// list is read often while it grows, and the whole fleet's reads stay few.
+func TestListIsReadLessOnceItSaysNothingNew(t *testing.T) {
+	for _, c := range []struct{ instances, growing, quietLeast, quietMost int }{{8, 5, 10, 17}, {80, 1, 7, 14}} {
+		synctest.Test(t, func(t *testing.T) {
+			l := &countedList{instances: c.instances}
+			node := New(Options{Self: identity(0), Transport: newNetwork().endpoint(identity(0)), Lister: l})
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { defer close(done); _ = node.Run(ctx) }()
+			for range 10 {
+				time.Sleep(time.Second)
+				l.instances++
+			}
+			if l.reads < c.growing {
+				t.Errorf("%d instances: %d reads in 10 s while it grew", c.instances, l.reads)
+			}
+			time.Sleep(20 * time.Second)
+			before := l.reads
+			time.Sleep(100 * time.Second)
+			if n := l.reads - before; n < c.quietLeast || n > c.quietMost {
+				t.Errorf("%d instances: %d reads in 100 quiet seconds", c.instances, n)
+			}
+			cancel()
+			<-done
+		})
+	}
+}
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -7,8 +7,9 @@
 )
 
 // SetUniverse takes the platform's list. A member that is missing from it stays as
-// long as it answers heartbeats; a listed one counts only once it was heard.
-func (m *Machine) SetUniverse(now time.Time, list []Listed) {
+// long as it answers heartbeats; a listed one counts only once it was heard. It reports
+// whether the list named a member that wasn't known.
+func (m *Machine) SetUniverse(now time.Time, list []Listed) (news bool) {
 	for _, other := range m.order {
 		other.listed = false
 	}
@@ -19,6 +20,7 @@
 		other := m.members[l.Name]
 		if other == nil {
 			other = m.add(now, l.Identity)
+			news = true
 		}
 		other.listed = true
 		m.change(other, func() {
@@ -28,6 +30,7 @@
 			}
 		})
 	}
+	return news
 }
 
 // add inserts a member that wasn't heard yet.
