--- a/internal/confsync/spread.go
+++ b/internal/confsync/spread.go
@@ -41,8 +41,10 @@
 	startPeers = 3
 	// startGrace is how long a new instance with a configuration waits for more.
 	startGrace = time.Second
-	// maxFetches is how many fetches run at once.
-	maxFetches = 2
+	// maxFetches is how many fetches run at once. Another one begins only when the last
+	// is older than fetchPatience: a peer that stops or was replaced may not answer.
+	maxFetches    = 4
+	fetchPatience = 300 * time.Millisecond
 	// retryPeriod is the first wait after a failed fetch or read.
 	retryPeriod = 200 * time.Millisecond
 	// maxRetryPeriod is the longest wait after failures, unless the options say less.
@@ -71,6 +73,7 @@
 	watching bool
 
 	fetching  map[string]bool
+	lastFetch time.Time
 	nextFetch time.Time
 	fetchWait time.Duration
 
@@ -190,22 +193,33 @@
 	if s.highest <= s.held || len(s.fetching) >= maxFetches || now.Before(s.nextFetch) {
 		return nil
 	}
+	if len(s.fetching) > 0 && now.Sub(s.lastFetch) < fetchPatience {
+		return nil
+	}
 	peer, ok := s.pickAhead()
 	if !ok {
 		return nil
 	}
-	s.fetching[peer] = true
+	s.fetching[peer], s.lastFetch = true, now
 	return []Order{{Action: ActionFetch, Peer: peer}}
 }
 
-// pickAhead picks a random peer that is ahead and isn't asked already.
+// pickAhead picks a random peer that is ahead and isn't asked already, of those that are
+// to stay if there are any.
 func (s *Spread) pickAhead() (string, bool) {
-	var ahead []string
-	for peer, revision := range s.heard {
-		if revision > s.held && !s.fetching[peer] {
-			ahead = append(ahead, peer)
+	var ahead, going []string
+	for _, m := range s.live {
+		switch {
+		case s.heard[m.Name] <= s.held || s.fetching[m.Name]:
+		case m.State == membership.Alive:
+			ahead = append(ahead, m.Name)
+		default:
+			going = append(going, m.Name)
 		}
 	}
+	if len(ahead) == 0 {
+		ahead = going
+	}
 	if len(ahead) == 0 {
 		return "", false
 	}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -33,7 +33,9 @@
 	What    string        `json:"what"`
 }
 
-func (v Violation) String() string { return fmt.Sprintf("%s: broken at %s: %s", v.Promise, v.At, v.What) }
+func (v Violation) String() string {
+	return fmt.Sprintf("%s: broken at %s: %s", v.Promise, v.At, v.What)
+}
 
 // Limits are the bounds that the promises name.
 type Limits struct {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -135,7 +135,9 @@
 	return out
 }
 
-func gap(random *rand.Rand) time.Duration { return time.Duration(random.ExpFloat64() * float64(meanGap)) }
+func gap(random *rand.Rand) time.Duration {
+	return time.Duration(random.ExpFloat64() * float64(meanGap))
+}
 
 func target(random *rand.Rand, s scope, size Size) int {
 	if s == onServer {
