--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -34,7 +34,7 @@
 	minutes                 float64
 	instances, parallel     int
 	shrink                  int
-	large                   bool
+	large, regressions      bool
 }
 
 // Command is the command line of the soak.
@@ -56,6 +56,7 @@
 	set.IntVar(&f.instances, "instances", DefaultSize.Instances, "how many daemons")
 	set.IntVar(&f.parallel, "parallel", 2, "how many seeds at the same time")
 	set.IntVar(&f.shrink, "shrink", 0, "how many plays to spend on a shorter schedule that still fails")
+	set.BoolVar(&f.regressions, "regressions", false, "play the seeds that failed before")
 	set.BoolVar(&f.large, "large", false, "a hundred daemons")
 	return c
 }
@@ -127,6 +128,16 @@
 		end := time.Now().Add(time.Duration(f.minutes * float64(time.Minute)))
 		return func() (uint64, bool) { return uint64(rand.Uint32()), time.Now().Before(end) }, nil
 	}
+	if f.regressions {
+		left := Regressions
+		return func() (seed uint64, more bool) {
+			if len(left) == 0 {
+				return 0, false
+			}
+			seed, left = left[0].Seed, left[1:]
+			return seed, true
+		}, nil
+	}
 	from, to := f.seed, f.seed
 	if f.seeds != "" {
 		first, last, _ := strings.Cut(f.seeds, "-")
