--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -28,7 +28,7 @@
 	logger := logrus.New()
 	logger.SetOutput(w)
 	logger.SetLevel(level)
-	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	logger.SetFormatter(&lines{})
 	return logger
 }
 
--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -35,6 +35,7 @@
 	instances, parallel     int
 	shrink                  int
 	large, regressions      bool
+	keepAll                 bool
 }
 
 // Command is the command line of the soak.
@@ -56,6 +57,7 @@
 	set.IntVar(&f.instances, "instances", DefaultSize.Instances, "how many daemons")
 	set.IntVar(&f.parallel, "parallel", 2, "how many seeds at the same time")
 	set.IntVar(&f.shrink, "shrink", 0, "how many plays to spend on a shorter schedule that still fails")
+	set.BoolVar(&f.keepAll, "keep", false, "keep the logs of seeds that passed too")
 	set.BoolVar(&f.regressions, "regressions", false, "play the seeds that failed before")
 	set.BoolVar(&f.large, "large", false, "a hundred daemons")
 	return c
@@ -200,8 +202,8 @@
 		verdict = "FAILED " + report.Failure
 		p.failed = append(p.failed, seed)
 	}
-	_, _ = fmt.Fprintf(p.out, "seed %d: %s, %d events, %d requests %v, %.0f s\n",
-		seed, verdict, len(report.Events), report.Tally.Requests, report.Tally.Answers, time.Since(began).Seconds())
+	_, _ = fmt.Fprintf(p.out, "seed %d: %s, %d events, %d requests %v, recovered in %.1f s, %.0f s\n",
+		seed, verdict, len(report.Events), report.Tally.Requests, report.Tally.Answers, report.Recovered.Seconds(), time.Since(began).Seconds())
 	for _, v := range report.Violations {
 		_, _ = fmt.Fprintf(p.out, "  %s\n", v)
 	}
@@ -212,7 +214,7 @@
 
 // keep moves the logs of a failed run to the report's folder, and drops those of others.
 func (p *player) keep(dir string, seed uint64, report Report) error {
-	if !report.Failed() {
+	if !report.Failed() && !p.keepAll {
 		return os.RemoveAll(dir)
 	}
 	if err := report.Write(dir); err != nil {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -4,8 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"limpethub/platform/standin"
@@ -35,6 +39,8 @@
 	Events     []Event     `json:"events"`
 	Violations []Violation `json:"violations"`
 	Tally      *tally      `json:"tally"`
+	// Recovered is how long after the last fault all was served again.
+	Recovered time.Duration `json:"recovered"`
 	// Failure is why the run couldn't be played, if it couldn't.
 	Failure string `json:"failure,omitempty"`
 }
@@ -70,13 +76,13 @@
 		report.Failure = err.Error()
 		return report
 	}
-	s.playAll(ctx, o, report.Tally)
+	report.Recovered = s.playAll(ctx, o, report.Tally)
 	report.Violations = judge.Violations()
 	return report
 }
 
-// playAll plays the schedule under load, then looks whether all is served again.
-func (s *site) playAll(ctx context.Context, o Options, t *tally) {
+// playAll plays the schedule under load, then looks how soon all is served again.
+func (s *site) playAll(ctx context.Context, o Options, t *tally) (recovered time.Duration) {
 	load, cancel := context.WithCancel(ctx)
 	loaded := make(chan struct{})
 	go func() {
@@ -87,40 +93,51 @@
 	begin := time.Now()
 	s.judge.shift(s.now())
 	s.play(o.Events, begin, ctx.Done())
-	s.checkRecovery(ctx)
+	recovered = s.checkRecovery(ctx)
 	cancel()
 	<-loaded
+	return recovered
 }
 
 // checkRecovery asks each instance for everything until all of it is served.
-func (s *site) checkRecovery(ctx context.Context) {
+func (s *site) checkRecovery(ctx context.Context) (took time.Duration) {
 	caller := standin.NewCaller()
 	defer caller.Close()
 	var missing string
+	began := time.Now()
 	for n, end := 0, time.Now().Add(recoverLimit); time.Now().Before(end) && ctx.Err() == nil; n++ {
 		if missing = s.missing(ctx, caller, n); missing == "" {
-			return
+			return time.Since(began)
 		}
 		time.Sleep(probePeriod)
 	}
 	if ctx.Err() == nil {
 		s.judge.Broken(Recovery, s.now(), "after %s: %s", recoverLimit, missing)
 	}
+	return time.Since(began)
 }
 
-// missing asks all instances for all kinds and models, and names the first that failed.
+// missing asks all instances for all kinds and models, and names one that failed on each.
 func (s *site) missing(ctx context.Context, caller *standin.Caller, round int) string {
-	for _, i := range s.instances {
-		asks := []string{"", ""}
-		kinds := []RequestKind{Unsafe, Safe}
-		for _, model := range s.models {
-			asks, kinds = append(asks, model, model+"/a1"), append(kinds, Stream, Stream)
-		}
-		for n, model := range asks {
-			r := s.ask(ctx, caller, i, Request{ID: fmt.Sprintf("r%d-%d-%d", round, i.number, n), Kind: kinds[n]}, model)
-			if r.Answer.Err != nil || r.Answer.Status != 200 {
-				return fmt.Sprintf("instance %d, kind %d, model %q: status %d, %v", i.number, kinds[n], model, r.Answer.Status, r.Answer.Err)
-			}
+	found := make([]string, len(s.instances))
+	var all sync.WaitGroup
+	for n, i := range s.instances {
+		all.Go(func() { found[n] = s.missingAt(ctx, caller, i, round) })
+	}
+	all.Wait()
+	return strings.Join(slices.DeleteFunc(found, func(what string) bool { return what == "" }), "; ")
+}
+
+// missingAt asks one instance for all kinds and models, and names the first that failed.
+func (s *site) missingAt(ctx context.Context, caller *standin.Caller, i *instance, round int) string {
+	models, kinds := []string{"", ""}, []RequestKind{Unsafe, Safe}
+	for _, model := range s.models {
+		models, kinds = append(models, model, model+"/a1"), append(kinds, Stream, Stream)
+	}
+	for n, model := range models {
+		r := s.ask(ctx, caller, i, Request{ID: fmt.Sprintf("r%d-%d-%d", round, i.number, n), Kind: kinds[n]}, model)
+		if r.Answer.Err != nil || r.Answer.Status != http.StatusOK {
+			return fmt.Sprintf("instance %d, kind %d, model %q: status %d, %v", i.number, kinds[n], model, r.Answer.Status, r.Answer.Err)
 		}
 	}
 	return ""
