--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
 
 	"limpethub/internal/discovery"
@@ -148,7 +149,7 @@
 			ReadPeriod: candidateReads * ttl, TrustUnchanged: true,
 			ClaimDelay: claimDelay(d.settings.Processor.Cores()),
 		},
-		Now:    bootTime,
+		Now:    bootClock(d.log(logging.Placement)),
 		Seed:   d.seed,
 		Logger: d.log(logging.Placement),
 	})
@@ -198,13 +199,25 @@
 	return d.hosted.feed.Gauges(time.Now()), d.dispatcher.ServerLoads()
 }
 
-// bootTime is a clock that also runs while the machine is suspended.
-func bootTime() time.Time {
-	var now unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
-		return time.Now()
+// bootClock is a clock that also runs while the machine is suspended. Without one the
+// usual clock is taken, on which a lease outlives a suspension by up to its margin.
+func bootClock(logger *logrus.Entry) func() time.Time {
+	read := func() (time.Time, error) {
+		var now unix.Timespec
+		err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now)
+		return time.Unix(now.Unix()), err
+	}
+	if _, err := read(); err != nil {
+		logger.WithError(err).Warn("No clock runs through a suspension, the usual one is taken")
+		return time.Now
+	}
+	return func() time.Time {
+		now, err := read()
+		if err != nil { // It was there at the start.
+			panic(fmt.Errorf("daemon: read the boot clock: %w", err))
+		}
+		return now
 	}
-	return time.Unix(now.Unix())
 }
 
 // putInForce takes a new configuration.
