--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -135,6 +135,9 @@
 func (e *exchange) sendLoad() {
 	e.sequence++
 	d := digest.FromRemotes(e.cluster.Self(), e.sequence, e.dispatcher.Digest())
+	if len(d.Loads) == 0 {
+		return // Peers forget by themselves what isn't told again.
+	}
 	for _, payload := range e.encode(d) {
 		e.cluster.Broadcast(peers.KindDigest, payload)
 	}
--- a/internal/peers/quictransport/link.go
+++ b/internal/peers/quictransport/link.go
@@ -177,13 +177,16 @@
 }
 
 func (l *link) sendDatagram(ctx context.Context, data []byte) {
-	ctx, cancel := context.WithTimeout(ctx, datagramDialTimeout)
-	defer cancel()
-	connection, err := l.dial(ctx)
-	if err != nil {
-		l.transport.counters.dropped()
-		l.dropQueued()
-		return
+	connection := l.live()
+	if connection == nil {
+		ctx, cancel := context.WithTimeout(ctx, datagramDialTimeout)
+		defer cancel()
+		var err error
+		if connection, err = l.dial(ctx); err != nil {
+			l.transport.counters.dropped()
+			l.dropQueued()
+			return
+		}
 	}
 	// SendDatagram blocks while the path takes nothing.
 	stuck := time.AfterFunc(l.transport.options.SilenceTimeout, func() {
@@ -213,6 +216,20 @@
 // unlock releases lock.
 func (l *link) unlock() { <-l.lock }
 
+// live returns the connection if it is open and nobody is about to change it, else nil.
+func (l *link) live() *quic.Conn {
+	select {
+	case l.lock <- struct{}{}:
+		defer l.unlock()
+	default:
+		return nil
+	}
+	if l.connection == nil || !l.usable(time.Now()) {
+		return nil
+	}
+	return l.connection
+}
+
 // dial returns the live connection, or makes a new one. An address that didn't
 // answer just now fails at once.
 func (l *link) dial(ctx context.Context) (*quic.Conn, error) {
