--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -18,6 +18,10 @@
 const (
 	// exchangePeriod is the time between two digests of load.
 	exchangePeriod = 250 * time.Millisecond
+	// quietRounds is how seldom a digest without any load goes out. It opens connections to
+	// all peers before there is load: hundreds of handshakes in its first second hold up
+	// requests on a small instance.
+	quietRounds = 8
 	// loadPause is the least time after a digest of load that went out early.
 	loadPause = 30 * time.Millisecond
 	// demandEvery is how many digests of load go out per digest of demand.
@@ -135,7 +139,7 @@
 func (e *exchange) sendLoad() {
 	e.sequence++
 	d := digest.FromRemotes(e.cluster.Self(), e.sequence, e.dispatcher.Digest())
-	if len(d.Loads) == 0 {
+	if len(d.Loads) == 0 && e.rounds%quietRounds != 0 {
 		return // Peers forget by themselves what isn't told again.
 	}
 	for _, payload := range e.encode(d) {
