--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -255,14 +256,13 @@
 
 // countedList names some instances and counts its reads.
 type countedList struct {
-	instances int
-	reads     int
+	instances, reads atomic.Int64
 }
 
 func (l *countedList) List(context.Context) ([]platform.Instance, error) {
-	l.reads++
+	l.reads.Add(1)
 	var out []platform.Instance
-	for i := range l.instances {
+	for i := range int(l.instances.Load()) {
 		id := identity(i)
 		out = append(out, platform.Instance{Name: id.Name, PeerAddress: id.PeerAddress})
 	}
@@ -272,24 +272,25 @@
 // TestListIsReadLessOnceItSaysNothingNew replays a start and the quiet time after it: the
 // list is read often while it grows, and the whole fleet's reads stay few.
 func TestListIsReadLessOnceItSaysNothingNew(t *testing.T) {
-	for _, c := range []struct{ instances, growing, quietLeast, quietMost int }{{8, 5, 10, 17}, {80, 1, 7, 14}} {
+	for _, c := range []struct{ instances, growing, quietLeast, quietMost int64 }{{8, 5, 10, 17}, {80, 1, 7, 14}} {
 		synctest.Test(t, func(t *testing.T) {
-			l := &countedList{instances: c.instances}
+			l := &countedList{}
+			l.instances.Store(c.instances)
 			node := New(Options{Self: identity(0), Transport: newNetwork().endpoint(identity(0)), Lister: l})
 			ctx, cancel := context.WithCancel(t.Context())
 			done := make(chan struct{})
 			go func() { defer close(done); _ = node.Run(ctx) }()
 			for range 10 {
 				time.Sleep(time.Second)
-				l.instances++
+				l.instances.Add(1)
 			}
-			if l.reads < c.growing {
-				t.Errorf("%d instances: %d reads in 10 s while it grew", c.instances, l.reads)
+			if n := l.reads.Load(); n < c.growing {
+				t.Errorf("%d instances: %d reads in 10 s while it grew", c.instances, n)
 			}
 			time.Sleep(20 * time.Second)
-			before := l.reads
+			before := l.reads.Load()
 			time.Sleep(100 * time.Second)
-			if n := l.reads - before; n < c.quietLeast || n > c.quietMost {
+			if n := l.reads.Load() - before; n < c.quietLeast || n > c.quietMost {
 				t.Errorf("%d instances: %d reads in 100 quiet seconds", c.instances, n)
 			}
 			cancel()
--- a/internal/residency/manager_test.go
+++ b/internal/residency/manager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,14 +31,14 @@
 func TestEventsDoNotTakeAllOfTheProcessor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const stepTime = 5 * time.Millisecond
-		var busy time.Duration
+		var busy atomic.Int64 // nanoseconds
 		m := New(Options{
 			Instance: "i", Key: "k", Store: emptyStore{},
 			Document: func() *site.Document { return nil },
 			Known:    func() []discovery.Known { return nil },
 			Gauges: func() (map[modelref.Ref]Gauge, map[string]int) {
 				time.Sleep(stepTime)
-				busy += stepTime
+				busy.Add(int64(stepTime))
 				return nil, nil
 			},
 			Lease: lease.Config{TTL: 3 * time.Second, Margin: 500 * time.Millisecond, Jitter: 300 * time.Millisecond},
@@ -52,8 +53,8 @@
 		}
 		cancel()
 		synctest.Wait()
-		if most := length / 4; busy > most {
-			t.Errorf("steps took %v of %v, more than %v", busy, length, most)
+		if took, most := time.Duration(busy.Load()), length/4; took > most {
+			t.Errorf("steps took %v of %v, more than %v", took, length, most)
 		}
 		time.Sleep(2 * releaseTimeout)
 		synctest.Wait()
