--- a/cmd/limpethubd/main.go
+++ b/cmd/limpethubd/main.go
@@ -31,7 +31,7 @@
 	cmd := &cobra.Command{
 		Use:           "limpethubd --settings FILE",
 		Short:         "Serve callers, operators and peers as one entry instance",
-		Long:          "Serve callers, operators and peers as one entry instance.\nSIGTERM and SIGINT start a planned stop, which finishes every request in progress; a second one ends the process at once.",
+		Long:          "Serve callers, operators and peers as one entry instance.\nSIGTERM and SIGINT start a planned stop, which finishes every request in progress; another SIGINT ends the process at once, another SIGTERM changes nothing.",
 		Args:          cobra.NoArgs,
 		SilenceUsage:  true,
 		SilenceErrors: true,
@@ -69,13 +69,21 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go func() {
-		<-signals
-		cancel()
-	}()
+	go endOnInterrupt(signals, cancel)
 	return d.Drain(ctx)
 }
 
+// endOnInterrupt ends a planned stop at the next SIGINT, as an operator at a terminal
+// wants. Another SIGTERM changes nothing: platforms send it again.
+func endOnInterrupt(signals <-chan os.Signal, end func()) {
+	for s := range signals {
+		if s == syscall.SIGINT {
+			end()
+			return
+		}
+	}
+}
+
 // Shares of the process's memory bound: from where the garbage collector works harder,
 // and how much the heap may grow between two collections.
 const (
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -172,13 +172,27 @@
 	}
 }
 
-// expireOverrides drops the news that an announcement is surely newer than.
-func (e *entry) expireOverrides(now time.Time) {
+// Confirmed takes an answer of the service, by which the announcements known here are
+// the newest ones: news that ran out no longer goes before them. Without an answer it
+// stays, since nothing newer is known.
+func (r *Registry) Confirmed(now time.Time) {
+	for _, e := range r.servers {
+		if e.expireOverrides(now) {
+			r.changed = true
+		}
+	}
+}
+
+// expireOverrides drops the news that an announcement is surely newer than, and reports
+// whether there was any.
+func (e *entry) expireOverrides(now time.Time) (dropped bool) {
 	for ref, o := range e.overrides {
 		if now.After(o.until) {
 			delete(e.overrides, ref)
+			dropped = true
 		}
 	}
+	return dropped
 }
 
 // Servers lists the known servers by id.
--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -240,3 +240,31 @@
 		})
 	}
 }
+
+// TestNewsThatRanOutDoesNotHideWhatIsAnnounced replays a version that left a server and
+// soon came back, with the news of its return lost: the announcement tells of it within
+// the time in which news goes first, and is the last one (soak, seed 46).
+func TestNewsThatRanOutDoesNotHideWhatIsAnnounced(t *testing.T) {
+	start := time.Unix(0, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	r := NewRegistry()
+	r.Announced(at(0), server("a", 1, 1, "m", "n"))
+	r.Moved(at(0), "a", 1, "m", false)
+	r.Announced(at(3*time.Second), server("a", 1, 2, "m", "n"))
+	if got := r.Servers()[0].Resident; len(got) != 1 {
+		t.Fatalf("news doesn't go first: %v", got)
+	}
+	r.TakeChanged()
+	r.Confirmed(at(overrideLifetime / 2))
+	if r.TakeChanged() {
+		t.Error("news was dropped before its time")
+	}
+	r.Tick(at(time.Hour))
+	if got := r.Servers()[0].Resident; len(got) != 1 {
+		t.Errorf("news was dropped without an answer of the service: %v", got)
+	}
+	r.Confirmed(at(overrideLifetime + time.Second))
+	if got := r.Servers()[0].Resident; len(got) != 2 || !r.TakeChanged() {
+		t.Errorf("the server holds %v", got)
+	}
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -141,6 +141,7 @@
 		for _, id := range update.Unusable {
 			r.Unusable(id)
 		}
+		r.Confirmed(now)
 	})
 	return update.Revision, nil
 }
@@ -162,6 +163,7 @@
 		for _, s := range update.Announced {
 			r.Announced(now, s)
 		}
+		r.Confirmed(now)
 	})
 	return max(update.Revision, after), nil
 }
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -69,8 +69,8 @@
 	ran     map[string][]time.Duration
 	unsafe  map[string]bool
 	refused map[string]Request
-	// arrived and asked hold, oldest first, when a server got a request again and when a
-	// caller asked.
+	// arrivals counts how often servers got each request; again and asked hold, oldest
+	// first, when one came again and when a caller asked.
 	arrivals map[string]int
 	again    []time.Duration
 	asked    []time.Duration
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -116,7 +115,7 @@
 	}
 	link, err := faultproxy.Listen(made.ListenAddress())
 	if err != nil {
-		return errors.Join(err)
+		return err
 	}
 	made.AnnounceAt(link.Address())
 	s.servers = append(s.servers, &server{Server: made, link: link})
