--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -24,8 +24,12 @@
 	errBadSeeds = errors.New("soak: --seeds takes FROM-TO, such as 1-50")
 )
 
-// largeSize is the profile that goes up to the machine's limits.
-var largeSize = Size{Instances: 100, Plain: 10, Engines: 30, Length: 30 * time.Second}
+// largeSize is the profile that goes up to the machine's limits, with largeCallers. All
+// proxies share the soak's own open files: some two for each connection of an instance to
+// a server.
+var largeSize = Size{Instances: 60, Plain: 6, Engines: 14, Length: 30 * time.Second}
+
+const largeCallers = 20
 
 // flags are what the command line says.
 type flags struct {
@@ -59,7 +63,7 @@
 	set.IntVar(&f.shrink, "shrink", 0, "how many plays to spend on a shorter schedule that still fails")
 	set.BoolVar(&f.keepAll, "keep", false, "keep the logs of seeds that passed too")
 	set.BoolVar(&f.regressions, "regressions", false, "play the seeds that failed before")
-	set.BoolVar(&f.large, "large", false, "a hundred daemons")
+	set.BoolVar(&f.large, "large", false, "sixty daemons")
 	return c
 }
 
@@ -107,7 +111,7 @@
 	o := Options{Size: DefaultSize, Callers: 2 * f.instances}
 	o.Size.Instances = f.instances
 	if f.large {
-		o.Size, o.Callers, f.parallel = largeSize, largeSize.Instances, 1
+		o.Size, o.Callers, f.parallel = largeSize, largeCallers, 1
 	}
 	if f.schedule == "" {
 		return o, nil
