--- a/internal/confsync/spread.go
+++ b/internal/confsync/spread.go
@@ -4,7 +4,6 @@
 package confsync
 
 import (
-	"math"
 	"math/rand/v2"
 	"sort"
 	"time"
@@ -12,7 +11,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"limpethub/internal/membership"
-	"limpethub/internal/pause"
 )
 
 // Action is what a Spread wants done.
@@ -253,7 +251,7 @@
 	}
 	s.readOnce = true
 	s.readWait = 0
-	period := pause.Shared(readPeriod, readPeriodPerMember, len(s.live), math.MaxInt64)
+	period := max(readPeriod, time.Duration(len(s.live))*readPeriodPerMember)
 	s.nextRead = now.Add(s.jitter(period))
 }
 
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -137,11 +137,21 @@
 // sendLoad tells all peers. Load is what keeps instances from all choosing the same
 // server, so every one of them needs it.
 func (e *exchange) sendLoad() {
-	e.sequence++
-	d := digest.FromRemotes(e.cluster.Self(), e.sequence, e.dispatcher.Digest())
+	d := e.loads()
 	if len(d.Loads) == 0 && e.rounds%quietRounds != 0 {
 		return // Peers forget by themselves what isn't told again.
 	}
+	e.broadcast(d)
+}
+
+// loads makes a digest of all load.
+func (e *exchange) loads() digest.Digest {
+	e.sequence++
+	return digest.FromRemotes(e.cluster.Self(), e.sequence, e.dispatcher.Digest())
+}
+
+// broadcast sends a digest to all peers, within the byte budget.
+func (e *exchange) broadcast(d digest.Digest) {
 	for _, payload := range e.encode(d) {
 		e.cluster.Broadcast(peers.KindDigest, payload)
 	}
@@ -176,12 +186,9 @@
 
 // sendLoadOf tells all peers the load of some servers alone.
 func (e *exchange) sendLoadOf(servers []string) {
-	e.sequence++
-	d := digest.FromRemotes(e.cluster.Self(), e.sequence, e.dispatcher.Digest())
+	d := e.loads()
 	d.Loads = slices.DeleteFunc(d.Loads, func(l digest.ServerLoad) bool { return !slices.Contains(servers, l.Server) })
-	for _, payload := range e.encode(d) {
-		e.cluster.Broadcast(peers.KindDigest, payload)
-	}
+	e.broadcast(d)
 }
 
 // sendNews tells all peers what can't wait, whatever the budget.
--- a/internal/lab/bench/ready.go
+++ b/internal/lab/bench/ready.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"time"
+
+	"limpethub/internal/lab/standin"
+	"limpethub/internal/pause"
 )
 
 // Times of the wait for instances to be ready.
@@ -23,33 +25,12 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for _, address := range s.CallerAddresses() {
-		for !ready(ctx, address) {
-			if err := pause(ctx, readyPoll); err != nil {
+		for !standin.Answers(ctx, "http://"+address+"/readyz") {
+			if !pause.For(ctx, readyPoll) {
 				return fmt.Errorf("%w: %s", errNotReady, address)
 			}
 		}
 	}
-	return pause(ctx, settleTime)
-}
-
-func ready(ctx context.Context, address string) bool {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
-	if err != nil {
-		return false
-	}
-	answer, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return false
-	}
-	_ = answer.Body.Close()
-	return answer.StatusCode == http.StatusOK
-}
-
-func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	pause.For(ctx, settleTime)
+	return ctx.Err()
 }
--- a/internal/logging/format.go
+++ b/internal/logging/format.go
@@ -16,8 +16,7 @@
 const timeFormat = "2006-01-02T15:04:05.000Z07:00"
 
 // lines formats entries as logrus.JSONFormatter does, byte for byte, but without
-// reflection for the usual types: log lines were half of the processor time that a
-// request took.
+// reflection for the usual types: each request writes several lines.
 type lines struct{ keys sync.Pool }
 
 // Names of the fields that each line has.
--- a/internal/residency/bench_test.go
+++ b/internal/residency/bench_test.go
@@ -48,9 +48,9 @@
 	return s
 }
 
-// BenchmarkPlan is the cost of one plan: the users' grown deployments, and two years on.
+// BenchmarkPlan is the cost of one plan, from a small pool to the largest to come.
 func BenchmarkPlan(b *testing.B) {
-	for _, size := range []struct{ servers, models, adapters int }{{4, 10, 25}, {60, 131, 279}, {140, 234, 727}, {10_000, 1_400, 4_000}} {
+	for _, size := range []struct{ servers, models, adapters int }{{4, 10, 25}, {60, 130, 300}, {150, 250, 750}, {10_000, 1_400, 4_000}} {
 		b.Run(fmt.Sprintf("%dx%d", size.servers, size.models), func(b *testing.B) {
 			s := fleetSnapshot(size.servers, size.models, size.adapters)
 			b.ReportAllocs()
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -164,24 +165,25 @@
 // or new process catches up, connections are found dead.
 const aftermath = 4 * time.Second
 
-// interrupted reports whether an instance was paused or killed in a span of time.
-func (j *Judge) interrupted(instance int, from, to time.Duration) bool {
+// calmSince is when the last fault that matches and began before a moment was over, with
+// its aftermath.
+func (j *Judge) calmSince(by time.Duration, matches func(Event) bool) (calm time.Duration) {
 	for _, e := range j.faults {
-		if (e.Kind == PauseInstance || e.Kind == KillInstance) && e.Target == instance && e.At < to && e.At+e.For+aftermath > from {
-			return true
+		if e.At < by && matches(e) {
+			calm = max(calm, e.At+e.For+aftermath)
 		}
 	}
-	return false
+	return calm
 }
 
-// disturbed reports whether a fault on one of the scopes touched a span of time.
-func (j *Judge) disturbed(from, to time.Duration, scopes ...scope) bool {
-	for _, e := range j.faults {
-		for _, s := range scopes {
-			if scopeOf(e.Kind) == s && e.At < to && e.At+e.For+aftermath > from {
-				return true
-			}
-		}
+// interrupts matches what pauses or kills an instance.
+func interrupts(instance int) func(Event) bool {
+	return func(e Event) bool {
+		return (e.Kind == PauseInstance || e.Kind == KillInstance) && e.Target == instance
 	}
-	return false
+}
+
+// hits matches faults on some scopes.
+func hits(scopes ...scope) func(Event) bool {
+	return func(e Event) bool { return slices.Contains(scopes, scopeOf(e.Kind)) }
 }
--- a/internal/soak/judge_fleet.go
+++ b/internal/soak/judge_fleet.go
@@ -63,7 +63,8 @@
 
 func (j *Judge) lateArrival(server, id string, at time.Duration) {
 	since, leaves := j.leaving[server]
-	if leaves && at > since+j.limits.LeaveLag && !j.disturbed(since-aftermath, at, onStore, onInstance, onPeers) {
+	due := max(since, j.calmSince(at, hits(onStore, onInstance, onPeers))) + j.limits.LeaveLag
+	if leaves && at > due {
 		j.broken(Leaving, at, "%s got request %s %s after it announced that it leaves", server, id, at-since)
 	}
 }
@@ -86,7 +87,9 @@
 func (j *Judge) Stopping(instance, start int, at time.Duration) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.stops[process{instance, start}] = stop{asked: at}
+	if p := (process{instance, start}); j.stops[p].asked == 0 { // It may be asked again.
+		j.stops[p] = stop{asked: at}
+	}
 }
 
 // Stopped notes that a process that was asked to stop has ended.
@@ -97,7 +100,7 @@
 	s := j.stops[p]
 	s.ended = at
 	j.stops[p] = s
-	if took := s.ended - s.asked; took > j.limits.StopTime && !j.interrupted(instance, s.asked, s.ended) {
+	if took := s.ended - s.asked; took > j.limits.StopTime && j.calmSince(s.ended, interrupts(instance)) <= s.asked {
 		j.broken(PlannedStop, at, "instance %d took %s to stop", instance, took)
 	}
 }
@@ -130,8 +133,8 @@
 			j.broken(NeverBack, r.Ended, "instance %d no longer serves version %d", r.Instance, r.Version)
 		}
 	}
-	due := max(newest.at, j.starts[r.process()]) + j.limits.InForceLag
-	if r.Version != newest.number || r.Began < due || j.disturbed(newest.at, r.Ended, onStore, onInstance, onPeers) {
+	calm := j.calmSince(r.Ended, hits(onStore, onInstance, onPeers))
+	if r.Version != newest.number || r.Began < max(newest.at, j.starts[r.process()], calm)+j.limits.InForceLag {
 		return
 	}
 	j.broken(InForce, r.Ended, "instance %d lacks version %d, written at %s", r.Instance, r.Version, newest.at)
--- a/internal/soak/judge_requests.go
+++ b/internal/soak/judge_requests.go
@@ -144,7 +144,7 @@
 		return
 	}
 	ran, began := len(j.ran[r.ID]) > 0, r.Answer.Status != 0
-	if (ran || began) && !j.disturbed(r.Began, r.Ended, onServer) && !j.interrupted(r.Instance, r.Began, r.Ended) {
+	if (ran || began) && j.calmSince(r.Ended, hits(onServer)) <= r.Began && j.calmSince(r.Ended, interrupts(r.Instance)) <= r.Began {
 		j.broken(PlannedStop, r.Ended, "request %s of instance %d was cut (it ran: %v, status %d): %v",
 			r.ID, r.Instance, ran, r.Answer.Status, r.Answer.Err)
 	}
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -110,6 +110,14 @@
 				stopping(j)
 				j.Answered(request(Safe, standin.Answer{Err: errCut}))
 			}},
+		{PlannedStop, "a request is cut before the stop is asked for again",
+			func(j *Judge) {
+				stopping(j)
+				j.Stopping(1, 1, 2000*ms)
+				j.Ran("d0", "q", 950*ms)
+				j.Answered(request(Safe, standin.Answer{Err: errCut}))
+			},
+			func(j *Judge) { stopping(j); j.Stopping(1, 1, 2000*ms); j.Answered(request(Safe, answer("q"))) }},
 		{PlannedStop, "it takes long",
 			func(j *Judge) { stopping(j); j.Stopped(1, 1, 10*time.Second) },
 			func(j *Judge) { stopping(j); j.Stopped(1, 1, 5*time.Second) }},
@@ -174,6 +182,22 @@
 	}
 }
 
+// TestConfigurationIsJudgedAgainAfterAFault checks that a fault while a configuration was
+// written excuses nobody for ever.
+func TestConfigurationIsJudgedAgainAfterAFault(t *testing.T) {
+	fault := Event{Kind: StoreDown, At: 2 * time.Second, For: time.Second}
+	over := fault.At + fault.For + aftermath
+	for began, broken := range map[time.Duration]bool{over + limits.InForceLag/2: false, over + 2*limits.InForceLag: true} {
+		j := newTestJudge(fault)
+		j.Started(1, 1, 0)
+		j.Written(2, fault.At)
+		j.Answered(Request{Kind: Probe, Version: 2, Instance: 1, Start: 1, Answer: standin.Answer{Status: 404}, Began: began, Ended: began + ms})
+		if (len(j.Violations()) > 0) != broken {
+			t.Errorf("asked at %v: %v", began, j.Violations())
+		}
+	}
+}
+
 func TestScheduleIsAFunctionOfItsSeed(t *testing.T) {
 	seen := map[Kind]bool{}
 	for seed := range uint64(50) {
