--- a/internal/lab/standin/modelengine/engine_test.go
+++ b/internal/lab/standin/modelengine/engine_test.go
@@ -112,6 +112,8 @@
 		if err := e.Preload("m@1", "", 10); err != nil {
 			t.Fatal(err)
 		}
+		// The engine's steps begin at the first arrival, beside the arrivals that follow.
+		e.SetFaults(Faults{Paused: true})
 		var runs []*run
 		for _, header := range [][2]string{{"2", "900"}, {"1", "900"}, {"1", "100"}, {"0", "900"}} {
 			r := httptest.NewRequest("POST", "/v1/completions", nil)
@@ -123,6 +125,7 @@
 			}
 			runs = append(runs, accepted)
 		}
+		e.SetFaults(Faults{})
 		var order []request.ID
 		seen := map[request.ID]bool{}
 		for range 100 {
