Servers: word of leaving and pauses in their answers

Cause: servers say that they are leaving (Server-Leaving) and that they want nothing for a while (503 with Retry-After) in their answers only, which nothing read. A server that had said so got requests until its announcement changed, and a refusing server got the next request 0.1 s later.

Change: the engine adapter passes both on (engine.AnswerObserver), for requests, orders and reports alike. discovery.Registry keeps them for the server's process: a process that said it is leaving stays leaving, whatever an older announcement says, also after its announcement was removed; a restart ends both. Peers are told of the leaving, not of the pause, which is for this instance alone. scheduling sends nothing to a paused server, doesn't count the pause as a failure, and refuses at once what no server can take before its deadline (code servers_paused, Retry-After until the first pause ends). residency sends it neither orders nor reads. The caller of a request that one server refused is no longer told that server's own Retry-After, since its next request may go elsewhere.

Found on the way: residency compared LastAnnouncedAt (usual clock) with times of the clock since boot, so that any announcement passed as newer than an accepted order. Manager converts the times now (TestTimesOfServersAreOfTheManagersClock).

Ruled out: publishing all servers again at each pause; it costs a pass over all servers for each refusal.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -112,6 +112,7 @@
 		OnLeaving:        h.extension.AddLeavingNotice,
 		Logger:           d.log(logging.Routing),
 	})
+	d.plugins.relayer.SetAnswerObserver(h.watcher)
 	h.relay = forward.NewRelay(forward.RelayOptions{
 		Dispatcher: d.dispatcher, Plane: d.plugins.relayer, Directory: h.watcher,
 		Logger: d.log(logging.Routing), Now: time.Now,
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -20,6 +20,10 @@
 	// the server's next announcement or with the next answer of the store. It doesn't end
 	// while the store gives no answer, because nothing newer than the override is known then.
 	overrideLifetime = 4 * time.Second
+	// removedMemory is how long a removed server is remembered. It covers the time for which the
+	// store may still give out an announcement that it had removed, as after it came back from an
+	// older copy.
+	removedMemory = time.Minute
 )
 
 // Server is what a backend server announces about itself.
@@ -50,8 +54,14 @@
 	Server
 	// LastAnnouncedAt is when its last announcement was received.
 	LastAnnouncedAt time.Time
+	// PausedUntil is when the server accepts requests of this instance again, after it has
+	// asked for a pause; zero if it hasn't.
+	PausedUntil time.Time
 }
 
+// Paused reports whether the server wants nothing from this instance at now.
+func (s *KnownServer) Paused(now time.Time) bool { return now.Before(s.PausedUntil) }
+
 // residencyOverride corrects a server's announcement for one version.
 type residencyOverride struct {
 	present bool
@@ -70,10 +80,20 @@
 // socket, and isn't safe for concurrent use.
 type Registry struct {
 	servers map[string]*registryEntry
+	// removed holds the last announcement of each server that was removed, for removedMemory.
+	removed map[string]removedServer
 	changed bool
 }
 
-func NewRegistry() *Registry { return &Registry{servers: map[string]*registryEntry{}} }
+// removedServer is what is remembered of a server that was removed.
+type removedServer struct {
+	last Server
+	at   time.Time
+}
+
+func NewRegistry() *Registry {
+	return &Registry{servers: map[string]*registryEntry{}, removed: map[string]removedServer{}}
+}
 
 // TakeChanged reports whether anything has changed since its last call.
 func (r *Registry) TakeChanged() bool {
@@ -96,7 +116,7 @@
 			continue
 		}
 		if !afterOutage {
-			r.Removed(id)
+			r.Removed(now, id)
 			continue
 		}
 		if entry.missingSince.IsZero() {
@@ -105,13 +125,22 @@
 	}
 }
 
-// Announced applies one announcement. It ignores one that is older than the last.
+// Announced applies one announcement. It ignores one that is older than the last, also if the
+// server was removed since.
 func (r *Registry) Announced(now time.Time, s Server) {
 	entry := r.servers[s.ID]
 	if entry == nil {
 		entry = &registryEntry{overrides: map[modelref.Ref]residencyOverride{}}
+		if gone, ok := r.removed[s.ID]; ok {
+			if s.StartMillis != 0 && isOlder(s, gone.last) {
+				return
+			}
+			entry.known.Server = gone.last
+			delete(r.removed, s.ID)
+		}
 		r.servers[s.ID] = entry
 	} else if isOlder(s, entry.known.Server) {
+		entry.missingSince = time.Time{}
 		return
 	}
 	if s.StartMillis != entry.known.StartMillis {
@@ -119,7 +148,14 @@
 	}
 	entry.expireOverrides(now)
 	entry.missingSince = time.Time{}
-	entry.known = KnownServer{Server: s, LastAnnouncedAt: now}
+	pausedUntil := time.Time{}
+	if s.StartMillis == entry.known.StartMillis {
+		// A process that is leaving never takes new work again, whatever an announcement says
+		// that it wrote before.
+		s.Leaving = s.Leaving || entry.known.Leaving
+		pausedUntil = entry.known.PausedUntil
+	}
+	entry.known = KnownServer{Server: s, LastAnnouncedAt: now, PausedUntil: pausedUntil}
 	r.changed = true
 }
 
@@ -134,11 +170,12 @@
 
 // Unusable removes a server because its announcement can't be parsed. The server gets no work until
 // a valid one is received.
-func (r *Registry) Unusable(id string) { r.Removed(id) }
+func (r *Registry) Unusable(now time.Time, id string) { r.Removed(now, id) }
 
 // Removed records that a server's announcement was removed: the server is leaving or gone.
-func (r *Registry) Removed(id string) {
-	if _, ok := r.servers[id]; ok {
+func (r *Registry) Removed(now time.Time, id string) {
+	if entry, ok := r.servers[id]; ok {
+		r.removed[id] = removedServer{last: entry.known.Server, at: now}
 		delete(r.servers, id)
 		r.changed = true
 	}
@@ -159,8 +196,8 @@
 	}
 }
 
-// Leaving marks a server as leaving after a peer's message that it is. A message about another
-// process than the known server's is ignored.
+// Leaving marks a server as leaving, as the server said in an answer or a peer in a message.
+// What is about another process than the known server's is ignored.
 func (r *Registry) Leaving(id string, startMillis int64) {
 	entry := r.servers[id]
 	if entry == nil || entry.known.StartMillis != startMillis || entry.known.Leaving {
@@ -170,11 +207,29 @@
 	r.changed = true
 }
 
-// Tick removes servers that have been missing for longer than outageGracePeriod.
+// Paused records that a server wants nothing from this instance until the given time. It reports
+// whether the server is known and its pause became longer. A pause isn't a change of the known
+// servers: Watcher passes it to the Sink by itself.
+func (r *Registry) Paused(id string, startMillis int64, until time.Time) bool {
+	entry := r.servers[id]
+	if entry == nil || entry.known.StartMillis != startMillis || !until.After(entry.known.PausedUntil) {
+		return false
+	}
+	entry.known.PausedUntil = until
+	return true
+}
+
+// Tick removes servers that have been missing for longer than outageGracePeriod, and forgets
+// removed ones after removedMemory.
 func (r *Registry) Tick(now time.Time) {
+	for id, gone := range r.removed {
+		if now.Sub(gone.at) > removedMemory {
+			delete(r.removed, id)
+		}
+	}
 	for id, entry := range r.servers {
 		if !entry.missingSince.IsZero() && now.Sub(entry.missingSince) > outageGracePeriod {
-			r.Removed(id)
+			r.Removed(now, id)
 		}
 	}
 }
--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"limpethub/internal/engine"
 	"limpethub/internal/logging"
 	"limpethub/internal/modelref"
 	"limpethub/internal/pause"
@@ -149,6 +150,14 @@
 type fakeSink struct {
 	mu      sync.Mutex
 	servers []scheduling.Server
+	// paused lists the servers of which a pause was reported.
+	paused []string
+}
+
+func (s *fakeSink) ObservePaused(server string, _ time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paused = append(s.paused, server)
 }
 
 func (s *fakeSink) SetServers(servers []scheduling.Server) {
@@ -269,3 +278,76 @@
 		t.Errorf("after the override's lifetime: resident %v, want [m n] and TakeChanged = true", got)
 	}
 }
+
+// TestProcessThatSaidItIsLeavingStaysLeaving guards against an announcement that a server wrote
+// before it said in an answer that it is leaving, or that the store has kept of it: neither may
+// bring requests back to that process. A restart under the same id may.
+func TestProcessThatSaidItIsLeavingStaysLeaving(t *testing.T) {
+	now := time.Now()
+	r := NewRegistry()
+	leaving := func() bool { s, _ := r.Server("a"); return s.Leaving }
+	r.Announced(now, server("a", 5, 3))
+	r.Leaving("a", 4)
+	if leaving() {
+		t.Error("leaving after an answer of an earlier process, want it ignored")
+	}
+	r.Leaving("a", 5)
+	r.Announced(now, server("a", 5, 4))
+	if !leaving() {
+		t.Error("not leaving after a further announcement of the same process")
+	}
+	r.Removed(now, "a")
+	r.Announced(now, server("a", 5, 5))
+	if !leaving() {
+		t.Error("not leaving after its announcement was removed and came back")
+	}
+	r.Announced(now, server("a", 6, 1))
+	if leaving() {
+		t.Error("leaving after a restart")
+	}
+}
+
+// TestAnnouncementOlderThanARemovedServersLastIsIgnored: a store that came back from an older
+// copy can list a server again that was removed since.
+func TestAnnouncementOlderThanARemovedServersLastIsIgnored(t *testing.T) {
+	now := time.Now()
+	r := NewRegistry()
+	r.Announced(now, server("a", 5, 3))
+	r.Removed(now, "a")
+	r.Announced(now, server("a", 5, 2))
+	if ids(r) != "[]" {
+		t.Errorf("after an older announcement: got %s, want []", ids(r))
+	}
+	r.Announced(now, server("a", 5, 3))
+	if ids(r) != "[a]" {
+		t.Errorf("after its last announcement, written again: got %s, want [a]", ids(r))
+	}
+	r.Removed(now, "a")
+	r.Tick(now.Add(removedMemory + time.Millisecond))
+	r.Announced(now, server("a", 5, 1))
+	if ids(r) != "[a]" {
+		t.Errorf("long after the removal: got %s, want [a]", ids(r))
+	}
+}
+
+func TestPauseOfAServerEndsWithItsProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sink := &fakeSink{}
+		w := New(Options{Sink: sink, Pooled: func(string) bool { return false }, Logger: logging.Discard()})
+		w.update(func(r *Registry) { r.Announced(time.Now(), server("a", 5, 1)) })
+		w.ServerPaused(engine.Server{Name: "a", StartMillis: 4}, time.Second)
+		w.ServerPaused(engine.Server{Name: "unknown", StartMillis: 4}, time.Second)
+		if len(sink.paused) != 0 {
+			t.Errorf("pauses of %v were reported, want none for an earlier process or an unknown server", sink.paused)
+		}
+		w.ServerPaused(engine.Server{Name: "a", StartMillis: 5}, time.Second)
+		w.update(func(r *Registry) { r.Announced(time.Now(), server("a", 5, 2)) })
+		if got := sink.servers[0].PausedUntil; fmt.Sprint(sink.paused) != "[a]" || !got.Equal(time.Now().Add(time.Second)) {
+			t.Errorf("paused %v until %v, want [a] for a second, also after its next announcement", sink.paused, got)
+		}
+		w.update(func(r *Registry) { r.Announced(time.Now(), server("a", 6, 1)) })
+		if got := sink.servers[0].PausedUntil; !got.IsZero() {
+			t.Errorf("after a restart: paused until %v, want no pause", got)
+		}
+	})
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -59,6 +59,8 @@
 type Sink interface {
 	SetServers(servers []scheduling.Server)
 	ObserveResident(server string, refs []modelref.Ref)
+	// ObservePaused is called when a server wants no requests until the given time.
+	ObservePaused(server string, until time.Time)
 }
 
 // Options configures a Watcher.
@@ -163,10 +165,10 @@
 	w.update(func(r *Registry) {
 		w.recordAnswer(now)
 		for _, id := range update.Removed {
-			r.Removed(id)
+			r.Removed(now, id)
 		}
 		for _, id := range update.Unusable {
-			r.Unusable(id)
+			r.Unusable(now, id)
 		}
 		for _, s := range update.Announced {
 			r.Announced(now, s)
@@ -224,6 +226,28 @@
 	w.update(func(r *Registry) { r.Leaving(server, startMillis) })
 }
 
+// ServerLeaving implements engine.AnswerObserver. It records what a server said in an answer,
+// often before its announcement says so.
+func (w *Watcher) ServerLeaving(server engine.Server) { w.Leaving(server.Name, server.StartMillis) }
+
+// ServerPaused implements engine.AnswerObserver.
+func (w *Watcher) ServerPaused(server engine.Server, wait time.Duration) {
+	now := time.Now()
+	until := now.Add(wait)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	known, _ := w.registry.Server(server.Name)
+	if !w.registry.Paused(server.Name, server.StartMillis, until) {
+		return
+	}
+	if !known.Paused(now) {
+		w.options.Logger.WithFields(logrus.Fields{
+			"server": server.Name, "address": server.Address, "service": known.Service, "wait_ms": wait.Milliseconds(),
+		}).Info("Server asks for a pause")
+	}
+	w.options.Sink.ObservePaused(server.Name, until)
+}
+
 // update applies f to the registry and publishes the servers if anything changed.
 func (w *Watcher) update(f func(r *Registry)) {
 	w.mu.Lock()
@@ -264,6 +288,7 @@
 		Near:          s.FailureDomain == w.options.FailureDomain,
 		Leaving:       s.Leaving,
 		Slots:         s.Slots,
+		PausedUntil:   s.PausedUntil,
 	}
 	if w.options.Pooled(s.Service) {
 		out.Pool = s.Service
@@ -307,7 +332,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s, ok := w.registry.Server(name)
-	return engine.Server{Name: s.ID, Address: s.Address}, ok
+	return engine.Server{Name: s.ID, Address: s.Address, StartMillis: s.StartMillis}, ok
 }
 
 // Servers returns the known servers, sorted by id.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -191,6 +191,18 @@
 	d.handleEvent(func(now time.Time) []scheduling.Decision { return d.scheduler.ObserveResident(now, server, refs) })
 }
 
+// ObservePaused tells the scheduler that a server wants no requests until the given time.
+func (d *Dispatcher) ObservePaused(server string, until time.Time) {
+	d.handleEvent(func(now time.Time) []scheduling.Decision { return d.scheduler.ObservePaused(now, server, until) })
+}
+
+// RetryAfter returns when a caller whose request was refused should come back.
+func (d *Dispatcher) RetryAfter(r request.Request) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.RetryAfter(d.now(), r)
+}
+
 // ObserveUnreachable tells the scheduler that a server did not answer.
 func (d *Dispatcher) ObserveUnreachable(server string) {
 	d.handleEvent(func(now time.Time) []scheduling.Decision { return d.scheduler.ObserveUnreachable(now, server) })
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -142,6 +142,9 @@
 	Name string
 	// Address is host:port.
 	Address string
+	// StartMillis is when the server's process started, in milliseconds since the epoch, as its
+	// last announcement said; 0 if unknown. It tells apart two processes of the same name.
+	StartMillis int64
 }
 
 // Call is a request as it is sent to a server.
--- a/internal/engine/passthrough.go
+++ b/internal/engine/passthrough.go
@@ -123,20 +123,22 @@
 	SequencedInventory(ctx context.Context, server Server) (SequencedState, error)
 }
 
+// AnswerObserver receives what a server says about itself in the headers of an answer, be it to
+// a request, to an order or to the request for a report. Its methods must not block.
+type AnswerObserver interface {
+	// ServerLeaving is called for each answer that says that the server is about to stop.
+	ServerLeaving(server Server)
+	// ServerPaused is called when the server has refused something and wants no more requests
+	// from this instance for the given time.
+	ServerPaused(server Server, wait time.Duration)
+}
+
 // PassthroughAdapter is the set of interfaces that an engine adapter implements for servers
 // that get the caller's request unchanged.
 type PassthroughAdapter interface {
 	Passthrough
 	SequencedControl
-}
-
-// RetryHint returns how long the server asks a refused caller to wait (Retry-After), or 0
-// if the header is missing or invalid.
-func (h *AnswerHead) RetryHint() time.Duration {
-	// The header's value is a number of seconds; with the unit appended, it is a duration.
-	wait, err := time.ParseDuration(h.Header.Get("Retry-After") + "s")
-	if err != nil || wait < 0 {
-		return 0
-	}
-	return wait
+	// SetAnswerObserver sets the observer of all later answers. It must be called before the
+	// first request.
+	SetAnswerObserver(observer AnswerObserver)
 }
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -58,6 +58,9 @@
 		}
 		return fmt.Sprintf("no server had a copy of %s in time, and the logs contain no order for it: read the log of the instance that holds the placement lease", end.Model)
 	},
+	verdict.CodeServersPaused: func(_ *History, _ Line) string {
+		return "every server that could run it had asked the instance to send nothing for a while"
+	},
 	// A refusal by an instance that has no configuration yet has this code too.
 	verdict.CodeStopping:      func(_ *History, end Line) string { return "instance " + end.Instance + " was stopping" },
 	verdict.CodeServerRefused: func(_ *History, end Line) string { return "server " + end.Server + " refused it: " + end.Error },
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -92,9 +92,6 @@
 	// if no other attempt is made.
 	serverFailure     *engine.AnswerHead
 	serverFailureBody []byte
-	// retryAfter is the delay that the last refusing server asked for. It also applies to
-	// the failure of a later attempt.
-	retryAfter time.Duration
 }
 
 // Relay runs a request. The caller already has the events up to lastEventID; noEventID (-1)
@@ -123,7 +120,6 @@
 		}
 		combinedVerdict = verdict.Combine(combinedVerdict, outcome.Verdict)
 		failure := r.errorMapper.verdictError(ctx, err).With(combinedVerdict)
-		failure.RetryAfter = max(failure.RetryAfter, relayed.retryAfter)
 		if reason := r.noRetryReason(ctx, relayed, failure); reason != "" {
 			return r.endFailed(relayed, failure, reason)
 		}
@@ -242,9 +238,11 @@
 	// A misdirected request was refused because the server at the address is another one or
 	// doesn't hold the model.
 	outcome.NotResident = head.Misdirected
-	relayed.retryAfter = head.RetryHint()
+	// A pause that the server asked for doesn't bind the caller, whose next request may go to
+	// another server.
 	return &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeServerRefused,
-		Message: "the server refused with status " + http.StatusText(head.Status), RetryAfter: relayed.retryAfter}
+		Message:    "the server refused with status " + http.StatusText(head.Status),
+		RetryAfter: r.options.Dispatcher.RetryAfter(relayed.call.Request)}
 }
 
 // relayWhole relays an answer that isn't a stream. It delivers nothing before the whole
--- a/internal/residency/core.go
+++ b/internal/residency/core.go
@@ -257,14 +257,14 @@
 	for _, ref := range srv.takeUsableAdapters(now) {
 		c.recordChange(srv, ref, true)
 	}
-	if srv.readDue(now) && !srv.server.Leaving {
+	if srv.readDue(now) && !srv.server.Leaving && !srv.server.Paused(now) {
 		srv.readingState = true
 		c.emit(srv, effect{kind: effectReadState})
 	}
 }
 
 func (c *core) emit(srv *trackedServer, e effect) {
-	e.server = engine.Server{Name: srv.server.ID, Address: srv.server.Address}
+	e.server = engine.Server{Name: srv.server.ID, Address: srv.server.Address, StartMillis: srv.server.StartMillis}
 	e.serverStartMillis = srv.server.StartMillis
 	e.term = c.lease.Term()
 	c.effects = append(c.effects, e)
--- a/internal/residency/core_orders.go
+++ b/internal/residency/core_orders.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		delete(c.pendingUnloads, id)
-		if srv := c.servers[id]; srv != nil && srv.acceptsOrders() {
+		if srv := c.servers[id]; srv != nil && srv.acceptsOrders(now) {
 			c.sendOrder(srv, pending.move)
 		}
 	}
@@ -79,7 +79,7 @@
 // checkMove checks a move against the server's state. A load must never exceed the server's
 // memory or its adapter slots, whatever the plan says.
 func (c *core) checkMove(now time.Time, pool site.Pool, srv *trackedServer, m Move) error {
-	if srv == nil || !srv.acceptsOrders() {
+	if srv == nil || !srv.acceptsOrders(now) {
 		return fmt.Errorf("server doesn't accept orders now")
 	}
 	if m.Action != engine.ActionLoad {
--- a/internal/residency/core_view.go
+++ b/internal/residency/core_view.go
@@ -43,7 +43,7 @@
 	_, unloadPending := c.pendingUnloads[srv.server.ID]
 	view := ServerView{
 		ID: srv.server.ID, FailureDomain: srv.server.FailureDomain,
-		Ready:    srv.acceptsOrders() && !unloadPending,
+		Ready:    srv.acceptsOrders(now) && !unloadPending,
 		MemoryMB: pool.MemoryMB, ReservedMB: srv.reservedMB(now, c.sizeMB),
 		AdapterSlots: pool.AdapterSlots,
 		Models:       srv.models, Adapters: srv.adapters,
--- a/internal/residency/manager.go
+++ b/internal/residency/manager.go
@@ -224,9 +224,11 @@
 // step advances the core and carries out its effects.
 func (m *Manager) step(ctx context.Context, calls *sync.WaitGroup) {
 	byRef, byServer := m.options.RequestCounts()
-	o := observation{document: m.options.Document(), servers: m.options.KnownServers(), requestCounts: byRef, requestsByServer: byServer}
+	servers, now := m.options.KnownServers(), m.options.Now()
+	convertTimes(servers, time.Now(), now)
+	o := observation{document: m.options.Document(), servers: servers, requestCounts: byRef, requestsByServer: byServer}
 	m.mu.Lock()
-	m.core.step(m.options.Now(), o)
+	m.core.step(now, o)
 	effects, changes, logLines := m.core.effects, m.core.changes, m.core.logLines
 	m.core.effects, m.core.changes, m.core.logLines = nil, nil, nil
 	m.mu.Unlock()
@@ -247,6 +249,19 @@
 	}
 }
 
+// convertTimes converts the times of servers, which are of the usual clock, to the clock of
+// Options.Now: its zero is another one, so that times of the two clocks can't be compared. from
+// and to are the present time of the usual clock and of the other.
+func convertTimes(servers []discovery.KnownServer, from, to time.Time) {
+	for i := range servers {
+		s := &servers[i]
+		s.LastAnnouncedAt = to.Add(s.LastAnnouncedAt.Sub(from))
+		if !s.PausedUntil.IsZero() {
+			s.PausedUntil = to.Add(s.PausedUntil.Sub(from))
+		}
+	}
+}
+
 func (m *Manager) log(line logLine) {
 	entry := m.options.Logger.WithFields(line.fields)
 	if line.warn {
--- a/internal/residency/manager_test.go
+++ b/internal/residency/manager_test.go
@@ -61,3 +61,41 @@
 		synctest.Wait()
 	})
 }
+
+// TestTimesOfServersAreOfTheManagersClock: the manager's clock counts from the start of the
+// machine, so that a server's times of the usual clock would always be far ahead.
+func TestTimesOfServersAreOfTheManagersClock(t *testing.T) {
+	usual, own := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), time.Unix(5000, 0)
+	servers := []discovery.KnownServer{
+		{LastAnnouncedAt: usual.Add(-time.Second), PausedUntil: usual.Add(2 * time.Second)},
+		{LastAnnouncedAt: usual},
+	}
+	convertTimes(servers, usual, own)
+	if s := servers[0]; !s.LastAnnouncedAt.Equal(own.Add(-time.Second)) || !s.Paused(own.Add(time.Second)) || s.Paused(own.Add(2*time.Second)) {
+		t.Errorf("got %+v, want announced a second before %v and paused for two seconds", s, own)
+	}
+	if servers[1].Paused(own) {
+		t.Error("a server without a pause counts as paused")
+	}
+}
+
+// TestPausedServerGetsNoOrder: neither an order nor a read of its state goes to a server that
+// wants nothing from this instance.
+func TestPausedServerGetsNoOrder(t *testing.T) {
+	now := time.Unix(5000, 0)
+	c := newCore("i", lease.New(lease.Config{}, nil), 0)
+	srv := newTrackedServer(discovery.KnownServer{Server: discovery.Server{ID: "a"}})
+	srv.stateKnown = true
+	srv.server.PausedUntil = now.Add(time.Second)
+	c.stepServer(now, srv)
+	if srv.acceptsOrders(now) || len(c.effects) > 0 {
+		t.Errorf("during the pause: accepts orders %v, calls %v, want neither", srv.acceptsOrders(now), c.effects)
+	}
+	now = now.Add(time.Second)
+	if !srv.acceptsOrders(now) {
+		t.Error("after the pause: accepts no orders")
+	}
+	if c.stepServer(now, srv); len(c.effects) != 1 {
+		t.Errorf("after the pause: %d calls, want a read of the state", len(c.effects))
+	}
+}
--- a/internal/residency/tracked_server.go
+++ b/internal/residency/tracked_server.go
@@ -186,8 +186,8 @@
 }
 
 // acceptsOrders reports whether an order may be sent to the server now.
-func (s *trackedServer) acceptsOrders() bool {
-	return s.stateKnown && !s.readingState && !s.sendingOrder && s.openOrder == nil && !s.server.Leaving
+func (s *trackedServer) acceptsOrders(now time.Time) bool {
+	return s.stateKnown && !s.readingState && !s.sendingOrder && s.openOrder == nil && !s.server.Leaving && !s.server.Paused(now)
 }
 
 // recordAccepted records that the server accepted an order. For a model it also schedules the
--- a/internal/scheduling/core.go
+++ b/internal/scheduling/core.go
@@ -52,6 +52,9 @@
 	Near bool
 	// Leaving is true if the server must get no new requests.
 	Leaving bool
+	// PausedUntil is when the server accepts requests of this instance again, after it has
+	// asked for a pause; zero if it hasn't.
+	PausedUntil time.Time
 	// Services lists the plain services of the server; empty for engines.
 	Services []string
 	// Pool is the service whose models a discovered engine runs; empty for other servers.
@@ -115,6 +118,12 @@
 	ObserveResident(now time.Time, server string, refs []modelref.Ref) []Decision
 	// ObserveUnreachable records that a server didn't answer a request for its report in time.
 	ObserveUnreachable(now time.Time, server string) []Decision
+	// ObservePaused records that a server wants no requests of this instance until the given
+	// time. It refuses the waiting requests that no other server can take in time.
+	ObservePaused(now time.Time, server string, until time.Time) []Decision
+	// RetryAfter returns how long the caller of a refused request should wait before it sends
+	// the request again.
+	RetryAfter(now time.Time, r request.Request) time.Duration
 	// SetDocument replaces the configuration: classes, adapters and budgets. Waiting
 	// requests move to the class with the name of their old one. A document without classes
 	// is ignored.
--- a/internal/scheduling/decide.go
+++ b/internal/scheduling/decide.go
@@ -84,6 +84,9 @@
 func (c *core) enqueue(now time.Time, t *target, a *attempt) Decision {
 	r := &a.request
 	serviceTime := c.predictServiceTime(now, t, r)
+	if pause := c.pauseRemaining(now, t); pause > 0 && now.Add(pause+serviceTime).After(r.Deadline) {
+		return c.refusePaused(a, pause)
+	}
 	prefill := c.predictPrefill(t, r)
 	wait := c.predictQueueWait(now, t, r.Class) + c.predictLoadWait(t) + c.predictPrefillWait(now, t, r.Class)
 	answer := c.admission.Admit(admission.Query{Now: now, Deadline: r.Deadline, Wait: wait, ServiceTime: serviceTime})
--- a/internal/scheduling/finish.go
+++ b/internal/scheduling/finish.go
@@ -108,10 +108,10 @@
 	r.Class = min(max(r.Class, 0), len(c.document.Classes)-1)
 	a := attempt{request: r, mayHaveRun: last.Verdict != verdict.NotRun, avoid: last.Server}
 	if !retry.MayRetry(last.Verdict, r.Idempotent) {
-		return []Decision{refuseRetry(&a, last, "the request may have run and must not repeat")}
+		return []Decision{c.refuseRetry(now, &a, last, "the request may have run and must not repeat")}
 	}
 	if !c.retryIsFree(&last) && !c.budgetOf(c.target(keyOf(&r))).Take(now) {
-		return []Decision{refuseRetry(&a, last, "the retry budget is used up")}
+		return []Decision{c.refuseRetry(now, &a, last, "the retry budget is used up")}
 	}
 	a.avoid = c.serverToAvoid(now, &r, last.Server)
 	return c.decide(now, a)
@@ -157,12 +157,12 @@
 }
 
 // refuseRetry refuses a retry with the code and verdict of the last attempt.
-func refuseRetry(a *attempt, last Outcome, message string) Decision {
+func (c *core) refuseRetry(now time.Time, a *attempt, last Outcome, message string) Decision {
 	code := verdict.CodeServerFailed
 	var e *verdict.Error
 	if errors.As(last.Err, &e) {
 		code = e.Code
 	}
-	err := &verdict.Error{Verdict: last.Verdict, Code: code, Message: message, RetryAfter: minRetryAfter, Err: last.Err}
+	err := &verdict.Error{Verdict: last.Verdict, Code: code, Message: message, RetryAfter: c.RetryAfter(now, a.request), Err: last.Err}
 	return Decision{ID: a.request.ID, Action: Refuse, Reason: message, Err: err}
 }
--- a/internal/scheduling/flowcontrol/queue.go
+++ b/internal/scheduling/flowcontrol/queue.go
@@ -171,6 +171,17 @@
 	heap.Fix(&q.checks, item.checkIndex)
 }
 
+// CheckLane makes all items of a lane due for a check.
+func (q *Queue) CheckLane(lane *Lane, now time.Time) {
+	for class := range lane.heaps {
+		for _, item := range lane.heaps[class].list {
+			if item.CheckAt.After(now) {
+				q.SetCheckAt(item, now)
+			}
+		}
+	}
+}
+
 // NextCheck returns the earliest CheckAt, or the zero time if nothing waits.
 func (q *Queue) NextCheck() time.Time {
 	first := q.checks.first()
--- a/internal/scheduling/server.go
+++ b/internal/scheduling/server.go
@@ -67,7 +67,7 @@
 
 // usable reports whether the server may get new requests at now.
 func (s *server) usable(now time.Time) bool {
-	return s.listed && !s.unreachable && !s.leaving(now) && !now.Before(s.backoffUntil)
+	return s.listed && !s.unreachable && !s.leaving(now) && !now.Before(s.backoffUntil) && !s.paused(now)
 }
 
 func (s *server) leaving(now time.Time) bool {
--- a/internal/scheduling/waiting.go
+++ b/internal/scheduling/waiting.go
@@ -25,6 +25,7 @@
 func (c *core) advance(now time.Time) []Decision {
 	c.lastAdvance = now
 	c.expirePeers(now)
+	c.recheckPaused(now)
 	out := c.expire(now, nil)
 	if c.queue.Len() == 0 {
 		return out
@@ -46,11 +47,16 @@
 func (c *core) expire(now time.Time, out []Decision) []Decision {
 	for item := c.queue.DueForCheck(now); item != nil; item = c.queue.DueForCheck(now) {
 		t := c.target(keyOf(&item.Request))
-		if latest := c.latestStart(now, t, &item.Request); latest.After(now) {
+		pause := c.pauseRemaining(now, t)
+		if latest := c.latestStart(now, t, &item.Request); latest.After(now.Add(pause)) {
 			c.queue.SetCheckAt(item, latest)
 			continue
 		}
 		c.queue.Remove(item)
+		if pause > 0 {
+			out = append(out, c.refusePaused(&attempt{request: item.Request, mayHaveRun: item.MayHaveRun}, pause))
+			continue
+		}
 		out = append(out, c.refuseWaiting(t, item))
 	}
 	return out
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -86,7 +86,10 @@
 	CodeQueueFull Code = "queue_full"
 	// CodeNoServer means that no server can take the request.
 	CodeNoServer Code = "no_server"
-	CodeStopping Code = "instance_stopping"
+	// CodeServersPaused means that every server that could run the request has asked this
+	// instance to send nothing for a while.
+	CodeServersPaused Code = "servers_paused"
+	CodeStopping      Code = "instance_stopping"
 	// CodeServerRefused means that a server states that it didn't run the request.
 	CodeServerRefused Code = "server_refused"
 	// CodeRunUnknown means that a server doesn't know the run that was to be resumed.
