Store: revisions, leases and terms of a store that came back from a copy

Cause: after a loss the store counts again from an earlier revision and hands out the same numbers of revisions and leases for other things. A record compared by its revision alone could then pass for another one: a conditional write could replace a stranger's record, a watch skip changes, a renewal keep a stranger's lease, and a released or absent lease record be claimed while its holder still acted.

Change: the adapter reads Store-Era and puts it, as store.Epoch, above the count into each store.Revision and LeaseID, so that whatever is keyed by them differs between epochs and only grows. A call with a revision or lease of an earlier epoch is a conflict, a lost lease, or ErrRestored (an ErrCompacted) without a call; where the loss shows only in the answer, a write is unclear. Answers of a past epoch are errors. lease: a holder stops when it learns of a new epoch; a record that may be older than a lost one is claimed only after a whole TTL, also if it is released or absent; a claim's term is at least the epoch followed by the expected count, so that no term is given out twice though nobody knows the highest one. discovery: servers missing after a loss are kept for the grace period of an outage, and an announcement older than that of a removed server is ignored.

Ruled out: a term floor by epoch alone. The model-based test found two holders of one term: a former holder's late write replaced a newer record whose count it happened to expect. Letting a holder with time left go on at once: it can't tell its own older record from one that replaced another's by mistake.

--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -96,8 +96,13 @@
 	// call, also one that fails with store.ErrCompacted, until the next success.
 	lastAnswerAt time.Time
 	failing      bool
+	// restored is true from the news that the store came back from an older copy until the
+	// next listing.
+	restored bool
 }
 
+var _ engine.AnswerObserver = (*Watcher)(nil)
+
 // New makes a Watcher, which does nothing until Run is called.
 func New(options Options) *Watcher {
 	return &Watcher{options: options, registry: NewRegistry(), lastLeaving: map[string]bool{}}
@@ -126,6 +131,7 @@
 		case errors.Is(err, store.ErrCompacted):
 			w.options.Logger.WithField("revision", revision).Info("History of announcements is gone, listing again")
 			listed = false
+			w.setRestored(errors.Is(err, store.ErrRestored))
 		}
 		w.recordFailure(ctx, err)
 		pause.For(ctx, retryDelay)
@@ -133,6 +139,12 @@
 	}
 }
 
+func (w *Watcher) setRestored(restored bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.restored = restored
+}
+
 func (w *Watcher) batchPause() time.Duration {
 	if w.options.Instances == nil || (w.options.DecidesPlacement != nil && w.options.DecidesPlacement()) {
 		return batchPause
@@ -147,9 +159,13 @@
 	}
 	now := time.Now()
 	w.update(func(r *Registry) {
-		r.Listed(now, update.Announced, w.recordAnswer(now))
+		// In an older copy, servers that announced themselves lately are missing until they do
+		// so again, as after an outage.
+		mayBeMissing := w.recordAnswer(now) || w.restored
+		w.restored = false
+		r.Listed(now, update.Announced, mayBeMissing)
 		for _, id := range update.Unusable {
-			r.Unusable(id)
+			r.Unusable(now, id)
 		}
 		r.Confirmed(now)
 	})
--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -83,6 +83,9 @@
 	revision store.Revision
 	// known is false until the key has been read once, and after a conflict.
 	known bool
+	// restored is true if the record may be older than another one that was written: the store
+	// came back from an older copy.
+	restored bool
 
 	// callInFlight is true from the start of a call until its outcome is reported.
 	callInFlight  bool
@@ -177,7 +180,7 @@
 // claimableAt returns when this candidate may claim the lease if the record stays unchanged.
 func (m *Machine) claimableAt() time.Time {
 	wait := m.claimWait() + m.reachDelay()
-	if m.record.Holder != "" && !m.record.Released {
+	if m.record.Holder != "" && !m.record.Released || m.restored {
 		wait += m.config.TTL
 	}
 	return m.unchangedSince.Add(wait)
@@ -243,12 +246,28 @@
 	case m.holding:
 		return m.write(Record{Term: m.record.Term, Holder: m.config.Instance})
 	case m.mayClaim(now):
-		return m.write(Record{Term: m.record.Term + 1, Holder: m.config.Instance})
+		return m.write(Record{Term: m.nextTerm(), Holder: m.config.Instance})
 	default:
 		return Operation{Step: Read}
 	}
 }
 
+// epochTermBits is how many bits of a term hold the store's count if the store has epochs.
+const epochTermBits = 38
+
+// nextTerm returns the term for a claim. The highest term may be known to nobody any more: a
+// store that came back from an older copy has lost its last records, and a late write of a
+// former holder may replace a newer record whose count happens to be the expected one. In a store
+// with epochs, a term is therefore at least the epoch followed by the count that the claim
+// expects. Both only grow, and of two claims that expect the same count one fails.
+func (m *Machine) nextTerm() uint64 {
+	next := m.record.Term + 1
+	if epoch := m.revision.Epoch(); epoch > 0 {
+		next = max(next, uint64(epoch)<<epochTermBits+uint64(m.revision.Count()))
+	}
+	return next
+}
+
 // shouldStepDown reports whether a holder should release the lease because of low reach.
 func (m *Machine) shouldStepDown(now time.Time) bool {
 	return !m.steppedDown && !m.lowReachSince.IsZero() && now.Sub(m.lowReachSince) >= m.config.TTL
@@ -264,6 +283,7 @@
 
 func (m *Machine) write(record Record) Operation {
 	m.writeCount++
+	record.Epoch = m.revision.Epoch()
 	record.WriteID = fmt.Sprintf("%s-%d-%d", m.config.Instance, m.random.Uint64(), m.writeCount)
 	return Operation{Step: Write, Record: record, Expected: m.revision}
 }
@@ -273,7 +293,7 @@
 func (m *Machine) ReadEnded(now time.Time, entry store.Entry, err error) error {
 	switch {
 	case errors.Is(err, store.ErrNotFound):
-		m.Observed(now, Record{}, 0)
+		m.Observed(now, Record{}, store.AbsentRevision(err))
 		return nil
 	case err != nil:
 		m.Failed(now)
@@ -302,7 +322,8 @@
 	}
 }
 
-// Observed takes the key's state from a read; revision 0 means that the key is absent.
+// Observed takes the key's state from a read; a revision with count 0 means that the key is
+// absent.
 func (m *Machine) Observed(now time.Time, record Record, revision store.Revision) {
 	m.callInFlight = false
 	missedUpdates := now.Sub(m.lastUpdateAt) > m.config.TTL && !m.config.TrustUnchanged
@@ -333,11 +354,15 @@
 	m.expiresAt = m.lastWriteAt.Add(m.config.TTL)
 }
 
-// adopt takes the key's current state. A write by another instance ends the holding.
+// adopt takes the key's current state. A write by another instance ends the holding. So does a
+// return of the store from an older copy: the record may then be an earlier one of this
+// instance's, or may have replaced another instance's by mistake.
 func (m *Machine) adopt(record Record, revision store.Revision) {
-	if record.WriteID != m.lastWrite.WriteID {
+	lost := revision < m.revision || m.revision != 0 && revision.Epoch() != m.revision.Epoch()
+	if record.WriteID != m.lastWrite.WriteID || lost {
 		m.holding = false
 	}
+	m.restored = lost || record.writtenBefore(revision)
 	// An absent key keeps the highest known term, so that terms never decrease.
 	record.Term = max(record.Term, m.record.Term)
 	m.known, m.record, m.revision = true, record, revision
@@ -405,5 +430,5 @@
 // isVacant reports whether the lease is known to be without a holder, so that this candidate
 // may claim it after its own delay. It is false for a candidate that has released the lease.
 func (m *Machine) isVacant(now time.Time) bool {
-	return m.known && (m.record.Holder == "" || m.record.Released) && !m.releasing
+	return m.known && (m.record.Holder == "" || m.record.Released) && !m.releasing && !m.restored
 }
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -10,6 +10,8 @@
 import (
 	"encoding/json"
 	"fmt"
+
+	"limpethub/internal/store"
 )
 
 // Record is the value of the lease key.
@@ -25,6 +27,9 @@
 	WriteID string `json:"write_id"`
 	// Released is true once the holder has released the lease.
 	Released bool `json:"released"`
+	// Epoch is the epoch of the store that the holder knew when it wrote the record; 0 if it
+	// knew none.
+	Epoch store.Epoch `json:"epoch,omitempty"`
 }
 
 // Encode returns the stored form.
@@ -44,3 +49,17 @@
 	}
 	return r, nil
 }
+
+// firstEpoch is the epoch of a store that never came back from an older copy.
+const firstEpoch = 1
+
+// writtenBefore reports whether the record may be older than another one that was written and
+// lost, because it is from an earlier epoch than the revision with which it was read. The empty
+// record of an absent key doesn't tell its epoch: in a later epoch than the first, the key may
+// have been written and lost.
+func (r Record) writtenBefore(revision store.Revision) bool {
+	if revision.Count() == 0 {
+		return revision.Epoch() > firstEpoch
+	}
+	return r.Epoch != 0 && r.Epoch != revision.Epoch()
+}
