Scheduling: refuse in time, and serve on time what is served

Under a lasting overload all requests of a class wait equally long, so that each is late; and a limit of 1.5 batches lets a stream with an objective of 0.3 s wait 0.8 s in the server, behind others that are late too.

Change: a request knows when its caller leaves for want of a first event (longest of 2 s, four objectives, eight allowed pauses: the platform's callers). Admission, the filter in-time and the expiry of waiting requests respect it, and refuse at once with the time by which it was missed. Waiting requests that can still meet their objective go before those of their class that can't. The limit for a stream is so low that its wait in the server leaves half of the objective. Beside its share, an instance may take a server at most an eighth above its limit: with more instances than places, shares of at least one request each added up to the number of instances.

Ruled out: admission alone.

--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -56,6 +56,9 @@
 	// Objective is the point in time by which the whole answer, or the first event of a
 	// stream, should be delivered to meet the latency objective; zero means Deadline.
 	Objective time.Time
+	// FirstEventBy is when the caller leaves if no event of the stream has arrived; zero if it
+	// waits until Deadline.
+	FirstEventBy time.Time
 	// MaxAttempts limits how many times the request is sent to a server; 0 means no limit.
 	MaxAttempts int
 	// PromptTokens is the estimated length of the prompt, in tokens.
--- a/internal/scheduling/admission/admission.go
+++ b/internal/scheduling/admission/admission.go
@@ -19,6 +19,10 @@
 	Wait time.Duration
 	// ServiceTime is the predicted duration of the request on the best server, without the wait.
 	ServiceTime time.Duration
+	// FirstEventBy is when the caller leaves if no event has arrived; zero if it waits until
+	// Deadline. FirstEventTime is the part of ServiceTime until the first event.
+	FirstEventBy   time.Time
+	FirstEventTime time.Duration
 }
 
 // Answer says whether the request may wait.
@@ -53,9 +57,16 @@
 var _ Policy = deadline{}
 
 // Admit implements Policy. A refused caller is told to come back after the predicted
-// overrun of the deadline.
+// overrun of the deadline, or of the time until which it waits for the first event.
+//
+// The load is a burst that fills the queue with more work than the servers do in the time that
+// callers wait for a first event. Without the second condition they would all wait in vain, as
+// the deadline of a long answer lies far behind it.
 func (deadline) Admit(q Query) Answer {
 	late := q.Now.Add(q.Wait + q.ServiceTime).Sub(q.Deadline)
+	if !q.FirstEventBy.IsZero() {
+		late = max(late, q.Now.Add(q.Wait+q.FirstEventTime).Sub(q.FirstEventBy))
+	}
 	if late <= 0 {
 		return Answer{Admit: true}
 	}
--- a/internal/scheduling/admission/admission_test.go
+++ b/internal/scheduling/admission/admission_test.go
@@ -30,3 +30,20 @@
 		}
 	}
 }
+
+// TestRefusesWhatCannotBeginBeforeItsCallerLeaves: the deadline of a long answer is far away, but
+// its caller doesn't wait that long for the first event.
+func TestRefusesWhatCannotBeginBeforeItsCallerLeaves(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	q := Query{
+		Now: now, Deadline: now.Add(12 * time.Second), Wait: 1900 * time.Millisecond, ServiceTime: 3 * time.Second,
+		FirstEventBy: now.Add(2 * time.Second), FirstEventTime: 100 * time.Millisecond,
+	}
+	if !(deadline{}).Admit(q).Admit {
+		t.Error("refuses a request whose first event comes just in time")
+	}
+	q.Wait += 300 * time.Millisecond
+	if got, want := (deadline{}).Admit(q), (Answer{RetryAfter: 300 * time.Millisecond}); got != want {
+		t.Errorf("answer to a request that begins too late = %+v, want %+v", got, want)
+	}
+}
--- a/internal/scheduling/candidate.go
+++ b/internal/scheduling/candidate.go
@@ -64,7 +64,7 @@
 		cached, prefillTokens = false, prefillTokens-cachedTokens
 	}
 	total, ahead := s.load.Total(now), s.load.TotalUpTo(now, in.class)
-	limit := s.limit.Value()
+	limit := s.limitFor(in.request)
 	return routing.Candidate{
 		Name:          s.Name,
 		Near:          s.Near,
@@ -103,7 +103,7 @@
 	c.candidates = c.candidates[:0]
 	c.candidateCopies = c.candidateCopies[:0]
 	for _, tc := range t.copies {
-		if !tc.usable(now, in.avoid) || c.full(now, tc.server, in.class) {
+		if !tc.usable(now, in.avoid) || c.full(now, tc.server, in.class, tc.server.limitFor(in.request)) {
 			continue
 		}
 		c.candidates = append(c.candidates, c.candidate(now, tc, in))
@@ -116,7 +116,7 @@
 	if len(c.candidates) == 0 {
 		return nil, routing.Candidate{}
 	}
-	c.query = routing.Query{Now: now, Deadline: in.request.Deadline, Random: c.random, DecisionCount: t.decisions}
+	c.query = routing.Query{Now: now, Deadline: in.request.Deadline, FirstEventBy: in.request.FirstEventBy, Random: c.random, DecisionCount: t.decisions}
 	if in.shared != nil {
 		c.query.Affinity = in.shared.Key
 		c.query.MaxBacklog = backlogLimit(in.request)
@@ -128,14 +128,38 @@
 	return c.candidateCopies[i], c.candidates[i]
 }
 
-// full reports whether the server has no room for a request of the class. Less urgent
-// requests on the server don't count, since the server makes them wait.
-func (c *core) full(now time.Time, s *server, class int) bool {
-	limit := s.limit.Value()
-	if !c.skipsFullServers || s.load.TotalUpTo(now, class) < limit {
+// full reports whether the server has no room for a request of the class within the limit. Less
+// urgent requests on the server don't count, since the server makes them wait.
+func (c *core) full(now time.Time, s *server, class, limit int) bool {
+	total := s.load.TotalUpTo(now, class)
+	if !c.skipsFullServers || total < limit {
 		return false
 	}
-	return s.load.OwnUpTo(class) >= c.share(limit)
+	return !routing.WithinShare(total, s.load.OwnUpTo(class), limit, c.share(limit))
+}
+
+const (
+	// objectiveShareInServer is the share of the time to a stream's objective that it may wait in
+	// a server whose batch is full. The rest is for the wait on the instance and the prefill.
+	objectiveShareInServer = 0.5
+	// minWaitingShare is the least number of requests that may wait in a server, as a share of
+	// its batch. They keep the batch full although instances learn late of free places.
+	minWaitingShare = 0.1
+)
+
+// limitFor returns how many requests that are at least as urgent the server may have when it gets
+// the request. For a stream it is so low that its first event can meet the objective.
+//
+// The load is an overload of streams with a short objective: a limit that only keeps the server
+// busy lets each of them wait in the server for longer than its objective, where it can't go to
+// another copy or behind a request that is still in time.
+func (s *server) limitFor(r *request.Request) int {
+	limit, batch := s.limit.Value(), s.limit.Batch()
+	if batch == 0 || r.FirstEventBy.IsZero() || r.Objective.IsZero() || s.meanDuration <= 0 {
+		return limit
+	}
+	mayWait := objectiveShareInServer * float64(r.Objective.Sub(r.Arrived)) / float64(s.meanDuration)
+	return min(limit, int(float64(batch)*(1+max(minWaitingShare, mayWait))))
 }
 
 // share returns this instance's share of a server's limit, at least 1.
--- a/internal/scheduling/decide.go
+++ b/internal/scheduling/decide.go
@@ -89,13 +89,20 @@
 	}
 	prefill := c.predictPrefill(t, r)
 	wait := c.predictQueueWait(now, t, r.Class) + c.predictLoadWait(t) + c.predictPrefillWait(now, t, r.Class)
-	answer := c.admission.Admit(admission.Query{Now: now, Deadline: r.Deadline, Wait: wait, ServiceTime: serviceTime})
+	answer := c.admission.Admit(admission.Query{
+		Now: now, Deadline: r.Deadline, Wait: wait, ServiceTime: serviceTime,
+		FirstEventBy: r.FirstEventBy, FirstEventTime: prefill,
+	})
 	if !answer.Admit {
 		t.recentRefusals.add(now)
 		return refuse(a, verdict.CodeDeadlineCannotBeMet, c.retryAfter(answer.RetryAfter),
 			fmt.Sprintf("predicted wait %v and run %v exceed the time left", wait.Round(time.Millisecond), serviceTime.Round(time.Millisecond)))
 	}
-	item := &flowcontrol.Item{Request: *r, MayHaveRun: a.mayHaveRun, Work: serviceTime, PrefillTime: prefill, CheckAt: r.Deadline.Add(-serviceTime)}
+	item := &flowcontrol.Item{
+		Request: *r, MayHaveRun: a.mayHaveRun, Work: serviceTime, PrefillTime: prefill,
+		LateAt: c.lateAt(now, t, r, serviceTime, prefill),
+	}
+	item.CheckAt = nextCheck(item, latestStart(r, serviceTime, prefill))
 	if !c.queue.Push(t.lane, item) {
 		return refuse(a, verdict.CodeQueueFull, c.retryAfter(wait), "the queue of the class is full")
 	}
--- a/internal/scheduling/flowcontrol/heap.go
+++ b/internal/scheduling/flowcontrol/heap.go
@@ -12,8 +12,8 @@
 
 var _ heap.Interface = (*itemHeap)(nil)
 
-func byDeadline() itemHeap {
-	return itemHeap{less: earlierDeadline, index: func(i *Item) *int { return &i.laneIndex }}
+func inOrder() itemHeap {
+	return itemHeap{less: goesBefore, index: func(i *Item) *int { return &i.laneIndex }}
 }
 
 func byCheckAt() itemHeap {
@@ -23,8 +23,12 @@
 	}
 }
 
-// earlierDeadline orders by deadline, then by the order in which items were pushed.
-func earlierDeadline(a, b *Item) bool {
+// goesBefore orders the items of one class: those that aren't late first, then by deadline, then
+// by the order in which they were pushed.
+func goesBefore(a, b *Item) bool {
+	if a.Late != b.Late {
+		return b.Late
+	}
 	if !a.Request.Deadline.Equal(b.Request.Deadline) {
 		return a.Request.Deadline.Before(b.Request.Deadline)
 	}
--- a/internal/scheduling/flowcontrol/queue.go
+++ b/internal/scheduling/flowcontrol/queue.go
@@ -1,5 +1,6 @@
 // Package flowcontrol holds the requests that wait on one instance for room on a server.
-// Requests are ordered by class and then by deadline. The queue of each class is bounded,
+// Requests are ordered by class, then those that can still meet their latency objective come
+// first, then by deadline. The queue of each class is bounded,
 // and a floor guarantees less urgent classes a minimum share of the dispatches.
 package flowcontrol
 
@@ -22,6 +23,10 @@
 	// CheckAt is when the request must be checked again because it may no longer be able
 	// to meet its deadline. The check may move it to a later time.
 	CheckAt time.Time
+	// LateAt is from when the request can't meet its latency objective any more; zero if it
+	// has none. Late is set from then on, see MarkLate.
+	LateAt time.Time
+	Late   bool
 
 	lane       *Lane
 	sequence   uint64
@@ -37,33 +42,36 @@
 	heaps       []itemHeap
 	work        []time.Duration
 	prefillTime []time.Duration
-	length      int
+	// lateWork and latePrefillTime are the parts of work and prefillTime of late items.
+	lateWork        []time.Duration
+	latePrefillTime []time.Duration
+	length          int
 }
 
 // Len returns the number of requests that wait in the lane.
 func (l *Lane) Len() int { return l.length }
 
-// First returns the waiting request of a class with the earliest deadline, or nil.
+// First returns the waiting request of a class that goes first, or nil.
 func (l *Lane) First(class int) *Item { return l.heaps[class].first() }
 
-// WorkUpTo returns the sum of the predicted durations of all requests in the lane that belong
-// to the class or to a more urgent one.
+// WorkUpTo returns the sum of the predicted durations of the requests in the lane that go before
+// a new one of the class: those of more urgent classes and those of the class that aren't late.
 func (l *Lane) WorkUpTo(class int) time.Duration {
+	return sumUpTo(l.work, class) - l.lateWork[class]
+}
+
+func sumUpTo(times []time.Duration, class int) time.Duration {
 	var sum time.Duration
 	for c := 0; c <= class; c++ {
-		sum += l.work[c]
+		sum += times[c]
 	}
 	return sum
 }
 
-// PrefillTimeUpTo returns the sum of the predicted prefill times of all requests in the lane
-// that belong to the class or to a more urgent one.
+// PrefillTimeUpTo returns the sum of the predicted prefill times of the requests that WorkUpTo
+// counts.
 func (l *Lane) PrefillTimeUpTo(class int) time.Duration {
-	var sum time.Duration
-	for c := 0; c <= class; c++ {
-		sum += l.prefillTime[c]
-	}
-	return sum
+	return sumUpTo(l.prefillTime, class) - l.latePrefillTime[class]
 }
 
 // Work returns the sum of the predicted durations of all requests of the class in the lane.
@@ -90,9 +98,13 @@
 }
 
 func (q *Queue) NewLane() *Lane {
-	l := &Lane{heaps: make([]itemHeap, len(q.limits)), work: make([]time.Duration, len(q.limits)), prefillTime: make([]time.Duration, len(q.limits))}
+	classes := len(q.limits)
+	l := &Lane{
+		heaps: make([]itemHeap, classes), work: make([]time.Duration, classes), prefillTime: make([]time.Duration, classes),
+		lateWork: make([]time.Duration, classes), latePrefillTime: make([]time.Duration, classes),
+	}
 	for c := range l.heaps {
-		l.heaps[c] = byDeadline()
+		l.heaps[c] = inOrder()
 	}
 	return l
 }
@@ -129,6 +141,9 @@
 	lane.length++
 	lane.work[class] += item.Work
 	lane.prefillTime[class] += item.PrefillTime
+	if item.Late {
+		lane.countLate(item, 1)
+	}
 	heap.Push(&lane.heaps[class], item)
 	heap.Push(&q.checks, item)
 }
@@ -142,10 +157,33 @@
 	lane.length--
 	lane.work[class] -= item.Work
 	lane.prefillTime[class] -= item.PrefillTime
+	if item.Late {
+		lane.countLate(item, -1)
+	}
 	heap.Remove(&lane.heaps[class], item.laneIndex)
 	heap.Remove(&q.checks, item.checkIndex)
 }
 
+// MarkLate records that an item can't meet its latency objective any more. The others of its class
+// go before it from now on.
+//
+// The load is an overload that lasts: in the order of their arrival, all requests would wait
+// so long that none meets its objective.
+func (q *Queue) MarkLate(item *Item) {
+	if item.Late {
+		return
+	}
+	item.Late = true
+	item.lane.countLate(item, 1)
+	heap.Fix(&item.lane.heaps[item.Request.Class], item.laneIndex)
+}
+
+// countLate adds an item to the sums over late items, or with sign -1 removes it.
+func (l *Lane) countLate(item *Item, sign time.Duration) {
+	l.lateWork[item.Request.Class] += sign * item.Work
+	l.latePrefillTime[item.Request.Class] += sign * item.PrefillTime
+}
+
 // Cancel removes a request by its ID and reports whether it was waiting.
 func (q *Queue) Cancel(id request.ID) bool {
 	item := q.byID[id]
--- a/internal/scheduling/flowcontrol/queue_test.go
+++ b/internal/scheduling/flowcontrol/queue_test.go
@@ -84,3 +84,30 @@
 		q.Remove(x)
 	}
 }
+
+// TestLateItemsGoAfterOthersOfTheirClass: under a lasting overload, the requests that can still
+// meet their objective would otherwise wait behind those that can't.
+func TestLateItemsGoAfterOthersOfTheirClass(t *testing.T) {
+	q := New([]int{10, 10})
+	lane := q.NewLane()
+	push := func(id request.ID, deadline time.Duration) *Item {
+		item := &Item{Request: request.Request{ID: id, Deadline: epoch.Add(deadline)}, Work: time.Second, PrefillTime: 10 * time.Millisecond}
+		q.Push(lane, item)
+		return item
+	}
+	oldest := push("oldest", time.Second)
+	push("newer", 2*time.Second)
+	q.MarkLate(oldest)
+	q.MarkLate(oldest)
+	if first := lane.First(0).Request.ID; first != "newer" {
+		t.Errorf("first is %s, want newer", first)
+	}
+	if lane.WorkUpTo(0) != time.Second || lane.PrefillTimeUpTo(0) != 10*time.Millisecond || lane.WorkUpTo(1) != 2*time.Second {
+		t.Errorf("work before a new request: %v, %v of prefill, %v for the next class; want that of newer, and of both", lane.WorkUpTo(0), lane.PrefillTimeUpTo(0), lane.WorkUpTo(1))
+	}
+	q.Remove(lane.First(0))
+	q.Remove(lane.First(0))
+	if lane.WorkUpTo(1) != 0 || lane.PrefillTimeUpTo(0) != 0 || lane.Len() != 0 {
+		t.Errorf("after the removal of all: work %v, prefill %v, %d items, want none", lane.WorkUpTo(1), lane.PrefillTimeUpTo(0), lane.Len())
+	}
+}
--- a/internal/scheduling/preview.go
+++ b/internal/scheduling/preview.go
@@ -95,7 +95,7 @@
 		return "unreachable or backing off"
 	case now.Before(tc.backoffUntil):
 		return "backing off"
-	case c.full(now, tc.server, in.class):
+	case c.full(now, tc.server, in.class, tc.server.limitFor(in.request)):
 		return "no room"
 	}
 	return ""
--- a/internal/scheduling/routing/routing.go
+++ b/internal/scheduling/routing/routing.go
@@ -21,6 +21,9 @@
 	Now time.Time
 	// Deadline is when the whole answer must have been delivered.
 	Deadline time.Time
+	// FirstEventBy is when the caller leaves if no event has arrived; zero if it waits until
+	// Deadline.
+	FirstEventBy time.Time
 	// Random is the source of random choices.
 	Random *rand.Rand
 	// Affinity identifies the part of the prompt that other requests share; 0 if there is none.
@@ -78,6 +81,9 @@
 // Finish returns the predicted time to the end of the request.
 func (c *Candidate) Finish() time.Duration { return c.Wait + c.Backlog + c.Estimate.Total }
 
+// FirstEvent returns the predicted time to the first event.
+func (c *Candidate) FirstEvent() time.Duration { return c.Wait + c.Backlog + c.PrefillTime }
+
 // Filter removes candidates.
 type Filter interface {
 	// Keep reports whether the candidate stays.
--- a/internal/scheduling/routing/routing_test.go
+++ b/internal/scheduling/routing/routing_test.go
@@ -103,3 +103,38 @@
 		p.Choose(q, candidates)
 	}
 }
+
+// TestDeadlineDropsServersThatBeginTooLate: the caller leaves before the server's first event,
+// long before the deadline of the whole answer.
+func TestDeadlineDropsServersThatBeginTooLate(t *testing.T) {
+	busy, free := server("busy", 500), server("free", 900)
+	busy.Wait, busy.Backlog = 100*time.Millisecond, 150*time.Millisecond
+	q := query()
+	q.FirstEventBy = epoch.Add(200 * time.Millisecond)
+	p, err := NewPolicy(PolicyDeadline)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if at := p.Choose(q, []Candidate{busy, free}); at != 1 {
+		t.Errorf("chose candidate %d, want 1, which begins in time", at)
+	}
+	if at := p.Choose(q, []Candidate{busy}); at != -1 {
+		t.Errorf("chose candidate %d, want none", at)
+	}
+}
+
+// TestSharesOfAllInstancesStayBounded replays a fleet with far more instances than a server has
+// places: each may use its share, which is at least 1, but not all of them at once.
+func TestSharesOfAllInstancesStayBounded(t *testing.T) {
+	const instances, limit = 295, 24
+	on := 0
+	for range instances {
+		c := Candidate{Ahead: on, Limit: limit, Share: 1}
+		if (room{}).Keep(query(), &c) {
+			on++
+		}
+	}
+	if most := limit + limit/overshootDivisor; on > most {
+		t.Errorf("%d instances put %d requests on a server with a limit of %d, want at most %d", instances, on, limit, most)
+	}
+}
--- a/internal/scheduling/waiting.go
+++ b/internal/scheduling/waiting.go
@@ -42,14 +42,19 @@
 	return c.dispatchWaiting(now, s, c.expire(now, nil))
 }
 
-// expire refuses waiting requests that can no longer meet their deadline. A request whose
-// predicted duration has become shorter gets a later time for its next check instead.
+// expire refuses waiting requests that can no longer meet their deadline, and marks those that
+// can no longer meet their latency objective. A request whose predicted duration has become
+// shorter gets a later time for its next check instead.
 func (c *core) expire(now time.Time, out []Decision) []Decision {
 	for item := c.queue.DueForCheck(now); item != nil; item = c.queue.DueForCheck(now) {
 		t := c.target(keyOf(&item.Request))
 		pause := c.pauseRemaining(now, t)
-		if latest := c.latestStart(now, t, &item.Request); latest.After(now.Add(pause)) {
-			c.queue.SetCheckAt(item, latest)
+		r := &item.Request
+		if !item.LateAt.IsZero() && !now.Before(item.LateAt) {
+			c.queue.MarkLate(item)
+		}
+		if latest := latestStart(r, c.predictServiceTime(now, t, r), c.predictPrefill(t, r)); latest.After(now.Add(pause)) {
+			c.queue.SetCheckAt(item, nextCheck(item, latest))
 			continue
 		}
 		c.queue.Remove(item)
@@ -62,9 +67,57 @@
 	return out
 }
 
-// latestStart returns when the request must be on a server to meet its deadline.
-func (c *core) latestStart(now time.Time, t *target, r *request.Request) time.Time {
-	return r.Deadline.Add(-c.predictServiceTime(now, t, r))
+// latestStart returns when the request must be on a server to meet its deadline, and to send the
+// first event before its caller leaves.
+func latestStart(r *request.Request, serviceTime, prefill time.Duration) time.Time {
+	latest := r.Deadline.Add(-serviceTime)
+	if r.FirstEventBy.IsZero() {
+		return latest
+	}
+	return earlier(latest, r.FirstEventBy.Add(-prefill))
+}
+
+// lateAt returns from when a waiting request can't meet its latency objective any more; zero if it
+// has none. A server that is at its limit for the request makes a stream wait before it begins.
+func (c *core) lateAt(now time.Time, t *target, r *request.Request, serviceTime, prefill time.Duration) time.Time {
+	switch {
+	case r.Objective.IsZero():
+		return time.Time{}
+	case r.FirstEventBy.IsZero():
+		return r.Objective.Add(-serviceTime)
+	}
+	return r.Objective.Add(-prefill - shortestWaitAtLimit(now, t, r))
+}
+
+// shortestWaitAtLimit returns the shortest predicted wait of a request in a server of the target
+// that is at its limit for it.
+func shortestWaitAtLimit(now time.Time, t *target, r *request.Request) time.Duration {
+	shortest, found := time.Duration(0), false
+	for _, tc := range t.copies {
+		if !tc.server.usable(now) {
+			continue
+		}
+		limit := tc.server.limitFor(r)
+		if wait := tc.server.predictServerWait(limit, limit-1); !found || wait < shortest {
+			shortest, found = wait, true
+		}
+	}
+	return shortest
+}
+
+// nextCheck returns when an item that must be on a server at latest is to be checked next.
+func nextCheck(item *flowcontrol.Item, latest time.Time) time.Time {
+	if item.Late || item.LateAt.IsZero() {
+		return latest
+	}
+	return earlier(latest, item.LateAt)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // predictServiceTime predicts the duration of a request on its fastest server; 0 if there is
@@ -116,7 +169,7 @@
 // dispatchWaiting dispatches waiting requests to a server while it has room, in the order of
 // goesBefore.
 func (c *core) dispatchWaiting(now time.Time, s *server, out []Decision) []Decision {
-	if c.queue.Len() == 0 || !s.usable(now) || c.full(now, s, 0) {
+	if c.queue.Len() == 0 || !s.usable(now) || c.full(now, s, 0, s.limit.Value()) {
 		return out
 	}
 	c.pass++
@@ -150,7 +203,9 @@
 // its lane, since the policy may accept the requests behind it. The class is also blocked once
 // maxSkipped requests are hidden, which bounds the work.
 func (c *core) skip(t *target, item *flowcontrol.Item, candidate *routing.Candidate) {
-	if (candidate.Ahead >= candidate.Limit && candidate.OwnAhead >= candidate.Share) || len(c.skipped) >= maxSkipped {
+	full := candidate.Ahead >= candidate.Limit &&
+		!routing.WithinShare(candidate.Ahead, candidate.OwnAhead, candidate.Limit, candidate.Share)
+	if full || len(c.skipped) >= maxSkipped {
 		t.blockedInPass[item.Request.Class] = c.pass
 		return
 	}
@@ -200,7 +255,7 @@
 }
 
 // goesBefore reports whether a is dispatched before b: first a class whose floor is due, then
-// the more urgent class, then the earlier deadline.
+// the more urgent class, then one that can still meet its objective, then the earlier deadline.
 func (c *core) goesBefore(a, b *flowcontrol.Item) bool {
 	classA, classB := a.Request.Class, b.Request.Class
 	if classA != classB {
@@ -210,6 +265,9 @@
 		}
 		return classA < classB
 	}
+	if a.Late != b.Late {
+		return b.Late
+	}
 	return a.Request.Deadline.Before(b.Request.Deadline)
 }
 
