Residency: demand by prefill time, and no eviction of the copies in use most

Models in use then evicted each other's copies, each of which is out of use until its last stream has ended (3 to 5 s). After the crash of two servers the busiest model lost two of its four copies to models with a few waiting requests, because just their servers accepted orders at that moment. A load for which the weight store had no token cost 3 s in the comparison, although the next token came after 0.5 s, so that copies in use were evicted beside free memory.

Change: instances tell the holder the prefill time of what waits (a new field of the digest; a peer without it counts by requests alone). A copy is full with 20 requests or 0.4 s of prefill. Evicting a copy costs the demand that it serves now, bounded below the cost of a last copy. The wait for a token follows from the store's rate.

Tests: TestQueueOfShortPromptsDemandsFewCopies (10.5 copies before, now 2.0), TestFirstCopySparesTheBusiestModel, TestLoadWaitsForTheWeightStoreRatherThanEvicting. TestTrackerRisesQuicklyAndFallsSlowly and the test of refused requests state the prefill time too now; their bounds are the same.

--- a/internal/daemon/residency_feed.go
+++ b/internal/daemon/residency_feed.go
@@ -48,7 +48,10 @@
 func (x *residencyExtension) ForHolder(bool) digest.Digest {
 	var d digest.Digest
 	for ref, load := range x.refLoads() {
-		d.RefLoads = append(d.RefLoads, digest.RefLoad{Ref: ref, Running: load.Running, Unstarted: load.Unstarted, Waiting: load.Waiting})
+		d.RefLoads = append(d.RefLoads, digest.RefLoad{
+			Ref: ref, Running: load.Running, Unstarted: load.Unstarted, Waiting: load.Waiting,
+			PrefillMillis: load.PrefillTime.Milliseconds(),
+		})
 	}
 	return d
 }
@@ -175,6 +178,7 @@
 		counts.Running += more.Running
 		counts.Unstarted += more.Unstarted
 		counts.Waiting += more.Waiting
+		counts.PrefillTime += more.PrefillTime
 		out[ref] = counts
 	}
 	for ref, load := range x.refLoads() {
@@ -187,7 +191,10 @@
 			continue
 		}
 		for _, load := range peer.counts {
-			add(load.Ref, residency.RequestCounts{Running: load.Running, Unstarted: load.Unstarted, Waiting: load.Waiting})
+			add(load.Ref, residency.RequestCounts{
+				Running: load.Running, Unstarted: load.Unstarted, Waiting: load.Waiting,
+				PrefillTime: time.Duration(load.PrefillMillis) * time.Millisecond,
+			})
 		}
 	}
 	return out
--- a/internal/peers/digest/digest.go
+++ b/internal/peers/digest/digest.go
@@ -76,6 +76,9 @@
 	// Waiting is the number of requests that wait because no server can take requests for
 	// the version.
 	Waiting int `cbor:"3,keyasint,omitempty"`
+	// PrefillMillis is the predicted time to prefill the prompts of Unstarted and Waiting on one
+	// server, in milliseconds.
+	PrefillMillis int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Residency says that a version became usable on a server, or is no longer usable there.
--- a/internal/residency/core_view.go
+++ b/internal/residency/core_view.go
@@ -11,6 +11,9 @@
 
 func (c *core) snapshot(now time.Time, pool site.Pool) Snapshot {
 	s := Snapshot{Now: now, Needs: c.needTracker.Needs(), WeightStoreLoads: int(c.weightLoadTokens[pool.Service])}
+	if rate := weightStoreRateShare * pool.LoadsPerSecond; rate > 0 {
+		s.WeightStoreLoadPeriod = time.Duration(float64(time.Second) / rate)
+	}
 	for _, m := range c.document.Models {
 		if m.Service == pool.Service {
 			s.Models = append(s.Models, Model{Ref: m.Ref(), MemoryMB: m.MemoryMB,
--- a/internal/residency/needs.go
+++ b/internal/residency/needs.go
@@ -20,22 +20,29 @@
 // answered by a server. Unstarted requests are those that servers can take but haven't begun to
 // answer: dispatched, waiting and recently refused ones. Waiting requests are waiting or recently
 // refused and have no copy to run on. scheduling.RefLoad counts them for one instance.
+//
+// PrefillTime is the predicted time to prefill the prompts of Unstarted and Waiting on one server.
 type RequestCounts struct {
 	Running, Unstarted, Waiting int
+	PrefillTime                 time.Duration
 }
 
 const (
-	// runningPerCopy is the number of running requests that fill a copy. unstartedPerCopy is
-	// the number of unstarted or waiting requests that fill it. It is much smaller because a
-	// server does the prefill of one request after the other, and all its other requests wait
-	// meanwhile.
-	runningPerCopy   = 20.0
-	unstartedPerCopy = 1.5
+	// requestsPerCopy is the number of requests that fill a copy once they run.
+	requestsPerCopy = 20.0
+	// prefillPerCopy is the prefill time that fills a copy besides. A server does the prefill of
+	// one request after the other, and all its other requests wait meanwhile.
+	prefillPerCopy = 400 * time.Millisecond
 )
 
 // copies returns how many copies the requests would fill.
+//
+// The load is a burst of short prompts. If each waiting request counted as if its prompt were
+// long, a queue of a second would demand all copies of the pool, and models in use would evict
+// each other's copies, each of which is out of use until its last stream has ended.
 func (r RequestCounts) copies() float64 {
-	return float64(r.Running)/runningPerCopy + float64(r.Unstarted+r.Waiting)/unstartedPerCopy
+	requests := float64(r.Running+r.Unstarted+r.Waiting) / requestsPerCopy
+	return requests + r.PrefillTime.Seconds()/prefillPerCopy.Seconds()
 }
 
 // NeedTracker averages request counts into needs. Demand can move to other models within
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -54,9 +54,15 @@
 	costSameDomain = 0.3
 	// costNotReady is the cost of a server that doesn't accept orders now.
 	costNotReady = 1.0
-	// costNoLoadToken is the cost of a load that the weight store's rate doesn't allow now.
+	// costNoLoadToken is the cost of a load that the weight store's rate doesn't allow now, if
+	// the rate isn't known.
 	costNoLoadToken = 3.0
 	costPerRequest  = 0.03
+	// costPerDisplacedDemand is the cost of the demand, in copies, on a copy that is evicted.
+	costPerDisplacedDemand = 4.0
+	// maxEvictionCost bounds the cost of evicting a copy of a model that has others, below the
+	// cost of evicting a last copy.
+	maxEvictionCost = 0.9 * costLastCopy
 	// meanRemainingRunSeconds is the assumed mean remaining time of a running request.
 	meanRemainingRunSeconds = 1.5
 	// costLastCopy is the cost of evicting a model's only copy, high enough that any other
@@ -101,7 +107,10 @@
 	// loadsReservedForWaiting is the number of loads from the weight store reserved for models
 	// with waiting requests whose load can't be ordered yet.
 	loadsReservedForWaiting int
-	moves                   []Move
+	// loadsWaitingForToken is the number of loads from the weight store that this plan would
+	// order if the store's rate allowed them now.
+	loadsWaitingForToken int
+	moves                []Move
 }
 
 func newPlanner(s Snapshot) *planner {
@@ -272,6 +281,8 @@
 			p.WeightStoreLoads--
 		}
 		p.addMove(srv, Move{Action: engine.ActionLoad, Ref: missing.model.Ref, FromWeightStore: best.fromWeightStore, Reason: p.loadReason(missing)})
+	default:
+		p.loadsWaitingForToken++
 	}
 	srv.freeMB -= missing.model.MemoryMB
 }
--- a/internal/residency/plan_option.go
+++ b/internal/residency/plan_option.go
@@ -40,7 +40,7 @@
 	o := option{server: srv}
 	o.cost, o.fromWeightStore = p.loadSeconds(missing.model, srv)
 	if o.fromWeightStore && !p.weightStoreLoadAllowed(missing) {
-		o.cost += costNoLoadToken
+		o.cost += p.loadTokenWaitSeconds()
 	}
 	if !srv.Ready {
 		o.cost += costNotReady
@@ -58,6 +58,15 @@
 	return o, ok && o.cost < limit
 }
 
+// loadTokenWaitSeconds estimates how long a load from the weight store waits for the store's rate,
+// behind the loads that this plan already has waiting for it.
+func (p *planner) loadTokenWaitSeconds() float64 {
+	if p.WeightStoreLoadPeriod <= 0 {
+		return costNoLoadToken
+	}
+	return float64(1+p.loadsWaitingForToken) * p.WeightStoreLoadPeriod.Seconds()
+}
+
 // unloadWaitSeconds estimates how long an unload waits for the requests running on the
 // model. It assumes that the server's requests divide among its models by demand, and that the
 // last of n requests that end at random times ends after about ln(n+1) times their mean
@@ -119,7 +128,9 @@
 // A model with other copies, of which at least one serves, may lose one if it has more than its
 // demand requires, if requests wait for the missing copy, or by evictionGainFactor. The cost in
 // seconds is then the demand for each remaining copy (HeldLoad, which is in copies, divided by
-// their number). Any other model may lose a copy, even its last one, only if requests wait for the
+// their number), plus the demand that the evicted copy serves now times costPerDisplacedDemand.
+// Without the second part, the loss of a server under overload lets the busiest model lose the
+// copies that it needs most, if their servers happen to accept orders first. Any other model may lose a copy, even its last one, only if requests wait for the
 // missing copy and the model has been idle for minIdleForEviction. The longer it has been idle, the
 // lower that cost.
 func (p *planner) evictionCost(missing missingCopy, ref modelref.Ref) (evictable bool, cost float64) {
@@ -132,7 +143,8 @@
 	if remaining >= 1 && p.servingCopies[ref] > 1 {
 		remainingDemand := need.HeldLoad / float64(remaining)
 		if remaining >= p.wantedCopies[ref] || missing.waiting || remainingDemand*evictionGainFactor < demandPerCopy {
-			return true, remainingDemand
+			displaced := need.Load / float64(p.activeCopies[ref])
+			return true, min(remainingDemand+costPerDisplacedDemand*displaced, maxEvictionCost)
 		}
 	}
 	idle := need.Waiting == 0 && p.Now.Sub(need.LastUsed) >= minIdleForEviction
--- a/internal/residency/plan_snapshot.go
+++ b/internal/residency/plan_snapshot.go
@@ -65,6 +65,9 @@
 	Needs   map[modelref.Ref]Need
 	// WeightStoreLoads is how many loads from the weight store may start now.
 	WeightStoreLoads int
+	// WeightStoreLoadPeriod is the time between two loads at the weight store's rate; 0 if
+	// unknown.
+	WeightStoreLoadPeriod time.Duration
 }
 
 // Move is an order that the plan asks for: to load or unload a version on a server.
--- a/internal/residency/plan_test.go
+++ b/internal/residency/plan_test.go
@@ -242,7 +242,7 @@
 	now := time.Unix(0, 0)
 	tracker := NewNeedTracker()
 	tracker.Update(now, nil)
-	busy := map[modelref.Ref]RequestCounts{"m@1": {Unstarted: 3, Running: 20}}
+	busy := map[modelref.Ref]RequestCounts{"m@1": {Unstarted: 3, Running: 20, PrefillTime: 800 * time.Millisecond}}
 	for range 20 {
 		now = now.Add(100 * time.Millisecond)
 		tracker.Update(now, busy)
@@ -260,6 +260,72 @@
 	}
 }
 
+// TestQueueOfShortPromptsDemandsFewCopies guards against a demand that counts each waiting request
+// as if its prompt were long: a queue of a second would then demand most copies of a pool.
+func TestQueueOfShortPromptsDemandsFewCopies(t *testing.T) {
+	const waiting = 15
+	short := RequestCounts{Running: 10, Unstarted: waiting, PrefillTime: waiting * 19 * time.Millisecond}
+	if got := short.copies(); got > 2 {
+		t.Errorf("%d short prompts demand %.1f copies, want at most 2", waiting, got)
+	}
+	long := RequestCounts{Running: 10, Unstarted: waiting, PrefillTime: waiting * 250 * time.Millisecond}
+	if got := long.copies(); got < 8 {
+		t.Errorf("%d long prompts demand %.1f copies, want at least 8", waiting, got)
+	}
+}
+
+// TestFirstCopySparesTheBusiestModel replays the crash of a server with the only copy of a model
+// that few ask for. The busiest model has more than one copy and its server accepts orders now,
+// but it is overloaded as it is. The copy of a model that nobody asks for any more is the better
+// victim, although its server accepts orders only a moment later.
+func TestFirstCopySparesTheBusiestModel(t *testing.T) {
+	f := newPlanFixture(5)
+	f.addServer(0, 1, 2)
+	f.addServer(0, 3)
+	f.addServer(0, 3)
+	for i := range f.snapshot.Servers {
+		f.snapshot.Servers[i].MemoryMB = int64(10 * len(f.snapshot.Servers[i].Models))
+	}
+	f.snapshot.Servers[1].Ready, f.snapshot.Servers[2].Ready = false, false
+	f.setNeed(0, 7, 0)
+	f.setNeed(1, 0.3, 0)
+	f.setNeed(2, 0.3, 0)
+	f.setNeed(4, 0.3, 5)
+	if got := f.plan(); got != "[]" {
+		t.Errorf("planned %s, want no order until a server with a copy that nobody needs accepts one", got)
+	}
+	f.snapshot.Servers[2].Ready = true
+	if got := f.plan(); got != "[s2 unload m03@1]" {
+		t.Errorf("planned %s, want the unload of the copy that nobody needs", got)
+	}
+}
+
+// TestLoadWaitsForTheWeightStoreRatherThanEvicting guards against evicting a copy in use, which
+// takes until its last stream has ended, for want of a load token that comes sooner.
+func TestLoadWaitsForTheWeightStoreRatherThanEvicting(t *testing.T) {
+	f := newPlanFixture(3)
+	f.addServer(0, 1)
+	f.snapshot.Servers[0].MemoryMB, f.snapshot.Servers[0].Requests = 20, 20
+	f.snapshot.Servers[0].OnDisk[model(2)] = true
+	f.addServer(0, 1)
+	f.snapshot.Servers[1].MemoryMB = 20
+	f.snapshot.Servers[1].Requests = 20
+	f.addServer(2)
+	f.addServer()
+	f.snapshot.Models[2].WeightStoreLoadTime = 1200 * time.Millisecond
+	f.setNeed(0, 1.2, 0)
+	f.setNeed(1, 1.2, 0)
+	f.setNeed(2, 2, 0)
+	f.snapshot.WeightStoreLoads, f.snapshot.WeightStoreLoadPeriod = 0, 500*time.Millisecond
+	if got := f.plan(); got != "[]" {
+		t.Errorf("without a token: planned %s, want to wait for the free memory", got)
+	}
+	f.snapshot.WeightStoreLoads = loadsReservedForFirstCopies + 1
+	if got := f.plan(); got != "[s3 load m02@1]" {
+		t.Errorf("with a token: planned %s, want the load into free memory", got)
+	}
+}
+
 // TestEvictionPrefersServerThatFreesMemorySooner guards against choosing a server only by how
 // fast it loads the new model. A server that has the weights on disk is the slower choice if it
 // must first finish many requests that run on the evicted model.
--- a/internal/scheduling/decide.go
+++ b/internal/scheduling/decide.go
@@ -95,6 +95,7 @@
 	})
 	if !answer.Admit {
 		t.recentRefusals.add(now)
+		t.refusedPrefill = prefill
 		return refuse(a, verdict.CodeDeadlineCannotBeMet, c.retryAfter(answer.RetryAfter),
 			fmt.Sprintf("predicted wait %v and run %v exceed the time left", wait.Round(time.Millisecond), serviceTime.Round(time.Millisecond)))
 	}
--- a/internal/scheduling/flowcontrol/queue.go
+++ b/internal/scheduling/flowcontrol/queue.go
@@ -74,6 +74,9 @@
 	return sumUpTo(l.prefillTime, class) - l.latePrefillTime[class]
 }
 
+// PrefillTime returns the sum of the predicted prefill times of all requests in the lane.
+func (l *Lane) PrefillTime() time.Duration { return sumUpTo(l.prefillTime, len(l.prefillTime)-1) }
+
 // Work returns the sum of the predicted durations of all requests of the class in the lane.
 func (l *Lane) Work(class int) time.Duration { return l.work[class] }
 
--- a/internal/scheduling/prefill_test.go
+++ b/internal/scheduling/prefill_test.go
@@ -173,11 +173,11 @@
 	}
 	// A refused request must count as demand for a copy. Otherwise a model of which all requests
 	// are refused at once would never be loaded, since no request waits for it.
-	if loads := c.RefLoads(now); loads["absent@1"] != (RefLoad{Waiting: 2}) {
-		t.Errorf("loads right after the refusal = %+v, want 2 waiting", loads)
+	if loads := c.RefLoads(now); loads["absent@1"] != (RefLoad{Waiting: 2, PrefillTime: 20 * time.Millisecond}) {
+		t.Errorf("loads right after the refusal = %+v, want 2 waiting with prompts of 10 ms each", loads)
 	}
-	if loads := c.RefLoads(now.Add(3 * time.Second)); loads["absent@1"] != (RefLoad{Waiting: 1}) {
-		t.Errorf("loads three seconds later = %+v, want 1 waiting", loads)
+	if loads := c.RefLoads(now.Add(3 * time.Second)); loads["absent@1"] != (RefLoad{Waiting: 1, PrefillTime: 10 * time.Millisecond}) {
+		t.Errorf("loads three seconds later = %+v, want 1 waiting with a prompt of 10 ms", loads)
 	}
 	if d := c.ObserveResident(now, "s0", []modelref.Ref{"absent@1"}); len(d) != 1 || d[0].Action != Dispatch {
 		t.Errorf("decisions once the model is loaded = %+v, want one dispatch", d)
--- a/internal/scheduling/refload.go
+++ b/internal/scheduling/refload.go
@@ -17,6 +17,9 @@
 	// Waiting counts the waiting and recently refused requests for a version for which no
 	// server can take requests.
 	Waiting int
+	// PrefillTime is the predicted time to prefill the prompts of Unstarted and Waiting on one
+	// server.
+	PrefillTime time.Duration
 }
 
 // RefLoads implements Scheduler. A request for an adapter counts for its base model too.
@@ -27,10 +30,11 @@
 		load.Running += delta.Running
 		load.Unstarted += delta.Unstarted
 		load.Waiting += delta.Waiting
+		load.PrefillTime += delta.PrefillTime
 		out[ref] = load
 	}
 	for _, d := range c.dispatched {
-		one := RefLoad{Unstarted: 1}
+		one := RefLoad{Unstarted: 1, PrefillTime: d.targetCopy.speed.PrefillTime(d.pendingPrefillTokens)}
 		if d.answerTokens > 0 {
 			one = RefLoad{Running: 1}
 		}
@@ -52,14 +56,15 @@
 // can take them, they also count for the base model of an adapter, but only if it has no usable
 // server either: otherwise just the adapter has to be loaded.
 func (c *core) addWaiting(now time.Time, t *target, waiting int, add func(ref modelref.Ref, delta RefLoad)) {
+	prefill := t.lane.PrefillTime() + time.Duration(t.recentRefusals.count(now))*t.refusedPrefill
 	if c.hasUsableServer(now, t) {
-		add(t.key.model, RefLoad{Unstarted: waiting})
+		add(t.key.model, RefLoad{Unstarted: waiting, PrefillTime: prefill})
 		return
 	}
-	add(t.key.model, RefLoad{Waiting: waiting})
+	add(t.key.model, RefLoad{Waiting: waiting, PrefillTime: prefill})
 	base, ok := c.bases[t.key.model]
 	if ok && !c.hasUsableServer(now, c.targets[targetKey{model: base, service: t.key.service}]) {
-		add(base, RefLoad{Waiting: waiting})
+		add(base, RefLoad{Waiting: waiting, PrefillTime: prefill})
 	}
 }
 
--- a/internal/scheduling/target.go
+++ b/internal/scheduling/target.go
@@ -32,6 +32,8 @@
 	lastProbe time.Time
 	// recentRefusals counts requests recently refused because they would miss their deadline.
 	recentRefusals recentCount
+	// refusedPrefill is the predicted prefill time of the last of them.
+	refusedPrefill time.Duration
 	// decisions counts the routing decisions for the target.
 	decisions uint64
 	// blockedInPass holds, per class, the last pass in which the class was blocked; see skip.
