Residency: loads that may still begin count, also for the next holder

Cause (an open finding: on a site with 1.2 loads a second more than 9 began within 5 s): a token bucket with a burst of three limits the orders, not the loads. An order whose answer was lost takes effect up to 12 s later, together with new ones, and a new holder started with a full burst whatever the last one had just ordered.

Change: loadLimiter counts the loads of the last 5 s, and those that may still take effect, against what the rate allows in 5 s and three more; the bucket stays below that. The holder tells its count with the lease in its digests (a new field; without it a successor counts from zero, as before). An unanswered order is settled once the server has accepted another one of that number.

The simulation now also counts while answers are lost, which it passed over before.

--- a/internal/daemon/residency_feed.go
+++ b/internal/daemon/residency_feed.go
@@ -61,7 +61,7 @@
 	if record, revision, ok := x.manager.Lease(); ok {
 		d.Lease = &digest.Lease{
 			Holder: record.Holder, Term: record.Term, WriteID: record.WriteID,
-			Revision: int64(revision), Released: record.Released,
+			Revision: int64(revision), Released: record.Released, RecentLoads: x.manager.RecentLoads(),
 		}
 	}
 	x.mu.Lock()
@@ -130,7 +130,7 @@
 	if d.Lease != nil {
 		x.manager.HolderReported(lease.Record{
 			Holder: d.Lease.Holder, Term: d.Lease.Term, WriteID: d.Lease.WriteID, Released: d.Lease.Released,
-		}, store.Revision(d.Lease.Revision))
+		}, store.Revision(d.Lease.Revision), d.Lease.RecentLoads)
 	}
 	// A peer without requests sends no counts; its last ones expire after peerCountsLifetime.
 	if len(d.RefLoads) == 0 {
--- a/internal/peers/digest/digest.go
+++ b/internal/peers/digest/digest.go
@@ -102,6 +102,9 @@
 	Revision int64 `cbor:"4,keyasint"`
 	// Released is true once the holder has released the lease.
 	Released bool `cbor:"5,keyasint,omitempty"`
+	// RecentLoads is how many loads from the weight store the holder ordered in the last seconds
+	// or may still take effect.
+	RecentLoads int `cbor:"6,keyasint,omitempty"`
 }
 
 // Digest is the load summary that an instance sends to its peers, or the part of it in one
--- a/internal/residency/core.go
+++ b/internal/residency/core.go
@@ -19,12 +19,6 @@
 	// after maxServerWait at the latest.
 	serverQuietPeriod = 1800 * time.Millisecond
 	maxServerWait     = 8 * time.Second
-	// loadBurst is the maximum number of loads from the weight store that may start at once.
-	loadBurst = 3
-	// weightStoreRateShare is the share of the weight store's rate that is used. Orders that
-	// are executed late can start together with later ones, and the rest of the rate covers
-	// them.
-	weightStoreRateShare = 0.9
 )
 
 // effectKind is the kind of call that an effect makes.
@@ -48,6 +42,8 @@
 	serverStartMillis int64
 	order             engine.SequencedOrder
 	term              uint64
+	// fromWeightStore is true for the order of a load from the weight store.
+	fromWeightStore bool
 }
 
 // result is the outcome of an effect's call.
@@ -104,10 +100,10 @@
 	needTracker     *NeedTracker
 	// requestsByServer is the number of requests on each server, by the server's id.
 	requestsByServer map[string]int
-	// weightLoadTokens is a token bucket for each pool, by its service: how many loads from
-	// the weight store may start as of lastRefillAt.
-	weightLoadTokens map[string]float64
-	lastRefillAt     time.Time
+	// weightLoads limits the loads from the weight store of each pool, by its service.
+	weightLoads map[string]*loadLimiter
+	// reportedLoads is what the lease's holder told last of its loads, over all pools.
+	reportedLoads recentLoads
 
 	effects  []effect
 	changes  []ResidencyChange
@@ -118,7 +114,7 @@
 	return &core{
 		instance: instance, lease: machine, takeoverDelay: takeoverDelay,
 		servers: map[string]*trackedServer{}, pendingUnloads: map[string]pendingUnload{},
-		needTracker: NewNeedTracker(), weightLoadTokens: map[string]float64{},
+		needTracker: NewNeedTracker(), weightLoads: map[string]*loadLimiter{},
 		models: map[modelref.Ref]site.Model{}, adapters: map[modelref.Ref]site.Adapter{},
 	}
 }
@@ -157,8 +153,8 @@
 	if !c.updateHolding(now) || c.document == nil {
 		return
 	}
-	c.refillWeightLoadTokens(now)
 	c.syncServers(o.servers)
+	c.advanceWeightLoads(now)
 	for _, srv := range c.servers {
 		c.stepServer(now, srv)
 	}
@@ -198,9 +194,12 @@
 		return holds
 	}
 	c.holdsLease, c.leaseChangedAt = holds, now
+	if !holds {
+		c.reportedLoads = recentLoads{count: c.recentWeightLoads(), at: now}
+	}
 	clear(c.servers)
 	clear(c.pendingUnloads)
-	clear(c.weightLoadTokens)
+	clear(c.weightLoads)
 	message := "Lease is lost, giving no more orders"
 	if holds {
 		message = "Lease is held, taking over placement"
@@ -209,26 +208,32 @@
 	return holds
 }
 
-// refillWeightLoadTokens adds tokens for loads from the weight store at the store's rate.
-func (c *core) refillWeightLoadTokens(now time.Time) {
-	elapsed := now.Sub(c.lastRefillAt)
-	c.lastRefillAt = now
+// advanceWeightLoads advances the limiters of loads from the weight store to now.
+func (c *core) advanceWeightLoads(now time.Time) {
 	for _, pool := range c.document.Pools {
-		if _, started := c.weightLoadTokens[pool.Service]; !started {
-			c.weightLoadTokens[pool.Service] = c.initialWeightLoadTokens()
-			continue
+		limiter := c.weightLoads[pool.Service]
+		if limiter == nil {
+			limiter = newLoadLimiter(now, pool.LoadsPerSecond, c.reportedLoads)
+			c.weightLoads[pool.Service] = limiter
 		}
-		refilled := weightStoreRateShare * pool.LoadsPerSecond * elapsed.Seconds()
-		c.weightLoadTokens[pool.Service] = min(loadBurst, c.weightLoadTokens[pool.Service]+refilled)
+		limiter.advance(now, pool.LoadsPerSecond, c.isSettled)
 	}
 }
 
-// initialWeightLoadTokens returns how many loads from the weight store a new holder may start
-// at once: one for each second for which the lease was vacant, and at least one. The number
-// grows with that time because the previous holder may have started loads at the full rate
-// until the end of its term.
-func (c *core) initialWeightLoadTokens() float64 {
-	return min(loadBurst, max(1, c.lease.VacantFor().Seconds()))
+// isSettled reports whether a load whose answer was lost can't take effect any more, since the
+// same process of the server has accepted an order of that number. A restarted process may.
+func (c *core) isSettled(u unclearLoad) bool {
+	srv := c.servers[u.server]
+	return srv != nil && srv.server.StartMillis == u.startMillis && srv.sequence > u.expectedOrders
+}
+
+// recentWeightLoads counts the loads from the weight store for a possible successor.
+func (c *core) recentWeightLoads() int {
+	count := 0
+	for _, limiter := range c.weightLoads {
+		count += limiter.recent()
+	}
+	return count
 }
 
 // syncServers adds new servers, updates known ones and drops those that are gone.
--- a/internal/residency/core_orders.go
+++ b/internal/residency/core_orders.go
@@ -60,7 +60,7 @@
 		return
 	}
 	if m.FromWeightStore {
-		c.weightLoadTokens[pool.Service]--
+		c.weightLoads[pool.Service].ordered(now)
 	}
 	c.sendOrder(srv, m)
 }
@@ -121,5 +121,5 @@
 		"server": m.Server, "ref": m.Ref, "action": m.Action, "from_store": m.FromWeightStore,
 		"expected": order.ExpectedOrders, "fence": order.Fence, "reason": m.Reason,
 	}, false)
-	c.emit(srv, effect{kind: effectOrder, order: order})
+	c.emit(srv, effect{kind: effectOrder, order: order, fromWeightStore: m.FromWeightStore})
 }
--- a/internal/residency/core_view.go
+++ b/internal/residency/core_view.go
@@ -10,7 +10,7 @@
 )
 
 func (c *core) snapshot(now time.Time, pool site.Pool) Snapshot {
-	s := Snapshot{Now: now, Needs: c.needTracker.Needs(), WeightStoreLoads: int(c.weightLoadTokens[pool.Service])}
+	s := Snapshot{Now: now, Needs: c.needTracker.Needs(), WeightStoreLoads: c.weightLoads[pool.Service].allowed(now)}
 	if rate := weightStoreRateShare * pool.LoadsPerSecond; rate > 0 {
 		s.WeightStoreLoadPeriod = time.Duration(float64(time.Second) / rate)
 	}
--- a/internal/residency/manager.go
+++ b/internal/residency/manager.go
@@ -126,10 +126,21 @@
 	return record, m.core.lease.Revision(), ok
 }
 
-// HolderReported records the state of the lease that its holder sent to this instance. This
-// saves reads of the lease key.
-func (m *Manager) HolderReported(record lease.Record, revision store.Revision) {
-	m.withCore(func(c *core) { c.lease.HolderReported(m.options.Now(), record, revision) })
+// RecentLoads returns how many loads from the weight store this instance ordered in the last
+// seconds or may still take effect. Its successor counts them as its own.
+func (m *Manager) RecentLoads() (n int) {
+	m.withCore(func(c *core) { n = c.recentWeightLoads() })
+	return n
+}
+
+// HolderReported records the state of the lease that its holder sent to this instance, and the
+// holder's RecentLoads. This saves reads of the lease key.
+func (m *Manager) HolderReported(record lease.Record, revision store.Revision, loads int) {
+	now := m.options.Now()
+	m.withCore(func(c *core) {
+		c.lease.HolderReported(now, record, revision)
+		c.reportedLoads = recentLoads{count: loads, at: now}
+	})
 }
 
 // Release releases the lease, as at the start of a planned stop, so that another instance
--- a/internal/residency/results.go
+++ b/internal/residency/results.go
@@ -105,6 +105,7 @@
 	switch {
 	case r.err != nil:
 		srv.recordUnanswered(now, order)
+		c.recordUnansweredLoad(now, srv, r.effect)
 	case r.answer == engine.OrderAccepted:
 		srv.recordAccepted(now, order, isAdapter, c.expectedDuration(srv, order))
 		if !isAdapter && order.Action == engine.ActionUnload {
@@ -120,6 +121,19 @@
 	c.logAnswer(srv, r)
 }
 
+// recordUnansweredLoad records that the order of a load from the weight store may still take
+// effect.
+func (c *core) recordUnansweredLoad(now time.Time, srv *trackedServer, e effect) {
+	limiter := c.weightLoads[srv.server.Service]
+	if !e.fromWeightStore || limiter == nil {
+		return
+	}
+	limiter.unanswered(unclearLoad{
+		server: srv.server.ID, startMillis: srv.server.StartMillis,
+		expectedOrders: e.order.ExpectedOrders, until: now.Add(lateOrderWindow),
+	})
+}
+
 // expectedDuration estimates how long a server takes to execute an order for a model. For an
 // adapter the result is meaningless and not used.
 func (c *core) expectedDuration(srv *trackedServer, order engine.SequencedOrder) time.Duration {
--- a/internal/residency/world_test.go
+++ b/internal/residency/world_test.go
@@ -72,31 +72,46 @@
 	record      lease.Record
 	revision    int64
 
-	calls         []inFlightCall
-	answers       []inFlightAnswer
-	storeLoads    []time.Time
-	requestCounts map[modelref.Ref]RequestCounts
+	calls   []inFlightCall
+	answers []inFlightAnswer
+	// storeLoads holds when loads from the weight store began in the last rateWindow. Their rate
+	// is loadsPerSecond.
+	storeLoads     []time.Time
+	loadsPerSecond float64
+	loadLog        []string
+	requestCounts  map[modelref.Ref]RequestCounts
 	// lossRate is the share of orders that get no answer and arrive seconds late.
 	lossRate           float64
 	highestFence       uint64
 	highestFenceHolder string
 }
 
+// simSize is the size of a simulation.
+type simSize struct {
+	cores, servers, models int
+	loadsPerSecond         float64
+}
+
 func newSimulation(t *rapid.T, seed uint64, cores int) *simulation {
+	return newSizedSimulation(t, seed, simSize{cores: cores, servers: 4, models: 8, loadsPerSecond: simLoadsPerSecond})
+}
+
+func newSizedSimulation(t *rapid.T, seed uint64, size simSize) *simulation {
 	sim := &simulation{
-		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
+		loadsPerSecond: size.loadsPerSecond,
+		t:              t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
 		servers: map[string]*simServer{}, requestCounts: map[modelref.Ref]RequestCounts{},
-		document: &site.Document{Pools: []site.Pool{{Service: "svc", MemoryMB: simMemoryMB, AdapterSlots: simSlots, LoadsPerSecond: simLoadsPerSecond}}},
+		document: &site.Document{Pools: []site.Pool{{Service: "svc", MemoryMB: simMemoryMB, AdapterSlots: simSlots, LoadsPerSecond: size.loadsPerSecond}}},
 	}
-	for i := range 8 {
+	for i := range size.models {
 		m := site.Model{Name: fmt.Sprintf("m%d", i), Version: "1", Service: "svc", MemoryMB: 9, LoadMillis: 4000, DiskMillis: 800, WarmMillis: 400}
 		sim.document.Models = append(sim.document.Models, m)
 		sim.document.Adapters = append(sim.document.Adapters, site.Adapter{Name: m.Name + "/a1", Version: "1", Base: m.Ref(), MemoryMB: 1})
 	}
-	for i := range 4 {
+	for i := range size.servers {
 		sim.startServer(fmt.Sprintf("s%d", i))
 	}
-	for i := range cores {
+	for i := range size.cores {
 		config := lease.Config{Instance: fmt.Sprintf("i%d", i), TTL: 3 * time.Second, Margin: 500 * time.Millisecond, Jitter: 300 * time.Millisecond}
 		machine := lease.New(config, rand.New(rand.NewPCG(seed, uint64(i+2))))
 		sim.cores = append(sim.cores, newCore(config.Instance, machine, 0))
@@ -200,7 +215,7 @@
 	}
 	sim.storeLoads = slices.DeleteFunc(sim.storeLoads, func(at time.Time) bool { return sim.now.Sub(at) > rateWindow })
 	seconds := rateWindow.Seconds()
-	if most := simLoadsPerSecond*seconds*rateAllowance + rateBurst; sim.lossRate == 0 && float64(len(sim.storeLoads)) > most {
+	if most := sim.loadsPerSecond*seconds*rateAllowance + rateBurst; float64(len(sim.storeLoads)) > most {
 		sim.t.Fatalf("%v: %d loads from the weight store in %v, want at most %.1f", sim.now, len(sim.storeLoads), rateWindow, most)
 	}
 }
@@ -235,11 +250,8 @@
 		}
 		sim.revision++
 		sim.record, r.revision = call.effect.operation.Record, store.Revision(sim.revision)
-	case effectReadState:
-		r.state = sim.state(sim.servers[call.effect.server.Name])
-	case effectOrder:
-		sim.checkFence(call)
-		r.answer = sim.execute(call.effect.server.Name, call.effect.order)
+	case effectReadState, effectOrder:
+		sim.handleServerCall(call, &r)
 	}
 	if call.answerLost {
 		r.err = fmt.Errorf("no answer")
@@ -247,6 +259,20 @@
 	sim.answers = append(sim.answers, inFlightAnswer{at: sim.now.Add(2 * time.Millisecond), core: call.core, result: r})
 }
 
+// handleServerCall carries out a call at its server, unless the server is gone.
+func (sim *simulation) handleServerCall(call inFlightCall, r *result) {
+	server := sim.servers[call.effect.server.Name]
+	switch {
+	case server == nil:
+		r.err = fmt.Errorf("server is gone")
+	case call.effect.kind == effectReadState:
+		r.state = sim.state(server)
+	default:
+		sim.checkFence(call)
+		r.answer = sim.execute(call.effect.server.Name, call.effect.order)
+	}
+}
+
 // checkFence checks that fencing numbers never decrease. Orders whose answer is lost arrive
 // late and are exempt.
 func (sim *simulation) checkFence(call inFlightCall) {
@@ -294,6 +320,19 @@
 		effects := c.effects
 		c.effects, c.changes, c.logLines = nil, nil, nil
 		sim.send(i, effects)
+		sim.reportLoads(i)
+	}
+}
+
+// reportLoads tells the other cores of the loads of the lease's holder, as its digests do.
+func (sim *simulation) reportLoads(holder int) {
+	if !sim.cores[holder].holdsLease {
+		return
+	}
+	for i, c := range sim.cores {
+		if i != holder && !sim.now.Before(sim.pausedUntil[i]) {
+			c.reportedLoads = recentLoads{count: sim.cores[holder].recentWeightLoads(), at: sim.now}
+		}
 	}
 }
 
