--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -7,12 +7,15 @@
 	"time"
 
 	"limpethub/internal/lab/faultproxy"
+	"limpethub/platform/standin"
 )
 
 const (
 	storeDelay  = 700 * time.Millisecond
 	serverDelay = 60 * time.Millisecond
 	peersDelay  = 150 * time.Millisecond
+	// serverPauseSeconds is the time to come back of a server that refuses requests.
+	serverPauseSeconds = "0.7"
 	// peersDropEvery says that one in this many datagrams is dropped.
 	peersDropEvery = 3
 	// serverRestartDelay is the time from the stop of a server that left to its restart.
@@ -144,6 +147,10 @@
 	case StoreForgets:
 		s.store.Compact()
 		s.store.EndAllLeases()
+	case StoreRestored:
+		older := s.store.Copy()
+		waitForEnd()
+		s.restoreStore(older)
 	case StoreLinkSilent:
 		i.storeLink.SilenceOpen()
 	case StoreLinkReset:
@@ -156,6 +163,18 @@
 	}
 }
 
+// restoreStore makes the store come back from an older copy. The operators and the servers that
+// run write again what they wrote; nobody else does.
+func (s *site) restoreStore(older standin.Copy) {
+	s.configureMu.Lock()
+	defer s.configureMu.Unlock()
+	s.store.RestoreCopy(older)
+	s.writeVersion(int(s.newestVersion.Load()))
+	for _, server := range s.servers {
+		server.AnnounceIfRunning()
+	}
+}
+
 func (s *site) injectOnServer(kind FaultKind, server *server, waitForEnd func()) {
 	faults := faultproxy.NoFaults()
 	switch kind {
@@ -175,6 +194,14 @@
 		waitForEnd()
 		server.SetAnswer(nil)
 		return
+	case ServerPauses:
+		server.SetAnswer(func(w http.ResponseWriter, _ *http.Request) bool {
+			standin.RefuseWithPause(w, serverPauseSeconds)
+			return true
+		})
+		waitForEnd()
+		server.SetAnswer(nil)
+		return
 	case ServerSilent:
 		server.link.SilenceOpen()
 		return
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 )
@@ -60,6 +61,11 @@
 	PeersLost   FaultKind = "peers-lost"
 	PeersOneWay FaultKind = "peers-one-way"
 	PeersSlow   FaultKind = "peers-slow"
+	// StoreRestored makes the store come back, after the event's duration, from the copy that it
+	// had at the event's begin. Operators and servers then write again what they wrote since.
+	StoreRestored FaultKind = "store-restored"
+	// ServerPauses makes a server refuse all requests with a time to come back.
+	ServerPauses FaultKind = "server-pauses"
 )
 
 // scope says which part of the site a kind of fault affects.
@@ -73,11 +79,13 @@
 	onConfiguration
 )
 
-// faultKinds lists all kinds with their scopes. The schedule of a seed depends on the order.
-var faultKinds = []struct {
+type scopedKind struct {
 	kind  FaultKind
 	scope scope
-}{
+}
+
+// faultKinds lists the kinds with their scopes. The schedule of a seed depends on the order.
+var faultKinds = []scopedKind{
 	{StopInstance, onInstance}, {KillInstance, onInstance}, {PauseInstance, onInstance},
 	{ChangeConfiguration, onConfiguration},
 	{StoreRefuses, onStore}, {StoreDown, onStore}, {StoreSlow, onStore}, {StoreLoses, onStore}, {StoreForgets, onStore},
@@ -87,8 +95,12 @@
 	{PeersLost, onPeers}, {PeersOneWay, onPeers}, {PeersSlow, onPeers},
 }
 
+// laterFaultKinds lists the kinds that were added later. They have a random sequence of their own,
+// so that the schedules of earlier seeds are parts of those that they have now.
+var laterFaultKinds = []scopedKind{{StoreRestored, onStore}, {ServerPauses, onServer}}
+
 func scopeOf(kind FaultKind) scope {
-	for _, k := range faultKinds {
+	for _, k := range slices.Concat(faultKinds, laterFaultKinds) {
 		if k.kind == kind {
 			return k.scope
 		}
@@ -124,8 +136,10 @@
 func (s Size) Servers() int { return s.Plain + s.Engines }
 
 const (
-	// meanSeriesGap is the mean time between the starts of two series of faults.
-	meanSeriesGap = 1200 * time.Millisecond
+	// meanSeriesGap is the mean time between the starts of two series of faults, and
+	// laterMeanSeriesGap that between two series of laterFaultKinds.
+	meanSeriesGap      = 1200 * time.Millisecond
+	laterMeanSeriesGap = 6 * time.Second
 	// minFaultDuration and maxFaultDuration bound how long a fault lasts.
 	minFaultDuration = 100 * time.Millisecond
 	maxFaultDuration = 4 * time.Second
@@ -136,12 +150,19 @@
 // Plan returns the schedule of a seed. It consists of series of faults. All faults of a series are
 // of one kind and begin within one second. Faults may overlap, also those of one series.
 func Plan(seed uint64, size Size) []Event {
-	// The second value, 13, differs from those of the callers (100 and up), so that they get
-	// other random sequences.
-	random := rand.New(rand.NewPCG(seed, 13))
+	// The second values, 13 and 14, differ from those of the callers (100 and up), so that they
+	// get other random sequences.
+	out := planSeries(rand.New(rand.NewPCG(seed, 13)), faultKinds, meanSeriesGap, size)
+	out = append(out, planSeries(rand.New(rand.NewPCG(seed, 14)), laterFaultKinds, laterMeanSeriesGap, size)...)
+	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
+	return out
+}
+
+// planSeries returns series of faults of the given kinds.
+func planSeries(random *rand.Rand, kinds []scopedKind, meanGap time.Duration, size Size) []Event {
 	var out []Event
-	for at := seriesGap(random); at < size.Length; at += seriesGap(random) {
-		kind := faultKinds[random.IntN(len(faultKinds))]
+	for at := seriesGap(random, meanGap); at < size.Length; at += seriesGap(random, meanGap) {
+		kind := kinds[random.IntN(len(kinds))]
 		for left := 1 + random.IntN(maxSeriesLength); left > 0; left-- {
 			begin := at + time.Duration(random.Int64N(int64(time.Second)))
 			out = append(out, Event{
@@ -150,12 +171,11 @@
 			})
 		}
 	}
-	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
 
-func seriesGap(random *rand.Rand) time.Duration {
-	return time.Duration(random.ExpFloat64() * float64(meanSeriesGap))
+func seriesGap(random *rand.Rand, mean time.Duration) time.Duration {
+	return time.Duration(random.ExpFloat64() * float64(mean))
 }
 
 func randomTarget(random *rand.Rand, s scope, size Size) int {
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -95,11 +95,16 @@
 	s.configureMu.Lock()
 	defer s.configureMu.Unlock()
 	version := int(s.newestVersion.Load()) + 1
+	s.writeVersion(version)
+	s.judge.Written(version, s.now())
+	s.newestVersion.Store(int64(version))
+}
+
+// writeVersion writes the configuration with the given version. configureMu must be held.
+func (s *site) writeVersion(version int) {
 	s.store.Write(standin.ConfigurationKey, standin.Document(version, plainService, standin.Pool{
 		Service: engineService, MemoryMB: engineMB, AdapterSlots: adapterSlots, ModelMB: modelMB, Models: s.models,
 	}))
-	s.judge.Written(version, s.now())
-	s.newestVersion.Store(int64(version))
 }
 
 func (s *site) addServer(n int) error {
