--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -110,8 +110,6 @@
 
 	holding   bool
 	expiresAt time.Time
-	// vacantFor is the result of VacantFor.
-	vacantFor time.Duration
 
 	reachShare    float64
 	lowReachSince time.Time
@@ -196,11 +194,6 @@
 	return a
 }
 
-// VacantFor returns how long the lease had gone without a renewal, at least, when this candidate
-// last claimed it: the time for which the replaced record was known to be unchanged. A claim
-// whose answer was lost doesn't set it.
-func (m *Machine) VacantFor() time.Duration { return m.vacantFor }
-
 // Revision returns the key's revision that belongs to Record.
 func (m *Machine) Revision() store.Revision { return m.revision }
 
@@ -371,9 +364,6 @@
 // Written reports that the last write took effect and which revision it produced.
 func (m *Machine) Written(now time.Time, revision store.Revision) {
 	m.callInFlight, m.writeUnclear = false, false
-	if m.lastWrite.Term != m.record.Term {
-		m.vacantFor = now.Sub(m.unchangedSince)
-	}
 	m.confirmWrite(m.lastWrite)
 	m.adopt(m.lastWrite, revision)
 	m.unchangedSince, m.lastUpdateAt = now, now
--- a/internal/residency/plan_option.go
+++ b/internal/residency/plan_option.go
@@ -130,9 +130,9 @@
 // seconds is then the demand for each remaining copy (HeldLoad, which is in copies, divided by
 // their number), plus the demand that the evicted copy serves now times costPerDisplacedDemand.
 // Without the second part, the loss of a server under overload lets the busiest model lose the
-// copies that it needs most, if their servers happen to accept orders first. Any other model may lose a copy, even its last one, only if requests wait for the
-// missing copy and the model has been idle for minIdleForEviction. The longer it has been idle, the
-// lower that cost.
+// copies that it needs most, if their servers happen to accept orders first. Any other model may
+// lose a copy, even its last one, only if requests wait for the missing copy and the model has been
+// idle for minIdleForEviction. The longer it has been idle, the lower that cost.
 func (p *planner) evictionCost(missing missingCopy, ref modelref.Ref) (evictable bool, cost float64) {
 	demandPerCopy := missing.demandPerCopy
 	if missing.firstCopy {
--- a/internal/scheduling/candidate.go
+++ b/internal/scheduling/candidate.go
@@ -117,7 +117,11 @@
 	if len(c.candidates) == 0 {
 		return nil, routing.Candidate{}
 	}
-	c.query = routing.Query{Now: now, LowestFailureRate: lowestFailureRate(c.candidates), Deadline: in.request.Deadline, FirstEventBy: in.request.FirstEventBy, Random: c.random, DecisionCount: t.decisions}
+	c.query = routing.Query{
+		Now: now, Deadline: in.request.Deadline, FirstEventBy: in.request.FirstEventBy,
+		LowestFailureRate: lowestFailureRate(c.candidates),
+		Random:            c.random, DecisionCount: t.decisions,
+	}
 	if in.shared != nil {
 		c.query.Affinity = in.shared.Key
 		c.query.MaxBacklog = backlogLimit(in.request)
--- a/internal/scheduling/decide.go
+++ b/internal/scheduling/decide.go
@@ -84,10 +84,11 @@
 func (c *core) enqueue(now time.Time, t *target, a *attempt) Decision {
 	r := &a.request
 	serviceTime := c.predictServiceTime(now, t, r)
-	if pause := c.pauseRemaining(now, t); pause > 0 && now.Add(pause+serviceTime).After(r.Deadline) {
+	prefill := c.predictPrefill(t, r)
+	latest := latestStart(r, serviceTime, prefill)
+	if pause := c.pauseRemaining(now, t); pause > 0 && !latest.After(now.Add(pause)) {
 		return c.refusePaused(a, pause)
 	}
-	prefill := c.predictPrefill(t, r)
 	wait := c.predictQueueWait(now, t, r.Class) + c.predictLoadWait(t) + c.predictPrefillWait(now, t, r.Class)
 	answer := c.admission.Admit(admission.Query{
 		Now: now, Deadline: r.Deadline, Wait: wait, ServiceTime: serviceTime,
@@ -103,7 +104,7 @@
 		Request: *r, MayHaveRun: a.mayHaveRun, Work: serviceTime, PrefillTime: prefill,
 		LateAt: c.lateAt(now, t, r, serviceTime, prefill),
 	}
-	item.CheckAt = nextCheck(item, latestStart(r, serviceTime, prefill))
+	item.CheckAt = nextCheck(item, latest)
 	if !c.queue.Push(t.lane, item) {
 		return refuse(a, verdict.CodeQueueFull, c.retryAfter(wait), "the queue of the class is full")
 	}
--- a/internal/scheduling/pause_test.go
+++ b/internal/scheduling/pause_test.go
@@ -55,11 +55,8 @@
 // already, and told when the first server takes requests again; what can wait is queued.
 func TestRefusesAtOnceWhenAllServersPause(t *testing.T) {
 	s := pausedScheduler(t)
-	// An adapter that no server holds yet, so that the request waits for another reason.
-	waiting := requestAt("waits", epoch, time.Second)
 	s.ObservePaused(epoch, "s1", epoch.Add(5*time.Second))
-	d := requireOne(t, s.Arrive(epoch, waiting), Dispatch)
-	if d.Server != "s2" {
+	if d := requireOne(t, s.Arrive(epoch, requestAt("served", epoch, time.Second)), Dispatch); d.Server != "s2" {
 		t.Fatalf("dispatched to %s, want s2", d.Server)
 	}
 	s.ObserveUnreachable(epoch, "s2") // It makes requests wait, without a pause.
@@ -75,6 +72,11 @@
 	if after := refused.Err.RetryAfter; refused.Err.Code != verdict.CodeServersPaused || after < left || after > most {
 		t.Errorf("refusal = %+v, want code servers_paused and a retry after the pause, %v to %v", refused.Err, left, most)
 	}
+	stream := requestAt("stream", now, time.Minute)
+	stream.FirstEventBy = now.Add(time.Second)
+	if d := requireOne(t, s.Arrive(now, stream), Refuse); d.Err.Code != verdict.CodeServersPaused {
+		t.Errorf("a stream whose caller leaves during the pause: %+v, want code servers_paused", d.Err)
+	}
 	if after := s.RetryAfter(now, requestAt("x", now, time.Second)); after < left || after > most {
 		t.Errorf("RetryAfter = %v, want %v to %v", after, left, most)
 	}
