Revert: a server that fails some requests gets few

Change: is taken back with its tests. What the incident showed, a server that fails two of five requests and keeps its share, stays open.

--- a/internal/scheduling/candidate.go
+++ b/internal/scheduling/candidate.go
@@ -80,7 +80,6 @@
 		PrefillTime:   in.prefillTime(tc, prefillTokens),
 		PrefixSaving:  in.prefixSaving(tc),
 		Probe:         in.probe,
-		FailureRate:   s.failureRate.at(now),
 		Wait:          s.predictServerWait(total, ahead),
 		Estimate:      tc.speed.Estimate(now, prefillTokens, in.request.MaxTokens, cached),
 	}
@@ -119,8 +118,7 @@
 	}
 	c.query = routing.Query{
 		Now: now, Deadline: in.request.Deadline, FirstEventBy: in.request.FirstEventBy,
-		LowestFailureRate: lowestFailureRate(c.candidates),
-		Random:            c.random, DecisionCount: t.decisions,
+		Random: c.random, DecisionCount: t.decisions,
 	}
 	if in.shared != nil {
 		c.query.Affinity = in.shared.Key
@@ -133,14 +131,6 @@
 	return c.candidateCopies[i], c.candidates[i]
 }
 
-func lowestFailureRate(candidates []routing.Candidate) float64 {
-	lowest := 1.0
-	for i := range candidates {
-		lowest = min(lowest, candidates[i].FailureRate)
-	}
-	return lowest
-}
-
 // full reports whether the server has no room for a request of the class within the limit. Less
 // urgent requests on the server don't count, since the server makes them wait.
 func (c *core) full(now time.Time, s *server, class, limit int) bool {
--- a/internal/scheduling/finish.go
+++ b/internal/scheduling/finish.go
@@ -36,7 +36,6 @@
 	s := d.targetCopy.server
 	c.budgetOf(d.target).Success(now)
 	s.failures = 0
-	s.failureRate.observe(now, false)
 	d.targetCopy.speed.Observe(now, predict.Sample{
 		PromptTokens: d.prefillTokens, MaxTokens: d.maxTokens, Tokens: o.Tokens,
 		Cached:      d.cached,
@@ -73,7 +72,6 @@
 		d.targetCopy.backoffUntil = now.Add(firstBackoff)
 	default:
 		s.backOff(now)
-		s.failureRate.observe(now, true)
 	}
 }
 
--- a/internal/scheduling/routing/finish.go
+++ b/internal/scheduling/routing/finish.go
@@ -15,15 +15,10 @@
 	pauseCostPerRequest = 0.1
 	// maxPausedRequests bounds the number of requests whose pause is counted.
 	maxPausedRequests = 20
-	// failureCost is the cost of a request that fails, as a multiple of its predicted duration.
-	failureCost = 4
-	// toleratedFailureRate is by how much a server's failure rate may exceed the lowest one at
-	// no cost. A few requests give only a rough rate.
-	toleratedFailureRate = 0.1
 )
 
 // finish scores by the predicted time to the end of the request, plus the cost of the pauses
-// that its prompt causes for other requests, plus the expected cost of a failure.
+// that its prompt causes for other requests.
 type finish struct{}
 
 var _ Scorer = finish{}
@@ -32,10 +27,9 @@
 	kernel.Register(kernel.Module{Name: "routing.score-finish", New: func() any { return finish{} }})
 }
 
-func (finish) Score(q *Query, c *Candidate) float64 {
+func (finish) Score(_ *Query, c *Candidate) float64 {
 	loadRatio := float64(c.Total) / float64(max(1, c.Limit))
 	pauseSeconds := max(0, (c.Backlog+c.PrefillTime).Seconds()-pauseFreePrefillSeconds)
 	paused := float64(min(c.Total, maxPausedRequests))
-	failure := failureCost * max(0, c.FailureRate-q.LowestFailureRate-toleratedFailureRate) * c.Estimate.Total.Seconds()
-	return failure + pauseCostPerRequest*pauseSeconds*paused + c.Wait.Seconds() + c.Backlog.Seconds() + c.Estimate.Total.Seconds()*(1+fullBatchSlowdown*loadRatio)
+	return pauseCostPerRequest*pauseSeconds*paused + c.Wait.Seconds() + c.Backlog.Seconds() + c.Estimate.Total.Seconds()*(1+fullBatchSlowdown*loadRatio)
 }
--- a/internal/scheduling/routing/routing.go
+++ b/internal/scheduling/routing/routing.go
@@ -31,8 +31,6 @@
 	// MaxBacklog is the highest backlog of a server that may get the request; 0 means no
 	// limit.
 	MaxBacklog time.Duration
-	// LowestFailureRate is the lowest FailureRate of the candidates.
-	LowestFailureRate float64
 	// DecisionCount counts the decisions about the same target. It drives round-robin picking.
 	DecisionCount uint64
 }
@@ -74,8 +72,6 @@
 	// Probe lets the request pass the filters that use predictions, so that its answer corrects
 	// them. It doesn't make room on a full server.
 	Probe bool
-	// FailureRate is the share of the server's recent requests that it failed, from 0 to 1.
-	FailureRate float64
 	// Wait is the predicted wait in the server.
 	Wait time.Duration
 	// Estimate is the predicted duration without the wait.
--- a/internal/scheduling/server.go
+++ b/internal/scheduling/server.go
@@ -40,8 +40,6 @@
 	// failures is the number of failures in a row, up to 8. The bound keeps the shift in
 	// backOff small; maxBackoff is reached before it.
 	failures int
-	// failureRate is the rate of requests that failed by the server's fault.
-	failureRate failureRate
 
 	reportSequence uint64
 	reportTaken    time.Time
