--- a/internal/residency/world_test.go
+++ b/internal/residency/world_test.go
@@ -78,7 +78,6 @@
 	// is loadsPerSecond.
 	storeLoads     []time.Time
 	loadsPerSecond float64
-	loadLog        []string
 	requestCounts  map[modelref.Ref]RequestCounts
 	// lossRate is the share of orders that get no answer and arrive seconds late.
 	lossRate           float64
