Tests: three that passed without the change they are for

Three passed all the same: TestFirstCopySparesTheBusiestModel and TestLoadWaitsForTheWeightStoreRatherThanEvicting (the plan took the same option at the old costs too) and TestOrdersThatMayStillTakeEffectCountInEveryWindow (the bucket was not yet full again).

Change: the first has a model whose demand has just ended and is held, as in the recorded orders; the second a copy that is cheap to evict; the third waits until the bucket is full. A comment of discovery is in plainer words. No code changes.

--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -96,7 +96,7 @@
 	// call, also one that fails with store.ErrCompacted, until the next success.
 	lastAnswerAt time.Time
 	failing      bool
-	// restored is true from the news that the store came back from an older copy until the
+	// restored is true after the store came back from an older copy, until the
 	// next listing.
 	restored bool
 }
--- a/internal/residency/loadlimiter_test.go
+++ b/internal/residency/loadlimiter_test.go
@@ -22,7 +22,7 @@
 	for range 3 {
 		order(false)
 	}
-	now = now.Add(loadWindow)
+	now = now.Add(2 * loadWindow) // The bucket is full again.
 	l.advance(now, perSecond, never)
 	if got := l.allowed(now); got > 2 {
 		t.Errorf("with 3 loads that may still begin: %d allowed, want at most 2", got)
--- a/internal/residency/plan_test.go
+++ b/internal/residency/plan_test.go
@@ -291,6 +291,8 @@
 	f.setNeed(1, 0.3, 0)
 	f.setNeed(2, 0.3, 0)
 	f.setNeed(4, 0.3, 5)
+	// The demand for model 3 has just ended, and is held for some seconds.
+	f.snapshot.Needs[model(3)] = Need{HeldLoad: 3, LastUsed: f.snapshot.Now}
 	if got := f.plan(); got != "[]" {
 		t.Errorf("planned %s, want no order until a server with a copy that nobody needs accepts one", got)
 	}
@@ -305,17 +307,16 @@
 func TestLoadWaitsForTheWeightStoreRatherThanEvicting(t *testing.T) {
 	f := newPlanFixture(3)
 	f.addServer(0, 1)
-	f.snapshot.Servers[0].MemoryMB, f.snapshot.Servers[0].Requests = 20, 20
-	f.snapshot.Servers[0].OnDisk[model(2)] = true
 	f.addServer(0, 1)
-	f.snapshot.Servers[1].MemoryMB = 20
-	f.snapshot.Servers[1].Requests = 20
 	f.addServer(2)
 	f.addServer()
+	for i := range 2 {
+		f.snapshot.Servers[i].MemoryMB, f.snapshot.Servers[i].Requests = 20, 2
+		f.snapshot.Needs[model(i)] = Need{Load: 0.2, HeldLoad: 1.2, LastUsed: f.snapshot.Now}
+	}
+	f.snapshot.Servers[0].OnDisk[model(2)] = true
 	f.snapshot.Models[2].WeightStoreLoadTime = 1200 * time.Millisecond
-	f.setNeed(0, 1.2, 0)
-	f.setNeed(1, 1.2, 0)
-	f.setNeed(2, 2, 0)
+	f.setNeed(2, 4.2, 0)
 	f.snapshot.WeightStoreLoads, f.snapshot.WeightStoreLoadPeriod = 0, 500*time.Millisecond
 	if got := f.plan(); got != "[]" {
 		t.Errorf("without a token: planned %s, want to wait for the free memory", got)
