Configuration: logs and metrics tell why an instance is behind

The record can't tell the three hypotheses of docs/incidents/issue-28-stale-configuration.md apart: a line 'Refused' didn't name the configuration that it was judged by, failures to read the configuration weren't logged at all, failures to watch it only on level debug, and nothing told which instances watch.

One warning when the store stops confirming the configuration to an instance (error, revision, whether it watches), one line when it does again, with the time between. A line when an instance begins or ends to watch. Metrics limpethub_configuration_confirmed_age_seconds and limpethub_configuration_watching. A canceled read or watch isn't logged.

--- a/internal/confsync/fakes_test.go
+++ b/internal/confsync/fakes_test.go
@@ -81,7 +81,7 @@
 	return s.entry.Revision, nil
 }
 
-func (s *memoryStore) Watch(ctx context.Context, _ string, after store.Revision) (store.Entry, error) {
+func (s *memoryStore) Watch(ctx context.Context, _ string, after store.Revision, progress func()) (store.Entry, error) {
 	s.mu.Lock()
 	s.calls++
 	for {
@@ -93,6 +93,7 @@
 		if entry.Revision > after {
 			return entry, nil
 		}
+		progress()
 		select {
 		case <-ctx.Done():
 			return store.Entry{}, ctx.Err()
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -82,6 +82,7 @@
 	// storeRevision is the highest revision of the key that was read from the store. The
 	// store's revisions differ from those of the configuration.
 	storeRevision store.Revision
+	contact       storeContact
 	subscribers   []chan site.Accepted
 	// notifiedRevision is the configuration revision last sent to the subscribers.
 	notifiedRevision uint64
@@ -190,13 +191,16 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	entry, err := s.options.Store.Get(ctx, s.key)
+	if err == nil {
+		err = s.offerEntry(entry)
+	}
+	if ctx.Err() != context.Canceled {
+		s.recordResult(err)
+	}
 	if errors.Is(err, store.ErrNotFound) {
 		return nil
 	}
-	if err != nil {
-		return err
-	}
-	return s.offerEntry(entry)
+	return err
 }
 
 func (s *Sync) offerEntry(entry store.Entry) error {
--- a/internal/confsync/watch.go
+++ b/internal/confsync/watch.go
@@ -2,18 +2,21 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"limpethub/internal/pause"
-	"limpethub/internal/store"
 )
 
 // watchLoop watches the store while this instance is one of the chosen watchers.
 func (s *Sync) watchLoop(ctx context.Context) {
 	wait := time.Duration(0)
+	watched := false
 	for pause.For(ctx, max(wait, syncTickPeriod)) {
-		if !s.watching() {
+		if watching := s.watching(); watching != watched {
+			watched = watching
+			s.logRole(watching)
+		}
+		if !watched {
 			wait = 0
 			continue
 		}
@@ -21,6 +24,14 @@
 	}
 }
 
+func (s *Sync) logRole(watching bool) {
+	if watching {
+		s.options.Logger.Info("Watching the store for a newer configuration")
+		return
+	}
+	s.options.Logger.Info("No longer watching the store for a newer configuration")
+}
+
 func (s *Sync) watching() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -35,21 +46,18 @@
 	s.mu.Lock()
 	after := s.storeRevision
 	s.mu.Unlock()
-	entry, err := s.options.Store.Watch(watchCtx, s.key, after)
+	entry, err := s.options.Store.Watch(watchCtx, s.key, after, s.confirmed)
 	switch {
 	case err == nil:
 		err = s.offerEntry(entry)
-	case errors.Is(watchCtx.Err(), context.DeadlineExceeded):
-		return 0 // Nothing changed within watchTimeout.
+	case watchCtx.Err() != nil:
+		return 0 // Nothing changed within watchTimeout, or the instance stops.
 	}
+	s.recordResult(err)
 	if err == nil {
 		return 0
 	}
-	// ErrNotFound means that the key was deleted, which isn't logged as a failure of the watch.
-	// The next watch waits as after a failure.
-	if !errors.Is(err, store.ErrNotFound) && ctx.Err() == nil {
-		s.options.Logger.WithError(err).Debug("Watching the store failed or returned an invalid value")
-	}
+	// ErrNotFound means that the key was deleted. The next watch waits as after a failure.
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.planner.nextRetryWait(previousWait)
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
@@ -20,6 +22,13 @@
 			accepted, _ := d.confsync.Current()
 			return float64(accepted.Revision)
 		}),
+		gauge("limpethub_configuration_confirmed_age_seconds", "Seconds since this instance last learned from the store what the newest configuration is; since its start if it never has.", d.configurationAge),
+		gauge("limpethub_configuration_watching", "1 while this instance watches the store for a newer configuration, otherwise 0.", func() float64 {
+			if d.confsync.Freshness().Watching {
+				return 1
+			}
+			return 0
+		}),
 		gauge("limpethub_requests_open", "Callers' requests that are in progress or waiting on this instance.", func() float64 { return float64(d.openRequests()) }),
 		gauge("limpethub_instances_alive", "Instances that this instance considers alive, itself included.", func() float64 { return float64(d.aliveInstances()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
@@ -32,6 +41,14 @@
 	}
 }
 
+func (d *Daemon) configurationAge() float64 {
+	since := d.startedAt
+	if confirmed := d.confsync.Freshness().ConfirmedAt; !confirmed.IsZero() {
+		since = confirmed
+	}
+	return time.Since(since).Seconds()
+}
+
 // dropCounter is a log that drops lines instead of blocking, and counts them.
 type dropCounter interface{ Dropped() uint64 }
 
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -67,7 +67,7 @@
 
 func (s *testSite) Delete(context.Context, string, store.Revision) error { return errDown }
 
-func (s *testSite) Watch(context.Context, string, store.Revision) (store.Entry, error) {
+func (s *testSite) Watch(context.Context, string, store.Revision, func()) (store.Entry, error) {
 	return store.Entry{}, errDown
 }
 
--- a/internal/store/etcdstore/etcdstore_test.go
+++ b/internal/store/etcdstore/etcdstore_test.go
@@ -61,13 +61,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	entry, err := s.Watch(ctx, "k", 0)
+	entry, err := s.Watch(ctx, "k", 0, func() {})
 	if err != nil || entry.Revision != first {
 		t.Fatalf("watch from revision 0: got %+v and error %v, want the entry of the first write", entry, err)
 	}
 	got := make(chan store.Entry, 1)
 	go func() {
-		entry, err := s.Watch(ctx, "k", first)
+		entry, err := s.Watch(ctx, "k", first, func() {})
 		if err != nil {
 			t.Error(err)
 		}
@@ -86,7 +86,7 @@
 	if err := s.Delete(ctx, "k", second); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := s.Watch(ctx, "k", second); !errors.Is(err, store.ErrNotFound) {
+	if _, err := s.Watch(ctx, "k", second, func() {}); !errors.Is(err, store.ErrNotFound) {
 		t.Fatalf("watch of a deleted key: got %v, want ErrNotFound", err)
 	}
 }
@@ -107,7 +107,7 @@
 			t.Fatal(err)
 		}
 	}
-	entry, err := s.Watch(ctx, "k", first)
+	entry, err := s.Watch(ctx, "k", first, func() {})
 	if err != nil || entry.Revision != revision {
 		t.Fatalf("got entry %+v and error %v, want revision %d", entry, err, revision)
 	}
--- a/internal/store/etcdstore/watch.go
+++ b/internal/store/etcdstore/watch.go
@@ -17,7 +17,7 @@
 // compacted once more between that read and the second watch.
 var errCompacted = errors.New("etcdstore: revision compacted")
 
-func (s *Store) Watch(ctx context.Context, key string, after store.Revision) (store.Entry, error) {
+func (s *Store) Watch(ctx context.Context, key string, after store.Revision, progress func()) (store.Entry, error) {
 	from := int64(after) + 1
 	if after == 0 {
 		entry, storeRevision, err := s.readWithStoreRevision(ctx, key)
@@ -26,9 +26,9 @@
 		}
 		from = storeRevision + 1
 	}
-	entry, err := s.watch(ctx, key, from)
+	entry, err := s.watch(ctx, key, from, progress)
 	if errors.Is(err, errCompacted) {
-		return s.watchFromCurrent(ctx, key, after)
+		return s.watchFromCurrent(ctx, key, after, progress)
 	}
 	return entry, err
 }
@@ -36,17 +36,18 @@
 // watchFromCurrent replaces a watch whose history was compacted: it returns the key's
 // current entry if that is newer than after, and otherwise watches from the current
 // revision of the whole store.
-func (s *Store) watchFromCurrent(ctx context.Context, key string, after store.Revision) (store.Entry, error) {
+func (s *Store) watchFromCurrent(ctx context.Context, key string, after store.Revision, progress func()) (store.Entry, error) {
 	entry, storeRevision, err := s.readWithStoreRevision(ctx, key)
 	if err != nil || entry.Revision > after {
 		return entry, err
 	}
-	return s.watch(ctx, key, storeRevision+1)
+	return s.watch(ctx, key, storeRevision+1, progress)
 }
 
 // watch waits for etcd's first message with changes of the key at or after revision from,
-// and returns the last of these changes.
-func (s *Store) watch(ctx context.Context, key string, from int64) (store.Entry, error) {
+// and returns the last of these changes. It calls progress for each message without changes,
+// the first of which confirms the watch.
+func (s *Store) watch(ctx context.Context, key string, from int64, progress func()) (store.Entry, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	request := watchRequest{Create: watchCreate{Key: []byte(key), StartRevision: from}}
@@ -74,6 +75,7 @@
 		if n := len(message.Result.Events); n > 0 {
 			return entryOfEvent(message.Result.Events[n-1])
 		}
+		progress()
 	}
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -127,8 +127,10 @@
 	Delete(ctx context.Context, key string, expected Revision) error
 	// Watch blocks until the key's revision is above after, and returns the entry. It
 	// returns ErrNotFound if the key was deleted. If the key is absent and after is 0, an
-	// implementation may wait for its creation or return ErrNotFound at once.
-	Watch(ctx context.Context, key string, after Revision) (Entry, error)
+	// implementation may wait for its creation or return ErrNotFound at once. It calls
+	// progress, which must not block, each time that the store says that the revision isn't
+	// above after yet.
+	Watch(ctx context.Context, key string, after Revision, progress func()) (Entry, error)
 	// Grant creates a lease that expires ttl after its last renewal.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// Renew extends a lease by the ttl that it was granted with. It returns ErrLeaseLost
--- a/internal/storecall/storecall.go
+++ b/internal/storecall/storecall.go
@@ -147,9 +147,9 @@
 }
 
 // Watch implements store.Store. However long it waits, it counts as one call.
-func (s *Store) Watch(ctx context.Context, key string, after store.Revision) (store.Entry, error) {
+func (s *Store) Watch(ctx context.Context, key string, after store.Revision, progress func()) (store.Entry, error) {
 	return call(ctx, s, opWatch, s.options.WatchTimeout, func(ctx context.Context) (store.Entry, error) {
-		return s.options.Store.Watch(ctx, key, after)
+		return s.options.Store.Watch(ctx, key, after, progress)
 	})
 }
 
--- a/internal/storecall/storecall_test.go
+++ b/internal/storecall/storecall_test.go
@@ -34,7 +34,7 @@
 	}
 }
 
-func (s *fakeStore) Watch(ctx context.Context, _ string, _ store.Revision) (store.Entry, error) {
+func (s *fakeStore) Watch(ctx context.Context, _ string, _ store.Revision, _ func()) (store.Entry, error) {
 	s.calls++
 	<-ctx.Done()
 	return store.Entry{}, ctx.Err()
@@ -151,7 +151,7 @@
 		inner := &fakeStore{}
 		registry := prometheus.NewRegistry()
 		s := New(Options{Store: inner, Registerer: registry}).For(PurposeConfig)
-		_, _ = s.Watch(t.Context(), "key", 0)
+		_, _ = s.Watch(t.Context(), "key", 0, func() {})
 		begin := time.Now()
 		if _, err := s.Get(t.Context(), "key"); err != nil || time.Since(begin) > time.Millisecond {
 			t.Errorf("call after a watch timeout took %v with error %v, want no back-off and no error", time.Since(begin), err)
