Configuration: whoever the store answers watches it, not just who is chosen

Cause: two instances of each failure domain watch the store, chosen by a hash from who is alive. Whether they reach the store wasn't asked. While it turns away all of them (platform: 'the store may reject some machines while it serves the others'), the others, which it serves, learn of a change only from a read of their own each 30 to 90 s. Class: a role given by liveness instead of by ability, and knowledge whose age nobody knows.

Change: an answer of the store that nothing is newer is a confirmation. The latest one goes along with heartbeats: its age and who got it. An instance that has held no recent confirmation of its revision for the watch's interval plus 0.5 s (more in large fleets) becomes a backup and watches too, after a random wait of up to 10 ms for each instance. It stops at once if only others get answers, else 10 to 30 s after others confirm again.

Why it works: the age of the latest confirmation bounds how far behind an instance can be, whatever the reason is that the chosen ones hear nothing (turned away, cut off, frozen), and the watch goes to somebody who is answered, in any domain.

Ruled out: more reads by all (3,000 a second in a fleet of 3,000); a mark in the membership records (an outage changes all records at once).

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -84,9 +84,8 @@
 	// members is the list of members at membersVersion, the version of the state machine.
 	members        []membership.Member
 	membersVersion uint64
-	peerRevisions  map[string]uint64
 	onChange       []func(membership.Transition)
-	onRevision     []func(peer string, revision uint64)
+	onRevision     []func(peer string, revision uint64, confirmation membership.Confirmation)
 }
 
 var _ peers.Handler = (*Cluster)(nil)
@@ -97,11 +96,10 @@
 	options = withDefaults(options)
 	incarnation := uint64(options.Now().UnixMilli())
 	c := &Cluster{
-		options:       options,
-		machine:       membership.New(options.Self, incarnation, options.Settings, options.Seed),
-		rand:          rand.New(rand.NewPCG(options.Seed, 1)),
-		peerRevisions: map[string]uint64{},
-		byteBudget:    rate.NewLimiter(rate.Limit(options.BytesPerSecond), options.BytesPerSecond),
+		options:    options,
+		machine:    membership.New(options.Self, incarnation, options.Settings, options.Seed),
+		rand:       rand.New(rand.NewPCG(options.Seed, 1)),
+		byteBudget: rate.NewLimiter(rate.Limit(options.BytesPerSecond), options.BytesPerSecond),
 	}
 	options.Transport.Handle(peers.KindMembership, c)
 	return c
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -25,7 +25,7 @@
 	c.step(func(m *membership.Machine, now time.Time) []membership.OutgoingMessage {
 		return m.Receive(now, message)
 	})
-	c.notifyRevision(message.From, message.Revision)
+	c.notifyRevision(message)
 }
 
 // HandleCall implements peers.Handler. It always fails because membership only uses
@@ -35,13 +35,13 @@
 }
 
 // notifyRevision reports the configuration revision that a peer's message carried.
-func (c *Cluster) notifyRevision(peer string, revision uint64) {
+func (c *Cluster) notifyRevision(message membership.Message) {
+	confirmation := message.Confirmation(c.options.Now())
 	c.mu.Lock()
-	c.peerRevisions[peer] = revision
 	callbacks := c.onRevision
 	c.mu.Unlock()
 	for _, callback := range callbacks {
-		callback(peer, revision)
+		callback(message.From, message.Revision, confirmation)
 	}
 }
 
@@ -52,9 +52,17 @@
 	c.machine.SetRevision(revision)
 }
 
-// OnRevision adds a callback for the configuration revision in each message of a peer. The
-// callback must not block. OnRevision must be called before Run.
-func (c *Cluster) OnRevision(callback func(peer string, revision uint64)) {
+// SetConfirmation sets the latest known confirmation of the configuration, which messages to
+// peers carry.
+func (c *Cluster) SetConfirmation(confirmation membership.Confirmation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.machine.SetConfirmation(confirmation)
+}
+
+// OnRevision adds a callback for the configuration revision in each message of a peer and the
+// confirmation of it. The callback must not block. OnRevision must be called before Run.
+func (c *Cluster) OnRevision(callback func(peer string, revision uint64, confirmation membership.Confirmation)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.onRevision = append(c.onRevision, callback)
--- a/internal/confsync/contact.go
+++ b/internal/confsync/contact.go
@@ -12,37 +12,53 @@
 // storeContact is what this instance's own reads and watches of the configuration have shown of
 // the store. Sync.mu guards it.
 type storeContact struct {
-	// confirmedAt is when the store last said what the newest revision is; zero means never.
-	confirmedAt time.Time
 	// failing is true from a failed read or watch until the next answer, failingSince the time
 	// of that failure.
 	failing      bool
 	failingSince time.Time
 }
 
-// confirmed records that the store has answered what the newest revision is.
+// confirmed records an answer of the store that no newer configuration than the one held exists.
 func (s *Sync) confirmed() {
-	now := s.options.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.contact.confirmedAt = now
+	s.recordAnswer()
+	s.confirm(s.planner.Held())
+}
+
+// confirm records that the store answered with a revision of the configuration. An older one than
+// that held confirms nothing. s.mu must be held.
+func (s *Sync) confirm(revision uint64) {
+	if revision < s.planner.Held() {
+		return
+	}
+	s.planner.Confirmed(s.options.Now())
+	s.options.Members.SetConfirmation(s.planner.Confirmation())
+}
+
+// recordAnswer records that a read or watch was answered, and logs the end of a failure. s.mu must
+// be held.
+func (s *Sync) recordAnswer() {
 	if !s.contact.failing {
 		return
 	}
 	s.contact.failing = false
-	s.options.Logger.WithField("away_ms", now.Sub(s.contact.failingSince).Milliseconds()).
+	s.options.Logger.WithField("away_ms", s.options.Now().Sub(s.contact.failingSince).Milliseconds()).
 		Info("The store confirms the configuration again")
 }
 
 // recordResult records the result of a read or watch of the configuration key. The first of
 // several failures is logged.
 func (s *Sync) recordResult(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err == nil || errors.Is(err, store.ErrNotFound) {
-		s.confirmed()
+		s.recordAnswer()
+		if err != nil {
+			s.confirm(0) // There is no configuration yet.
+		}
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.contact.failing {
 		return
 	}
@@ -54,7 +70,8 @@
 
 // Freshness says how well an instance knows whether its configuration is the newest.
 type Freshness struct {
-	// ConfirmedAt is when the store last said what the newest revision is; zero means never.
+	// ConfirmedAt is when the store last said, to this instance or to a peer that told it, that
+	// there is no newer one; zero means never.
 	ConfirmedAt time.Time
 	// Watching is whether this instance watches the store for newer revisions.
 	Watching bool
@@ -64,5 +81,5 @@
 func (s *Sync) Freshness() Freshness {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Freshness{ConfirmedAt: s.contact.confirmedAt, Watching: s.planner.Watching()}
+	return Freshness{ConfirmedAt: s.planner.Confirmation().At, Watching: s.planner.Watching()}
 }
--- a/internal/confsync/fakes_test.go
+++ b/internal/confsync/fakes_test.go
@@ -121,8 +121,10 @@
 	domain    string
 	sync      *Sync
 	revision  uint64
-	callbacks []func(string, uint64)
-	down      bool
+	callbacks []func(string, uint64, membership.Confirmation)
+
+	confirmation membership.Confirmation
+	down         bool
 }
 
 func newGroup() *group { return &group{nodes: map[string]*node{}} }
@@ -154,9 +156,9 @@
 			if from.down || to.down {
 				continue
 			}
-			revision := from.revision
+			revision, confirmation := from.revision, from.confirmation
 			for _, callback := range to.callbacks {
-				deliveries = append(deliveries, func() { callback(from.name, revision) })
+				deliveries = append(deliveries, func() { callback(from.name, revision, confirmation) })
 			}
 		}
 	}
@@ -204,7 +206,15 @@
 	n.revision = revision
 }
 
-func (n *node) OnRevision(callback func(string, uint64)) { n.callbacks = append(n.callbacks, callback) }
+func (n *node) SetConfirmation(c membership.Confirmation) {
+	n.group.mu.Lock()
+	defer n.group.mu.Unlock()
+	n.confirmation = c
+}
+
+func (n *node) OnRevision(callback func(string, uint64, membership.Confirmation)) {
+	n.callbacks = append(n.callbacks, callback)
+}
 
 func (n *node) Handle(peers.Kind, peers.Handler) {}
 
--- a/internal/confsync/fetch_planner.go
+++ b/internal/confsync/fetch_planner.go
@@ -79,7 +79,7 @@
 
 	// reachableMembers are the members that aren't dead, this instance included.
 	reachableMembers []membership.Member
-	watching         bool
+	role             watchRole
 
 	fetching  map[string]bool
 	lastFetch time.Time
@@ -94,10 +94,11 @@
 
 // NewFetchPlanner returns the state of a new instance, which has no configuration.
 func NewFetchPlanner(self string, seed uint64) *FetchPlanner {
+	// 2 selects another random stream than package cluster's, which gets the same seed.
+	random := rand.New(rand.NewPCG(seed, 2))
 	return &FetchPlanner{
-		self: self,
-		// 2 selects another random stream than package cluster's, which gets the same seed.
-		rand:          rand.New(rand.NewPCG(seed, 2)),
+		self: self, rand: random,
+		role:          watchRole{self: self, rand: random, progressInterval: watchTimeout},
 		maxRetryWait:  defaultMaxRetryWait,
 		peerRevisions: map[string]uint64{},
 		fetching:      map[string]bool{},
@@ -113,8 +114,43 @@
 // Ready reports whether the instance may serve with the configuration that it holds.
 func (p *FetchPlanner) Ready() bool { return p.ready }
 
-// Watching reports whether this instance is one of the chosen watchers of the store.
-func (p *FetchPlanner) Watching() bool { return p.watching }
+// SetProgressInterval sets the longest time between two answers of the store to a watch; without
+// it, a watch is answered once per watchTimeout at least.
+func (p *FetchPlanner) SetProgressInterval(interval time.Duration) {
+	p.role.progressInterval = interval
+}
+
+// Watching reports whether this instance watches the store.
+func (p *FetchPlanner) Watching() bool { return p.role.watching() }
+
+// Backup reports whether this instance watches the store only because it has heard of no other
+// that does so successfully.
+func (p *FetchPlanner) Backup() bool { return p.role.backup && !p.role.chosen }
+
+// Confirmed takes an answer of the store that no newer configuration than the one held exists.
+func (p *FetchPlanner) Confirmed(now time.Time) {
+	p.role.observe(membership.Confirmation{At: now, By: p.self})
+}
+
+// ObserveConfirmation takes a confirmation of a revision from a peer's message. It counts only if
+// that revision or a newer one is held.
+func (p *FetchPlanner) ObserveConfirmation(revision uint64, c membership.Confirmation) {
+	if p.held >= revision && !c.At.IsZero() {
+		p.role.observe(c)
+	}
+}
+
+// Confirmation returns the latest confirmation of the revision held; it may be none.
+func (p *FetchPlanner) Confirmation() membership.Confirmation { return p.role.latest }
+
+// WatchRetryWait returns the wait after another failed watch, given the previous wait.
+func (p *FetchPlanner) WatchRetryWait(wait time.Duration) time.Duration {
+	wait = p.nextRetryWait(wait)
+	if p.Backup() {
+		wait = max(wait, p.role.retryWait(len(p.reachableMembers)))
+	}
+	return wait
+}
 
 // Offer takes the revision of a configuration that was obtained. It reports whether the
 // revision is newer than the one held, and so comes into force.
@@ -151,10 +187,10 @@
 			delete(p.peerRevisions, name)
 		}
 	}
-	p.watching = p.chosenToWatch()
+	p.role.chosen = p.chosenToWatch()
 }
 
-// chosenToWatch reports whether this instance watches the store: whether it is among the
+// chosenToWatch reports whether this instance is chosen to watch the store: whether it is among the
 // watchersPerDomain instances of its failure domain that rank highest by a hash. Instances with
 // the same view of the members choose the same watchers. While views differ there may be a few
 // more or fewer watchers.
@@ -179,6 +215,7 @@
 
 // Tick returns the operations that are due. It must be called several times a second.
 func (p *FetchPlanner) Tick(now time.Time) []Task {
+	p.role.tick(now, len(p.reachableMembers))
 	p.updateReady(now)
 	tasks := p.dueFetch(now)
 	if p.readDue(now) {
--- a/internal/confsync/rejected_watchers_test.go
+++ b/internal/confsync/rejected_watchers_test.go
@@ -24,6 +24,8 @@
 	rejecting atomic.Bool
 }
 
+func (s *pollingStore) ProgressInterval() time.Duration { return progressInterval }
+
 func (s *pollingStore) Get(ctx context.Context, key string) (store.Entry, error) {
 	if s.rejecting.Load() {
 		return store.Entry{}, store.ErrThrottled
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -27,8 +27,12 @@
 	Member(name string) (membership.Member, bool)
 	// SetRevision sets the revision that messages to peers carry.
 	SetRevision(revision uint64)
-	// OnRevision adds a callback for the revision in each message of a peer.
-	OnRevision(callback func(peer string, revision uint64))
+	// SetConfirmation sets the latest known confirmation of the revision set by SetRevision,
+	// which messages to peers carry.
+	SetConfirmation(confirmation membership.Confirmation)
+	// OnRevision adds a callback for the revision in each message of a peer, and for the
+	// confirmation of that revision.
+	OnRevision(callback func(peer string, revision uint64, confirmation membership.Confirmation))
 }
 
 // Options configure a Sync.
@@ -112,10 +116,15 @@
 		s.planner.maxRetryWait = options.MaxRetryWait
 	}
 	options.Transport.Handle(peers.KindConfiguration, s)
-	options.Members.OnRevision(func(peer string, revision uint64) {
+	if r, ok := options.Store.(store.ProgressReporter); ok && r.ProgressInterval() > 0 {
+		s.planner.SetProgressInterval(r.ProgressInterval())
+	}
+	options.Members.OnRevision(func(peer string, revision uint64, confirmation membership.Confirmation) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.planner.ObserveRevision(peer, revision)
+		s.planner.ObserveConfirmation(revision, confirmation)
+		s.options.Members.SetConfirmation(s.planner.Confirmation())
 	})
 	return s
 }
@@ -213,6 +222,9 @@
 	s.storeRevision = max(s.storeRevision, entry.Revision)
 	s.mu.Unlock()
 	s.offer("the store", stored, entry.Value)
+	s.mu.Lock()
+	s.confirm(stored.Accepted.Revision)
+	s.mu.Unlock()
 	return nil
 }
 
--- a/internal/confsync/watch.go
+++ b/internal/confsync/watch.go
@@ -7,7 +7,7 @@
 	"limpethub/internal/pause"
 )
 
-// watchLoop watches the store while this instance is one of the chosen watchers.
+// watchLoop watches the store while the planner says so.
 func (s *Sync) watchLoop(ctx context.Context) {
 	wait := time.Duration(0)
 	watched := false
@@ -26,7 +26,10 @@
 
 func (s *Sync) logRole(watching bool) {
 	if watching {
-		s.options.Logger.Info("Watching the store for a newer configuration")
+		s.mu.Lock()
+		backup := s.planner.Backup()
+		s.mu.Unlock()
+		s.options.Logger.WithField("backup", backup).Info("Watching the store for a newer configuration")
 		return
 	}
 	s.options.Logger.Info("No longer watching the store for a newer configuration")
@@ -60,5 +63,5 @@
 	// ErrNotFound means that the key was deleted. The next watch waits as after a failure.
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.planner.nextRetryWait(previousWait)
+	return s.planner.WatchRetryWait(previousWait)
 }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -22,7 +22,7 @@
 			accepted, _ := d.confsync.Current()
 			return float64(accepted.Revision)
 		}),
-		gauge("limpethub_configuration_confirmed_age_seconds", "Seconds since this instance last learned from the store what the newest configuration is; since its start if it never has.", d.configurationAge),
+		gauge("limpethub_configuration_confirmed_age_seconds", "Seconds since the store last said, to this instance or to a peer that passed it on, that there is no newer configuration; since the start if it never has.", d.configurationAge),
 		gauge("limpethub_configuration_watching", "1 while this instance watches the store for a newer configuration, otherwise 0.", func() float64 {
 			if d.confsync.Freshness().Watching {
 				return 1
--- a/internal/fleet/operator_test.go
+++ b/internal/fleet/operator_test.go
@@ -82,7 +82,7 @@
 	}
 	switch a.applier.Step() {
 	case confsync.StepRead:
-		a.n.w.store.get(func(entry *storeEntry, err error) { a.finishStoreCall(func() { a.read(entry, err) }) })
+		a.n.w.store.get(a.n.id.Name, func(entry *storeEntry, err error) { a.finishStoreCall(func() { a.read(entry, err) }) })
 	case confsync.StepWrite:
 		a.write()
 	case confsync.StepDone:
--- a/internal/fleet/spread_test.go
+++ b/internal/fleet/spread_test.go
@@ -72,11 +72,12 @@
 
 func (n *instance) readStore() {
 	epoch := n.epoch
-	n.w.store.get(func(entry *storeEntry, err error) {
+	n.w.store.get(n.id.Name, func(entry *storeEntry, err error) {
 		n.runUnlessPaused(epoch, func() {
 			if err == nil && entry != nil {
 				n.storeRevision = max(n.storeRevision, entry.revision)
 				n.offer(entry.stored)
+				n.confirmed()
 			}
 			n.fetchPlanner.StoreRead(n.w.now, err)
 		})
@@ -86,17 +87,29 @@
 func (n *instance) watch() {
 	epoch := n.epoch
 	n.watching = true
-	n.w.store.watch(n.storeRevision, func(entry *storeEntry, err error) {
+	n.w.store.watch(n.id.Name, n.storeRevision, func(entry *storeEntry, err error) {
 		n.runUnlessPaused(epoch, func() {
-			if err == nil && entry != nil {
+			pause := time.Second
+			switch {
+			case err == nil && entry != nil:
 				n.storeRevision = max(n.storeRevision, entry.revision)
 				n.offer(entry.stored)
+				n.confirmed()
+			case errors.Is(err, errUnchanged):
+				n.confirmed()
+				pause = 0
 			}
-			n.w.schedule(time.Second, func() { n.allowWatch(epoch) })
+			n.w.schedule(pause, func() { n.allowWatch(epoch) })
 		})
 	})
 }
 
+// confirmed records an answer of the store that no newer configuration than the one held exists.
+func (n *instance) confirmed() {
+	n.fetchPlanner.Confirmed(n.w.now)
+	n.machine.SetConfirmation(n.fetchPlanner.Confirmation())
+}
+
 // allowWatch lets the process start its next watch, if it is still the same process.
 func (n *instance) allowWatch(epoch int) {
 	if n.epoch == epoch {
--- a/internal/fleet/store_test.go
+++ b/internal/fleet/store_test.go
@@ -8,7 +8,11 @@
 	"limpethub/internal/store"
 )
 
-var errUnreachable = errors.New("store is unreachable")
+var (
+	errUnreachable = errors.New("store is unreachable")
+	// errUnchanged ends a watch that has waited for watchTimeout without a change.
+	errUnchanged = errors.New("nothing has changed")
+)
 
 // storeEntry is one value that the configuration's key has had.
 type storeEntry struct {
@@ -23,7 +27,9 @@
 	entries  []storeEntry
 	watchers []*watcher
 
-	unreachable   bool
+	unreachable bool
+	// rejected holds the names of instances that get no answer.
+	rejected      map[string]bool
 	extraLatency  time.Duration
 	stalePerMille int // of 1,000 reads, how many return a random one of the values so far
 	lostPerMille  int // of 1,000 writes, how many take effect without an answer
@@ -34,13 +40,14 @@
 
 // watcher is a pending watch for an entry with a revision above afterRevision.
 type watcher struct {
+	instance      string
 	afterRevision int
 	done          func(*storeEntry, error)
 }
 
 const (
 	storeTimeout = 2 * time.Second
-	watchTimeout = 5 * time.Second
+	watchTimeout = time.Second
 )
 
 func (s *fakeStore) latency() time.Duration { return s.extraLatency + 2*time.Millisecond }
@@ -53,11 +60,11 @@
 }
 
 // get reads the key. A nil entry means that the key is absent.
-func (s *fakeStore) get(done func(*storeEntry, error)) {
+func (s *fakeStore) get(instance string, done func(*storeEntry, error)) {
 	s.calls++
 	s.w.schedule(s.latency(), func() {
 		switch {
-		case s.unreachable:
+		case s.unreachable, s.rejected[instance]:
 			done(nil, errUnreachable)
 		case len(s.entries) > 1 && s.w.random.IntN(1000) < s.stalePerMille:
 			done(&s.entries[s.w.random.IntN(len(s.entries))], nil)
@@ -100,11 +107,11 @@
 }
 
 // watch waits for an entry with a revision above afterRevision, for at most watchTimeout.
-func (s *fakeStore) watch(afterRevision int, done func(*storeEntry, error)) {
+func (s *fakeStore) watch(instance string, afterRevision int, done func(*storeEntry, error)) {
 	s.calls++
-	w := &watcher{afterRevision: afterRevision, done: done}
+	w := &watcher{instance: instance, afterRevision: afterRevision, done: done}
 	s.watchers = append(s.watchers, w)
-	s.w.schedule(watchTimeout, func() { s.finishWatch(w, nil, errTimeout) })
+	s.w.schedule(watchTimeout, func() { s.finishWatch(w, nil, errUnchanged) })
 	s.w.schedule(s.latency(), s.notifyWatchers)
 }
 
@@ -113,7 +120,7 @@
 	latest := s.latest()
 	for _, w := range append([]*watcher(nil), s.watchers...) {
 		switch {
-		case s.unreachable:
+		case s.unreachable, s.rejected[w.instance]:
 			s.finishWatch(w, nil, errUnreachable)
 		case latest != nil && latest.revision > w.afterRevision:
 			s.finishWatch(w, latest, nil)
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -151,6 +151,7 @@
 	seed := n.w.random.Uint64()
 	n.machine = membership.New(n.id, incarnation, n.w.settings, seed)
 	n.fetchPlanner = confsync.NewFetchPlanner(n.id.Name, seed)
+	n.fetchPlanner.SetProgressInterval(watchTimeout)
 	n.held, n.storeRevision, n.watching, n.membersVersion = confsync.Stored{}, 0, false, 0
 	n.w.oracle.processStarted(n)
 	n.every(membershipTickPeriod, func() { n.send(n.machine.Tick(n.w.now)) })
@@ -216,6 +217,8 @@
 
 func (n *instance) receive(message membership.Message) {
 	n.fetchPlanner.ObserveRevision(message.From, message.Revision)
+	n.fetchPlanner.ObserveConfirmation(message.Revision, message.Confirmation(n.w.now))
+	n.machine.SetConfirmation(n.fetchPlanner.Confirmation())
 	n.send(n.machine.Receive(n.w.now, message))
 }
 
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -63,7 +63,7 @@
 // it. Messages of TypeRecords are sent by sendBatch instead.
 func (m *Machine) send(now time.Time, to *member, message Message) {
 	message.From = m.self.Name
-	message.Revision = m.revision
+	m.setConfiguration(now, &message)
 	size := 0
 	if message.Type == TypePing || message.Type == TypeSync {
 		message.Records = append(message.Records, m.self.record(true))
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -40,8 +40,9 @@
 
 	self *member
 	// revision is the configuration revision that messages to peers carry.
-	revision uint64
-	members  map[string]*member
+	revision     uint64
+	confirmation Confirmation
+	members      map[string]*member
 	// memberList holds the same members as the map, in the order in which they were added.
 	memberList []*member
 	suspects   map[string]*member
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -76,10 +76,18 @@
 	// More reports, for TypeRecords, that records were left out because of maxSyncMessages or
 	// the rate limit for records.
 	More bool `cbor:"8,keyasint,omitempty"`
+	// ConfirmedBy and ConfirmedAgeMillis are the latest confirmation that the sender knows of
+	// Revision, and its age; empty without one.
+	ConfirmedBy        string `cbor:"9,keyasint,omitempty"`
+	ConfirmedAgeMillis int64  `cbor:"10,keyasint,omitempty"`
 }
 
-// maxNameBytes limits the names and peer addresses in a received message.
-const maxNameBytes = 128
+const (
+	// maxNameBytes limits the names and peer addresses in a received message.
+	maxNameBytes = 128
+	// maxConfirmedAgeMillis limits the age of a confirmation in a received message; a year.
+	maxConfirmedAgeMillis = 365 * 24 * 3600 * 1000
+)
 
 // Encode returns the message's wire form.
 func (m Message) Encode() ([]byte, error) {
@@ -93,7 +101,7 @@
 	return data, nil
 }
 
-var errMalformed = errors.New("membership: malformed message: invalid type, name, status or peer address")
+var errMalformed = errors.New("membership: malformed message: invalid type, name, status, peer address or age")
 
 // Decode parses a message from its wire form.
 func Decode(data []byte) (Message, error) {
@@ -101,7 +109,8 @@
 	if err := cbor.Unmarshal(data, &m); err != nil {
 		return Message{}, fmt.Errorf("membership: decode message: %w", err)
 	}
-	if m.Type < TypePing || m.Type > TypeRecords || !validName(m.From) || len(m.Target) > maxNameBytes {
+	if m.Type < TypePing || m.Type > TypeRecords || !validName(m.From) || len(m.Target) > maxNameBytes ||
+		len(m.ConfirmedBy) > maxNameBytes || m.ConfirmedAgeMillis < 0 || m.ConfirmedAgeMillis > maxConfirmedAgeMillis {
 		return Message{}, errMalformed
 	}
 	for _, r := range m.Records {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -141,6 +141,13 @@
 	Revoke(ctx context.Context, lease LeaseID) error
 }
 
+// ProgressReporter is implemented by those Stores whose Watch calls progress regularly.
+type ProgressReporter interface {
+	// ProgressInterval returns the longest time between two calls of progress while the store
+	// answers; 0 means that there is no bound.
+	ProgressInterval() time.Duration
+}
+
 // Listing holds all keys below a prefix. They may be read one after the other, so
 // that their values can be of slightly different times.
 type Listing struct {
--- a/internal/storecall/storecall.go
+++ b/internal/storecall/storecall.go
@@ -79,8 +79,9 @@
 }
 
 var (
-	_ store.Store        = (*Store)(nil)
-	_ store.PrefixReader = (*Store)(nil)
+	_ store.Store            = (*Store)(nil)
+	_ store.PrefixReader     = (*Store)(nil)
+	_ store.ProgressReporter = (*Store)(nil)
 )
 
 var errNoPrefixReader = errors.New("storecall: the store can't read or watch all keys below a prefix")
@@ -153,6 +154,14 @@
 	})
 }
 
+// ProgressInterval implements store.ProgressReporter; 0 if the wrapped store doesn't.
+func (s *Store) ProgressInterval() time.Duration {
+	if reporter, ok := s.options.Store.(store.ProgressReporter); ok {
+		return reporter.ProgressInterval()
+	}
+	return 0
+}
+
 func (s *Store) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
 	return call(ctx, s, opGrant, s.options.Timeout, func(ctx context.Context) (store.LeaseID, error) {
 		return s.options.Store.Grant(ctx, ttl)
