Configuration: a store that counts revisions again doesn't blind the watch

What callers would see: after the store has lost writes, changes in force only at a read of each instance's own, 30 to 90 s apart, until its count passes the highest seen before.

Change: the watch waits until the revision is another one than that which was read last; an answer that counts lower than the one before ends it like a lost history.

TestChangeIsInForceAfterRevisionsOfTheStoreWentBack: before '602 calls of the store by 3 instances in 20s without a change, want at most two each', since the revision kept was too high for good.

--- a/internal/confsync/fakes_test.go
+++ b/internal/confsync/fakes_test.go
@@ -90,7 +90,7 @@
 		if unavailable {
 			return store.Entry{}, errFake
 		}
-		if entry.Revision > after {
+		if entry.Revision != after {
 			return entry, nil
 		}
 		progress()
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -83,7 +83,7 @@
 	// held is the configuration in force, heldValue its stored form.
 	held      Stored
 	heldValue []byte
-	// storeRevision is the highest revision of the key that was read from the store. The
+	// storeRevision is the revision that the key had when it was last read from the store. The
 	// store's revisions differ from those of the configuration.
 	storeRevision store.Revision
 	contact       storeContact
@@ -219,7 +219,7 @@
 		return err
 	}
 	s.mu.Lock()
-	s.storeRevision = max(s.storeRevision, entry.Revision)
+	s.storeRevision = entry.Revision
 	s.mu.Unlock()
 	s.offer("the store", stored, entry.Value)
 	s.mu.Lock()
--- a/internal/confsync/sync_test.go
+++ b/internal/confsync/sync_test.go
@@ -229,3 +229,35 @@
 		}
 	})
 }
+
+// TestChangeIsInForceAfterRevisionsOfTheStoreWentBack guards against an instance that waits for a
+// revision of the store above the highest that it has seen, while the store, which has lost
+// writes, counts again from a lower one.
+func TestChangeIsInForceAfterRevisionsOfTheStoreWentBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var wg sync.WaitGroup
+		s := newMemoryStore()
+		_, nodes, cancel := runGroup(t, 3, s, &wg)
+		defer wg.Wait()
+		defer cancel()
+		for revision := uint64(1); revision <= 5; revision++ {
+			writeRevision(t, s, revision)
+		}
+		time.Sleep(3 * time.Second)
+		wantRevision(t, nodes, 5)
+		s.mu.Lock()
+		s.entry.Revision = 10
+		s.mu.Unlock()
+		for revision := uint64(6); revision <= 7; revision++ {
+			writeRevision(t, s, revision)
+			time.Sleep(3 * time.Second)
+			wantRevision(t, nodes, revision)
+		}
+		before := s.callCount()
+		time.Sleep(watchTimeout)
+		// Each instance ends one watch, and may read once to make sure.
+		if calls := s.callCount() - before; calls > 2*len(nodes) {
+			t.Errorf("%d calls of the store by %d instances in %v without a change, want at most two each", calls, len(nodes), watchTimeout)
+		}
+	})
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -125,11 +125,12 @@
 	// Delete removes a key. It returns ErrConflict if the key's revision is not the
 	// expected one.
 	Delete(ctx context.Context, key string, expected Revision) error
-	// Watch blocks until the key's revision is above after, and returns the entry. It
-	// returns ErrNotFound if the key was deleted. If the key is absent and after is 0, an
+	// Watch blocks until the key's revision is above after, and returns the entry. A revision
+	// below after also ends it, if the implementation learns of one: the store has lost
+	// writes, and counts again. It returns ErrNotFound if the key was deleted. If the key is absent and after is 0, an
 	// implementation may wait for its creation or return ErrNotFound at once. It calls
-	// progress, which must not block, each time that the store says that the revision isn't
-	// above after yet.
+	// progress, which must not block, each time that the store says that the revision is
+	// still the same.
 	Watch(ctx context.Context, key string, after Revision, progress func()) (Entry, error)
 	// Grant creates a lease that expires ttl after its last renewal.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
