Soak: faults of many instances at once, and configurations judged

Change: three kinds of faults (the store rejects all instances but one; it goes silent for all and its connections stay silent; all instances but one are killed at once), with a random sequence of their own, so that the schedules of earlier seeds are parts of those that they have now. Only faults of the whole store and of the instance itself excuse a late configuration there; an instance that reaches the store doesn't depend on others. After the last fault two more configurations are written, each with time to be found late.

Tests: TestOnlyFaultsOfTheInstanceOrStoreExcuseALateConfiguration (fails with the old filter); TestScheduleDependsOnlyOnSeed counts the new kinds too.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -59,6 +59,7 @@
 	s.store.LoseAnswers(nil)
 	for _, i := range s.instances {
 		i.storeLink.SetFaults(faultproxy.NoFaults())
+		s.acceptConnections(i.storeLink)
 		i.peersLink.SetFaults(faultproxy.UDPFaults{})
 		i.signal(syscall.SIGCONT, false)
 	}
@@ -75,6 +76,10 @@
 	waitForEnd := func() { sleepUntil(end, done) }
 	switch scopeOf(e.Kind) {
 	case onInstance:
+		if e.Kind == KillMost {
+			s.killAllBut(s.instances[e.Target%len(s.instances)], waitForEnd)
+			return
+		}
 		s.injectOnInstance(e.Kind, s.instances[e.Target%len(s.instances)], waitForEnd)
 	case onStore:
 		s.injectOnStore(e.Kind, s.instances[e.Target%len(s.instances)], waitForEnd)
@@ -100,11 +105,31 @@
 		s.stopInstance(i)
 	}
 	waitForEnd()
+	s.startInstance(i)
+}
+
+// startInstance starts an instance unless it is running. A failed start is recorded as a violation.
+func (s *site) startInstance(i *instance) {
 	if err := i.start(); err != nil {
 		s.judge.RecordViolation(StaysUp, s.now(), "start of instance %d failed: %v", i.number, err)
 	}
 }
 
+// killAllBut kills all instances but one at the same time, and starts them again together.
+func (s *site) killAllBut(spared *instance, waitForEnd func()) {
+	var killed sync.WaitGroup
+	for _, i := range s.instances {
+		if i != spared {
+			killed.Go(i.kill)
+		}
+	}
+	killed.Wait()
+	waitForEnd()
+	for _, i := range s.instances {
+		s.startInstance(i)
+	}
+}
+
 // stopInstance asks an instance to stop and waits for its end. It kills the instance after
 // killAfter.
 func (s *site) stopInstance(i *instance) {
@@ -151,6 +176,18 @@
 		older := s.store.Copy()
 		waitForEnd()
 		s.restoreStore(older)
+	case StoreRejectsMost:
+		s.forOtherLinks(i, func(link *faultproxy.Proxy) { link.Close() })
+		waitForEnd()
+		s.forOtherLinks(i, s.acceptConnections)
+	case StoreSilent:
+		faults.DropToClient = true
+		s.forOtherLinks(nil, func(link *faultproxy.Proxy) { link.SetFaults(faults) })
+		waitForEnd()
+		s.forOtherLinks(nil, func(link *faultproxy.Proxy) {
+			link.SilenceOpen()
+			link.SetFaults(faultproxy.NoFaults())
+		})
 	case StoreLinkSilent:
 		i.storeLink.SilenceOpen()
 	case StoreLinkReset:
@@ -163,6 +200,23 @@
 	}
 }
 
+// forOtherLinks calls f for the connections to the store of all instances but one; nil spares none.
+func (s *site) forOtherLinks(spared *instance, f func(link *faultproxy.Proxy)) {
+	for _, i := range s.instances {
+		if i != spared {
+			f(i.storeLink)
+		}
+	}
+}
+
+// acceptConnections lets a link take connections again. A failure is recorded as a violation, so
+// that the run counts as failed.
+func (s *site) acceptConnections(link *faultproxy.Proxy) {
+	if err := link.Accept(); err != nil {
+		s.judge.RecordViolation(StaysUp, s.now(), "a connection to the store can't be opened again: %v", err)
+	}
+}
+
 // restoreStore makes the store come back from an older copy. The operators and the servers that
 // run write again what they wrote; nobody else does.
 func (s *site) restoreStore(older standin.Copy) {
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -196,7 +196,34 @@
 // interruptsInstance returns a filter for the faults that pause or kill an instance.
 func interruptsInstance(instance int) func(Event) bool {
 	return func(e Event) bool {
-		return (e.Kind == PauseInstance || e.Kind == KillInstance) && e.Target == instance
+		switch e.Kind {
+		case PauseInstance, KillInstance:
+			return e.Target == instance
+		case KillMost:
+			return e.Target != instance
+		}
+		return false
+	}
+}
+
+// delaysConfiguration returns a filter for the faults that may delay a configuration at an instance:
+// those of the whole store, and those of the instance's process and connections. Others may not,
+// since an instance that reaches the store doesn't depend on any other one.
+func delaysConfiguration(instance int) func(Event) bool {
+	return func(e Event) bool {
+		switch e.Kind {
+		case StoreRejectsMost, KillMost:
+			return e.Target != instance
+		case StoreLinkSilent, StoreLinkReset, StoreLinkOneWay:
+			return e.Target == instance
+		}
+		switch scopeOf(e.Kind) {
+		case onStore:
+			return true
+		case onInstance, onPeers:
+			return e.Target == instance
+		}
+		return false
 	}
 }
 
--- a/internal/soak/judge_fleet.go
+++ b/internal/soak/judge_fleet.go
@@ -142,7 +142,7 @@
 			j.addViolation(VersionNeverGoesBack, r.Ended, "instance %d no longer serves version %d", r.Instance, r.Version)
 		}
 	}
-	excused := j.excusedUntil(r.Ended, inScopes(onStore, onInstance, onPeers))
+	excused := j.excusedUntil(r.Ended, delaysConfiguration(r.Instance))
 	if r.Version != newest.version || r.Began < max(newest.writtenAt, j.startTimes[r.processID()], excused)+j.limits.InForceLag {
 		return
 	}
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -207,6 +207,33 @@
 	}
 }
 
+// TestOnlyFaultsOfTheInstanceOrStoreExcuseALateConfiguration guards against a judge that excuses an
+// instance which reaches the store by a fault of another one, as by nearly any fault.
+func TestOnlyFaultsOfTheInstanceOrStoreExcuseALateConfiguration(t *testing.T) {
+	for _, c := range []struct {
+		kind    FaultKind
+		target  int
+		excused bool
+	}{
+		{StoreDown, 0, true}, {StoreSilent, 0, true},
+		{StoreLinkOneWay, 1, true}, {StoreLinkOneWay, 0, false},
+		{KillInstance, 1, true}, {KillInstance, 0, false}, {PauseInstance, 0, false},
+		{PeersOneWay, 1, true}, {PeersOneWay, 0, false},
+		{KillMost, 0, true}, {KillMost, 1, false},
+		{StoreRejectsMost, 0, true}, {StoreRejectsMost, 1, false},
+		{ServerDown, 1, false},
+	} {
+		j := newTestJudge(Event{Kind: c.kind, Target: c.target, At: time.Second, For: 4 * time.Second})
+		j.setScheduleStart(0)
+		j.Started(1, 1, 0)
+		j.Written(2, 1500*ms)
+		j.Answered(Request{Kind: Probe, Version: 2, Instance: 1, StartNumber: 1, Answer: standin.Answer{Status: 404}, Began: 4900 * ms, Ended: 4910 * ms})
+		if broken := len(j.Violations()) > 0; broken == c.excused {
+			t.Errorf("%s of %d: instance 1 late by 3.4 s gave violations %v, want excused %v", c.kind, c.target, j.Violations(), c.excused)
+		}
+	}
+}
+
 // TestScheduleDependsOnlyOnSeed checks that a seed always gives the same schedule, so that a
 // failed run can be repeated. Also, neighboring seeds give different schedules, events
 // keep to the bounds of their times, and 50 seeds include all kinds of faults.
@@ -227,7 +254,7 @@
 			}
 		}
 	}
-	if want := len(faultKinds) + len(laterFaultKinds); len(planned) != want {
+	if want := len(faultKinds) + len(laterFaultKinds) + len(fleetFaultKinds); len(planned) != want {
 		t.Errorf("50 seeds: got %d kinds of faults, want %d", len(planned), want)
 	}
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -98,11 +98,25 @@
 	s.judge.setScheduleStart(s.now())
 	s.runSchedule(o.Events, begin, ctx.Done())
 	recovered = s.checkRecovery(ctx)
+	s.changeConfigurationAfterFaults(ctx)
 	cancel()
 	<-loadEnded
 	return recovered
 }
 
+// changesAfterFaults is how many configurations are written after the last fault.
+const changesAfterFaults = 2
+
+// changeConfigurationAfterFaults writes configurations once no fault excuses a delay any more, each
+// with time for the probes to find it late. Without this, faults would excuse nearly all delays.
+func (s *site) changeConfigurationAfterFaults(ctx context.Context) {
+	sleepUntil(time.Now().Add(faultMargin), ctx.Done())
+	for range changesAfterFaults {
+		s.writeConfiguration()
+		sleepUntil(time.Now().Add(limits.InForceLag+time.Second), ctx.Done())
+	}
+}
+
 // checkRecovery sends requests of all kinds to each instance, in rounds, until a round in which
 // all succeed. It returns how long that took, and records a violation after recoveryTimeout.
 func (s *site) checkRecovery(ctx context.Context) (took time.Duration) {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -66,6 +66,14 @@
 	StoreRestored FaultKind = "store-restored"
 	// ServerPauses makes a server refuse all requests with a time to come back.
 	ServerPauses FaultKind = "server-pauses"
+	// StoreRejectsMost makes the store accept no connections of any instance but the target.
+	StoreRejectsMost FaultKind = "store-rejects-most"
+	// StoreSilent loses all answers of the store. The connections that are open at the end stay
+	// open but pass nothing any more.
+	StoreSilent FaultKind = "store-silent"
+	// KillMost kills the processes of all instances but the target. They are started again after
+	// the event's duration.
+	KillMost FaultKind = "instances-kill-most"
 )
 
 // scope says which part of the site a kind of fault affects.
@@ -99,8 +107,12 @@
 // so that the schedules of earlier seeds are parts of those that they have now.
 var laterFaultKinds = []scopedKind{{StoreRestored, onStore}, {ServerPauses, onServer}}
 
+// fleetFaultKinds lists the kinds that affect several instances at once. They have a random sequence
+// of their own for the same reason.
+var fleetFaultKinds = []scopedKind{{StoreRejectsMost, onStore}, {StoreSilent, onStore}, {KillMost, onInstance}}
+
 func scopeOf(kind FaultKind) scope {
-	for _, k := range slices.Concat(faultKinds, laterFaultKinds) {
+	for _, k := range slices.Concat(faultKinds, laterFaultKinds, fleetFaultKinds) {
 		if k.kind == kind {
 			return k.scope
 		}
@@ -136,10 +148,12 @@
 func (s Size) Servers() int { return s.Plain + s.Engines }
 
 const (
-	// meanSeriesGap is the mean time between the starts of two series of faults, and
-	// laterMeanSeriesGap that between two series of laterFaultKinds.
+	// meanSeriesGap is the mean time between the starts of two series of faults,
+	// laterMeanSeriesGap that between two series of laterFaultKinds, and fleetMeanSeriesGap that
+	// of fleetFaultKinds.
 	meanSeriesGap      = 1200 * time.Millisecond
 	laterMeanSeriesGap = 6 * time.Second
+	fleetMeanSeriesGap = 7 * time.Second
 	// minFaultDuration and maxFaultDuration bound how long a fault lasts.
 	minFaultDuration = 100 * time.Millisecond
 	maxFaultDuration = 4 * time.Second
@@ -150,10 +164,11 @@
 // Plan returns the schedule of a seed. It consists of series of faults. All faults of a series are
 // of one kind and begin within one second. Faults may overlap, also those of one series.
 func Plan(seed uint64, size Size) []Event {
-	// The second values, 13 and 14, differ from those of the callers (100 and up), so that they
+	// The second values, 13 to 15, differ from those of the callers (100 and up), so that they
 	// get other random sequences.
 	out := planSeries(rand.New(rand.NewPCG(seed, 13)), faultKinds, meanSeriesGap, size)
 	out = append(out, planSeries(rand.New(rand.NewPCG(seed, 14)), laterFaultKinds, laterMeanSeriesGap, size)...)
+	out = append(out, planSeries(rand.New(rand.NewPCG(seed, 15)), fleetFaultKinds, fleetMeanSeriesGap, size)...)
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
