--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -77,10 +77,9 @@
 	byteBudget *rate.Limiter
 	stats      stats
 
-	mu       sync.Mutex
-	machine  *membership.Machine
-	rand     *rand.Rand
-	lastList []instancelist.Instance
+	mu      sync.Mutex
+	machine *membership.Machine
+	rand    *rand.Rand
 	// members is the list of members at membersVersion, the version of the state machine.
 	members        []membership.Member
 	membersVersion uint64
@@ -186,7 +185,6 @@
 		return false
 	}
 	c.step(func(m *membership.Machine, now time.Time) []membership.OutgoingMessage {
-		c.lastList = list
 		foundNew = m.SetListed(now, instancesInMembership(list))
 		return nil
 	})
--- a/internal/store/etcdstore/etcdstore_test.go
+++ b/internal/store/etcdstore/etcdstore_test.go
@@ -91,6 +91,21 @@
 	}
 }
 
+// TestWatchReportsProgress guards against a watch that doesn't say that the service has accepted
+// it: callers take that as word that nothing has changed so far.
+func TestWatchReportsProgress(t *testing.T) {
+	_, s := newStore(t, kvstore.Options{})
+	first, err := s.CompareAndSwap(t.Context(), "k", []byte("1"), 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	if _, err := s.Watch(ctx, "k", first, cancel); !errors.Is(err, context.Canceled) {
+		t.Errorf("a watch whose first progress ends it: got error %v, want context canceled", err)
+	}
+}
+
 // TestWatchSurvivesCompaction watches from a revision whose history etcd has discarded:
 // the key is written more often than the stand-in keeps events (4096). Without a fresh
 // read, such a watch fails or misses the current value.
