--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -184,6 +184,9 @@
 	switch task.Action {
 	case ActionFetch:
 		err := s.fetch(ctx, task.Peer)
+		if err != nil && ctx.Err() == nil {
+			s.options.Logger.WithError(err).WithField("peer", task.Peer).Info("Fetching the configuration from a peer failed")
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.planner.Fetched(s.options.Now(), task.Peer, err)
