--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -34,7 +34,8 @@
 	return nil, errors.New("cluster: membership accepts no calls")
 }
 
-// notifyRevision reports the configuration revision that a peer's message carried.
+// notifyRevision reports the configuration revision and the confirmation that a peer's message
+// carried.
 func (c *Cluster) notifyRevision(message membership.Message) {
 	confirmation := message.Confirmation(c.options.Now())
 	c.mu.Lock()
--- a/internal/confsync/contact.go
+++ b/internal/confsync/contact.go
@@ -18,8 +18,9 @@
 	failingSince time.Time
 }
 
-// confirmed records an answer of the store that no newer configuration than the one held exists.
-func (s *Sync) confirmed() {
+// watchProgress records an answer of the store to a watch: that no newer configuration than the one
+// held exists.
+func (s *Sync) watchProgress() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.recordAnswer()
--- a/internal/confsync/watch.go
+++ b/internal/confsync/watch.go
@@ -49,7 +49,7 @@
 	s.mu.Lock()
 	after := s.storeRevision
 	s.mu.Unlock()
-	entry, err := s.options.Store.Watch(watchCtx, s.key, after, s.confirmed)
+	entry, err := s.options.Store.Watch(watchCtx, s.key, after, s.watchProgress)
 	switch {
 	case err == nil:
 		err = s.offerEntry(entry)
