Logs tell repeats of a request, and ends of servers without models

A request has a new id each time it comes, and ends of servers were only noticed for requests with parts of prompts.

The key comes from the settings, so that all instances have the same one without a word between them; callers don't know it. 'Ended' names the identity, 'A server ended while requests ran on it' those on it whose answers hadn't begun, and it is logged whatever the requests were. Nothing is decided by it yet.

Weighed: a random key that instances agree on (a fact in heartbeats, a key in the store): an instance that starts while the store is silent and no peer answers would have another one, and evidence would be lost when two keys meet. A non-keyed hash: callers could make two requests of theirs look alike.

--- a/internal/crashwatch/watch.go
+++ b/internal/crashwatch/watch.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -48,6 +49,8 @@
 	// Parts are the prompt parts of those requests whose answers weren't proven, without repeats, in
 	// the order of partsInTurn.
 	Parts []request.Part
+	// Identities are the identities of the same requests, without repeats.
+	Identities []request.Identity
 	// Models are the models of the same requests, without repeats.
 	Models []modelref.Ref
 }
@@ -104,10 +107,11 @@
 
 // Run is one attempt of a request on a server.
 type Run struct {
-	watch   *Watch
-	process process
-	parts   []request.Part
-	model   modelref.Ref
+	watch    *Watch
+	process  process
+	identity request.Identity
+	parts    []request.Part
+	model    modelref.Ref
 	// begunAt is when the first event arrived; zero before. proven is true once OnProven was called.
 	begunAt time.Time
 	proven  bool
@@ -115,7 +119,7 @@
 
 // Start records that an attempt of a request begins on a server.
 func (w *Watch) Start(server engine.Server, r *request.Request) *Run {
-	run := &Run{watch: w, process: processOf(server), parts: r.Parts, model: r.Model}
+	run := &Run{watch: w, process: processOf(server), identity: r.Identity, parts: r.Parts, model: r.Model}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	p := w.processes[run.process]
@@ -257,11 +261,14 @@
 		if r.model != "" && !slices.Contains(ended.Models, r.model) {
 			ended.Models = append(ended.Models, r.model)
 		}
+		if r.identity != 0 && !slices.Contains(ended.Identities, r.identity) {
+			ended.Identities = append(ended.Identities, r.identity)
+		}
 	}
 	ended.Parts = partsInTurn(unproven)
 	w.options.Logger.WithFields(logrus.Fields{
 		"server": p.server.Name, "address": p.server.Address, "requests": ended.Requests,
-		"parts": texts(ended.Parts), "models": ended.Models,
+		"parts": texts(ended.Parts), "identities": texts(ended.Identities), "models": ended.Models,
 	}).Warn("A server ended while requests ran on it")
 	if w.options.OnEnded != nil {
 		w.options.OnEnded(ended)
@@ -296,10 +303,10 @@
 	return out
 }
 
-func texts(parts []request.Part) []string {
-	out := make([]string, len(parts))
-	for i, part := range parts {
-		out[i] = part.String()
+func texts[T fmt.Stringer](hashes []T) []string {
+	out := make([]string, len(hashes))
+	for i, h := range hashes {
+		out[i] = h.String()
 	}
 	return out
 }
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -133,6 +133,7 @@
 		Relay:         h.relay,
 		Configuration: h.inForce.Load,
 		Entries:       d.hostedEntries,
+		Identities:    request.NewIdentityHasher(d.settings.SharedIdentityKey()),
 		Observe:       d.requestMetrics.ObserveRequest,
 		Logger:        d.log(logging.Gateway),
 		Now:           time.Now,
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -303,10 +303,9 @@
 
 func (e *brokenAnswerError) Unwrap() error { return e.err }
 
-// startRun tells the crash watch that an attempt begins. It returns nil if there is no watch, or no
-// prompt that could crash the server.
+// startRun tells the crash watch that an attempt begins. It returns nil if there is no watch.
 func (r *Relay) startRun(server engine.Server, request *request.Request) *crashwatch.Run {
-	if r.options.Crashes == nil || len(request.Parts) == 0 {
+	if r.options.Crashes == nil {
 		return nil
 	}
 	return r.options.Crashes.Start(server, request)
--- a/internal/request/part.go
+++ b/internal/request/part.go
@@ -14,11 +14,7 @@
 func PartOf(id string) Part { return Part(xxhash.Sum64String(id)) }
 
 // String returns the part as 16 hexadecimal digits, as it stands in logs.
-func (p Part) String() string {
-	text := strconv.FormatUint(uint64(p), 16)
-	const digits = "0000000000000000"
-	return digits[len(text):] + text
-}
+func (p Part) String() string { return hexDigits(uint64(p)) }
 
 // ParsePart parses what String returns.
 func ParsePart(text string) (Part, error) {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -35,6 +35,8 @@
 // Request is the part of a caller's request that routing needs. The body is in engine.Call.
 type Request struct {
 	ID ID
+	// Identity is the same for each repeat of the request; zero if it is unknown.
+	Identity Identity
 	// Model is the requested model or adapter version; empty for a service call.
 	Model modelref.Ref
 	// Service is the requested service of the configuration: a plain service or, for a request
