--- a/internal/partguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -1,7 +1,8 @@
-// Package partguard keeps requests whose prompts crash servers away from the servers. It feeds
+// Package crashguard keeps requests that crash servers, by a part of their prompts or as a whole, away
+// from the servers. It feeds
 // package quarantine with the evidence of this instance, which package crashwatch collects, and with
 // that of all others, and makes requests wait, go one by one or end by its findings.
-package partguard
+package crashguard
 
 import (
 	"encoding/binary"
@@ -33,26 +34,26 @@
 type Options struct {
 	// Publish spreads a fact to all instances. It must not call the Guard.
 	Publish func(gossip.Timed)
-	// MayTry reports whether this instance is the one to try a part again whose quarantine is over.
-	MayTry func(request.Part) bool
+	// MayTry reports whether this instance is the one to try a subject again whose quarantine is over.
+	MayTry func(quarantine.Subject) bool
 	Logger *logrus.Entry
 	Now    func() time.Time
 }
 
-// Guard admits requests by the parts of their prompts. It is safe for concurrent use.
+// Guard admits requests by what is known of their subjects. It is safe for concurrent use.
 type Guard struct {
 	options Options
 
 	mu       sync.Mutex
 	evidence *quarantine.Evidence
-	// tickets holds the requests in progress whose prompts have parts.
+	// tickets holds the requests in progress that have subjects.
 	tickets map[*Ticket]struct{}
 	// changed is closed and replaced when a waiting request has to look again.
 	changed chan struct{}
 	// told is when this instance last told the others of a proof.
-	told map[request.Part]time.Time
-	// listed holds the findings of the last recheck, by part.
-	listed       map[request.Part]quarantine.Finding
+	told map[quarantine.Subject]time.Time
+	// listed holds the findings of the last recheck, by subject.
+	listed       map[quarantine.Subject]quarantine.Finding
 	lastForgetAt time.Time
 	refusals     uint64
 }
@@ -61,7 +62,7 @@
 func New(options Options) *Guard {
 	return &Guard{
 		options: options, evidence: quarantine.NewEvidence(), tickets: map[*Ticket]struct{}{},
-		changed: make(chan struct{}), told: map[request.Part]time.Time{}, listed: map[request.Part]quarantine.Finding{},
+		changed: make(chan struct{}), told: map[quarantine.Subject]time.Time{}, listed: map[quarantine.Subject]quarantine.Finding{},
 	}
 }
 
@@ -71,29 +72,30 @@
 	defer g.mu.Unlock()
 	c := quarantine.Crash{Process: ended.Server.ProcessNumber(), At: ended.At}
 	for _, part := range ended.Parts {
-		if provenAt := g.evidence.ProvenAt(part); ended.At.Sub(provenAt) > recentProof {
-			c.Parts = append(c.Parts, part)
+		subject := quarantine.PartSubject(part)
+		if provenAt := g.evidence.ProvenAt(subject); ended.At.Sub(provenAt) > recentProof {
+			c.Subjects = append(c.Subjects, subject)
 		}
 	}
 	// Those that nobody is known to have proven come first, since the number is limited.
-	slices.SortStableFunc(c.Parts, func(a, b request.Part) int {
+	slices.SortStableFunc(c.Subjects, func(a, b quarantine.Subject) int {
 		return g.evidence.ProvenAt(a).Compare(g.evidence.ProvenAt(b))
 	})
-	c.Parts = g.limitParts(c.Parts)
-	if len(c.Parts) > 0 {
+	c.Subjects = g.limitSubjects(c.Subjects)
+	if len(c.Subjects) > 0 {
 		g.addCrash(c, true)
 	}
 }
 
-// limitParts limits the parts of a crash, which are sorted by when they were proven. Of the proven ones,
+// limitSubjects limits the subjects of a crash, which are sorted by when they were proven. Of the proven ones,
 // those count that were proven longest ago: a popular part is proven again all the time, unless it has
 // begun to crash servers. The lock is held.
-func (g *Guard) limitParts(parts []request.Part) []request.Part {
-	unproven := slices.IndexFunc(parts, func(p request.Part) bool { return !g.evidence.ProvenAt(p).IsZero() })
+func (g *Guard) limitSubjects(subjects []quarantine.Subject) []quarantine.Subject {
+	unproven := slices.IndexFunc(subjects, func(s quarantine.Subject) bool { return !g.evidence.ProvenAt(s).IsZero() })
 	if unproven < 0 {
-		unproven = len(parts)
+		unproven = len(subjects)
 	}
-	return parts[:min(len(parts), unproven+maxProvenParts, quarantine.MaxParts)]
+	return subjects[:min(len(subjects), unproven+maxProvenParts, quarantine.MaxSubjects)]
 }
 
 // Proven takes the parts of a request whose answer went well. It is crashwatch.Options.OnProven.
@@ -103,8 +105,9 @@
 	now := g.options.Now()
 	changed := false
 	for _, part := range parts {
-		if g.evidence.AddProof(now, part, now) {
-			g.tell(part, now)
+		subject := quarantine.PartSubject(part)
+		if g.evidence.AddProof(now, subject, now) {
+			g.tell(subject, now)
 			changed = true
 		}
 	}
@@ -114,17 +117,17 @@
 	g.forget(now)
 }
 
-// Release ends the quarantine of a part on all instances, as an operator wants. It reports whether
-// the part was known.
-func (g *Guard) Release(part request.Part) bool {
+// Release ends the quarantine of a subject on all instances, as an operator wants. It reports whether
+// the subject was known.
+func (g *Guard) Release(subject quarantine.Subject) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.options.Now()
-	if !g.evidence.AddProof(now, part, now) {
+	if !g.evidence.AddProof(now, subject, now) {
 		return false
 	}
-	g.options.Logger.WithField("prompt_part", part.String()).Info("Prompt part released by an operator")
-	g.tell(part, now)
+	g.options.Logger.WithField("prompt_part", subject.String()).Info("Prompt part released by an operator")
+	g.tell(subject, now)
 	g.recheck(now)
 	return true
 }
@@ -140,9 +143,9 @@
 	if own {
 		g.options.Publish(crashFact(joined))
 	}
-	for _, part := range c.Parts {
-		if provenAt := g.evidence.ProvenAt(part); !provenAt.IsZero() && now.Sub(g.told[part]) > toldPeriod {
-			g.tell(part, provenAt)
+	for _, subject := range c.Subjects {
+		if provenAt := g.evidence.ProvenAt(subject); !provenAt.IsZero() && now.Sub(g.told[subject]) > toldPeriod {
+			g.tell(subject, provenAt)
 		}
 	}
 	g.recheck(now)
@@ -153,9 +156,9 @@
 }
 
 // tell tells the other instances of a proof. The lock is held.
-func (g *Guard) tell(part request.Part, at time.Time) {
-	g.told[part] = g.options.Now()
-	g.options.Publish(gossip.Timed{Topic: gossip.TopicProof, Key: uint64(part), At: at})
+func (g *Guard) tell(subject quarantine.Subject, at time.Time) {
+	g.told[subject] = g.options.Now()
+	g.options.Publish(gossip.Timed{Topic: gossip.TopicProof, Key: subject.Hash, At: at})
 }
 
 // HandleCrash joins what a peer says of a crash. It is the cluster's handler of gossip.TopicCrash.
@@ -175,31 +178,34 @@
 func (g *Guard) HandleProof(now time.Time, f gossip.Timed) (gossip.Timed, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	isNew := g.evidence.AddProof(now, request.Part(f.Key), f.At)
+	subject := quarantine.PartSubject(request.Part(f.Key))
+	isNew := g.evidence.AddProof(now, subject, f.At)
 	if isNew {
-		g.told[request.Part(f.Key)] = now
+		g.told[subject] = now
 		g.recheck(now)
 	}
 	return f, isNew
 }
 
-const partBytes = 8
+// hashBytes is the size of a subject's hash in a fact.
+const hashBytes = 8
 
 func crashFact(c quarantine.Crash) gossip.Timed {
-	value := make([]byte, 0, partBytes*len(c.Parts))
-	for _, part := range c.Parts {
-		value = binary.LittleEndian.AppendUint64(value, uint64(part))
+	value := make([]byte, 0, hashBytes*len(c.Subjects))
+	for _, subject := range c.Subjects {
+		value = binary.LittleEndian.AppendUint64(value, subject.Hash)
 	}
 	return gossip.Timed{Topic: gossip.TopicCrash, Key: c.Process, Value: value, At: c.At}
 }
 
 func decodeCrash(f gossip.Timed) (quarantine.Crash, bool) {
 	c := quarantine.Crash{Process: f.Key, At: f.At}
-	if len(f.Value)%partBytes != 0 {
+	if len(f.Value)%hashBytes != 0 {
 		return c, false
 	}
-	for value := f.Value; len(value) > 0; value = value[partBytes:] {
-		c.Parts = append(c.Parts, request.Part(binary.LittleEndian.Uint64(value)))
+	for value := f.Value; len(value) > 0; value = value[hashBytes:] {
+		part := request.Part(binary.LittleEndian.Uint64(value))
+		c.Subjects = append(c.Subjects, quarantine.PartSubject(part))
 	}
 	return c, true
 }
@@ -210,14 +216,14 @@
 	g.recheck(g.options.Now())
 }
 
-// recheck ends the requests whose parts are in quarantine now, makes waiting ones look again, and
+// recheck ends the requests whose subjects are in quarantine now, makes waiting ones look again, and
 // logs what has changed. The lock is held.
 func (g *Guard) recheck(now time.Time) {
 	for t := range g.tickets {
 		if t.survived || t.trial || t.ctx.Err() != nil {
 			continue
 		}
-		if f := g.evidence.Find(now, t.parts); f.State == quarantine.Quarantined {
+		if f := g.evidence.Find(now, t.subjects); f.State == quarantine.Quarantined {
 			g.refusals++
 			t.cancel(refusal(f, now))
 		}
@@ -228,17 +234,17 @@
 }
 
 func (g *Guard) logChanges(now time.Time) {
-	current := map[request.Part]quarantine.Finding{}
+	current := map[quarantine.Subject]quarantine.Finding{}
 	for _, f := range g.evidence.List(now) {
-		current[f.Part] = f
-		if before, ok := g.listed[f.Part]; ok && before.Crashes == f.Crashes {
+		current[f.Subject] = f
+		if before, ok := g.listed[f.Subject]; ok && before.Crashes == f.Crashes {
 			continue
 		}
 		g.options.Logger.WithFields(fields(f, now)).Warn("Prompt part in quarantine: servers ended with it")
 	}
-	for part := range g.listed {
-		if _, ok := current[part]; !ok {
-			g.options.Logger.WithField("prompt_part", part.String()).Info("Prompt part no longer in quarantine")
+	for subject := range g.listed {
+		if _, ok := current[subject]; !ok {
+			g.options.Logger.WithField("prompt_part", subject.String()).Info("Prompt part no longer in quarantine")
 		}
 	}
 	g.listed = current
@@ -246,7 +252,7 @@
 
 func fields(f quarantine.Finding, now time.Time) logrus.Fields {
 	out := logrus.Fields{
-		"prompt_part": f.Part.String(), "crashes": f.Crashes,
+		"prompt_part": f.Subject.String(), "crashes": f.Crashes,
 		"first_ms_ago": now.Sub(f.First).Milliseconds(), "last_ms_ago": now.Sub(f.Last).Milliseconds(),
 	}
 	if !f.Until.IsZero() {
@@ -262,21 +268,21 @@
 	}
 	g.lastForgetAt = now
 	g.evidence.Forget(now)
-	for part, at := range g.told {
+	for subject, at := range g.told {
 		if now.Sub(at) > toldPeriod {
-			delete(g.told, part)
+			delete(g.told, subject)
 		}
 	}
 }
 
-// Quarantined returns the parts that are held back, or are tried again after a quarantine.
+// Quarantined returns the subjects that are held back, or are tried again after a quarantine.
 func (g *Guard) Quarantined() []quarantine.Finding {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.evidence.List(g.options.Now())
 }
 
-// Refusals returns how many requests were refused or ended because of the parts of their prompts.
+// Refusals returns how many requests were refused or ended because of their subjects.
 func (g *Guard) Refusals() uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/partguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -1,9 +1,10 @@
-package partguard
+package crashguard
 
 import (
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 	"limpethub/internal/engine"
 	"limpethub/internal/gossip"
 	"limpethub/internal/logging"
+	"limpethub/internal/quarantine"
 	"limpethub/internal/request"
 	"limpethub/internal/verdict"
 )
@@ -28,7 +30,7 @@
 	f := &fixture{}
 	f.Guard = New(Options{
 		Publish: func(fact gossip.Timed) { f.published = append(f.published, fact) },
-		MayTry:  func(request.Part) bool { return f.mayTry },
+		MayTry:  func(quarantine.Subject) bool { return f.mayTry },
 		Logger:  logging.Discard(), Now: time.Now,
 	})
 	return f
@@ -42,6 +44,8 @@
 	return out
 }
 
+func partSubject(id string) quarantine.Subject { return quarantine.PartSubject(request.PartOf(id)) }
+
 // crash reports a server that ended with the parts on it.
 func (f *fixture) crash(ids ...string) {
 	f.crashes++
@@ -111,8 +115,8 @@
 		time.Sleep(2 * recentProof)
 		f.crash(append(ids, "turned")...)
 		c, ok := decodeCrash(f.published[0])
-		if !ok || len(c.Parts) != 1+maxProvenParts || c.Parts[0] != request.PartOf("new") || c.Parts[1] != request.PartOf("turned") {
-			t.Errorf("told %d parts, %v, want the new one, the one proven longest ago, and %d more", len(c.Parts), c.Parts, maxProvenParts-1)
+		if !ok || len(c.Subjects) != 1+maxProvenParts || c.Subjects[0] != partSubject("new") || c.Subjects[1] != partSubject("turned") {
+			t.Errorf("told %d parts, %v, want the new one, the one proven longest ago, and %d more", len(c.Subjects), c.Subjects, maxProvenParts-1)
 		}
 	})
 }
@@ -245,7 +249,7 @@
 		}
 		wantRefused(t, other.enter(t, "dead").Wait())
 		f.published = nil
-		if f.Release(request.PartOf("unknown")) || !f.Release(request.PartOf("dead")) {
+		if f.Release(partSubject("unknown")) || !f.Release(partSubject("dead")) {
 			t.Error("released an unknown part, or not the one in quarantine")
 		}
 		for _, fact := range f.published {
@@ -267,7 +271,7 @@
 		time.Sleep(2 * time.Second)
 		f.crash("a", "b")
 		joined, isNew := other.HandleCrash(time.Now(), f.published[0])
-		if c, ok := decodeCrash(joined); !ok || !isNew || fmt.Sprint(c.Parts) != fmt.Sprint(parts("a", "b")) {
+		if c, ok := decodeCrash(joined); !ok || !isNew || !slices.Equal(c.Subjects, []quarantine.Subject{partSubject("a"), partSubject("b")}) {
 			t.Errorf("got %+v, new %v, want parts a and b, new", joined, isNew)
 		}
 		if len(other.published) != 1 || other.published[0].Key != uint64(request.PartOf("b")) {
--- a/internal/partguard/ticket.go
+++ b/internal/crashguard/ticket.go
@@ -1,4 +1,4 @@
-package partguard
+package crashguard
 
 import (
 	"context"
@@ -13,9 +13,9 @@
 )
 
 const (
-	// patience is how long a request waits for another one with the same suspected part.
+	// patience is how long a request waits for another one with the same suspected subject.
 	patience = time.Second
-	// trialRetryAfter is when callers should come back while another request tries whether a part
+	// trialRetryAfter is when callers should come back while another request tries whether a subject
 	// still crashes servers.
 	trialRetryAfter = 5 * time.Second
 )
@@ -23,12 +23,13 @@
 // Ticket is a request in progress.
 type Ticket struct {
 	guard *Guard
-	parts []request.Part
-	// ctx is canceled with a *verdict.Error if a part of the request comes into quarantine before
+	// subjects are what may be held against the request.
+	subjects []quarantine.Subject
+	// ctx is canceled with a *verdict.Error if a subject of the request comes into quarantine before
 	// its answer has begun.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	// suspect is true if the request was last let through although one of its parts is suspected or
+	// suspect is true if the request was last let through although one of its subjects is suspected or
 	// on trial, and trial in the latter case.
 	suspect, trial bool
 	// onServer is true while an attempt is on a server, and survived once an answer has begun.
@@ -38,9 +39,9 @@
 // Enter registers a request. The caller must use Context for it, call Wait before each time that it
 // asks for a server, and call Leave at its end.
 func (g *Guard) Enter(ctx context.Context, r *request.Request) *Ticket {
-	t := &Ticket{guard: g, parts: r.Parts}
+	t := &Ticket{guard: g, subjects: subjectsOf(r)}
 	t.ctx, t.cancel = context.WithCancelCause(ctx)
-	if len(r.Parts) == 0 {
+	if len(t.subjects) == 0 {
 		return t
 	}
 	g.mu.Lock()
@@ -49,6 +50,15 @@
 	return t
 }
 
+// subjectsOf returns the subjects of a request.
+func subjectsOf(r *request.Request) []quarantine.Subject {
+	out := make([]quarantine.Subject, 0, len(r.Parts))
+	for _, part := range r.Parts {
+		out = append(out, quarantine.PartSubject(part))
+	}
+	return out
+}
+
 // Context is the context of the request.
 func (t *Ticket) Context() context.Context { return t.ctx }
 
@@ -80,7 +90,7 @@
 // Wait waits until the request may ask for a server. Its error is a *verdict.Error with NotRun: no
 // server gets the request, or its context has ended.
 func (t *Ticket) Wait() error {
-	if len(t.parts) == 0 {
+	if len(t.subjects) == 0 {
 		return nil
 	}
 	deadline := t.guard.options.Now().Add(patience)
@@ -118,13 +128,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.options.Now()
-	f := g.evidence.Find(now, t.parts)
+	f := g.evidence.Find(now, t.subjects)
 	t.suspect, t.trial = false, false
 	switch f.State {
 	case quarantine.Clear:
 		return nil, 0, nil
 	case quarantine.Suspect:
-		if now.Before(deadline) && g.isBusy(f.Part, t) {
+		if now.Before(deadline) && g.isBusy(f.Subject, t) {
 			return g.changed, deadline.Sub(now), nil
 		}
 		t.suspect = true
@@ -132,7 +142,7 @@
 	case quarantine.Undecided:
 		return g.changed, f.Until.Sub(now), nil
 	case quarantine.Trial:
-		if g.options.MayTry(f.Part) && !g.isBusy(f.Part, t) {
+		if g.options.MayTry(f.Subject) && !g.isBusy(f.Subject, t) {
 			t.suspect, t.trial = true, true
 			return nil, 0, nil
 		}
@@ -141,11 +151,11 @@
 	return nil, 0, refusal(f, now)
 }
 
-// isBusy reports whether another request with the part is on a server or was let through as a
+// isBusy reports whether another request with the subject is on a server or was let through as a
 // suspect, and its answer hasn't begun. The lock is held.
-func (g *Guard) isBusy(part request.Part, except *Ticket) bool {
+func (g *Guard) isBusy(subject quarantine.Subject, except *Ticket) bool {
 	for t := range g.tickets {
-		if t != except && (t.onServer || t.suspect) && !t.survived && slices.Contains(t.parts, part) {
+		if t != except && (t.onServer || t.suspect) && !t.survived && slices.Contains(t.subjects, subject) {
 			return true
 		}
 	}
@@ -153,17 +163,17 @@
 }
 
 // MaySend reports whether the request may go to the server that was chosen for it, and if so records
-// that it does. If not, Wait has to be called again: a part has become suspected since.
+// that it does. If not, Wait has to be called again: a subject has become suspected since.
 func (t *Ticket) MaySend() bool {
-	if len(t.parts) == 0 {
+	if len(t.subjects) == 0 {
 		return true
 	}
 	g := t.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !t.suspect {
-		f := g.evidence.Find(g.options.Now(), t.parts)
-		if f.State > quarantine.Suspect || f.State == quarantine.Suspect && g.isBusy(f.Part, t) {
+		f := g.evidence.Find(g.options.Now(), t.subjects)
+		if f.State > quarantine.Suspect || f.State == quarantine.Suspect && g.isBusy(f.Subject, t) {
 			return false
 		}
 		t.suspect = f.State == quarantine.Suspect
@@ -174,7 +184,7 @@
 
 // AnswerBegun records that the answer of the current attempt has begun.
 func (t *Ticket) AnswerBegun() {
-	if len(t.parts) == 0 {
+	if len(t.subjects) == 0 {
 		return
 	}
 	t.guard.mu.Lock()
@@ -184,7 +194,7 @@
 
 // AttemptEnded records that the current attempt has ended.
 func (t *Ticket) AttemptEnded() {
-	if len(t.parts) == 0 {
+	if len(t.subjects) == 0 {
 		return
 	}
 	g := t.guard
@@ -196,20 +206,20 @@
 	}
 }
 
-// Unproven reports whether no answer has proven all parts of the request's prompt yet, so that it
-// may be what ended its server.
+// Unproven reports whether no answer has proven all subjects of the request yet, so that it may be what
+// ended its server.
 func (t *Ticket) Unproven() bool {
 	g := t.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return slices.ContainsFunc(t.parts, func(p request.Part) bool { return g.evidence.ProvenAt(p).IsZero() })
+	return slices.ContainsFunc(t.subjects, func(s quarantine.Subject) bool { return g.evidence.ProvenAt(s).IsZero() })
 }
 
 // refusal returns the error of a request that no server gets.
 func refusal(f quarantine.Finding, now time.Time) *verdict.Error {
 	err := verdict.Refused(verdict.CodePromptQuarantined,
 		"part %s of the prompt was on %d servers when they ended, first %s and last %s ago, and in no answer since",
-		f.Part, f.Crashes, ago(now, f.First), ago(now, f.Last))
+		f.Subject, f.Crashes, ago(now, f.First), ago(now, f.Last))
 	err.RetryAfter = trialRetryAfter
 	if !f.Until.IsZero() {
 		err.RetryAfter = max(f.Until.Sub(now), trialRetryAfter)
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
 
+	"limpethub/internal/crashguard"
 	"limpethub/internal/crashwatch"
 	"limpethub/internal/discovery"
 	"limpethub/internal/dispatch"
@@ -25,8 +26,8 @@
 	"limpethub/internal/membership"
 	"limpethub/internal/metrics"
 	"limpethub/internal/modelref"
-	"limpethub/internal/partguard"
 	"limpethub/internal/plugin"
+	"limpethub/internal/quarantine"
 	"limpethub/internal/request"
 	"limpethub/internal/residency"
 	"limpethub/internal/scheduling"
@@ -71,7 +72,7 @@
 	relay     *forward.Relay
 	limits    *serverlimits.Limits
 	crashes   *crashwatch.Watch
-	guard     *partguard.Guard
+	guard     *crashguard.Guard
 	watcher   *discovery.Watcher
 	manager   *residency.Manager
 	extension *residencyExtension
@@ -185,10 +186,10 @@
 	o.limits.Observe(server, limit, invalid, sentAt)
 }
 
-// buildGuard builds the parts that keep prompts that crash servers away from them.
+// buildGuard builds the parts that keep requests that crash servers away from them.
 func (d *Daemon) buildGuard(h *hosted) {
-	h.guard = partguard.New(partguard.Options{
-		Publish: d.cluster.Publish, MayTry: d.triesPart, Logger: d.log(logging.Routing), Now: time.Now,
+	h.guard = crashguard.New(crashguard.Options{
+		Publish: d.cluster.Publish, MayTry: d.triesSubject, Logger: d.log(logging.Routing), Now: time.Now,
 	})
 	d.cluster.OnFact(gossip.TopicCrash, h.guard.HandleCrash)
 	d.cluster.OnFact(gossip.TopicProof, h.guard.HandleProof)
@@ -212,15 +213,15 @@
 	return p.Prober.Probe(ctx, server)
 }
 
-// triesPart reports whether this instance is the one of those alive that tries a part of prompts
-// again after its quarantine: the one with the highest hash of both.
-func (d *Daemon) triesPart(part request.Part) bool {
+// triesSubject reports whether this instance is the one of those alive that tries a subject again
+// after its quarantine: the one with the highest hash of both.
+func (d *Daemon) triesSubject(subject quarantine.Subject) bool {
 	best, bestHash := "", uint64(0)
 	for _, m := range d.cluster.Members() {
 		if m.State != membership.Alive {
 			continue
 		}
-		if hash := xxhash.Sum64String(part.String() + m.Name); best == "" || hash > bestHash {
+		if hash := xxhash.Sum64String(subject.String() + m.Name); best == "" || hash > bestHash {
 			best, bestHash = m.Name, hash
 		}
 	}
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"limpethub/internal/operatorapi"
+	"limpethub/internal/quarantine"
 	"limpethub/internal/request"
 	"limpethub/internal/site"
 )
@@ -17,7 +18,7 @@
 	}
 	for _, f := range c.daemon.hosted.guard.Quarantined() {
 		out.Parts = append(out.Parts, operatorapi.QuarantinedPart{
-			Part: f.Part.String(), Crashes: f.Crashes, First: f.First, Last: f.Last, Until: f.Until,
+			Part: f.Subject.String(), Crashes: f.Crashes, First: f.First, Last: f.Last, Until: f.Until,
 		})
 	}
 	return out, nil
@@ -26,7 +27,7 @@
 // Release implements operatorapi.Controller.
 func (c *controller) Release(_ context.Context, part string) error {
 	parsed, err := request.ParsePart(part)
-	if err != nil || c.daemon.hosted == nil || !c.daemon.hosted.guard.Release(parsed) {
+	if err != nil || c.daemon.hosted == nil || !c.daemon.hosted.guard.Release(quarantine.PartSubject(parsed)) {
 		return &operatorapi.NotFoundError{Kind: "part in quarantine", Name: part}
 	}
 	return nil
--- a/internal/fleet/facts_test.go
+++ b/internal/fleet/facts_test.go
@@ -14,7 +14,7 @@
 )
 
 // facts is what an instance knows of the facts that belong to the fleet: the evidence on parts of
-// prompts, joined as package partguard does.
+// prompts, joined as package crashguard does.
 type facts struct {
 	spreader *gossip.Spreader
 	evidence *quarantine.Evidence
@@ -54,14 +54,14 @@
 // learn joins a fact with what the instance knows, and has it passed on if it is new.
 func (n *instance) learn(f gossip.Timed) {
 	if f.Topic == gossip.TopicProof {
-		if n.facts.evidence.AddProof(n.w.now, request.Part(f.Key), f.At) {
+		if n.facts.evidence.AddProof(n.w.now, quarantine.PartSubject(request.Part(f.Key)), f.At) {
 			n.facts.spreader.Put(f)
 		}
 		return
 	}
 	c := quarantine.Crash{Process: f.Key, At: f.At}
 	for value := f.Value; len(value) > 0; value = value[8:] {
-		c.Parts = append(c.Parts, request.Part(binary.LittleEndian.Uint64(value)))
+		c.Subjects = append(c.Subjects, quarantine.PartSubject(request.Part(binary.LittleEndian.Uint64(value))))
 	}
 	if _, isNew := n.facts.evidence.AddCrash(n.w.now, c); isNew {
 		n.facts.spreader.Put(f)
@@ -92,8 +92,12 @@
 // quarantinedOn counts the instances that keep requests with the parts away from servers.
 func (w *world) quarantinedOn(parts ...request.Part) int {
 	count := 0
+	var subjects []quarantine.Subject
+	for _, part := range parts {
+		subjects = append(subjects, quarantine.PartSubject(part))
+	}
 	for _, n := range w.instances {
-		if n.facts.evidence.Find(w.now, parts).State == quarantine.Quarantined {
+		if n.facts.evidence.Find(w.now, subjects).State == quarantine.Quarantined {
 			count++
 		}
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -10,10 +10,10 @@
 
 	"github.com/sirupsen/logrus"
 
+	"limpethub/internal/crashguard"
 	"limpethub/internal/crashwatch"
 	"limpethub/internal/dispatch"
 	"limpethub/internal/engine"
-	"limpethub/internal/partguard"
 	"limpethub/internal/request"
 	"limpethub/internal/scheduling"
 	"limpethub/internal/verdict"
@@ -45,7 +45,7 @@
 	// Crashes learns which requests run on which server process, and Guard holds back those whose
 	// prompts crash servers. Both are nil or none.
 	Crashes *crashwatch.Watch
-	Guard   *partguard.Guard
+	Guard   *crashguard.Guard
 	Logger  *logrus.Entry
 	Now     func() time.Time
 }
@@ -87,7 +87,7 @@
 type relayedRequest struct {
 	call engine.Call
 	// ticket is nil if the relay has no Guard.
-	ticket *partguard.Ticket
+	ticket *crashguard.Ticket
 	sink   AnswerSink
 	// relayStart is the time of the call of Relay.
 	relayStart time.Time
--- a/internal/forward/relay_prompt_test.go
+++ b/internal/forward/relay_prompt_test.go
@@ -8,11 +8,12 @@
 
 	"github.com/sirupsen/logrus"
 
+	"limpethub/internal/crashguard"
 	"limpethub/internal/crashwatch"
 	"limpethub/internal/engine"
 	"limpethub/internal/gossip"
 	"limpethub/internal/logging"
-	"limpethub/internal/partguard"
+	"limpethub/internal/quarantine"
 	"limpethub/internal/request"
 	"limpethub/internal/verdict"
 )
@@ -32,9 +33,9 @@
 }
 
 // withGuard gives a relay the parts that hold back prompts that crash servers.
-func withGuard(r *Relay) *partguard.Guard {
-	guard := partguard.New(partguard.Options{
-		Publish: func(gossip.Timed) {}, MayTry: func(request.Part) bool { return false }, Logger: logging.Discard(), Now: time.Now,
+func withGuard(r *Relay) *crashguard.Guard {
+	guard := crashguard.New(crashguard.Options{
+		Publish: func(gossip.Timed) {}, MayTry: func(quarantine.Subject) bool { return false }, Logger: logging.Discard(), Now: time.Now,
 	})
 	r.options.Guard = guard
 	r.options.Crashes = crashwatch.New(crashwatch.Options{
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -1,7 +1,7 @@
-// Package quarantine decides which parts of prompts crash backend servers, so that requests with
-// them can be kept away from servers. It draws its conclusions from evidence that all instances
-// share: which parts were on a server process when it ended, and which parts an answer has proven
-// not to crash servers. The same evidence gives the same conclusion on each instance.
+// Package quarantine decides which parts of prompts, and which whole requests, crash backend servers,
+// so that they can be kept away from servers. It draws its conclusions from evidence that all
+// instances share: which subjects were on a server process when it ended, and which ones an answer has
+// proven not to crash servers. The same evidence gives the same conclusion on each instance.
 //
 // It has no goroutine, clock or socket: its caller passes the time and the evidence.
 package quarantine
@@ -9,57 +9,55 @@
 import (
 	"slices"
 	"time"
-
-	"limpethub/internal/request"
 )
 
-// Crash is a server process that ended while prompts with the given parts were on it and no
-// answer had proven them yet.
+// Crash is a server process that ended while requests with the given subjects were on it and no answer
+// had proven them yet.
 type Crash struct {
 	// Process identifies the process. All instances give the same process the same number.
-	Process uint64
-	At      time.Time
-	Parts   []request.Part
+	Process  uint64
+	At       time.Time
+	Subjects []Subject
 }
 
 const (
-	// crashMemory is how long a crash counts. It is longer than maxHold, so that a part which is
+	// crashMemory is how long a crash counts. It is longer than maxHold, so that a subject which is
 	// tried again after a hold is still known.
 	crashMemory = 30 * time.Minute
-	// proofMemory is how long a proof counts for a part without crashes.
+	// proofMemory is how long a proof counts for a subject without crashes.
 	proofMemory = 2 * time.Minute
-	// maxCrashes and maxPartsPerCrash limit the memory.
-	maxCrashes       = 512
-	maxPartsPerCrash = MaxParts
-	// maxParts limits how many parts without crashes are remembered as proven.
-	maxParts = 8192
+	// maxCrashes and maxSubjectsPerCrash limit the memory.
+	maxCrashes          = 512
+	maxSubjectsPerCrash = MaxSubjects
+	// maxSubjects limits how many subjects without crashes are remembered as proven.
+	maxSubjects = 8192
 )
 
-// MaxParts limits the parts of a Crash.
-const MaxParts = 64
+// MaxSubjects limits the subjects of a Crash.
+const MaxSubjects = 64
 
 // Evidence holds what is known of crashes and proofs. It isn't safe for concurrent use.
 type Evidence struct {
-	crashes map[uint64]*Crash
-	parts   map[request.Part]*partRecord
+	crashes  map[uint64]*Crash
+	subjects map[Subject]*record
 	// knownCulprits is the result of culprits; nil if the evidence has changed since.
-	knownCulprits map[request.Part]bool
+	knownCulprits map[Subject]bool
 }
 
-// partRecord is what is known of one part.
-type partRecord struct {
+// record is what is known of one subject.
+type record struct {
 	// crashes are those after provenAt, in the order of their times.
 	crashes []*Crash
-	// provenAt is when an answer last proved the part; zero if none has.
+	// provenAt is when an answer last proved the subject; zero if none has.
 	provenAt time.Time
 }
 
 // NewEvidence returns an Evidence without any.
 func NewEvidence() *Evidence {
-	return &Evidence{crashes: map[uint64]*Crash{}, parts: map[request.Part]*partRecord{}}
+	return &Evidence{crashes: map[uint64]*Crash{}, subjects: map[Subject]*record{}}
 }
 
-// AddCrash adds a crash, or the parts that other instances had on the same process. It returns all
+// AddCrash adds a crash, or the subjects that other instances had on the same process. It returns all
 // that is known of the crash, and whether anything of it is new.
 func (e *Evidence) AddCrash(now time.Time, c Crash) (Crash, bool) {
 	if now.Sub(c.At) > crashMemory {
@@ -72,12 +70,12 @@
 		e.crashes[c.Process] = known
 	}
 	changed := false
-	for _, part := range c.Parts {
-		if slices.Contains(known.Parts, part) || !e.makeRoomFor(known, part) {
+	for _, subject := range c.Subjects {
+		if slices.Contains(known.Subjects, subject) || !e.makeRoomFor(known, subject) {
 			continue
 		}
-		known.Parts = append(known.Parts, part)
-		e.record(part).add(known)
+		known.Subjects = append(known.Subjects, subject)
+		e.record(subject).add(known)
 		changed = true
 	}
 	if changed {
@@ -86,35 +84,35 @@
 	return *known, changed
 }
 
-// makeRoomFor reports whether a crash has room for another part. A proven part gives way to one that
+// makeRoomFor reports whether a crash has room for another subject. A proven subject gives way to one that
 // isn't.
-func (e *Evidence) makeRoomFor(c *Crash, part request.Part) bool {
-	if len(c.Parts) < maxPartsPerCrash {
+func (e *Evidence) makeRoomFor(c *Crash, subject Subject) bool {
+	if len(c.Subjects) < maxSubjectsPerCrash {
 		return true
 	}
-	if !e.ProvenAt(part).IsZero() {
+	if !e.ProvenAt(subject).IsZero() {
 		return false
 	}
-	for i, other := range c.Parts {
+	for i, other := range c.Subjects {
 		if !e.ProvenAt(other).IsZero() {
-			c.Parts = slices.Delete(c.Parts, i, i+1)
-			e.parts[other].remove(c)
+			c.Subjects = slices.Delete(c.Subjects, i, i+1)
+			e.subjects[other].remove(c)
 			return true
 		}
 	}
 	return false
 }
 
-func (e *Evidence) record(part request.Part) *partRecord {
-	r := e.parts[part]
+func (e *Evidence) record(subject Subject) *record {
+	r := e.subjects[subject]
 	if r == nil {
-		r = &partRecord{}
-		e.parts[part] = r
+		r = &record{}
+		e.subjects[subject] = r
 	}
 	return r
 }
 
-func (r *partRecord) add(c *Crash) {
+func (r *record) add(c *Crash) {
 	if !c.At.After(r.provenAt) {
 		return
 	}
@@ -122,21 +120,21 @@
 	slices.SortFunc(r.crashes, func(a, b *Crash) int { return a.At.Compare(b.At) })
 }
 
-func (r *partRecord) remove(c *Crash) {
+func (r *record) remove(c *Crash) {
 	r.crashes = slices.DeleteFunc(r.crashes, func(other *Crash) bool { return other == c })
 }
 
-// AddProof records that an answer to a prompt with the part went well at the given time. It
+// AddProof records that an answer to a prompt with the subject went well at the given time. It
 // reports whether that says something new about crashes, so that other instances should know it.
-func (e *Evidence) AddProof(now time.Time, part request.Part, at time.Time) bool {
+func (e *Evidence) AddProof(now time.Time, subject Subject, at time.Time) bool {
 	if at.After(now) {
 		at = now
 	}
-	r := e.parts[part]
-	if r == nil && len(e.parts) >= maxParts {
+	r := e.subjects[subject]
+	if r == nil && len(e.subjects) >= maxSubjects {
 		return false
 	}
-	r = e.record(part)
+	r = e.record(subject)
 	if !at.After(r.provenAt) {
 		return false
 	}
@@ -150,9 +148,9 @@
 	return len(r.crashes) < before || isFirst && before > 0
 }
 
-// ProvenAt returns when an answer last proved a part; zero if none has, or if that was forgotten.
-func (e *Evidence) ProvenAt(part request.Part) time.Time {
-	if r := e.parts[part]; r != nil {
+// ProvenAt returns when an answer last proved a subject; zero if none has, or if that was forgotten.
+func (e *Evidence) ProvenAt(subject Subject) time.Time {
+	if r := e.subjects[subject]; r != nil {
 		return r.provenAt
 	}
 	return time.Time{}
@@ -174,9 +172,9 @@
 			e.dropCrash(c)
 		}
 	}
-	for part, r := range e.parts {
+	for subject, r := range e.subjects {
 		if len(r.crashes) == 0 && now.Sub(r.provenAt) > proofMemory {
-			delete(e.parts, part)
+			delete(e.subjects, subject)
 		}
 	}
 }
@@ -208,27 +206,27 @@
 }
 
 func (e *Evidence) mayQuarantine(c *Crash) bool {
-	return slices.ContainsFunc(c.Parts, func(p request.Part) bool { return e.support(p) >= crashesToQuarantine })
+	return slices.ContainsFunc(c.Subjects, func(p Subject) bool { return e.support(p) >= crashesToQuarantine })
 }
 
 func (e *Evidence) dropCrash(c *Crash) {
 	delete(e.crashes, c.Process)
 	e.knownCulprits = nil
-	for _, part := range c.Parts {
-		r := e.parts[part]
+	for _, subject := range c.Subjects {
+		r := e.subjects[subject]
 		if r == nil {
 			continue
 		}
 		r.remove(c)
 		if len(r.crashes) == 0 && r.provenAt.IsZero() {
-			delete(e.parts, part)
+			delete(e.subjects, subject)
 		}
 	}
 }
 
-// support returns how many crashes speak against a part.
-func (e *Evidence) support(part request.Part) int {
-	if r := e.parts[part]; r != nil {
+// support returns how many crashes speak against a subject.
+func (e *Evidence) support(subject Subject) int {
+	if r := e.subjects[subject]; r != nil {
 		return len(r.crashes)
 	}
 	return 0
--- a/internal/quarantine/finding.go
+++ b/internal/quarantine/finding.go
@@ -1,11 +1,8 @@
 package quarantine
 
 import (
-	"cmp"
 	"slices"
 	"time"
-
-	"limpethub/internal/request"
 )
 
 // State says how a request is to be treated.
@@ -18,7 +15,7 @@
 	// Suspect means that the request may go to one server at a time, where it costs little.
 	Suspect
 	// Undecided means that the request has to wait until Finding.Until, when it is known whether
-	// other instances have proven its parts.
+	// other instances have proven its subjects.
 	Undecided
 	// Trial means that a quarantine is over: one instance may try one such request at a time.
 	Trial
@@ -30,12 +27,12 @@
 
 func (s State) String() string { return stateNames[s] }
 
-// Finding is a conclusion about a request or a part.
+// Finding is a conclusion about a request or a subject.
 type Finding struct {
 	State State
-	// Part is the part that the conclusion is about, and Crashes are how many crashes speak against
-	// it; both are empty for Clear.
-	Part    request.Part
+	// Subject is what the conclusion is about, and Crashes are how many crashes speak against it; both
+	// are empty for Clear.
+	Subject Subject
 	Crashes int
 	// First and Last are the times of the first and the last of these crashes.
 	First, Last time.Time
@@ -44,12 +41,12 @@
 }
 
 const (
-	// crashesToQuarantine is how many crashes put a part into quarantine that no answer has proven.
+	// crashesToQuarantine is how many crashes put a subject into quarantine that no answer has proven.
 	crashesToQuarantine = 3
-	// crashesIfProven is how many are needed if an answer proved the part at any time before.
+	// crashesIfProven is how many are needed if an answer proved the subject at any time before.
 	crashesIfProven = 5
 	// proofDelay is how long after the first crash other instances may take to tell that they have
-	// proven the part, and proofDelayIfProven how long a part that was proven before has to prove
+	// proven the subject, and proofDelayIfProven how long a subject that was proven before has to prove
 	// itself again.
 	proofDelay         = 600 * time.Millisecond
 	proofDelayIfProven = time.Second
@@ -62,74 +59,74 @@
 	maxHold   = 15 * time.Minute
 )
 
-// Delays returns how long after a crash the state Undecided of its parts may end.
+// Delays returns how long after a crash the state Undecided of its subjects may end.
 func Delays() []time.Duration { return []time.Duration{proofDelay, proofDelayIfProven} }
 
-// Find returns the strictest conclusion about a request with the given parts.
+// Find returns the strictest conclusion about a request with the given subjects.
 //
-// A crash speaks against a part only if no culprit that the request doesn't have explains it. So
-// parts that happened to be on the same servers as one that crashes them aren't quarantined, and
-// parts that always come together with it only together with it.
-func (e *Evidence) Find(now time.Time, parts []request.Part) Finding {
+// A crash speaks against a subject only if no culprit that the request doesn't have explains it. So
+// subjects that happened to be on the same servers as one that crashes them aren't quarantined, and
+// those that always come together with it only together with it.
+func (e *Evidence) Find(now time.Time, subjects []Subject) Finding {
 	var strictest Finding
-	for _, part := range parts {
-		if e.support(part) == 0 {
+	for _, subject := range subjects {
+		if e.support(subject) == 0 {
 			continue
 		}
 		// Of equal ones the last counts: parts at the start of prompts are in many of them.
-		if f := e.findPart(now, part, parts); f.State > Clear && f.State >= strictest.State {
+		if f := e.findSubject(now, subject, subjects); f.State > Clear && f.State >= strictest.State {
 			strictest = f
 		}
 	}
 	return strictest
 }
 
-// List returns the findings about all parts that are quarantined or on trial, in the order of the
-// parts. Parts that have only come together are all in the list.
+// List returns the findings about all subjects that are quarantined or on trial, in their order.
+// Those that have only come together are all in the list.
 func (e *Evidence) List(now time.Time) []Finding {
 	var out []Finding
-	for part := range e.culprits() {
-		if f := e.findPart(now, part, companions(part, e.parts[part].crashes)); f.State >= Trial {
+	for subject := range e.culprits() {
+		if f := e.findSubject(now, subject, companions(subject, e.subjects[subject].crashes)); f.State >= Trial {
 			out = append(out, f)
 		}
 	}
-	slices.SortFunc(out, func(a, b Finding) int { return cmp.Compare(a.Part, b.Part) })
+	slices.SortFunc(out, func(a, b Finding) int { return a.Subject.compare(b.Subject) })
 	return out
 }
 
-// findPart returns the conclusion about one part of a request with the given parts.
-func (e *Evidence) findPart(now time.Time, part request.Part, parts []request.Part) Finding {
-	record := e.parts[part]
+// findSubject returns the conclusion about one subject of a request with the given subjects.
+func (e *Evidence) findSubject(now time.Time, subject Subject, subjects []Subject) Finding {
+	record := e.subjects[subject]
 	culprits := e.culprits()
-	against := e.unexplained(record.crashes, parts, func(other request.Part) bool { return culprits[other] })
-	finding := Finding{Part: part, Crashes: events(against)}
+	against := e.unexplained(record.crashes, subjects, func(other Subject) bool { return culprits[other] })
+	finding := Finding{Subject: subject, Crashes: events(against)}
 	if len(against) > 0 {
 		finding.First, finding.Last = against[0].At, against[len(against)-1].At
 	}
 	needed, delay := record.needed()
-	if culprits[part] && finding.Crashes >= needed {
+	if culprits[subject] && finding.Crashes >= needed {
 		return finding.decide(now, delay, finding.Crashes-needed)
 	}
 	// A suspicion needs less: a culprit that has been on just the same crashes doesn't end it.
 	if own := len(record.crashes); record.provenAt.IsZero() {
-		against = e.unexplained(record.crashes, parts, func(other request.Part) bool { return culprits[other] && e.support(other) > own })
+		against = e.unexplained(record.crashes, subjects, func(other Subject) bool { return culprits[other] && e.support(other) > own })
 	}
 	if !record.isSuspect(events(against)) {
 		return Finding{}
 	}
-	return Finding{State: Suspect, Part: part, Crashes: events(against), First: against[0].At, Last: against[len(against)-1].At}
+	return Finding{State: Suspect, Subject: subject, Crashes: events(against), First: against[0].At, Last: against[len(against)-1].At}
 }
 
-// needed returns how many crashes put a part into quarantine, and how long after the first one.
-func (r *partRecord) needed() (crashes int, delay time.Duration) {
+// needed returns how many crashes put a subject into quarantine, and how long after the first one.
+func (r *record) needed() (crashes int, delay time.Duration) {
 	if r.provenAt.IsZero() {
 		return crashesToQuarantine, proofDelay
 	}
 	return crashesIfProven, proofDelayIfProven
 }
 
-// isSuspect reports whether a part against which so many crashes speak is suspected.
-func (r *partRecord) isSuspect(crashes int) bool {
+// isSuspect reports whether a subject against which so many crashes speak is suspected.
+func (r *record) isSuspect(crashes int) bool {
 	if r.provenAt.IsZero() {
 		return crashes > 0
 	}
@@ -154,9 +151,9 @@
 	return f
 }
 
-// speaksAgainst reports whether a crash still counts against a part on it.
-func (e *Evidence) speaksAgainst(c *Crash, part request.Part) bool {
-	r := e.parts[part]
+// speaksAgainst reports whether a crash still counts against a subject on it.
+func (e *Evidence) speaksAgainst(c *Crash, subject Subject) bool {
+	r := e.subjects[subject]
 	return r != nil && c.At.After(r.provenAt)
 }
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -13,22 +13,24 @@
 
 func at(offset time.Duration) time.Time { return start.Add(offset) }
 
-func parts(ids ...string) []request.Part {
-	var out []request.Part
+func parts(ids ...string) []Subject {
+	var out []Subject
 	for _, id := range ids {
-		out = append(out, request.PartOf(id))
+		out = append(out, PartSubject(request.PartOf(id)))
 	}
 	return out
 }
 
+func numbered(n int) Subject { return PartSubject(request.Part(n)) }
+
 // crash adds a crash of the nth process.
 func crash(e *Evidence, n uint64, when time.Duration, ids ...string) {
-	e.AddCrash(at(when), Crash{Process: n, At: at(when), Parts: parts(ids...)})
+	e.AddCrash(at(when), Crash{Process: n, At: at(when), Subjects: parts(ids...)})
 }
 
 func prove(e *Evidence, when time.Duration, ids ...string) {
-	for _, part := range parts(ids...) {
-		e.AddProof(at(when), part, at(when))
+	for _, subject := range parts(ids...) {
+		e.AddProof(at(when), subject, at(when))
 	}
 }
 
@@ -54,7 +56,7 @@
 	crash(e, 2, 2*second, "first", "second", "dead", "other")
 	crash(e, 3, 3*second, "dead", "first")
 	f := wantState(t, e, 3*second, Quarantined, "first", "second", "dead")
-	if f.Part != request.PartOf("dead") || f.Crashes != 3 || !f.Until.Equal(at(3*second+firstHold)) {
+	if f.Subject != PartSubject(request.PartOf("dead")) || f.Crashes != 3 || !f.Until.Equal(at(3*second+firstHold)) {
 		t.Errorf("got %+v, want part dead with 3 crashes until %v", f, at(3*second+firstHold))
 	}
 	for _, prompt := range [][]string{{"first", "second"}, {"first", "rare"}, {"second", "other"}, {"new"}} {
@@ -184,7 +186,7 @@
 		t.Errorf("undecided until %v, want %v", f.Until, at(proofDelay))
 	}
 	wantState(t, e, proofDelay, Quarantined, "p")
-	e.AddProof(at(proofDelay), request.PartOf("p"), at(50*time.Millisecond))
+	e.AddProof(at(proofDelay), PartSubject(request.PartOf("p")), at(50*time.Millisecond))
 	wantState(t, e, proofDelay, Clear, "p")
 }
 
@@ -218,8 +220,8 @@
 	prove(e, 300*second, "p")
 	wantState(t, e, 300*second, Clear, "p")
 	e.Forget(at(300*second + crashMemory))
-	if len(e.crashes) != 0 || len(e.parts) != 0 {
-		t.Errorf("%d crashes and %d parts are kept for good, want none", len(e.crashes), len(e.parts))
+	if len(e.crashes) != 0 || len(e.subjects) != 0 {
+		t.Errorf("%d crashes and %d subjects are kept for good, want none", len(e.crashes), len(e.subjects))
 	}
 }
 
@@ -230,36 +232,36 @@
 	for range 200 {
 		type event struct {
 			crash Crash
-			proof request.Part
+			proof Subject
 			at    time.Time
 		}
 		var events []event
 		for n := range 12 {
 			when := at(time.Duration(random.IntN(5000)) * time.Millisecond)
-			var some []request.Part
+			var some []Subject
 			for id := range 6 {
 				if random.IntN(3) == 0 {
-					some = append(some, request.Part(id))
+					some = append(some, numbered(id))
 				}
 			}
 			// Two instances know different parts of the same process.
-			events = append(events, event{crash: Crash{Process: uint64(n / 2), At: at(time.Duration(n/2) * 700 * time.Millisecond), Parts: some}, at: when})
+			events = append(events, event{crash: Crash{Process: uint64(n / 2), At: at(time.Duration(n/2) * 700 * time.Millisecond), Subjects: some}, at: when})
 			if random.IntN(4) == 0 {
-				events = append(events, event{proof: request.Part(random.IntN(6)), at: when})
+				events = append(events, event{proof: numbered(random.IntN(6)), at: when})
 			}
 		}
 		var findings [2][]Finding
 		for turn := range findings {
 			e := NewEvidence()
 			for _, n := range random.Perm(len(events)) {
-				if events[n].crash.Parts != nil {
+				if events[n].crash.Subjects != nil {
 					e.AddCrash(at(10*second), events[n].crash)
 				} else {
 					e.AddProof(at(10*second), events[n].proof, events[n].at)
 				}
 			}
-			for id := range request.Part(6) {
-				findings[turn] = append(findings[turn], e.Find(at(10*second), []request.Part{id, (id + 1) % 6}))
+			for id := range 6 {
+				findings[turn] = append(findings[turn], e.Find(at(10*second), []Subject{numbered(id), numbered((id + 1) % 6)}))
 			}
 		}
 		for n := range findings[0] {
@@ -278,17 +280,17 @@
 		crash(e, uint64(n), time.Duration(n)*second, "dead")
 	}
 	for n := range maxCrashes + 100 {
-		ids := make([]string, maxPartsPerCrash+8)
+		ids := make([]string, maxSubjectsPerCrash+8)
 		for i := range ids {
 			ids[i] = fmt.Sprint(n, " ", i)
 		}
 		crash(e, uint64(100+n), 5*second+time.Duration(n)*time.Millisecond, ids...)
 	}
-	for n := range 2 * maxParts {
+	for n := range 2 * maxSubjects {
 		prove(e, 6*second, fmt.Sprint("proven ", n))
 	}
-	if len(e.crashes) > maxCrashes || len(e.parts) > maxCrashes*maxPartsPerCrash+maxParts {
-		t.Errorf("%d crashes and %d parts are held, want at most %d and %d", len(e.crashes), len(e.parts), maxCrashes, maxCrashes*maxPartsPerCrash+maxParts)
+	if len(e.crashes) > maxCrashes || len(e.subjects) > maxCrashes*maxSubjectsPerCrash+maxSubjects {
+		t.Errorf("%d crashes and %d subjects are held, want at most %d and %d", len(e.crashes), len(e.subjects), maxCrashes, maxCrashes*maxSubjectsPerCrash+maxSubjects)
 	}
 	wantState(t, e, 7*second, Quarantined, "dead")
 }
@@ -299,20 +301,20 @@
 	random := rand.New(rand.NewPCG(1, 1))
 	for n := range 40 {
 		c := Crash{Process: uint64(n), At: at(time.Duration(n) * 300 * time.Millisecond)}
-		for range MaxParts {
-			c.Parts = append(c.Parts, request.Part(random.IntN(150)))
+		for range MaxSubjects {
+			c.Subjects = append(c.Subjects, numbered(random.IntN(150)))
 		}
 		e.AddCrash(c.At, c)
 	}
 	b.Run("first", func(b *testing.B) {
 		for b.Loop() {
 			e.knownCulprits = nil
-			e.Find(at(20*second), []request.Part{1, 2, 3})
+			e.Find(at(20*second), []Subject{numbered(1), numbered(2), numbered(3)})
 		}
 	})
 	b.Run("next", func(b *testing.B) {
 		for b.Loop() {
-			e.Find(at(20*second), []request.Part{1, 2, 3})
+			e.Find(at(20*second), []Subject{numbered(1), numbered(2), numbered(3)})
 		}
 	})
 }
