--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -5,7 +5,7 @@
 package crashguard
 
 import (
-	"encoding/binary"
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -15,15 +15,14 @@
 	"limpethub/internal/crashwatch"
 	"limpethub/internal/gossip"
 	"limpethub/internal/quarantine"
-	"limpethub/internal/request"
 )
 
 const (
 	// recentProof is how long before a crash a proof must be for the part to count among those on
 	// the process. A part that was proven later is in other answers all the time.
 	recentProof = time.Second
-	// maxProvenParts is how many parts that were proven before an instance tells of one crash.
-	maxProvenParts = 8
+	// maxProven is how many subjects of each kind that were proven before an instance tells of one crash.
+	maxProven = 8
 	// toldPeriod is how long an instance doesn't repeat a proof that it has told.
 	toldPeriod = 10 * time.Second
 	// forgetPeriod is the time between two times at which old evidence is dropped.
@@ -55,7 +54,8 @@
 	// listed holds the findings of the last recheck, by subject.
 	listed       map[quarantine.Subject]quarantine.Finding
 	lastForgetAt time.Time
-	refusals     uint64
+	// refusals counts the requests refused or ended, by the kind of subject.
+	refusals map[quarantine.Kind]uint64
 }
 
 // New returns a Guard.
@@ -63,6 +63,7 @@
 	return &Guard{
 		options: options, evidence: quarantine.NewEvidence(), tickets: map[*Ticket]struct{}{},
 		changed: make(chan struct{}), told: map[quarantine.Subject]time.Time{}, listed: map[quarantine.Subject]quarantine.Finding{},
+		refusals: map[quarantine.Kind]uint64{},
 	}
 }
 
@@ -71,41 +72,42 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c := quarantine.Crash{Process: ended.Server.ProcessNumber(), At: ended.At}
+	var parts, requests []quarantine.Subject
 	for _, part := range ended.Parts {
-		subject := quarantine.PartSubject(part)
-		if provenAt := g.evidence.ProvenAt(subject); ended.At.Sub(provenAt) > recentProof {
-			c.Subjects = append(c.Subjects, subject)
-		}
+		parts = append(parts, quarantine.PartSubject(part))
 	}
-	// Those that nobody is known to have proven come first, since the number is limited.
-	slices.SortStableFunc(c.Subjects, func(a, b quarantine.Subject) int {
-		return g.evidence.ProvenAt(a).Compare(g.evidence.ProvenAt(b))
-	})
-	c.Subjects = g.limitSubjects(c.Subjects)
+	for _, identity := range ended.Identities {
+		requests = append(requests, quarantine.RequestSubject(identity))
+	}
+	c.Subjects = append(g.limitSubjects(ended.At, parts), g.limitSubjects(ended.At, requests)...)
 	if len(c.Subjects) > 0 {
 		g.addCrash(c, true)
 	}
 }
 
-// limitSubjects limits the subjects of a crash, which are sorted by when they were proven. Of the proven ones,
-// those count that were proven longest ago: a popular part is proven again all the time, unless it has
-// begun to crash servers. The lock is held.
-func (g *Guard) limitSubjects(subjects []quarantine.Subject) []quarantine.Subject {
+// limitSubjects returns the subjects of one kind that this instance tells of a crash, since their number
+// is limited. Those that nobody is known to have proven come first, of these the ones that were on other
+// crashes. Of the proven ones, those count that were proven longest ago: a popular one is proven again
+// all the time, unless it has begun to crash servers. The lock is held.
+func (g *Guard) limitSubjects(endedAt time.Time, subjects []quarantine.Subject) []quarantine.Subject {
+	subjects = slices.DeleteFunc(subjects, func(s quarantine.Subject) bool { return endedAt.Sub(g.evidence.ProvenAt(s)) <= recentProof })
+	slices.SortStableFunc(subjects, func(a, b quarantine.Subject) int {
+		return cmp.Or(g.evidence.ProvenAt(a).Compare(g.evidence.ProvenAt(b)), cmp.Compare(g.evidence.Crashes(b), g.evidence.Crashes(a)))
+	})
 	unproven := slices.IndexFunc(subjects, func(s quarantine.Subject) bool { return !g.evidence.ProvenAt(s).IsZero() })
 	if unproven < 0 {
 		unproven = len(subjects)
 	}
-	return subjects[:min(len(subjects), unproven+maxProvenParts, quarantine.MaxSubjects)]
+	return subjects[:min(len(subjects), unproven+maxProven, quarantine.MaxSubjects)]
 }
 
-// Proven takes the parts of a request whose answer went well. It is crashwatch.Options.OnProven.
-func (g *Guard) Proven(parts []request.Part) {
+// Proven takes a request whose answer went well. It is crashwatch.Options.OnProven.
+func (g *Guard) Proven(proven crashwatch.Proven) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.options.Now()
 	changed := false
-	for _, part := range parts {
-		subject := quarantine.PartSubject(part)
+	for _, subject := range subjectsOf(proven.Identity, proven.Parts) {
 		if g.evidence.AddProof(now, subject, now) {
 			g.tell(subject, now)
 			changed = true
@@ -126,7 +128,12 @@
 	if !g.evidence.AddProof(now, subject, now) {
 		return false
 	}
-	g.options.Logger.WithField("prompt_part", subject.String()).Info("Prompt part released by an operator")
+	log := g.options.Logger.WithField(fieldOf(subject), subject.String())
+	if subject.Kind == quarantine.WholeRequest {
+		log.Info("Request released by an operator")
+	} else {
+		log.Info("Prompt part released by an operator")
+	}
 	g.tell(subject, now)
 	g.recheck(now)
 	return true
@@ -141,7 +148,7 @@
 		return joined, false
 	}
 	if own {
-		g.options.Publish(crashFact(joined))
+		g.publishCrash(c, joined)
 	}
 	for _, subject := range c.Subjects {
 		if provenAt := g.evidence.ProvenAt(subject); !provenAt.IsZero() && now.Sub(g.told[subject]) > toldPeriod {
@@ -158,56 +165,7 @@
 // tell tells the other instances of a proof. The lock is held.
 func (g *Guard) tell(subject quarantine.Subject, at time.Time) {
 	g.told[subject] = g.options.Now()
-	g.options.Publish(gossip.Timed{Topic: gossip.TopicProof, Key: subject.Hash, At: at})
-}
-
-// HandleCrash joins what a peer says of a crash. It is the cluster's handler of gossip.TopicCrash.
-func (g *Guard) HandleCrash(_ time.Time, f gossip.Timed) (gossip.Timed, bool) {
-	c, ok := decodeCrash(f)
-	if !ok {
-		g.options.Logger.WithField("bytes", len(f.Value)).Warn("Ignored a peer's word of a crash: its parts are malformed")
-		return f, false
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	joined, isNew := g.addCrash(c, false)
-	return crashFact(joined), isNew
-}
-
-// HandleProof joins what a peer says of a proof. It is the cluster's handler of gossip.TopicProof.
-func (g *Guard) HandleProof(now time.Time, f gossip.Timed) (gossip.Timed, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	subject := quarantine.PartSubject(request.Part(f.Key))
-	isNew := g.evidence.AddProof(now, subject, f.At)
-	if isNew {
-		g.told[subject] = now
-		g.recheck(now)
-	}
-	return f, isNew
-}
-
-// hashBytes is the size of a subject's hash in a fact.
-const hashBytes = 8
-
-func crashFact(c quarantine.Crash) gossip.Timed {
-	value := make([]byte, 0, hashBytes*len(c.Subjects))
-	for _, subject := range c.Subjects {
-		value = binary.LittleEndian.AppendUint64(value, subject.Hash)
-	}
-	return gossip.Timed{Topic: gossip.TopicCrash, Key: c.Process, Value: value, At: c.At}
-}
-
-func decodeCrash(f gossip.Timed) (quarantine.Crash, bool) {
-	c := quarantine.Crash{Process: f.Key, At: f.At}
-	if len(f.Value)%hashBytes != 0 {
-		return c, false
-	}
-	for value := f.Value; len(value) > 0; value = value[hashBytes:] {
-		part := request.Part(binary.LittleEndian.Uint64(value))
-		c.Subjects = append(c.Subjects, quarantine.PartSubject(part))
-	}
-	return c, true
+	g.options.Publish(proofFact(subject, at))
 }
 
 func (g *Guard) recheckNow() {
@@ -224,7 +182,7 @@
 			continue
 		}
 		if f := g.evidence.Find(now, t.subjects); f.State == quarantine.Quarantined {
-			g.refusals++
+			g.refusals[f.Subject.Kind]++
 			t.cancel(refusal(f, now))
 		}
 	}
@@ -240,19 +198,38 @@
 		if before, ok := g.listed[f.Subject]; ok && before.Crashes == f.Crashes {
 			continue
 		}
-		g.options.Logger.WithFields(fields(f, now)).Warn("Prompt part in quarantine: servers ended with it")
+		log := g.options.Logger.WithFields(fields(f, now))
+		if f.Subject.Kind == quarantine.WholeRequest {
+			log.Warn("Request in quarantine: servers ended under it")
+		} else {
+			log.Warn("Prompt part in quarantine: servers ended with it")
+		}
 	}
 	for subject := range g.listed {
-		if _, ok := current[subject]; !ok {
-			g.options.Logger.WithField("prompt_part", subject.String()).Info("Prompt part no longer in quarantine")
+		if _, ok := current[subject]; ok {
+			continue
+		}
+		log := g.options.Logger.WithField(fieldOf(subject), subject.String())
+		if subject.Kind == quarantine.WholeRequest {
+			log.Info("Request no longer in quarantine")
+		} else {
+			log.Info("Prompt part no longer in quarantine")
 		}
 	}
 	g.listed = current
 }
 
+// fieldOf returns the field that names a subject in logs.
+func fieldOf(s quarantine.Subject) string {
+	if s.Kind == quarantine.WholeRequest {
+		return "identity"
+	}
+	return "prompt_part"
+}
+
 func fields(f quarantine.Finding, now time.Time) logrus.Fields {
 	out := logrus.Fields{
-		"prompt_part": f.Subject.String(), "crashes": f.Crashes,
+		fieldOf(f.Subject): f.Subject.String(), "crashes": f.Crashes,
 		"first_ms_ago": now.Sub(f.First).Milliseconds(), "last_ms_ago": now.Sub(f.Last).Milliseconds(),
 	}
 	if !f.Until.IsZero() {
@@ -282,9 +259,9 @@
 	return g.evidence.List(g.options.Now())
 }
 
-// Refusals returns how many requests were refused or ended because of their subjects.
-func (g *Guard) Refusals() uint64 {
+// Refusals returns how many requests were refused or ended because of a subject of the given kind.
+func (g *Guard) Refusals(kind quarantine.Kind) uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.refusals
+	return g.refusals[kind]
 }
--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -44,6 +44,8 @@
 	return out
 }
 
+func provenParts(ids ...string) crashwatch.Proven { return crashwatch.Proven{Parts: parts(ids...)} }
+
 func partSubject(id string) quarantine.Subject { return quarantine.PartSubject(request.PartOf(id)) }
 
 // crash reports a server that ended with the parts on it.
@@ -82,7 +84,7 @@
 func TestQuarantinedPromptIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture()
-		f.Proven(parts("first"))
+		f.Proven(provenParts("first"))
 		time.Sleep(2 * time.Second)
 		f.quarantine("dead")
 		start := time.Now()
@@ -93,8 +95,8 @@
 		if took := time.Since(start); took > 0 {
 			t.Errorf("decided after %v, want at once", took)
 		}
-		if f.Refusals() != 1 || len(f.Quarantined()) != 1 {
-			t.Errorf("counted %d refusals and %d parts, want 1 and 1", f.Refusals(), len(f.Quarantined()))
+		if f.Refusals(quarantine.PromptPart) != 1 || len(f.Quarantined()) != 1 {
+			t.Errorf("counted %d refusals and %d parts, want 1 and 1", f.Refusals(quarantine.PromptPart), len(f.Quarantined()))
 		}
 	})
 }
@@ -104,19 +106,19 @@
 func TestCrashTellsUnprovenPartsAndTheOldestProofs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture()
-		f.Proven(parts("turned"))
+		f.Proven(provenParts("turned"))
 		ids := []string{"new"}
 		for n := range 40 {
 			time.Sleep(100 * time.Millisecond)
 			id := fmt.Sprint("popular", n)
-			f.Proven(parts(id))
+			f.Proven(provenParts(id))
 			ids = append(ids, id)
 		}
 		time.Sleep(2 * recentProof)
 		f.crash(append(ids, "turned")...)
 		c, ok := decodeCrash(f.published[0])
-		if !ok || len(c.Subjects) != 1+maxProvenParts || c.Subjects[0] != partSubject("new") || c.Subjects[1] != partSubject("turned") {
-			t.Errorf("told %d parts, %v, want the new one, the one proven longest ago, and %d more", len(c.Subjects), c.Subjects, maxProvenParts-1)
+		if !ok || len(c.Subjects) != 1+maxProven || c.Subjects[0] != partSubject("new") || c.Subjects[1] != partSubject("turned") {
+			t.Errorf("told %d parts, %v, want the new one, the one proven longest ago, and %d more", len(c.Subjects), c.Subjects, maxProven-1)
 		}
 	})
 }
@@ -166,7 +168,7 @@
 func TestSuspectedRequestsGoOneAtATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture()
-		f.Proven(parts("first"))
+		f.Proven(provenParts("first"))
 		time.Sleep(2 * time.Second)
 		f.crash("first", "odd")
 		one, two := f.enter(t, "first", "odd"), f.enter(t, "first", "odd")
@@ -190,7 +192,7 @@
 		default:
 		}
 		time.Sleep(100 * time.Millisecond)
-		f.Proven(parts("odd"))
+		f.Proven(provenParts("odd"))
 		if at := <-done; time.Since(at) > 0 || two.Suspect() {
 			t.Error("the second request isn't let go as soon as the part is proven")
 		}
@@ -232,7 +234,7 @@
 		}
 		wantRefused(t, f.enter(t, "dead").Wait())
 		trial.MaySend()
-		f.Proven(parts("dead"))
+		f.Proven(provenParts("dead"))
 		if err := f.enter(t, "dead").Wait(); err != nil {
 			t.Errorf("after a trial that went well: got %v, want none", err)
 		}
@@ -267,12 +269,12 @@
 func TestPeersWordIsJoined(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, other := newFixture(), newFixture()
-		other.Proven(parts("b"))
+		other.Proven(provenParts("b"))
 		time.Sleep(2 * time.Second)
 		f.crash("a", "b")
 		joined, isNew := other.HandleCrash(time.Now(), f.published[0])
 		if c, ok := decodeCrash(joined); !ok || !isNew || !slices.Equal(c.Subjects, []quarantine.Subject{partSubject("a"), partSubject("b")}) {
-			t.Errorf("got %+v, new %v, want parts a and b, new", joined, isNew)
+			t.Errorf("got %+v, new %v, want.subjects a and b, new", joined, isNew)
 		}
 		if len(other.published) != 1 || other.published[0].Key != uint64(request.PartOf("b")) {
 			t.Errorf("told %v, want the proof of b", other.published)
--- a/internal/crashguard/ticket.go
+++ b/internal/crashguard/ticket.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"limpethub/internal/quarantine"
 	"limpethub/internal/request"
 	"limpethub/internal/verdict"
@@ -30,8 +32,9 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	// suspect is true if the request was last let through although one of its subjects is suspected or
-	// on trial, and trial in the latter case.
+	// on trial, and trial in the latter case; tried is that subject.
 	suspect, trial bool
+	tried          quarantine.Subject
 	// onServer is true while an attempt is on a server, and survived once an answer has begun.
 	onServer, survived bool
 }
@@ -39,7 +42,7 @@
 // Enter registers a request. The caller must use Context for it, call Wait before each time that it
 // asks for a server, and call Leave at its end.
 func (g *Guard) Enter(ctx context.Context, r *request.Request) *Ticket {
-	t := &Ticket{guard: g, subjects: subjectsOf(r)}
+	t := &Ticket{guard: g, subjects: subjectsOf(r.Identity, r.Parts)}
 	t.ctx, t.cancel = context.WithCancelCause(ctx)
 	if len(t.subjects) == 0 {
 		return t
@@ -50,10 +53,14 @@
 	return t
 }
 
-// subjectsOf returns the subjects of a request.
-func subjectsOf(r *request.Request) []quarantine.Subject {
-	out := make([]quarantine.Subject, 0, len(r.Parts))
-	for _, part := range r.Parts {
+// subjectsOf returns the subjects of a request: the request itself, if its identity is known, and the
+// parts of its prompt.
+func subjectsOf(identity request.Identity, parts []request.Part) []quarantine.Subject {
+	out := make([]quarantine.Subject, 0, len(parts)+1)
+	if identity != 0 {
+		out = append(out, quarantine.RequestSubject(identity))
+	}
+	for _, part := range parts {
 		out = append(out, quarantine.PartSubject(part))
 	}
 	return out
@@ -143,11 +150,11 @@
 		return g.changed, f.Until.Sub(now), nil
 	case quarantine.Trial:
 		if g.options.MayTry(f.Subject) && !g.isBusy(f.Subject, t) {
-			t.suspect, t.trial = true, true
+			t.suspect, t.trial, t.tried = true, true, f.Subject
 			return nil, 0, nil
 		}
 	}
-	g.refusals++
+	g.refusals[f.Subject.Kind]++
 	return nil, 0, refusal(f, now)
 }
 
@@ -178,10 +185,23 @@
 		}
 		t.suspect = f.State == quarantine.Suspect
 	}
+	if t.trial && t.tried.Kind == quarantine.WholeRequest {
+		g.recordTrial(t.tried)
+	}
 	t.onServer, t.survived = true, false
 	return true
 }
 
+// recordTrial records that a request is tried again, and tells the other instances. It counts when it is
+// sent, since its caller may leave before anything shows. The lock is held.
+func (g *Guard) recordTrial(subject quarantine.Subject) {
+	now := g.options.Now()
+	trials := g.evidence.Trials(subject) + 1
+	g.evidence.AddTrial(subject, trials, now)
+	g.options.Publish(trialFact(subject, trials, now))
+	g.options.Logger.WithFields(logrus.Fields{"identity": subject.String(), "trials": trials}).Info("Request in quarantine is tried again")
+}
+
 // AnswerBegun records that the answer of the current attempt has begun.
 func (t *Ticket) AnswerBegun() {
 	if len(t.subjects) == 0 {
@@ -206,19 +226,34 @@
 	}
 }
 
-// Unproven reports whether no answer has proven all subjects of the request yet, so that it may be what
-// ended its server.
-func (t *Ticket) Unproven() bool {
+// MayBeCause reports whether the request may be what ended its server, so that it matters for the next
+// attempt whether the server has: if no answer has proven all parts of its prompt, or if other servers
+// have ended under the request.
+func (t *Ticket) MayBeCause() bool {
 	g := t.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return slices.ContainsFunc(t.subjects, func(s quarantine.Subject) bool { return g.evidence.ProvenAt(s).IsZero() })
+	return slices.ContainsFunc(t.subjects, func(s quarantine.Subject) bool {
+		return g.evidence.ProvenAt(s).IsZero() && (s.Kind == quarantine.PromptPart || g.evidence.Crashes(s) > 0)
+	})
+}
+
+// EndsAttempts reports whether the request may not go to a further server by the same attempt of its
+// caller, because servers have ended under it.
+func (t *Ticket) EndsAttempts() bool {
+	g := t.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evidence.Find(g.options.Now(), t.subjects).EndsAttempts()
 }
 
 // refusal returns the error of a request that no server gets.
 func refusal(f quarantine.Finding, now time.Time) *verdict.Error {
-	err := verdict.Refused(verdict.CodePromptQuarantined,
-		"part %s of the prompt was on %d servers when they ended, first %s and last %s ago, and in no answer since",
+	code, text := verdict.CodePromptQuarantined, "part %s of the prompt"
+	if f.Subject.Kind == quarantine.WholeRequest {
+		code, text = verdict.CodeRequestQuarantined, "the request, whose identity is %s,"
+	}
+	err := verdict.Refused(code, text+" was on %d servers when they ended, first %s and last %s ago, and in no answer since",
 		f.Subject, f.Crashes, ago(now, f.First), ago(now, f.Last))
 	err.RetryAfter = trialRetryAfter
 	if !f.Until.IsZero() {
--- a/internal/crashwatch/watch.go
+++ b/internal/crashwatch/watch.go
@@ -61,13 +61,20 @@
 	// OnEnded is called for each process that ended, and again with all its requests if further
 	// answers break off later. It must not block; nil means no call.
 	OnEnded func(Ended)
-	// OnProven is called with the parts of a request whose answer shows that they don't crash
-	// servers. It must not block; nil means no call.
-	OnProven func(parts []request.Part)
+	// OnProven is called for a request whose answer shows that it doesn't crash servers. It must not
+	// block; nil means no call.
+	OnProven func(Proven)
 	Logger   *logrus.Entry
 	Now      func() time.Time
 }
 
+// Proven describes a request whose answer went well.
+type Proven struct {
+	// Identity is zero if it is unknown.
+	Identity request.Identity
+	Parts    []request.Part
+}
+
 // Watch tracks requests on servers. It is safe for concurrent use.
 type Watch struct {
 	options Options
@@ -163,8 +170,8 @@
 	r.watch.mu.Lock()
 	r.proven = true
 	r.watch.mu.Unlock()
-	if r.watch.options.OnProven != nil && len(r.parts) > 0 {
-		r.watch.options.OnProven(r.parts)
+	if r.watch.options.OnProven != nil {
+		r.watch.options.OnProven(Proven{Identity: r.identity, Parts: r.parts})
 	}
 }
 
@@ -226,7 +233,8 @@
 	liveness := w.probe(p.server)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	close(p.verdict)
+	// Whoever waits for the verdict decides by what is reported here.
+	defer close(p.verdict)
 	if liveness == engine.LivenessEnded {
 		p.hasEnded = true
 		w.ended++
--- a/internal/ctl/fake_test.go
+++ b/internal/ctl/fake_test.go
@@ -47,7 +47,7 @@
 
 func (f *fakeController) Quarantine(context.Context) (operatorapi.Quarantine, error) {
 	at := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
-	return operatorapi.Quarantine{Parts: []operatorapi.QuarantinedPart{
+	return operatorapi.Quarantine{Parts: []operatorapi.Quarantined{
 		{Part: "0bc7184168bceac8", Crashes: 3, First: at, Last: at.Add(time.Second), Until: at.Add(time.Minute)},
 		{Part: "d84834ca076bb594", Crashes: 4, First: at, Last: at.Add(time.Second)},
 	}}, f.err
--- a/internal/ctl/quarantine.go
+++ b/internal/ctl/quarantine.go
@@ -11,17 +11,18 @@
 )
 
 func (t *tool) quarantineCommand() *cobra.Command {
-	return commandGroup("quarantine", "List and release parts of prompts that crash servers",
-		`List and release parts of prompts that crash servers. Instances refuse requests with such a
-part, since servers have ended with it again and again and no answer has come.`,
+	return commandGroup("quarantine", "List and release parts of prompts, and requests, that crash servers",
+		`List and release parts of prompts, and requests, that crash servers. Instances refuse requests
+with such a part, and such requests when they come again, since servers have ended with them
+again and again and no answer has come.`,
 		t.quarantineListCommand(), t.quarantineReleaseCommand())
 }
 
 func (t *tool) quarantineListCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:     "list",
-		Short:   "List the parts of prompts in quarantine",
-		Long:    "List the parts of prompts in quarantine, as the instance knows them. Parts are named by their hash, as in logs.",
+		Short:   "List the parts of prompts and the requests in quarantine",
+		Long:    "List the parts of prompts and the requests in quarantine, as the instance knows them. Both are named by their hash, as in logs.",
 		Example: "  limpethubctl quarantine list",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -33,36 +34,44 @@
 			if err != nil {
 				return err
 			}
-			return t.print(quarantine.Parts, func(w io.Writer) error { return quarantineTable(quarantine.Parts).write(w) })
+			all := append(quarantine.Parts, quarantine.Requests...)
+			return t.print(all, func(w io.Writer) error { return quarantineTable(all).write(w) })
 		},
 	}
 }
 
-func quarantineTable(parts []operatorapi.QuarantinedPart) *table {
-	out := newTable("PART", "CRASHES", "FIRST", "LAST", "TRIED AGAIN")
-	for _, p := range parts {
+func quarantineTable(all []operatorapi.Quarantined) *table {
+	out := newTable("KIND", "HASH", "CRASHES", "FIRST", "LAST", "TRIED AGAIN")
+	for _, p := range all {
 		until := "now, by one instance"
 		if !p.Until.IsZero() {
 			until = p.Until.Format(time.RFC3339)
 		}
-		out.add(p.Part, p.Crashes, p.First.Format(time.RFC3339), p.Last.Format(time.RFC3339), until)
+		kind, hash := "part", p.Part
+		if p.Request != "" {
+			kind, hash = "request", p.Request
+		}
+		out.add(kind, hash, p.Crashes, p.First.Format(time.RFC3339), p.Last.Format(time.RFC3339), until)
 	}
 	return out
 }
 
 // releaseResult is the JSON output of quarantine release.
 type releaseResult struct {
-	Part string `json:"part"`
+	// Hash is that of a part or a request. Scripts know the field by the name that it had when only parts
+	// could be released.
+	Hash string `json:"part"`
 	// Released is always true: a release that fails has no result.
 	Released bool `json:"released"`
 }
 
 func (t *tool) quarantineReleaseCommand() *cobra.Command {
 	return &cobra.Command{
-		Use:   "release PART",
-		Short: "Let requests with a part of prompts through again",
-		Long: `Let requests with a part of prompts through again, on all instances, as after a repair of the
-engine. If servers still end with it, it comes back into quarantine after five more crashes.`,
+		Use:   "release HASH",
+		Short: "Let requests with a part of prompts, or a request, through again",
+		Long: `Let requests with a part of prompts, or a request, through again, on all instances, as after a
+repair of the engine. If servers still end with it, it comes back into quarantine after five more
+crashes.`,
 		Example: "  limpethubctl quarantine release 0bc7184168bceac8",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
@@ -73,7 +82,7 @@
 			if err := client.Release(c.Context(), args[0]); err != nil {
 				return err
 			}
-			return t.print(releaseResult{Part: args[0], Released: true}, func(w io.Writer) error {
+			return t.print(releaseResult{Hash: args[0], Released: true}, func(w io.Writer) error {
 				_, err := fmt.Fprintf(w, "%s is released\n", args[0])
 				return err
 			})
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -191,8 +191,9 @@
 	h.guard = crashguard.New(crashguard.Options{
 		Publish: d.cluster.Publish, MayTry: d.triesSubject, Logger: d.log(logging.Routing), Now: time.Now,
 	})
-	d.cluster.OnFact(gossip.TopicCrash, h.guard.HandleCrash)
-	d.cluster.OnFact(gossip.TopicProof, h.guard.HandleProof)
+	for topic, handler := range h.guard.Handlers() {
+		d.cluster.OnFact(topic, handler)
+	}
 	h.crashes = crashwatch.New(crashwatch.Options{
 		Prober: &pauseRespectingProber{Prober: d.plugins.relayer, watcher: h.watcher}, OnEnded: h.guard.ServerEnded, OnProven: h.guard.Proven,
 		Logger: d.log(logging.Routing), Now: time.Now,
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"limpethub/internal/membership"
+	"limpethub/internal/quarantine"
 )
 
 // collectorProvider is a plug-in that has its own metrics.
@@ -77,11 +78,17 @@
 			return float64(d.hosted.limits.Count())
 		}),
 		gauge("limpethub_prompt_parts_quarantined", "Parts of prompts that no server gets for a while, or that one instance tries again, because servers ended with them.", func() float64 {
-			return float64(len(d.hosted.guard.Quarantined()))
+			return float64(d.hosted.countQuarantined(quarantine.PromptPart))
+		}),
+		gauge("limpethub_requests_quarantined", "Requests that no server gets for a while when they come again, or that one instance tries again, because servers ended under them.", func() float64 {
+			return float64(d.hosted.countQuarantined(quarantine.WholeRequest))
 		}),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "limpethub_prompt_refusals_total", Help: "Requests that were refused or ended because a part of their prompt is in quarantine.",
-		}, func() float64 { return float64(d.hosted.guard.Refusals()) }),
+		}, func() float64 { return float64(d.hosted.guard.Refusals(quarantine.PromptPart)) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "limpethub_request_refusals_total", Help: "Requests that were refused or ended because servers ended under them each time that they came.",
+		}, func() float64 { return float64(d.hosted.guard.Refusals(quarantine.WholeRequest)) }),
 		gauge("limpethub_discovered_servers", "Backend servers that this instance discovered and that are not leaving.", func() float64 {
 			count := 0
 			for _, s := range d.hosted.watcher.Servers() {
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -64,6 +64,9 @@
 	verdict.CodePromptQuarantined: func(_ *History, end Line) string {
 		return "servers end with a part of its prompt: " + end.Error
 	},
+	verdict.CodeRequestQuarantined: func(_ *History, end Line) string {
+		return "servers end under it each time that it comes: " + end.Error
+	},
 	verdict.CodeServersLimited: func(_ *History, _ Line) string {
 		return "every server that could run it had named a limit and got as many requests as that allows"
 	},
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -42,8 +42,8 @@
 	Dispatcher *dispatch.Dispatcher
 	Plane      engine.Passthrough
 	Directory  Directory
-	// Crashes learns which requests run on which server process, and Guard holds back those whose
-	// prompts crash servers. Both are nil or none.
+	// Crashes learns which requests run on which server process, and Guard holds back those that crash
+	// servers. Both are nil or none.
 	Crashes *crashwatch.Watch
 	Guard   *crashguard.Guard
 	Logger  *logrus.Entry
@@ -119,25 +119,25 @@
 	return relayed.result, err
 }
 
-// admit waits until the prompt of the request may go to a server, and then for a server.
+// admit waits until the request may go to a server, and then for a server.
 func (r *Relay) admit(ctx context.Context, relayed *relayedRequest) (scheduling.Decision, error) {
 	for {
-		if err := relayed.waitForPrompt(); err != nil {
+		if err := relayed.waitForGuard(); err != nil {
 			return scheduling.Decision{}, err
 		}
 		decision, err := r.options.Dispatcher.Admit(ctx, relayed.call.Request)
 		if err != nil || relayed.ticket == nil || relayed.ticket.MaySend() {
 			return decision, err
 		}
-		// A part of the prompt has become suspected while the request waited for the server.
+		// The request or a part of its prompt has become suspected while it waited for the server.
 		r.options.Dispatcher.Finish(unsentOutcome(relayed, decision))
 	}
 }
 
-// retry asks for another attempt like admit. The attempt that it releases if the prompt has become
+// retry asks for another attempt like admit. The attempt that it releases if the request has become
 // suspected doesn't count.
 func (r *Relay) retry(ctx context.Context, relayed *relayedRequest, last scheduling.Outcome) (scheduling.Decision, error) {
-	if err := relayed.waitForPrompt(); err != nil {
+	if err := relayed.waitForGuard(); err != nil {
 		return scheduling.Decision{}, err
 	}
 	decision, err := r.options.Dispatcher.Retry(ctx, relayed.call.Request, last)
@@ -148,8 +148,8 @@
 	return r.admit(ctx, relayed)
 }
 
-// waitForPrompt waits until the prompt may go to a server.
-func (relayed *relayedRequest) waitForPrompt() error {
+// waitForGuard waits until the request may go to a server.
+func (relayed *relayedRequest) waitForGuard() error {
 	if relayed.ticket == nil {
 		return nil
 	}
@@ -159,7 +159,7 @@
 }
 
 // errNotSent is the cause of an attempt that was released before anything was sent.
-var errNotSent = verdict.Refused(verdict.CodeCanceled, "nothing was sent, since the prompt has become suspected")
+var errNotSent = verdict.Refused(verdict.CodeCanceled, "nothing was sent, since the request has become suspected")
 
 func unsentOutcome(relayed *relayedRequest, decision scheduling.Decision) scheduling.Outcome {
 	return scheduling.Outcome{ID: relayed.call.Request.ID, Server: decision.Server, Verdict: verdict.NotRun, Err: errNotSent, Unsent: true}
@@ -210,6 +210,8 @@
 		return "it may have run and isn't idempotent"
 	case relayed.headDelivered && relayed.lastEventID == noEventID:
 		return "its events carry no ids to resume after"
+	case relayed.ticket != nil && relayed.ticket.EndsAttempts():
+		return "servers have ended under it, so that it isn't sent to another one"
 	}
 	return ""
 }
@@ -336,10 +338,10 @@
 	}
 }
 
-// awaitCause waits until it is known whether the server of a broken answer has ended, if the prompt
+// awaitCause waits until it is known whether the server of a broken answer has ended, if the request
 // may be the cause: the next attempt depends on it.
 func (relayed *relayedRequest) awaitCause(ctx context.Context, known <-chan struct{}) {
-	if relayed.ticket == nil || !relayed.ticket.Unproven() {
+	if relayed.ticket == nil || !relayed.ticket.MayBeCause() {
 		return
 	}
 	select {
--- a/internal/forward/relay_prompt_test.go
+++ b/internal/forward/relay_prompt_test.go
@@ -140,13 +140,13 @@
 		guard := withGuard(r)
 		guard.ServerEnded(crashReport(1, 7))
 		ticket := guard.Enter(t.Context(), &request.Request{Parts: []request.Part{7}})
-		if !ticket.Unproven() {
+		if !ticket.MayBeCause() {
 			t.Fatalf("%s: the part counts as proven before any answer", name)
 		}
 		if _, err := r.Relay(t.Context(), promptCall("q", 7), -1, &recordingCaller{}); err != nil {
 			t.Fatal(err)
 		}
-		if ticket.Unproven() {
+		if ticket.MayBeCause() {
 			t.Errorf("%s: the part isn't proven", name)
 		}
 		ticket.Leave()
@@ -165,7 +165,7 @@
 		guard := withGuard(r)
 		ticket := guard.Enter(t.Context(), &request.Request{Parts: []request.Part{7}})
 		_, _ = r.Relay(t.Context(), promptCall("q", 7), -1, &recordingCaller{})
-		if !ticket.Unproven() {
+		if !ticket.MayBeCause() {
 			t.Errorf("%s: the part counts as proven", name)
 		}
 		ticket.Leave()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -25,6 +25,12 @@
 	TopicProof
 	// TopicLimit is for the limits that servers name in their answers.
 	TopicLimit
+	// TopicRequestCrash is for server processes that ended, with the identities of the requests on them.
+	TopicRequestCrash
+	// TopicRequestProof is for requests that an answer has proven.
+	TopicRequestProof
+	// TopicRequestTrial is for requests that were tried again after a quarantine.
+	TopicRequestTrial
 )
 
 // Fact is a fact as it is sent. Instances' clocks differ, so it carries its age.
@@ -86,10 +92,20 @@
 	notifyPeriod = 100 * time.Millisecond
 	// maxFacts limits how many facts are held; the oldest is dropped first.
 	maxFacts = 1024
-	// lifetime is how long a fact is held.
-	lifetime = 30 * time.Minute
+	// lifetime is how long a fact is held, and evidenceLifetime how long one about crashes.
+	lifetime         = 30 * time.Minute
+	evidenceLifetime = 24 * time.Hour
 )
 
+// isOver reports whether the fact is no longer held.
+func (t Timed) isOver(now time.Time) bool {
+	limit := evidenceLifetime
+	if t.Topic == TopicLimit {
+		limit = lifetime
+	}
+	return now.Sub(t.At) > limit
+}
+
 type key struct {
 	topic Topic
 	key   uint64
@@ -186,7 +202,7 @@
 	var out []Fact
 	for n := s.fresh.Len(); n > 0; n-- {
 		e := s.fresh.Front().Value.(*entry)
-		if now.Sub(e.fact.At) > lifetime {
+		if e.fact.isOver(now) {
 			s.drop(e)
 			continue
 		}
@@ -217,7 +233,7 @@
 		return out
 	}
 	e := first.Value.(*entry)
-	if now.Sub(e.fact.At) > lifetime {
+	if e.fact.isOver(now) {
 		s.drop(e)
 		return out
 	}
@@ -233,7 +249,7 @@
 func (s *Spreader) All(now time.Time) []Fact {
 	out := make([]Fact, 0, len(s.entries))
 	for _, e := range s.entries {
-		if now.Sub(e.fact.At) <= lifetime {
+		if !e.fact.isOver(now) {
 			out = append(out, e.fact.Fact(now))
 		}
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -84,10 +84,17 @@
 
 // TestOldFactsAreDropped guards against facts that are sent for good.
 func TestOldFactsAreDropped(t *testing.T) {
-	s := NewSpreader()
-	s.Put(fact(1, 8))
-	late := start.Add(lifetime + time.Second)
-	if sent, all := s.Take(late, 500), s.All(late); len(sent)+len(all) > 0 || s.Len() > 0 {
-		t.Errorf("sent %v and told %v after their lifetime, want none", sent, all)
+	for topic, held := range map[Topic]time.Duration{TopicLimit: lifetime, TopicCrash: evidenceLifetime, TopicRequestCrash: evidenceLifetime} {
+		s := NewSpreader()
+		f := fact(1, 8)
+		f.Topic = topic
+		s.Put(f)
+		if all := s.All(start.Add(held)); len(all) != 1 {
+			t.Errorf("topic %d: told %v within its lifetime, want the fact", topic, all)
+		}
+		late := start.Add(held + time.Second)
+		if sent, all := s.Take(late, 500), s.All(late); len(sent)+len(all) > 0 || s.Len() > 0 {
+			t.Errorf("topic %d: sent %v and told %v after their lifetime, want none", topic, sent, all)
+		}
 	}
 }
--- a/internal/operatorapi/client.go
+++ b/internal/operatorapi/client.go
@@ -90,16 +90,17 @@
 	return c.call(ctx, http.MethodPost, PathInstances+url.PathEscape(instance)+"/drain", nil, nil)
 }
 
-// Quarantine lists the parts of prompts that servers don't get because servers ended with them.
+// Quarantine lists the parts of prompts and the requests that servers don't get because servers ended
+// with them.
 func (c *Client) Quarantine(ctx context.Context) (Quarantine, error) {
 	var out Quarantine
 	err := c.call(ctx, http.MethodGet, PathQuarantine, nil, &out)
 	return out, err
 }
 
-// Release ends the quarantine of a part of prompts on all instances.
-func (c *Client) Release(ctx context.Context, part string) error {
-	return c.call(ctx, http.MethodDelete, PathQuarantine+"/"+url.PathEscape(part), nil, nil)
+// Release ends the quarantine of a part of prompts or a request on all instances.
+func (c *Client) Release(ctx context.Context, name string) error {
+	return c.call(ctx, http.MethodDelete, PathQuarantine+"/"+url.PathEscape(name), nil, nil)
 }
 
 // call sends one request with the JSON form of in as its body and decodes the answer into
--- a/internal/operatorapi/operatorapi_test.go
+++ b/internal/operatorapi/operatorapi_test.go
@@ -51,7 +51,7 @@
 
 func (f *fakeController) Quarantine(context.Context) (Quarantine, error) {
 	f.handledCalls++
-	return Quarantine{Parts: []QuarantinedPart{{Part: "a1", Crashes: 3}}}, f.err
+	return Quarantine{Parts: []Quarantined{{Part: "a1", Crashes: 3}}}, f.err
 }
 
 func (f *fakeController) Release(_ context.Context, part string) error {
--- a/internal/operatorapi/types.go
+++ b/internal/operatorapi/types.go
@@ -31,29 +31,32 @@
 	// Drain starts the drain of an instance, this one or a peer, and returns once the
 	// instance has accepted. For an unknown name the error is a *NotFoundError.
 	Drain(ctx context.Context, instance string) error
-	// Quarantine lists the parts of prompts that servers don't get, or that one instance tries
-	// again, because servers ended with them.
+	// Quarantine lists the parts of prompts and the requests that servers don't get, or that one
+	// instance tries again, because servers ended with them.
 	Quarantine(ctx context.Context) (Quarantine, error)
-	// Release ends the quarantine of a part on all instances. For a part that isn't in quarantine
-	// the error is a *NotFoundError.
-	Release(ctx context.Context, part string) error
+	// Release ends the quarantine of a part or a request on all instances, which is named by its hash.
+	// For one that isn't in quarantine the error is a *NotFoundError.
+	Release(ctx context.Context, name string) error
 }
 
-// Quarantine lists the parts of prompts in quarantine.
+// Quarantine lists the parts of prompts and the requests in quarantine.
 type Quarantine struct {
-	Parts []QuarantinedPart `json:"parts"`
+	Parts    []Quarantined `json:"parts"`
+	Requests []Quarantined `json:"requests,omitempty"`
 }
 
-// QuarantinedPart is a part of prompts that servers ended with.
-type QuarantinedPart struct {
-	// Part is the hash of the part's id, as in logs.
-	Part string `json:"part"`
+// Quarantined is a part of prompts, or a request, that servers ended with.
+type Quarantined struct {
+	// Part is the hash of the part's id, and Request the identity of the request, as in logs. One of
+	// them is empty.
+	Part    string `json:"part,omitempty"`
+	Request string `json:"request,omitempty"`
 	// Crashes is how many servers ended with it. First and Last are the times of the first and the
 	// last of them.
 	Crashes int       `json:"crashes"`
 	First   time.Time `json:"first"`
 	Last    time.Time `json:"last"`
-	// Until is when one instance tries the part again; zero if that is so already.
+	// Until is when one instance tries it again; zero if that is so already.
 	Until time.Time `json:"until,omitzero"`
 }
 
--- a/internal/quarantine/culprits.go
+++ b/internal/quarantine/culprits.go
@@ -13,16 +13,26 @@
 // any time enough crashes spoke against it that nothing else explained as well: no culprit found
 // before, and no subject against which as many crashes spoke by then. What is found later doesn't
 // acquit it, only a proof does.
-func (e *Evidence) culprits() map[Subject]bool {
+func (e *Evidence) culprits() map[Subject]culprit {
 	if e.knownCulprits == nil {
 		e.knownCulprits = e.findCulprits()
 	}
 	return e.knownCulprits
 }
 
+// culprit says how a subject was found.
+type culprit struct {
+	// found is true for a subject that is a culprit.
+	found bool
+	// alone is true if at any time nothing explained the crashes as well, not even subjects that had
+	// come with it each time. A whole request that crashes servers too, and is found later or before,
+	// then doesn't hide it.
+	alone bool
+}
+
 // findCulprits goes through the crashes in the order of their times.
-func (e *Evidence) findCulprits() map[Subject]bool {
-	culprits := map[Subject]bool{}
+func (e *Evidence) findCulprits() map[Subject]culprit {
+	culprits := map[Subject]culprit{}
 	against := map[Subject][]*Crash{}
 	for _, c := range e.inOrder() {
 		for _, subject := range c.Subjects {
@@ -31,8 +41,15 @@
 			}
 		}
 		for _, subject := range c.Subjects {
-			if !culprits[subject] && e.isCulprit(subject, against, culprits) {
-				culprits[subject] = true
+			known := culprits[subject]
+			if known.found && known.alone {
+				continue
+			}
+			crashes := against[subject]
+			known.found = known.found || e.isCulprit(subject, companions(subject, crashes), against, culprits)
+			known.alone = known.alone || e.isCulprit(subject, []Subject{subject}, against, culprits)
+			if known.found {
+				culprits[subject] = known
 			}
 		}
 	}
@@ -51,8 +68,9 @@
 	return out
 }
 
-// isCulprit decides about a subject by the crashes so far, which against lists by subject.
-func (e *Evidence) isCulprit(subject Subject, against map[Subject][]*Crash, culprits map[Subject]bool) bool {
+// isCulprit decides about a subject by the crashes so far, which against lists by subject. The given
+// subjects don't explain any.
+func (e *Evidence) isCulprit(subject Subject, except []Subject, against map[Subject][]*Crash, culprits map[Subject]culprit) bool {
 	crashes := against[subject]
 	if len(crashes) == 0 {
 		return false
@@ -61,10 +79,39 @@
 	if len(crashes) < needed {
 		return false
 	}
-	unexplained := e.unexplained(crashes, companions(subject, crashes), func(other Subject) bool {
-		return culprits[other] || e.explainsAsWell(subject, len(crashes), other, len(against[other]))
+	unexplained := e.unexplained(crashes, except, func(other Subject) bool {
+		return bothParts(subject, other) && culprits[other].found || e.explainsAsWell(subject, len(crashes), other, len(against[other]))
 	})
-	return events(unexplained) >= needed
+	return e.isEnough(subject, crashes, unexplained)
+}
+
+func bothParts(a, b Subject) bool { return a.Kind == PromptPart && b.Kind == PromptPart }
+
+// maxCountedExplained is how many crashes that another subject explains count against a whole request,
+// all together as much as one that nothing explains. A request that comes again on servers that
+// something else crashes at the same time would otherwise be found too late.
+const maxCountedExplained = 2
+
+// crashesWhateverExplains is how many crashes put a whole request into quarantine that no answer has
+// proven, also if something else explains all of them. Two requests that crash servers and always come
+// together explain each other's; a sound one is hardly on so many before its caller leaves.
+const crashesWhateverExplains = 5
+
+// isEnough reports whether crashes put a subject into quarantine, given those that nothing else
+// explains.
+func (e *Evidence) isEnough(subject Subject, crashes, unexplained []*Crash) bool {
+	needed, _ := e.subjects[subject].needed()
+	own := e.count(subject, unexplained)
+	if subject.Kind == WholeRequest {
+		all := e.count(subject, crashes)
+		if all-own >= maxCountedExplained {
+			own++
+		}
+		if all >= crashesWhateverExplains && e.ProvenAt(subject).IsZero() {
+			return true
+		}
+	}
+	return own >= needed
 }
 
 // explainsAsWell reports whether another subject explains the crashes of a subject as well as the subject
@@ -82,12 +129,17 @@
 	return otherCrashes >= crashes
 }
 
-// companions returns a subject and those that were on all processes of the crashes too.
+// companions returns a subject and those that were on all processes of the crashes too. Another whole
+// request is none of a whole request: they don't come together, so that the next crash tells which of
+// them it is.
 func companions(subject Subject, crashes []*Crash) []Subject {
 	out := []Subject{subject}
+	if len(crashes) < crashesToQuarantine {
+		return out
+	}
 	for _, other := range crashes[0].Subjects {
 		isMissing := func(c *Crash) bool { return !slices.Contains(c.Subjects, other) }
-		if other != subject && !slices.ContainsFunc(crashes, isMissing) {
+		if other != subject && (subject.Kind != WholeRequest || other.Kind != WholeRequest) && !slices.ContainsFunc(crashes, isMissing) {
 			out = append(out, other)
 		}
 	}
--- a/internal/quarantine/finding.go
+++ b/internal/quarantine/finding.go
@@ -30,8 +30,8 @@
 // Finding is a conclusion about a request or a subject.
 type Finding struct {
 	State State
-	// Subject is what the conclusion is about, and Crashes are how many crashes speak against it; both
-	// are empty for Clear.
+	// Subject is what the conclusion is about, and Crashes are how many crashes speak against it that
+	// nothing else explains; both are empty for Clear.
 	Subject Subject
 	Crashes int
 	// First and Last are the times of the first and the last of these crashes.
@@ -40,6 +40,12 @@
 	Until time.Time
 }
 
+// EndsAttempts reports whether the request may not go to a further server by the same attempt of its
+// caller, because it has probably ended several.
+func (f Finding) EndsAttempts() bool {
+	return f.Subject.Kind == WholeRequest && (f.State > Suspect || f.Crashes >= crashesToSuspectRequest)
+}
+
 const (
 	// crashesToQuarantine is how many crashes put a subject into quarantine that no answer has proven.
 	crashesToQuarantine = 3
@@ -53,12 +59,20 @@
 	// sameEvent is the time within which crashes count as one. Servers that lose power together end
 	// together, whatever is on them.
 	sameEvent = 20 * time.Millisecond
-	// firstHold is how long the first quarantine lasts, from the last crash on. Each further crash
-	// doubles it, up to maxHold.
+	// firstHold is how long the first quarantine of a part lasts, from the last crash on. Each further
+	// crash doubles it, up to maxHold.
 	firstHold = time.Minute
 	maxHold   = 15 * time.Minute
+	// crashesToSuspectRequest is how many crashes make a whole request suspected that no answer has
+	// proven. After one, all others that were on the server would be.
+	crashesToSuspectRequest = 2
 )
 
+// requestHolds are how long the quarantines of a whole request last, by how often it has been tried
+// again. Each trial may crash a server, so that there are two of them, and then none as long as the
+// crashes are remembered.
+var requestHolds = [...]time.Duration{firstHold, maxHold, requestCrashMemory}
+
 // Delays returns how long after a crash the state Undecided of its subjects may end.
 func Delays() []time.Duration { return []time.Duration{proofDelay, proofDelayIfProven} }
 
@@ -70,7 +84,7 @@
 func (e *Evidence) Find(now time.Time, subjects []Subject) Finding {
 	var strictest Finding
 	for _, subject := range subjects {
-		if e.support(subject) == 0 {
+		if e.Crashes(subject) == 0 {
 			continue
 		}
 		// Of equal ones the last counts: parts at the start of prompts are in many of them.
@@ -98,23 +112,35 @@
 func (e *Evidence) findSubject(now time.Time, subject Subject, subjects []Subject) Finding {
 	record := e.subjects[subject]
 	culprits := e.culprits()
-	against := e.unexplained(record.crashes, subjects, func(other Subject) bool { return culprits[other] })
-	finding := Finding{Subject: subject, Crashes: events(against)}
+	against := e.unexplained(record.crashes, subjects, func(other Subject) bool {
+		if !culprits[other].found || bothParts(subject, other) {
+			return culprits[other].found
+		}
+		return !culprits[subject].alone && e.explainsAsWell(subject, len(record.crashes), other, e.Crashes(other))
+	})
+	finding := Finding{Subject: subject, Crashes: e.count(subject, against)}
 	if len(against) > 0 {
 		finding.First, finding.Last = against[0].At, against[len(against)-1].At
 	}
 	needed, delay := record.needed()
-	if culprits[subject] && finding.Crashes >= needed {
-		return finding.decide(now, delay, finding.Crashes-needed)
+	if culprits[subject].found && e.isEnough(subject, record.crashes, against) {
+		return finding.decide(now, delay, record.holdEnd(finding, needed))
 	}
 	// A suspicion needs less: a culprit that has been on just the same crashes doesn't end it.
 	if own := len(record.crashes); record.provenAt.IsZero() {
-		against = e.unexplained(record.crashes, subjects, func(other Subject) bool { return culprits[other] && e.support(other) > own })
+		against = e.unexplained(record.crashes, subjects, func(other Subject) bool { return culprits[other].found && e.Crashes(other) > own })
 	}
-	if !record.isSuspect(events(against)) {
-		return Finding{}
+	finding.State, finding.Crashes = Suspect, e.count(subject, against)
+	if record.isSuspect(subject.Kind, finding.Crashes) {
+		finding.First, finding.Last = against[0].At, against[len(against)-1].At
+		return finding
 	}
-	return Finding{State: Suspect, Subject: subject, Crashes: events(against), First: against[0].At, Last: against[len(against)-1].At}
+	// A whole request is also suspected if something else explains its crashes: it may crash servers too.
+	if all := e.count(subject, record.crashes); subject.Kind == WholeRequest && record.isSuspect(subject.Kind, all) {
+		finding.First, finding.Last = record.crashes[0].At, record.crashes[len(record.crashes)-1].At
+		return finding
+	}
+	return Finding{}
 }
 
 // needed returns how many crashes put a subject into quarantine, and how long after the first one.
@@ -125,26 +151,42 @@
 	return crashesIfProven, proofDelayIfProven
 }
 
-// isSuspect reports whether a subject against which so many crashes speak is suspected.
-func (r *record) isSuspect(crashes int) bool {
-	if r.provenAt.IsZero() {
-		return crashes > 0
+// isSuspect reports whether a subject of the given kind is suspected, against which so many crashes
+// speak.
+func (r *record) isSuspect(kind Kind, crashes int) bool {
+	switch {
+	case !r.provenAt.IsZero():
+		return crashes >= crashesToQuarantine
+	case kind == WholeRequest:
+		return crashes >= crashesToSuspectRequest
+	}
+	return crashes > 0
+}
+
+// holdEnd returns the end of the quarantine of a finding that needed so many crashes.
+func (r *record) holdEnd(f Finding, needed int) time.Time {
+	if f.Subject.Kind == PromptPart {
+		hold := maxHold
+		if doublings := min(f.Crashes-needed, 8); firstHold<<doublings < maxHold {
+			hold = firstHold << doublings
+		}
+		return f.Last.Add(hold)
+	}
+	last := r.crashes[len(r.crashes)-1].At
+	if last.Before(r.triedAt) {
+		last = r.triedAt
 	}
-	return crashes >= crashesToQuarantine
+	return last.Add(requestHolds[min(r.trials, len(requestHolds)-1)])
 }
 
-// decide sets the state of a finding that has enough crashes, of which the given number is beyond
-// those needed.
-func (f Finding) decide(now time.Time, delay time.Duration, beyond int) Finding {
+// decide sets the state of a finding that has enough crashes, and whose quarantine would end at
+// holdEnd.
+func (f Finding) decide(now time.Time, delay time.Duration, holdEnd time.Time) Finding {
 	if decided := f.First.Add(delay); now.Before(decided) {
 		f.State, f.Until = Undecided, decided
 		return f
 	}
-	hold := maxHold
-	if doublings := min(beyond, 8); firstHold<<doublings < maxHold {
-		hold = firstHold << doublings
-	}
-	f.State, f.Until = Quarantined, f.Last.Add(hold)
+	f.State, f.Until = Quarantined, holdEnd
 	if !now.Before(f.Until) {
 		f.State, f.Until = Trial, time.Time{}
 	}
@@ -157,15 +199,33 @@
 	return r != nil && c.At.After(r.provenAt)
 }
 
-// events counts crashes, those within sameEvent of the first of them as one.
-func events(crashes []*Crash) int {
+// count counts crashes of a subject. Those within sameEvent of the first of them count as one, unless
+// each server that ended then had the same whole request on it: that has ended all of them, where it was
+// sent to several servers at once.
+func (e *Evidence) count(subject Subject, crashes []*Crash) int {
 	n := 0
-	var first time.Time
-	for _, c := range crashes {
-		if n == 0 || c.At.Sub(first) > sameEvent {
+	for len(crashes) > 0 {
+		first := crashes[0]
+		together := 1
+		for together < len(crashes) && crashes[together].At.Sub(first.At) <= sameEvent {
+			together++
+		}
+		if together > 1 && subject.Kind == WholeRequest && !e.othersEndedAt(first.At, subject) {
+			n += together
+		} else {
 			n++
-			first = c.At
 		}
+		crashes = crashes[together:]
 	}
 	return n
 }
+
+// othersEndedAt reports whether a server without the subject on it ended within sameEvent of a time.
+func (e *Evidence) othersEndedAt(at time.Time, subject Subject) bool {
+	for _, c := range e.crashes {
+		if c.At.Sub(at).Abs() <= sameEvent && !slices.Contains(c.Subjects, subject) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -280,17 +280,19 @@
 		crash(e, uint64(n), time.Duration(n)*second, "dead")
 	}
 	for n := range maxCrashes + 100 {
-		ids := make([]string, maxSubjectsPerCrash+8)
+		ids := make([]string, MaxSubjects+8)
 		for i := range ids {
 			ids[i] = fmt.Sprint(n, " ", i)
 		}
 		crash(e, uint64(100+n), 5*second+time.Duration(n)*time.Millisecond, ids...)
 	}
-	for n := range 2 * maxSubjects {
+	for n := range 2 * (maxParts + maxRequests) {
 		prove(e, 6*second, fmt.Sprint("proven ", n))
+		e.AddProof(at(6*second), RequestSubject(request.Identity(n+1)), at(6*second))
 	}
-	if len(e.crashes) > maxCrashes || len(e.subjects) > maxCrashes*maxSubjectsPerCrash+maxSubjects {
-		t.Errorf("%d crashes and %d subjects are held, want at most %d and %d", len(e.crashes), len(e.subjects), maxCrashes, maxCrashes*maxSubjectsPerCrash+maxSubjects)
+	const most = maxCrashes*MaxSubjects + maxParts + maxRequests
+	if len(e.crashes) > maxCrashes || len(e.subjects) > most || len(e.proven) > maxRequests {
+		t.Errorf("%d crashes, %d subjects and %d proofs of requests are held, want at most %d, %d and %d", len(e.crashes), len(e.subjects), len(e.proven), maxCrashes, most, maxRequests)
 	}
 	wantState(t, e, 7*second, Quarantined, "dead")
 }
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -96,6 +96,9 @@
 	// CodePromptQuarantined means that a part of the prompt crashes servers, so that no server
 	// gets the request for a while.
 	CodePromptQuarantined Code = "prompt_quarantined"
+	// CodeRequestQuarantined means that the request crashes servers each time that it comes, so that no
+	// server gets it for a while.
+	CodeRequestQuarantined Code = "request_quarantined"
 	// CodeServerRefused means that a server states that it didn't run the request.
 	CodeServerRefused Code = "server_refused"
 	// CodeRunUnknown means that a server doesn't know the run that was to be resumed.
