All instances give a request the same identity, whatever address they reach the platform by

In the soak each instance reaches the store through its own proxy, and the key of the identities came from the store's address, so that each instance knew the request by another hash and none had the evidence of the others.

The key is no setting any more. Each instance makes one when it starts; they meet as a fact in heartbeats, and the oldest stays (internal/identitykey). An instance that starts learns it with the other facts before it takes requests; one that hears of nobody gets the older one as soon as it does, and its own never replaces it. No store is needed, and the key is random.

Soak: request-crashes-servers, callers repeat a request that ends each plain server, at all instances, in turn idempotent or not, beside all other faults; and both kinds of crashes last 15 s in a schedule of their own, so that what comes late is seen.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -180,6 +180,9 @@
 	if err := d.cluster.FetchFacts(ctx); err != nil {
 		d.log(logging.Membership).WithError(err).Info("No other instance told what the fleet knows; it comes with the heartbeats")
 	}
+	if d.hosted != nil {
+		d.hosted.identities.Announce()
+	}
 	if accepted, ok := d.confsync.Current(); ok {
 		d.putInForce(accepted)
 	}
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -21,6 +21,7 @@
 	"limpethub/internal/front"
 	"limpethub/internal/gateway"
 	"limpethub/internal/gossip"
+	"limpethub/internal/identitykey"
 	"limpethub/internal/lease"
 	"limpethub/internal/logging"
 	"limpethub/internal/membership"
@@ -68,15 +69,16 @@
 // hosted holds the parts that only an instance with a front has. Its servers are discovered
 // by their announcements, and its requests are forwarded unchanged.
 type hosted struct {
-	front     front.Front
-	relay     *forward.Relay
-	limits    *serverlimits.Limits
-	crashes   *crashwatch.Watch
-	guard     *crashguard.Guard
-	watcher   *discovery.Watcher
-	manager   *residency.Manager
-	extension *residencyExtension
-	inForce   atomic.Pointer[front.ConfigurationInForce]
+	front      front.Front
+	relay      *forward.Relay
+	limits     *serverlimits.Limits
+	identities *identitykey.Keeper
+	crashes    *crashwatch.Watch
+	guard      *crashguard.Guard
+	watcher    *discovery.Watcher
+	manager    *residency.Manager
+	extension  *residencyExtension
+	inForce    atomic.Pointer[front.ConfigurationInForce]
 }
 
 // buildHosted builds the parts that replace those of buildRequests and buildPlacement on an
@@ -124,6 +126,7 @@
 		Logger:           d.log(logging.Routing),
 	})
 	d.buildLimits(h)
+	d.buildIdentities(h)
 	d.buildGuard(h)
 	h.relay = forward.NewRelay(forward.RelayOptions{
 		Dispatcher: d.dispatcher, Plane: d.plugins.relayer, Directory: h.watcher, Crashes: h.crashes, Guard: h.guard,
@@ -134,7 +137,7 @@
 		Relay:         h.relay,
 		Configuration: h.inForce.Load,
 		Entries:       d.hostedEntries,
-		Identities:    request.NewIdentityHasher(d.settings.SharedIdentityKey()),
+		Identities:    h.identities.Hasher,
 		Observe:       d.requestMetrics.ObserveRequest,
 		Logger:        d.log(logging.Gateway),
 		Now:           time.Now,
@@ -200,6 +203,12 @@
 	})
 }
 
+// buildIdentities builds what gives requests the same identity on all instances.
+func (d *Daemon) buildIdentities(h *hosted) {
+	h.identities = identitykey.New(d.cluster.Publish, d.log(logging.Gateway), time.Now)
+	d.cluster.OnFact(gossip.TopicIdentityKey, h.identities.HandleFact)
+}
+
 // pauseRespectingProber sends no probe to a server that wants nothing from this instance for a while.
 type pauseRespectingProber struct {
 	engine.Prober
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -38,8 +38,8 @@
 	// Entries returns the instances that callers in a failure domain should use, best
 	// first.
 	Entries func(failureDomain string) []gateway.Entry
-	// Identities computes the identities of requests.
-	Identities *request.IdentityHasher
+	// Identities returns what computes the identities of requests now.
+	Identities func() *request.IdentityHasher
 	// Observe reports the end of a request, for metrics.
 	Observe func(end gateway.RequestOutcome)
 	Logger  *logrus.Entry
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -31,6 +31,8 @@
 	TopicRequestProof
 	// TopicRequestTrial is for requests that were tried again after a quarantine.
 	TopicRequestTrial
+	// TopicIdentityKey is for the key of the identities of requests.
+	TopicIdentityKey
 )
 
 // Fact is a fact as it is sent. Instances' clocks differ, so it carries its age.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,10 +39,6 @@
 	// milliseconds. Its holder gives orders to the servers that Plugins.Discovery finds.
 	// 0 means defaultPlacementLease of package daemon.
 	PlacementLeaseMillis int64 `json:"placement_lease_ms,omitempty" validate:"gte=0"`
-	// IdentityKey is the key of the hashes by which instances recognize repeats of a request. All
-	// instances of the site must have the same one, and callers must not know it. Empty means the
-	// name of the site.
-	IdentityKey string `json:"identity_key,omitempty"`
 	// MemoryMB is the soft memory limit of the process, in MB; 0 means no limit. The
 	// process collects garbage more often the closer it gets to the limit.
 	MemoryMB int64 `json:"memory_mb,omitempty" validate:"gte=0"`
@@ -53,14 +49,6 @@
 	EntriesTTLMillis int64 `json:"entries_ttl_ms" validate:"gt=0"`
 }
 
-// SharedIdentityKey returns IdentityKey or its default.
-func (s *Settings) SharedIdentityKey() string {
-	if s.IdentityKey == "" {
-		return s.Site
-	}
-	return s.IdentityKey
-}
-
 // Processor is the processor capacity of an instance. Instances with little of it
 // leave placement to instances with more.
 type Processor struct {
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +20,9 @@
 	// crashingShare is the fraction of streams whose prompts have the part that crashes servers, while
 	// there is one.
 	crashingShare = 0.2
+	// repeatShare is the fraction of requests that are the one that crashes servers, while there is one
+	// for their route.
+	repeatShare = 0.3
 	// adapterShare is the fraction of a caller's streams that ask for an adapter.
 	adapterShare = 0.2
 )
@@ -71,6 +75,9 @@
 		if part := s.crashingPart.Load(); part != nil && kind == Stream && random.Float64() < crashingShare {
 			request.Part = *part
 		}
+		if path := s.crashingPath.Load(); path != nil && strings.HasPrefix(*path, routePrefix(kind)) && random.Float64() < repeatShare {
+			request.Path = *path
+		}
 		r := s.sendRequest(ctx, caller, i, request, model)
 		t.add(r.Answer)
 		if ctx.Err() == nil {
@@ -80,6 +87,25 @@
 	}
 }
 
+// routePrefix returns the prefix of the paths of a kind of request.
+func routePrefix(kind RequestKind) string {
+	switch kind {
+	case NonIdempotent:
+		return standin.UnsafePath
+	case Idempotent:
+		return standin.SafePath
+	}
+	return standin.StreamPath
+}
+
+// bodyOf returns the body of requests with a path.
+func bodyOf(path string) string {
+	if strings.HasPrefix(path, standin.UnsafePath) {
+		return "form"
+	}
+	return ""
+}
+
 // sendRequest records r with the judge, sends it to an instance, and returns it with its answer,
 // its times, and the instance and process that got it. It doesn't pass the answer to the judge:
 // the caller does if the answer is to be checked.
@@ -87,7 +113,7 @@
 	a := standin.CallerRequest{Address: i.callersAddress, ID: r.ID, Deadline: callDeadline}
 	switch r.Kind {
 	case NonIdempotent:
-		a.Path, a.Body = standin.UnsafePath+r.ID, "form"
+		a.Path, a.Body = standin.UnsafePath+r.ID, bodyOf(standin.UnsafePath)
 	case Idempotent:
 		a.Path = standin.SafePath + r.ID
 	case Stream:
@@ -95,9 +121,12 @@
 	case Probe:
 		a.Path = standin.VersionPath(r.Version)
 	}
+	if r.Path != "" {
+		a.Path = r.Path
+	}
 	r.Instance, r.StartNumber, r.Began = i.number, i.currentStart(), s.now()
 	s.judge.Sending(r.ID, r.Kind, r.processID(), r.Began)
-	if r.Part != "" {
+	if r.Part != "" || r.Path != "" {
 		s.judge.SendingCrashing(r.ID)
 	}
 	r.Answer = caller.Do(ctx, a, func() { r.Connected = true })
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -267,6 +267,9 @@
 	case PromptCrashes:
 		s.crashOnPrompts(waitForEnd)
 		return
+	case RequestCrashes:
+		s.crashOnRequest(waitForEnd)
+		return
 	case ServerLimits:
 		s.judge.LimitNamed(server.ID(), serverLimit, s.now())
 		server.NameLimit(fmt.Sprint(serverLimit))
@@ -317,22 +320,43 @@
 	part := fmt.Sprintf("dead%d", s.crashingParts.Add(1))
 	s.crashingPart.Store(&part)
 	for _, server := range s.servers[s.size.Plain:] {
-		server.CrashOn(standin.CrashOptions{
-			Part: part, Prefill: crashPrefill, DownFor: crashDownTime,
-			OnArrival: func(id string) { s.judge.CrashingArrived(part, id, s.now()) },
-			OnCrash: func(id string) {
-				s.judge.Crashed(part, s.now())
-				s.judge.LimitEnded(id)
-				server.link.Refuse()
-			},
-			OnRestart: func(string) { s.acceptConnections(server.link) },
-		})
+		s.crashOn(server, crashingSubject{part: part})
 	}
 	waitForEnd()
 	s.crashingPart.CompareAndSwap(&part, nil)
 	for _, server := range s.servers[s.size.Plain:] {
-		server.StopCrashing(part)
+		server.StopCrashing(standin.CrashOptions{Part: part})
+	}
+}
+
+// crashOnRequest lets callers repeat a new request that crashes each plain server, until the end. In turn
+// it is idempotent or not.
+func (s *site) crashOnRequest(waitForEnd func()) {
+	number := s.crashingPaths.Add(1)
+	path := fmt.Sprint([]string{standin.SafePath, standin.UnsafePath}[number%2], "dead", number)
+	s.crashingPath.Store(&path)
+	for _, server := range s.servers[:s.size.Plain] {
+		s.crashOn(server, crashingSubject{path: path})
 	}
+	waitForEnd()
+	s.crashingPath.CompareAndSwap(&path, nil)
+	for _, server := range s.servers[:s.size.Plain] {
+		server.StopCrashing(standin.CrashOptions{Path: path})
+	}
+}
+
+// crashOn makes a server crash on a subject. For that time its proxy refuses connections too.
+func (s *site) crashOn(server *server, subject crashingSubject) {
+	server.CrashOn(standin.CrashOptions{
+		Part: subject.part, Path: subject.path, Body: bodyOf(subject.path), Prefill: crashPrefill, DownFor: crashDownTime,
+		OnArrival: func(id string) { s.judge.CrashingArrived(subject, id, s.now()) },
+		OnCrash: func(id string) {
+			s.judge.Crashed(subject, s.now())
+			s.judge.LimitEnded(id)
+			server.link.Refuse()
+		},
+		OnRestart: func(string) { s.acceptConnections(server.link) },
+	})
 }
 
 func (s *site) injectOnPeers(kind FaultKind, i *instance, waitForEnd func()) {
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -27,7 +27,8 @@
 	Recovery             Promise = "all is served again after the last fault"
 	StaysUp              Promise = "no process ends by itself"
 	CrashingPrompts      Promise = "prompts that crash servers are kept away from them"
-	SoundPrompts         Promise = "other prompts aren't"
+	CrashingRequests     Promise = "requests that crash servers and come again are kept away from them"
+	SoundPrompts         Promise = "others aren't"
 	ServerLimit          Promise = "a server gets no more than the limit that it names"
 )
 
@@ -55,8 +56,9 @@
 	LeaveLag, InForceLag time.Duration
 	// MaxStopTime is how long a planned stop may take.
 	MaxStopTime time.Duration
-	// LateCrashes is how many requests whose prompt crashes servers may reach them later than
-	// CrashLag after the fifth crash.
+	// LateCrashes is how many requests that crash servers may reach them later than CrashLag after the
+	// crash by which they must have been found: the fifth with a part of prompts, the third under a
+	// request that comes again.
 	LateCrashes int
 	CrashLag    time.Duration
 	// From LimitLag after a server first named a limit, it may get LimitFactor times what the limit
@@ -108,10 +110,10 @@
 	observed     map[processID][]observedVersion
 	stops        map[processID]plannedStop
 	startTimes   map[processID]time.Duration
-	// crashing holds what is known of each part of prompts that crashes servers, and limited the
-	// limits of servers.
-	crashing map[string]*crashingPart
-	// crashingRequests holds the ids of the requests whose prompts crash servers.
+	// crashing holds what is known of each part of prompts and each request that crashes servers, and
+	// limited the limits of servers.
+	crashing map[crashingSubject]*crashRecord
+	// crashingRequests holds the ids of the requests that crash servers.
 	crashingRequests map[string]bool
 	limited          map[string]*limitedServer
 	// sentTo holds the process that got each request.
@@ -152,7 +154,7 @@
 		runTimes: map[string][]time.Duration{}, nonIdempotent: map[string]bool{}, refused: map[string]Request{},
 		arrivals: map[string]int{}, holders: map[uint64]holder{}, leavingSince: map[string]time.Duration{},
 		observed: map[processID][]observedVersion{}, stops: map[processID]plannedStop{}, startTimes: map[processID]time.Duration{},
-		crashing: map[string]*crashingPart{}, crashingRequests: map[string]bool{}, limited: map[string]*limitedServer{}, sentTo: map[string]processID{},
+		crashing: map[crashingSubject]*crashRecord{}, crashingRequests: map[string]bool{}, limited: map[string]*limitedServer{}, sentTo: map[string]processID{},
 	}
 }
 
--- a/internal/soak/judge_requests.go
+++ b/internal/soak/judge_requests.go
@@ -30,6 +30,8 @@
 	StartNumber int
 	// Version is the configuration that a Probe asks for.
 	Version int
+	// Path is the path, if it isn't one of the request's own.
+	Path string
 	// Part is an additional part of the prompt of a Stream; empty for none.
 	Part   string
 	Answer standin.Answer
--- a/internal/soak/judge_servers.go
+++ b/internal/soak/judge_servers.go
@@ -12,71 +12,86 @@
 	"limpethub/internal/verdict"
 )
 
-// crashingPart is a part of prompts that crashes servers.
-type crashingPart struct {
+// crashingSubject is what crashes servers: a part of prompts, or a request with a path. One of the two is
+// empty.
+type crashingSubject struct{ part, path string }
+
+// crashRecord is what is known of a crashingSubject.
+type crashRecord struct {
 	crashes int
-	// fifthAt is when the fifth crash was; zero before.
-	fifthAt time.Duration
-	late    int
+	// boundFrom is when it must be kept away from servers, but for limits.CrashLag; zero before.
+	boundFrom time.Duration
+	late      int
 }
 
-// Crashed records that a server ended because of a part of a prompt.
-func (j *Judge) Crashed(part string, at time.Duration) {
+// Crashed records that a server ended because of a subject.
+func (j *Judge) Crashed(subject crashingSubject, at time.Duration) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	c := j.crashingPart(part)
+	c := j.crashRecord(subject)
 	c.crashes++
-	if c.crashes == crashesBeforeQuarantine {
-		c.fifthAt = at
+	if c.crashes == subject.crashesBeforeBound() {
+		c.boundFrom = at
 	}
 }
 
-// crashesBeforeQuarantine is how many servers may end with a part before requests with it must be
-// kept away.
-const crashesBeforeQuarantine = 5
+// crashesBeforeBound returns how many servers may end with a subject before it must be kept away from
+// them.
+func (s crashingSubject) crashesBeforeBound() int {
+	if s.path != "" {
+		return 3
+	}
+	return 5
+}
 
-// crashingPart returns the record of a part. The lock must be held.
-func (j *Judge) crashingPart(part string) *crashingPart {
-	c := j.crashing[part]
+// crashRecord returns the record of a subject. The lock must be held.
+func (j *Judge) crashRecord(subject crashingSubject) *crashRecord {
+	c := j.crashing[subject]
 	if c == nil {
-		c = &crashingPart{}
-		j.crashing[part] = c
+		c = &crashRecord{}
+		j.crashing[subject] = c
 	}
 	return c
 }
 
-// CrashingArrived records that a request with a part that crashes servers reached one.
-func (j *Judge) CrashingArrived(part, server string, at time.Duration) {
+// CrashingArrived records that a request which crashes servers reached one.
+func (j *Judge) CrashingArrived(subject crashingSubject, server string, at time.Duration) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	c := j.crashingPart(part)
-	if c.fifthAt == 0 || at <= c.fifthAt+j.limits.CrashLag {
+	c := j.crashRecord(subject)
+	if c.boundFrom == 0 || at <= c.boundFrom+j.limits.CrashLag {
+		return
+	}
+	if c.late++; c.late <= j.limits.LateCrashes {
 		return
 	}
-	if c.late++; c.late > j.limits.LateCrashes {
-		j.addViolation(CrashingPrompts, at, "server %s got a request with part %s, the %dth later than %s after the fifth crash", server, part, c.late, j.limits.CrashLag)
+	promise := CrashingPrompts
+	if subject.path != "" {
+		promise = CrashingRequests
 	}
+	j.addViolation(promise, at, "server %s got a request with %+v, the %dth later than %s after the crash before which it must be found, %d ended in all", server, subject, c.late, j.limits.CrashLag, c.crashes)
 }
 
-// SendingCrashing records that a caller is about to send a request whose prompt crashes servers.
+// SendingCrashing records that a caller is about to send a request that crashes servers.
 func (j *Judge) SendingCrashing(id string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.crashingRequests[id] = true
 }
 
-// RefusedForPrompt records that an instance refused or ended a request for its prompt.
-func (j *Judge) RefusedForPrompt(id, why string, at time.Duration) {
+// RefusedForCrashes records that an instance refused or ended a request because servers ended with its
+// prompt, or under it.
+func (j *Judge) RefusedForCrashes(id, why string, at time.Duration) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if !j.crashingRequests[id] {
-		j.addViolation(SoundPrompts, at, "request %s was refused for its prompt, which crashes no server: %s", id, why)
+		j.addViolation(SoundPrompts, at, "request %s, which crashes no server, was refused for crashes: %s", id, why)
 	}
 }
 
-// checkRefusedPrompts passes the requests that instances refused for their prompts to the judge. Only
-// their logs tell the reason.
-func checkRefusedPrompts(dir string, judge *Judge, at time.Duration) error {
+// checkRefusedForCrashes passes the requests that instances refused because servers ended to the judge.
+// Only their logs tell the reason.
+func checkRefusedForCrashes(dir string, judge *Judge, at time.Duration) error {
 	logs, err := filepath.Glob(filepath.Join(dir, "instance-*-start-*.log"))
 	if err != nil {
 		return fmt.Errorf("soak: find logs: %w", err)
@@ -93,8 +108,10 @@
 				Error   string       `json:"error"`
 			}
 			// A process that was killed may have left half a line.
-			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Code == verdict.CodePromptQuarantined {
-				judge.RefusedForPrompt(line.Request, line.Error, at)
+			isForCrashes := json.Unmarshal(lines.Bytes(), &line) == nil &&
+				(line.Code == verdict.CodePromptQuarantined || line.Code == verdict.CodeRequestQuarantined)
+			if isForCrashes {
+				judge.RefusedForCrashes(line.Request, line.Error, at)
 			}
 		}
 	}
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -239,7 +239,7 @@
 }
 
 func isLong(kind FaultKind) bool {
-	return slices.ContainsFunc(longFaultKinds, func(k scopedKind) bool { return k.kind == kind })
+	return slices.ContainsFunc(slices.Concat(longFaultKinds, longestFaultKinds), func(k scopedKind) bool { return k.kind == kind })
 }
 
 // TestJudgeOfPromptsThatCrashServers checks that requests which still reach servers are counted from
@@ -248,25 +248,46 @@
 	const ms = time.Millisecond
 	j := NewJudge(limits, nil)
 	for n := range 5 {
-		j.Crashed("a", time.Duration(n)*100*ms)
+		j.Crashed(crashingSubject{part: "a"}, time.Duration(n)*100*ms)
 	}
 	for n := range 3 {
-		j.CrashingArrived("a", "s", 3500*ms+time.Duration(n)*ms)
-		j.CrashingArrived("a", "s", 3000*ms)
-		j.CrashingArrived("b", "s", 9000*ms)
+		j.CrashingArrived(crashingSubject{part: "a"}, "s", 3500*ms+time.Duration(n)*ms)
+		j.CrashingArrived(crashingSubject{part: "a"}, "s", 3000*ms)
+		j.CrashingArrived(crashingSubject{part: "b"}, "s", 9000*ms)
 	}
 	j.SendingCrashing("q1")
-	j.RefusedForPrompt("q1", "", 4000*ms)
+	j.RefusedForCrashes("q1", "", 4000*ms)
 	if len(j.Violations()) > 0 {
 		t.Fatalf("got violations %v, want none", j.Violations())
 	}
-	j.CrashingArrived("a", "s", 3600*ms)
-	j.RefusedForPrompt("q2", "", 4000*ms)
+	j.CrashingArrived(crashingSubject{part: "a"}, "s", 3600*ms)
+	j.RefusedForCrashes("q2", "", 4000*ms)
 	if v := j.Violations(); len(v) != 2 || v[0].Promise != CrashingPrompts || v[1].Promise != SoundPrompts {
 		t.Errorf("got violations %v, want one for the fourth late request and one for the sound prompt", v)
 	}
 }
 
+// TestJudgeOfRequestsThatCrashServers checks that the sends of a request are counted from the third crash
+// on, and that sound requests may not be refused for crashes.
+func TestJudgeOfRequestsThatCrashServers(t *testing.T) {
+	const ms = time.Millisecond
+	j := NewJudge(limits, nil)
+	dead := crashingSubject{path: "/dead"}
+	for n := range 3 {
+		j.Crashed(dead, time.Duration(n)*100*ms)
+	}
+	for range 3 {
+		j.CrashingArrived(dead, "s", 3300*ms)
+	}
+	if len(j.Violations()) > 0 {
+		t.Fatalf("got violations %v, want none for three late sends", j.Violations())
+	}
+	j.CrashingArrived(dead, "s", 3400*ms)
+	if v := j.Violations(); len(v) != 1 || v[0].Promise != CrashingRequests {
+		t.Errorf("got violations %v, want one for the fourth late send", v)
+	}
+}
+
 // TestJudgeOfServerLimits checks that arrivals are counted in each window from when a limit must be
 // kept until it ends.
 func TestJudgeOfServerLimits(t *testing.T) {
@@ -318,12 +339,12 @@
 		}
 		for _, e := range events {
 			planned[e.Kind] = true
-			if e.At > DefaultSize.Length+time.Second || e.For > max(maxFaultDuration, longFaultDuration) || e.For > maxFaultDuration && !isLong(e.Kind) || scopeOf(e.Kind) == 0 {
+			if e.At > DefaultSize.Length+time.Second || e.For > max(maxFaultDuration, longFaultDuration, longestFaultDuration) || e.For > maxFaultDuration && !isLong(e.Kind) || scopeOf(e.Kind) == 0 {
 				t.Errorf("seed %d: got event %s, want a start up to 1 s after the schedule's length, a duration up to maxFaultDuration, and a kind with a scope", seed, e)
 			}
 		}
 	}
-	if want := len(faultKinds) + len(laterFaultKinds) + len(fleetFaultKinds) + len(longFaultKinds); len(planned) != want {
+	if want := len(faultKinds) + len(laterFaultKinds) + len(fleetFaultKinds) + len(longFaultKinds) + len(longestFaultKinds) - 1; len(planned) != want {
 		t.Errorf("50 seeds: got %d kinds of faults, want %d", len(planned), want)
 	}
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -82,7 +82,7 @@
 		return report
 	}
 	report.Recovered = s.runUnderLoad(ctx, o, report.Tally)
-	if err := checkRefusedPrompts(o.Dir, judge, s.now()); err != nil {
+	if err := checkRefusedForCrashes(o.Dir, judge, s.now()); err != nil {
 		report.Failure = err.Error()
 	}
 	report.Violations = judge.Violations()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -76,6 +76,8 @@
 	KillMost FaultKind = "instances-kill-most"
 	// PromptCrashes makes a part of some callers' prompts end each server that begins to answer it.
 	PromptCrashes FaultKind = "prompt-crashes-servers"
+	// RequestCrashes makes a request that some callers repeat end each server that begins to run it.
+	RequestCrashes FaultKind = "request-crashes-servers"
 	// ServerLimits makes a server name, in its answers, how many requests a second it takes.
 	ServerLimits FaultKind = "server-limits"
 )
@@ -119,8 +121,12 @@
 // start. They have a random sequence of their own too.
 var longFaultKinds = []scopedKind{{PromptCrashes, onServer}, {ServerLimits, onServer}}
 
+// longestFaultKinds lists the kinds of which the judge checks what comes seconds after servers have ended
+// several times. They have a random sequence of their own too.
+var longestFaultKinds = []scopedKind{{RequestCrashes, onServer}, {PromptCrashes, onServer}}
+
 func scopeOf(kind FaultKind) scope {
-	for _, k := range slices.Concat(faultKinds, laterFaultKinds, fleetFaultKinds, longFaultKinds) {
+	for _, k := range slices.Concat(faultKinds, laterFaultKinds, fleetFaultKinds, longFaultKinds, longestFaultKinds) {
 		if k.kind == kind {
 			return k.scope
 		}
@@ -166,6 +172,9 @@
 	// longFaultDuration is how long each lasts.
 	longMeanGap       = 8 * time.Second
 	longFaultDuration = 9 * time.Second
+	// longestFaultDuration is how long each fault of longestFaultKinds lasts; their gaps have the same
+	// mean.
+	longestFaultDuration = 15 * time.Second
 	// minFaultDuration and maxFaultDuration bound how long a fault lasts.
 	minFaultDuration = 100 * time.Millisecond
 	maxFaultDuration = 4 * time.Second
@@ -176,12 +185,13 @@
 // Plan returns the schedule of a seed. It consists of series of faults. All faults of a series are
 // of one kind and begin within one second. Faults may overlap, also those of one series.
 func Plan(seed uint64, size Size) []Event {
-	// The second values, 13 to 16, differ from those of the callers (100 and up), so that they
+	// The second values, 13 to 17, differ from those of the callers (100 and up), so that they
 	// get other random sequences.
 	out := planSeries(rand.New(rand.NewPCG(seed, 13)), faultKinds, meanSeriesGap, size)
 	out = append(out, planSeries(rand.New(rand.NewPCG(seed, 14)), laterFaultKinds, laterMeanSeriesGap, size)...)
 	out = append(out, planSeries(rand.New(rand.NewPCG(seed, 15)), fleetFaultKinds, fleetMeanSeriesGap, size)...)
-	out = append(out, planLong(rand.New(rand.NewPCG(seed, 16)), size)...)
+	out = append(out, planLong(rand.New(rand.NewPCG(seed, 16)), longFaultKinds, longFaultDuration, size)...)
+	out = append(out, planLong(rand.New(rand.NewPCG(seed, 17)), longestFaultKinds, longestFaultDuration, size)...)
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
@@ -202,13 +212,13 @@
 	return out
 }
 
-// planLong returns single faults of longFaultKinds.
-func planLong(random *rand.Rand, size Size) []Event {
+// planLong returns single faults of the given kinds, each with the given duration.
+func planLong(random *rand.Rand, kinds []scopedKind, duration time.Duration, size Size) []Event {
 	var out []Event
 	for at := seriesGap(random, longMeanGap); at < size.Length; at += seriesGap(random, longMeanGap) {
-		kind := longFaultKinds[random.IntN(len(longFaultKinds))]
+		kind := kinds[random.IntN(len(kinds))]
 		out = append(out, Event{
-			Kind: kind.kind, At: at.Round(time.Millisecond), For: longFaultDuration, Target: randomTarget(random, kind.scope, size),
+			Kind: kind.kind, At: at.Round(time.Millisecond), For: duration, Target: randomTarget(random, kind.scope, size),
 		})
 	}
 	return out
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -49,6 +49,10 @@
 	// counts them.
 	crashingPart  atomic.Pointer[string]
 	crashingParts atomic.Int64
+	// crashingPath is the path of the request that crashes servers now and comes again; nil if none does.
+	// crashingPaths counts them.
+	crashingPath  atomic.Pointer[string]
+	crashingPaths atomic.Int64
 }
 
 // server is a stand-in of a server, with the proxy through which all instances reach it.
