--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -34,6 +34,9 @@
 	// is its host:port.
 	Service, Address string
 	FailureDomain    string
+	// SoftwareVersion is the version of the server's software, which isn't that of its models. Versions
+	// have no order. It is empty if the server doesn't say.
+	SoftwareVersion string
 	// Slots is how many requests the server runs at the same time.
 	Slots int
 	// Leaving is true once the server wants no new work. StopsIn is how long it will still
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -90,8 +90,8 @@
 
 	mu       sync.Mutex
 	registry *Registry
-	// lastLeaving holds, for each known server, whether it was leaving at the last update.
-	lastLeaving map[string]bool
+	// lastLogged holds, for each known server, what the last update has logged of it.
+	lastLogged map[string]loggedServer
 	// lastAnswerAt is when a call of the store last succeeded. failing is true from a failed
 	// call, also one that fails with store.ErrCompacted, until the next success.
 	lastAnswerAt time.Time
@@ -101,9 +101,15 @@
 	restored bool
 }
 
+// loggedServer is what was logged of a server.
+type loggedServer struct {
+	startMillis int64
+	leaving     bool
+}
+
 // New makes a Watcher, which does nothing until Run is called.
 func New(options Options) *Watcher {
-	return &Watcher{options: options, registry: NewRegistry(), lastLeaving: map[string]bool{}}
+	return &Watcher{options: options, registry: NewRegistry(), lastLogged: map[string]loggedServer{}}
 }
 
 // Run reads announcements until ctx ends.
@@ -319,14 +325,14 @@
 	present := make(map[string]bool, len(known))
 	for _, s := range known {
 		present[s.ID] = true
-		wasLeaving, wasKnown := w.lastLeaving[s.ID]
-		w.lastLeaving[s.ID] = s.Leaving
+		last, wasKnown := w.lastLogged[s.ID]
+		w.lastLogged[s.ID] = loggedServer{startMillis: s.StartMillis, leaving: s.Leaving}
 		// born is when the server's process started, in milliseconds since the epoch.
-		log := w.options.Logger.WithFields(logrus.Fields{"server": s.ID, "address": s.Address, "service": s.Service, "born": s.StartMillis})
-		if !wasKnown {
+		log := w.options.Logger.WithFields(logrus.Fields{"server": s.ID, "address": s.Address, "service": s.Service, "born": s.StartMillis, "software_version": s.SoftwareVersion})
+		if !wasKnown || last.startMillis != s.StartMillis {
 			log.Info("Server announced itself")
 		}
-		if s.Leaving && !wasLeaving {
+		if s.Leaving && !last.leaving {
 			// gone_in_ms is how long the server will still run; 0 if it doesn't say.
 			log.WithField("gone_in_ms", s.StopsIn.Milliseconds()).Info("Server is leaving")
 			if w.options.OnLeaving != nil {
@@ -334,9 +340,9 @@
 			}
 		}
 	}
-	for id := range w.lastLeaving {
+	for id := range w.lastLogged {
 		if !present[id] {
-			delete(w.lastLeaving, id)
+			delete(w.lastLogged, id)
 			w.options.Logger.WithField("server", id).Info("Server is gone")
 		}
 	}
@@ -347,7 +353,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s, ok := w.registry.Server(name)
-	return engine.Server{Name: s.ID, Address: s.Address, StartMillis: s.StartMillis}, ok
+	return engine.Server{Name: s.ID, Address: s.Address, StartMillis: s.StartMillis, SoftwareVersion: s.SoftwareVersion}, ok
 }
 
 // Paused reports whether a process of a server wants nothing from this instance now.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -148,6 +148,9 @@
 	// StartMillis is when the server's process started, in milliseconds since the epoch, as its
 	// last announcement said; 0 if unknown. It tells apart two processes of the same name.
 	StartMillis int64
+	// SoftwareVersion is the version of the software of that process, as its last announcement said;
+	// empty if unknown.
+	SoftwareVersion string
 }
 
 // ProcessNumber returns a number for the server's process that is the same on all instances.
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -72,8 +72,9 @@
 type RelayResult struct {
 	// Status is the HTTP status of the delivered answer; 0 if none was delivered.
 	Status int
-	// Server is the server of the last attempt.
-	Server string
+	// Server is the server of the last attempt, and SoftwareVersion the version of its software; empty if
+	// unknown.
+	Server, SoftwareVersion string
 	// Attempts is how many times the request was sent to a server.
 	Attempts int
 	// Waited is the time from the call of Relay to the first dispatch.
@@ -249,6 +250,7 @@
 		outcome.Verdict, outcome.Err, outcome.Unsent = verdict.NotRun, err, true
 		return outcome, err
 	}
+	relayed.result.SoftwareVersion = server.SoftwareVersion
 	relayed.call.Priority = decision.Priority
 	start := r.options.Now()
 	relayed.attemptStart = start
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -37,6 +37,9 @@
 	ID ID
 	// Identity is the same for each repeat of the request; zero if it is unknown.
 	Identity Identity
+	// Resumes is the ID of the request that brought the first event of the stream which this one goes on
+	// with; empty if the caller names none.
+	Resumes ID
 	// Model is the requested model or adapter version; empty for a service call.
 	Model modelref.Ref
 	// Service is the requested service of the configuration: a plain service or, for a request
