A stream that breaks off goes on only at a server of the version that began it

Callers saw streams whose events came from two software versions. Cause: the version of announcements wasn't read, and the scheduler chose any server for a broken stream.

A server without a version goes on with nobody's stream.

The servers of the relay's tests have a version now, since servers without one go on with no stream: the same checks hold.

--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -306,10 +306,12 @@
 		Name:          s.ID,
 		StartMillis:   s.StartMillis,
 		FailureDomain: s.FailureDomain,
-		Near:          s.FailureDomain == w.options.FailureDomain,
-		Leaving:       s.Leaving,
-		Slots:         s.Slots,
-		PausedUntil:   s.PausedUntil,
+
+		SoftwareVersion: s.SoftwareVersion,
+		Near:            s.FailureDomain == w.options.FailureDomain,
+		Leaving:         s.Leaving,
+		Slots:           s.Slots,
+		PausedUntil:     s.PausedUntil,
 	}
 	if w.options.Pooled(s.Service) {
 		out.Pool = s.Service
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -64,6 +64,9 @@
 	verdict.CodePromptQuarantined: func(_ *History, end Line) string {
 		return "servers end with a part of its prompt: " + end.Error
 	},
+	verdict.CodeVersionUnavailable: func(_ *History, end Line) string {
+		return "the stream could not go on at the software version that began it: " + end.Error
+	},
 	verdict.CodeRequestQuarantined: func(_ *History, end Line) string {
 		return "servers end under it each time that it comes: " + end.Error
 	},
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -137,10 +137,15 @@
 	return nil
 }
 
+// testVersion is the software version of the servers in these tests.
+const testVersion = "v1"
+
 // anyServer is a Directory that knows a server of every name.
 type anyServer struct{}
 
-func (anyServer) Server(name string) (engine.Server, bool) { return engine.Server{Name: name}, true }
+func (anyServer) Server(name string) (engine.Server, bool) {
+	return engine.Server{Name: name, SoftwareVersion: testVersion}, true
+}
 
 // streamTest runs one Stream call with a fake scheduler and a fake data plane.
 type streamTest struct {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -97,7 +97,11 @@
 	// lastEventID is the id of the last event that the caller has, or noEventID.
 	lastEventID   int64
 	headDelivered bool
-	result        RelayResult
+	// began is true if the caller has events of the stream, from this request or an earlier one, and
+	// softwareVersion is the version of the server that began it then; empty if unknown.
+	began           bool
+	softwareVersion string
+	result          RelayResult
 	// serverFailure is the last failure that a server answered with. It is delivered only
 	// if no other attempt is made.
 	serverFailure     *engine.AnswerHead
@@ -211,6 +215,8 @@
 		return "it may have run and isn't idempotent"
 	case relayed.headDelivered && relayed.lastEventID == noEventID:
 		return "its events carry no ids to resume after"
+	case relayed.began && relayed.softwareVersion == "":
+		return "the software version that began the stream isn't known"
 	case relayed.ticket != nil && relayed.ticket.EndsAttempts():
 		return "servers have ended under it, so that it isn't sent to another one"
 	}
@@ -457,6 +463,7 @@
 	if err := r.deliverHead(relayed, head); err != nil {
 		return err
 	}
+	r.beginStream(relayed)
 	if err := wrapSinkError(relayed.sink.Event(piece.Data)); err != nil {
 		return err
 	}
@@ -468,6 +475,16 @@
 	return nil
 }
 
+// beginStream records, before the caller gets the first event, which software version began the stream.
+// From then on only servers with that version go on with it.
+func (r *Relay) beginStream(relayed *relayedRequest) {
+	if relayed.began {
+		return
+	}
+	relayed.began, relayed.softwareVersion = true, relayed.result.SoftwareVersion
+	relayed.call.Request.SoftwareVersion = relayed.softwareVersion
+}
+
 // deliverHead delivers the head of an answer once, before the first event or at the end of
 // an empty stream. Until then another server can take over without the caller noticing.
 func (r *Relay) deliverHead(relayed *relayedRequest, head *engine.AnswerHead) error {
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -123,7 +123,7 @@
 	t.Cleanup(d.Close)
 	var servers []scheduling.Server
 	for _, name := range []string{"s1", "s2", "s3"} {
-		servers = append(servers, scheduling.Server{Name: name, Services: []string{"svc"}, Slots: 4})
+		servers = append(servers, scheduling.Server{Name: name, Services: []string{"svc"}, Slots: 4, SoftwareVersion: testVersion})
 	}
 	d.SetServers(servers)
 	plane := &fakePassthrough{replies: replies}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -40,6 +40,9 @@
 	// Resumes is the ID of the request that brought the first event of the stream which this one goes on
 	// with; empty if the caller names none.
 	Resumes ID
+	// SoftwareVersion is the version that the server's software must have, since it began the stream which
+	// the request goes on with; empty means any.
+	SoftwareVersion string
 	// Model is the requested model or adapter version; empty for a service call.
 	Model modelref.Ref
 	// Service is the requested service of the configuration: a plain service or, for a request
--- a/internal/scheduling/candidate.go
+++ b/internal/scheduling/candidate.go
@@ -104,7 +104,7 @@
 	c.candidates = c.candidates[:0]
 	c.candidateCopies = c.candidateCopies[:0]
 	for _, tc := range t.copies {
-		if !tc.usable(now, in.avoid) || c.full(now, tc.server, in.class, tc.server.limitFor(in.request)) {
+		if !c.mayUse(now, tc, in) {
 			continue
 		}
 		c.candidates = append(c.candidates, c.candidate(now, tc, in))
--- a/internal/scheduling/core.go
+++ b/internal/scheduling/core.go
@@ -51,6 +51,8 @@
 	FailureDomain string
 	// StartMillis identifies the server's process; 0 if unknown.
 	StartMillis int64
+	// SoftwareVersion is the version of the process's software; empty if unknown.
+	SoftwareVersion string
 	// Near is true if the server is in the instance's own failure domain.
 	Near bool
 	// Leaving is true if the server must get no new requests.
--- a/internal/scheduling/decide.go
+++ b/internal/scheduling/decide.go
@@ -74,6 +74,9 @@
 	}
 	t := c.target(keyOf(r))
 	t.decisions++
+	if r.SoftwareVersion != "" {
+		return append(out, c.decideResumed(now, t, &a))
+	}
 	out = c.dispatchWaitingFor(now, t, out)
 	in := c.routingInput(now, t, r, a.avoid)
 	if chosen, candidate := c.choose(now, t, &in); chosen != nil {
@@ -106,7 +109,7 @@
 		Request: *r, MayHaveRun: a.mayHaveRun, Work: serviceTime, PrefillTime: prefill,
 		LateAt: c.lateAt(now, t, r, serviceTime, prefill),
 	}
-	item.CheckAt = nextCheck(item, latest)
+	item.CheckAt = nextCheck(now, item, latest)
 	if !c.queue.Push(t.lane, item) {
 		return refuse(a, verdict.CodeQueueFull, c.retryAfter(wait), "the queue of the class is full")
 	}
--- a/internal/scheduling/finish.go
+++ b/internal/scheduling/finish.go
@@ -162,7 +162,7 @@
 // or else the empty string.
 func (c *core) serverToAvoid(now time.Time, r *request.Request, last string) string {
 	for _, other := range c.target(keyOf(r)).copies {
-		if other.usable(now, last) {
+		if other.usable(now, last) && other.server.hasVersion(r) {
 			return last
 		}
 	}
--- a/internal/scheduling/waiting.go
+++ b/internal/scheduling/waiting.go
@@ -50,11 +50,16 @@
 		t := c.target(keyOf(&item.Request))
 		pause, limited := c.waitForServers(now, t, 0)
 		r := &item.Request
+		if c.versionIsGone(now, t, r) {
+			c.queue.Remove(item)
+			out = append(out, c.refuseVersion(&attempt{request: item.Request, mayHaveRun: item.MayHaveRun}))
+			continue
+		}
 		if !item.LateAt.IsZero() && !now.Before(item.LateAt) {
 			c.queue.MarkLate(item)
 		}
 		if latest := latestStart(r, c.predictServiceTime(now, t, r), c.predictPrefill(t, r)); latest.After(now.Add(pause)) {
-			c.queue.SetCheckAt(item, nextCheck(item, latest))
+			c.queue.SetCheckAt(item, nextCheck(now, item, latest))
 			continue
 		}
 		c.queue.Remove(item)
@@ -106,7 +111,10 @@
 }
 
 // nextCheck returns when an item that must be on a server at latest is to be checked next.
-func nextCheck(item *flowcontrol.Item, latest time.Time) time.Time {
+func nextCheck(now time.Time, item *flowcontrol.Item, latest time.Time) time.Time {
+	if item.Request.SoftwareVersion != "" {
+		latest = earlier(latest, now.Add(versionCheckPeriod))
+	}
 	if item.Late || item.LateAt.IsZero() {
 		return latest
 	}
@@ -178,6 +186,10 @@
 		if item == nil {
 			break
 		}
+		if !s.hasVersion(&item.Request) {
+			c.hide(item)
+			continue
+		}
 		candidate, ok := c.policyAccepts(now, tc, item)
 		if !ok {
 			c.skip(tc.target, item, &candidate)
@@ -209,6 +221,11 @@
 		t.blockedInPass[item.Request.Class] = c.pass
 		return
 	}
+	c.hide(item)
+}
+
+// hide keeps a request out of its lane for the rest of the pass.
+func (c *core) hide(item *flowcontrol.Item) {
 	c.queue.Hide(item)
 	c.skipped = append(c.skipped, item)
 }
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -96,6 +96,9 @@
 	// CodePromptQuarantined means that a part of the prompt crashes servers, so that no server
 	// gets the request for a while.
 	CodePromptQuarantined Code = "prompt_quarantined"
+	// CodeVersionUnavailable means that a stream can't go on: no server can take it that has the software
+	// version which began it, or that version isn't known. The caller may begin anew.
+	CodeVersionUnavailable Code = "version_unavailable"
 	// CodeRequestQuarantined means that the request crashes servers each time that it comes, so that no
 	// server gets it for a while.
 	CodeRequestQuarantined Code = "request_quarantined"
