All instances know which software version began a stream

Callers saw streams whose events came from two versions after they had taken them up at another instance. Cause: a try names the request that began the stream (Resumes), but nobody knew the version of that one, least of all an instance that didn't begin it.

Change (internal/streamversion): before the caller gets the first event, the instance tells three others, which each instance can name from the id alone (highest hashes of id and name); who goes on asks them. No broadcast for a stream and no question to all. Without a record the version is known only if own and others' histories agree that one version has served for the whole time that the stream can have lived, and at least one other answered: an instance that is cut off may be the last to learn of a new version. Otherwise the caller gets 503 at once (version_unavailable) and may begin anew. A stream of a route with several services stays at the service that began it. A server that started again under its id has no known version for what it began just then.

Weighed: records only while several versions serve (bytes none in calm times; but what began just before the second one appeared is unknown, and instances learn of it at different times); a version by hash of the id (no message at all; but a model is often at one version's servers only); facts in heartbeats (a broadcast).

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -35,6 +35,7 @@
 	"limpethub/internal/serverlimits"
 	"limpethub/internal/site"
 	"limpethub/internal/storecall"
+	"limpethub/internal/streamversion"
 )
 
 const (
@@ -73,6 +74,7 @@
 	relay      *forward.Relay
 	limits     *serverlimits.Limits
 	identities *identitykey.Keeper
+	streams    *streamversion.Keeper
 	crashes    *crashwatch.Watch
 	guard      *crashguard.Guard
 	watcher    *discovery.Watcher
@@ -115,6 +117,9 @@
 		Logger: d.log(logging.Routing), Now: time.Now,
 		OnUrgentUpdates: func(servers []string) { d.exchange.TriggerLoadSend(servers) },
 	})
+	h.streams = streamversion.New(streamversion.Options{
+		Cluster: d.cluster, Transport: d.plugins.peers, Logger: d.log(logging.Routing), Now: time.Now,
+	})
 	h.watcher = discovery.New(discovery.Options{
 		FailureDomain:    d.settings.FailureDomain,
 		Source:           source,
@@ -123,6 +128,7 @@
 		Instances:        func() int { return len(d.cluster.Members()) },
 		DecidesPlacement: func() bool { return h.manager.Holding() },
 		OnLeaving:        h.extension.AddLeavingNotice,
+		OnServers:        h.observeVersions,
 		Logger:           d.log(logging.Routing),
 	})
 	d.buildLimits(h)
@@ -130,7 +136,8 @@
 	d.buildGuard(h)
 	h.relay = forward.NewRelay(forward.RelayOptions{
 		Dispatcher: d.dispatcher, Plane: d.plugins.relayer, Directory: h.watcher, Crashes: h.crashes, Guard: h.guard,
-		Logger: d.log(logging.Routing), Now: time.Now,
+		Streams: h.streams,
+		Logger:  d.log(logging.Routing), Now: time.Now,
 	})
 	d.directory = &callerDirectory{cluster: d.cluster, configuration: d.confsync, failureDomain: d.settings.FailureDomain, seed: d.seed}
 	h.front.SetServices(front.Services{
@@ -209,6 +216,15 @@
 	d.cluster.OnFact(gossip.TopicIdentityKey, h.identities.HandleFact)
 }
 
+// observeVersions tells which software versions the servers of each service have.
+func (h *hosted) observeVersions(known []discovery.KnownServer) {
+	servers := make([]streamversion.Server, 0, len(known))
+	for _, s := range known {
+		servers = append(servers, streamversion.Server{Service: s.Service, Version: s.SoftwareVersion})
+	}
+	h.streams.ObserveServers(servers)
+}
+
 // pauseRespectingProber sends no probe to a server that wants nothing from this instance for a while.
 type pauseRespectingProber struct {
 	engine.Prober
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -89,6 +89,9 @@
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "limpethub_request_refusals_total", Help: "Requests that were refused or ended because servers ended under them each time that they came.",
 		}, func() float64 { return float64(d.hosted.guard.Refusals(quarantine.WholeRequest)) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "limpethub_streams_of_unknown_version_total", Help: "Streams that callers took up again here and that couldn't go on, because nobody knew which software version began them.",
+		}, func() float64 { return float64(d.hosted.streams.Unknown()) }),
 		gauge("limpethub_discovered_servers", "Backend servers that this instance discovered and that are not leaving.", func() float64 {
 			count := 0
 			for _, s := range d.hosted.watcher.Servers() {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -77,6 +77,9 @@
 	// DecidesPlacement reports whether this instance decides on placement, for which it must
 	// learn of servers early; nil means never.
 	DecidesPlacement func() bool
+	// OnServers is called with all known servers when something of them has changed. It must not call the
+	// Watcher; nil means no call.
+	OnServers func([]KnownServer)
 	// OnLeaving, if set, is called for each server that is found to be leaving. It must not
 	// block.
 	OnLeaving func(server KnownServer)
@@ -296,6 +299,9 @@
 		servers = append(servers, w.schedulingServer(s))
 	}
 	w.options.Sink.SetServers(servers)
+	if w.options.OnServers != nil {
+		w.options.OnServers(known)
+	}
 	for _, s := range known {
 		w.options.Sink.ObserveResident(s.ID, s.Resident)
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -46,10 +47,23 @@
 	// servers. Both are nil or none.
 	Crashes *crashwatch.Watch
 	Guard   *crashguard.Guard
+	// Streams knows which software versions began streams; nil if none are taken up elsewhere.
+	Streams StreamVersions
 	Logger  *logrus.Entry
 	Now     func() time.Time
 }
 
+// StreamVersions knows, for the whole fleet, which software version began a stream. See package
+// streamversion.
+type StreamVersions interface {
+	// Began records what began a stream, which its caller takes up again until the deadline at the latest.
+	Began(id request.ID, origin request.Origin, deadline time.Time)
+	// OriginOf returns what began a stream, given the longest time that it can have lived and the only
+	// service that it can have begun at; an empty service means that there are several. The error is a
+	// *verdict.Error with NotRun.
+	OriginOf(ctx context.Context, id request.ID, service string, life time.Duration) (request.Origin, error)
+}
+
 // Relay forwards requests to backend servers and returns their answers, both unchanged. It
 // retries requests that may be retried, and resumes a broken stream on another server. In
 // contrast, Forwarder handles decoded events and resumes a stream on the same server.
@@ -92,6 +106,8 @@
 	sink   AnswerSink
 	// relayStart is the time of the call of Relay.
 	relayStart time.Time
+	// server is that of the last attempt.
+	server engine.Server
 	// attemptStart is when the last attempt was sent.
 	attemptStart time.Time
 	// lastEventID is the id of the last event that the caller has, or noEventID.
@@ -120,10 +136,36 @@
 		defer relayed.ticket.Leave()
 		ctx = relayed.ticket.Context()
 	}
+	if err := r.findOrigin(ctx, relayed); err != nil {
+		return relayed.result, err
+	}
 	err := r.runAttempts(ctx, relayed)
 	return relayed.result, err
 }
 
+// findOrigin finds out what began the stream that a request goes on with, if it does.
+func (r *Relay) findOrigin(ctx context.Context, relayed *relayedRequest) error {
+	q := &relayed.call.Request
+	isStream := !q.FirstEventBy.IsZero()
+	if r.options.Streams == nil || relayed.lastEventID == noEventID || !isStream {
+		return nil
+	}
+	service := q.Service
+	if len(q.Services) > 0 {
+		service = ""
+	}
+	origin, err := r.options.Streams.OriginOf(ctx, q.Stream(), service, q.StreamLife)
+	if err != nil {
+		return r.errorMapper.verdictError(ctx, err)
+	}
+	if origin.Service != q.Service && !slices.Contains(q.Services, origin.Service) {
+		return verdict.Refused(verdict.CodeVersionUnavailable, "the route no longer goes to service %s, which began the stream", origin.Service)
+	}
+	relayed.began, relayed.softwareVersion = true, origin.SoftwareVersion
+	q.Service, q.SoftwareVersion = origin.Service, origin.SoftwareVersion
+	return nil
+}
+
 // admit waits until the request may go to a server, and then for a server.
 func (r *Relay) admit(ctx context.Context, relayed *relayedRequest) (scheduling.Decision, error) {
 	for {
@@ -256,7 +298,7 @@
 		outcome.Verdict, outcome.Err, outcome.Unsent = verdict.NotRun, err, true
 		return outcome, err
 	}
-	relayed.result.SoftwareVersion = server.SoftwareVersion
+	relayed.server, relayed.result.SoftwareVersion = server, server.SoftwareVersion
 	relayed.call.Priority = decision.Priority
 	start := r.options.Now()
 	relayed.attemptStart = start
@@ -478,11 +520,23 @@
 // beginStream records, before the caller gets the first event, which software version began the stream.
 // From then on only servers with that version go on with it.
 func (r *Relay) beginStream(relayed *relayedRequest) {
-	if relayed.began {
-		return
+	if !relayed.began {
+		relayed.began, relayed.softwareVersion = true, r.versionNow(relayed.server)
+		relayed.call.Request.SoftwareVersion = relayed.softwareVersion
+	}
+	q := &relayed.call.Request
+	if r.options.Streams != nil && relayed.result.Events == 0 && q.Idempotent {
+		r.options.Streams.Began(q.Stream(), request.Origin{Service: q.Service, SoftwareVersion: relayed.softwareVersion}, q.Deadline)
+	}
+}
+
+// versionNow returns the software version of a server; empty if another process has the server's name by
+// now, so that it isn't known which of the two the answer comes from.
+func (r *Relay) versionNow(server engine.Server) string {
+	if current, ok := r.options.Directory.Server(server.Name); ok && current.StartMillis != server.StartMillis {
+		return ""
 	}
-	relayed.began, relayed.softwareVersion = true, relayed.result.SoftwareVersion
-	relayed.call.Request.SoftwareVersion = relayed.softwareVersion
+	return server.SoftwareVersion
 }
 
 // deliverHead delivers the head of an answer once, before the first event or at the end of
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -29,6 +29,8 @@
 	KindStatus
 	// KindFacts is for fetching the facts that belong to the whole fleet; see package gossip.
 	KindFacts
+	// KindStreams is for which software version began a stream; see package streamversion.
+	KindStreams
 )
 
 // Handler receives messages from authenticated peers.
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -32,6 +32,21 @@
 // ID. IDs must be unique across callers, because a request with a used ID counts as a repeat.
 type ID string
 
+// Origin is what began a stream.
+type Origin struct {
+	// Service is the service, and SoftwareVersion the version of the server's software.
+	Service, SoftwareVersion string
+}
+
+// Stream returns the ID under which all instances know the stream: that of the request that brought its
+// first event.
+func (r *Request) Stream() ID {
+	if r.Resumes != "" {
+		return r.Resumes
+	}
+	return r.ID
+}
+
 // Request is the part of a caller's request that routing needs. The body is in engine.Call.
 type Request struct {
 	ID ID
@@ -40,6 +55,8 @@
 	// Resumes is the ID of the request that brought the first event of the stream which this one goes on
 	// with; empty if the caller names none.
 	Resumes ID
+	// StreamLife is how long the stream can have lived that the request goes on with.
+	StreamLife time.Duration
 	// SoftwareVersion is the version that the server's software must have, since it began the stream which
 	// the request goes on with; empty means any.
 	SoftwareVersion string
@@ -48,6 +65,9 @@
 	// Service is the requested service of the configuration: a plain service or, for a request
 	// of a route, a pool of model engines. It is empty for a model request without a pool.
 	Service string
+	// Services are all services that the request may go to, if its route has several: Service is one of
+	// them.
+	Services []string
 	// Class is the index of the class of work in the configuration; 0 is the most urgent.
 	Class int
 	// Arrived is the time when this instance accepted the request.
--- /dev/null
+++ b/internal/streamversion/history.go
@@ -0,0 +1,132 @@
+package streamversion
+
+import (
+	"time"
+
+	"limpethub/internal/request"
+)
+
+// historyMemory is how long a version that no server has any more is remembered. It is longer than any
+// stream lasts.
+const historyMemory = 10 * time.Minute
+
+// history holds which versions the servers of each service have had. It isn't safe for concurrent use.
+type history struct {
+	// since is when the servers were first known; zero before.
+	since    time.Time
+	services map[string]map[string]*served
+}
+
+// served says when servers had a version.
+type served struct {
+	// now is true while a server has it; until is when the last one was known otherwise.
+	now   bool
+	until time.Time
+}
+
+func newHistory() *history { return &history{services: map[string]map[string]*served{}} }
+
+// Server is what matters of a server here: its service, and the version of its software, empty if it
+// doesn't say.
+type Server struct{ Service, Version string }
+
+// observe takes all servers that are known at a time.
+func (h *history) observe(now time.Time, servers []Server) {
+	if len(servers) == 0 && h.since.IsZero() {
+		return
+	}
+	if h.since.IsZero() {
+		h.since = now
+	}
+	for _, versions := range h.services {
+		for version, s := range versions {
+			if s.now {
+				s.now, s.until = false, now
+			}
+			if now.Sub(s.until) > historyMemory {
+				delete(versions, version)
+			}
+		}
+	}
+	for _, server := range servers {
+		versions := h.services[server.Service]
+		if versions == nil {
+			versions = map[string]*served{}
+			h.services[server.Service] = versions
+		}
+		versions[server.Version] = &served{now: true}
+	}
+}
+
+// View is what one instance knows of a stream.
+type View struct {
+	// Record is what began the stream, if the instance knows; the zero value otherwise.
+	Record request.Origin
+	// Versions are the versions that the servers of its service have had in the time that the stream can
+	// have lived, as far as the instance knows. An empty one stands for servers that don't say.
+	Versions []string
+	// Observed is for how long the instance has known the servers.
+	Observed time.Duration
+}
+
+// view returns what is known of the versions of a service in a time.
+func (h *history) view(now time.Time, service string, life time.Duration) View {
+	var v View
+	if !h.since.IsZero() {
+		v.Observed = now.Sub(h.since)
+	}
+	for version, s := range h.services[service] {
+		if s.now || now.Sub(s.until) <= life {
+			v.Versions = append(v.Versions, version)
+		}
+	}
+	return v
+}
+
+// conclude returns what began a stream which can have lived for a time; the zero value if it isn't known.
+// service is the only one that it can have begun at, or empty if there are several. own is what this instance knows, and others what those know that the instance with the stream
+// has told.
+//
+// Without a record the version is known only if all agree that just one has served, one of them has seen
+// all that time, and at least one other instance was asked: this one may be the last to learn of a new
+// version.
+func conclude(own View, others []View, service string, life time.Duration) request.Origin {
+	all := append([]View{own}, others...)
+	var recorded request.Origin
+	for _, v := range all {
+		if isKnown(v.Record) && isKnown(recorded) && v.Record != recorded {
+			return request.Origin{}
+		}
+		if isKnown(v.Record) {
+			recorded = v.Record
+		}
+	}
+	if isKnown(recorded) || len(others) == 0 || service == "" || life > historyMemory {
+		return recorded
+	}
+	if version := onlyVersion(all, life); version != "" {
+		return request.Origin{Service: service, SoftwareVersion: version}
+	}
+	return request.Origin{}
+}
+
+func isKnown(o request.Origin) bool { return o.SoftwareVersion != "" }
+
+// onlyVersion returns the only version that has served in a time, by all views; empty if there were
+// several, or if none of them covers that time.
+func onlyVersion(views []View, life time.Duration) string {
+	only, sawAll := "", false
+	for _, v := range views {
+		for _, version := range v.Versions {
+			if version == "" || only != "" && version != only {
+				return ""
+			}
+			only = version
+		}
+		sawAll = sawAll || v.Observed >= life
+	}
+	if !sawAll {
+		return ""
+	}
+	return only
+}
--- /dev/null
+++ b/internal/streamversion/keeper.go
@@ -0,0 +1,284 @@
+package streamversion
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"limpethub/internal/membership"
+	"limpethub/internal/peers"
+	"limpethub/internal/request"
+	"limpethub/internal/verdict"
+)
+
+const (
+	// holdersPerStream is how many instances know which version began a stream, so that it is still known
+	// if some of them end.
+	holdersPerStream = 3
+	// askTimeout limits the time for a question to the holders: the caller waits.
+	askTimeout = 250 * time.Millisecond
+	// maxIDBytes, maxVersionBytes and maxServiceBytes limit what is recorded. A stream with longer ones
+	// isn't, and can't go on where several versions serve.
+	maxIDBytes      = 128
+	maxVersionBytes = 64
+	maxServiceBytes = 64
+	// lifeMargin is how much longer a stream is known than its caller waits.
+	lifeMargin = 2 * time.Second
+	// maxLife limits for how long a peer may have a stream recorded.
+	maxLife = time.Hour
+)
+
+// Cluster is the part of cluster.Cluster that a Keeper uses.
+type Cluster interface {
+	Self() string
+	Members() []membership.Member
+	Send(name string, kind peers.Kind, payload []byte) bool
+}
+
+// Options configures a Keeper.
+type Options struct {
+	Cluster   Cluster
+	Transport peers.Transport
+	Logger    *logrus.Entry
+	Now       func() time.Time
+}
+
+// Keeper knows which versions began streams. It is safe for concurrent use.
+type Keeper struct {
+	options Options
+
+	mu      sync.Mutex
+	records *records
+	history *history
+	// unknown counts the streams that couldn't go on because nobody knew their version.
+	unknown uint64
+}
+
+var _ peers.Handler = (*Keeper)(nil)
+
+// New returns a Keeper and registers it with the transport.
+func New(options Options) *Keeper {
+	k := &Keeper{options: options, records: newRecords(), history: newHistory()}
+	options.Transport.Handle(peers.KindStreams, k)
+	return k
+}
+
+// ObserveServers takes all servers that are known now. It must not be called again before it returns.
+func (k *Keeper) ObserveServers(servers []Server) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.history.observe(k.options.Now(), servers)
+}
+
+// Unknown returns how many streams couldn't go on because nobody knew their version.
+func (k *Keeper) Unknown() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.unknown
+}
+
+// begun is the datagram that tells of a stream.
+type begun struct {
+	ID         request.ID `cbor:"1,keyasint"`
+	Version    string     `cbor:"2,keyasint"`
+	LifeMillis int64      `cbor:"3,keyasint"`
+	Service    string     `cbor:"4,keyasint"`
+}
+
+func (b *begun) valid() bool {
+	isComplete := b.ID != "" && b.Version != "" && b.Service != ""
+	return isComplete && len(b.ID) <= maxIDBytes && len(b.Version) <= maxVersionBytes && len(b.Service) <= maxServiceBytes &&
+		b.LifeMillis > 0 && b.LifeMillis <= maxLife.Milliseconds()
+}
+
+// Began records what began a stream, which its caller takes up again until the deadline at the latest,
+// and tells its holders.
+func (k *Keeper) Began(id request.ID, origin request.Origin, deadline time.Time) {
+	now := k.options.Now()
+	b := begun{ID: id, Version: origin.SoftwareVersion, Service: origin.Service, LifeMillis: (deadline.Sub(now) + lifeMargin).Milliseconds()}
+	if !b.valid() {
+		return
+	}
+	k.add(now, &b)
+	payload, err := cbor.Marshal(b)
+	if err != nil {
+		k.options.Logger.WithField("request", id).WithError(err).Error("The software version of a stream can't be told to other instances: encoding failed")
+		return
+	}
+	for _, holder := range k.holders(id) {
+		k.options.Cluster.Send(holder.Name, peers.KindStreams, payload)
+	}
+}
+
+func (k *Keeper) add(now time.Time, b *begun) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.records.add(now, record{
+		id: b.ID, origin: request.Origin{Service: b.Service, SoftwareVersion: b.Version},
+		until: now.Add(time.Duration(b.LifeMillis) * time.Millisecond),
+	})
+}
+
+// holders returns the instances that know of a stream, without this one: those with the highest hashes of
+// the stream's id and their names.
+func (k *Keeper) holders(id request.ID) []membership.Member {
+	type ranked struct {
+		member membership.Member
+		hash   uint64
+	}
+	var best []ranked
+	for _, m := range k.options.Cluster.Members() {
+		if !m.Reachable() && m.Name != k.options.Cluster.Self() {
+			continue
+		}
+		hash := xxhash.Sum64String(string(id) + " " + m.Name)
+		if len(best) == holdersPerStream && hash <= best[len(best)-1].hash {
+			continue
+		}
+		best = append(best, ranked{member: m, hash: hash})
+		slices.SortFunc(best, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
+		best = best[:min(len(best), holdersPerStream)]
+	}
+	var out []membership.Member
+	for _, r := range best {
+		if r.member.Name != k.options.Cluster.Self() {
+			out = append(out, r.member)
+		}
+	}
+	return out
+}
+
+// OriginOf returns what began a stream, given the longest time that it can have lived and the only service
+// that it can have begun at; an empty service means that there are several. The error is a *verdict.Error
+// with NotRun if nobody knows.
+func (k *Keeper) OriginOf(ctx context.Context, id request.ID, service string, life time.Duration) (request.Origin, error) {
+	own := k.view(id, service, life)
+	if isKnown(own.Record) {
+		return own.Record, nil
+	}
+	others := k.ask(ctx, question{ID: id, Service: service, LifeMillis: life.Milliseconds()})
+	if origin := conclude(own, others, service, life); isKnown(origin) {
+		return origin, nil
+	}
+	k.mu.Lock()
+	k.unknown++
+	k.mu.Unlock()
+	k.options.Logger.WithFields(logrus.Fields{
+		"resumes": id, "answers": len(others), "versions": versionsOf(own, others), "observed_ms": own.Observed.Milliseconds(),
+	}).Info("A stream can't go on: nobody knows which software version began it")
+	return request.Origin{}, verdict.Refused(verdict.CodeVersionUnavailable, "nobody knows which software version began the stream")
+}
+
+func versionsOf(own View, others []View) []string {
+	var out []string
+	for _, v := range append([]View{own}, others...) {
+		for _, version := range v.Versions {
+			if !slices.Contains(out, version) {
+				out = append(out, version)
+			}
+		}
+	}
+	return out
+}
+
+func (k *Keeper) view(id request.ID, service string, life time.Duration) View {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.options.Now()
+	v := k.history.view(now, service, life)
+	v.Record = k.records.originOf(now, id)
+	return v
+}
+
+// question and answer are a call to a holder.
+type question struct {
+	ID         request.ID `cbor:"1,keyasint"`
+	Service    string     `cbor:"2,keyasint"`
+	LifeMillis int64      `cbor:"3,keyasint"`
+}
+
+type answer struct {
+	Record         string   `cbor:"1,keyasint,omitempty"`
+	Versions       []string `cbor:"2,keyasint,omitempty"`
+	ObservedMillis int64    `cbor:"3,keyasint,omitempty"`
+	// Service is that of Record.
+	Service string `cbor:"4,keyasint,omitempty"`
+}
+
+// ask asks the holders of a stream at the same time, until one has a record or all have answered.
+func (k *Keeper) ask(ctx context.Context, q question) []View {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	holders := k.holders(q.ID)
+	views := make(chan *View, len(holders))
+	for _, holder := range holders {
+		go func() { views <- k.askOne(ctx, holder, q) }()
+	}
+	var out []View
+	for range holders {
+		v := <-views
+		if v == nil {
+			continue
+		}
+		out = append(out, *v)
+		if isKnown(v.Record) {
+			break
+		}
+	}
+	return out
+}
+
+// askOne returns nil if the holder gives no answer.
+func (k *Keeper) askOne(ctx context.Context, holder membership.Member, q question) *View {
+	a, err := k.call(ctx, holder.PeerAddress, q)
+	if err != nil {
+		k.options.Logger.WithFields(logrus.Fields{"resumes": q.ID, "peer": holder.Name}).WithError(err).Debug("A peer didn't answer which software version began a stream")
+		return nil
+	}
+	return &View{Record: request.Origin{Service: a.Service, SoftwareVersion: a.Record}, Versions: a.Versions, Observed: time.Duration(a.ObservedMillis) * time.Millisecond}
+}
+
+func (k *Keeper) call(ctx context.Context, address string, q question) (answer, error) {
+	var a answer
+	payload, err := cbor.Marshal(q)
+	if err != nil {
+		return a, fmt.Errorf("streamversion: encode question: %w", err)
+	}
+	body, err := k.options.Transport.Call(ctx, address, peers.KindStreams, payload)
+	if err != nil {
+		return a, fmt.Errorf("streamversion: ask: %w", err)
+	}
+	if err := cbor.Unmarshal(body, &a); err != nil {
+		return a, fmt.Errorf("streamversion: decode answer: %w", err)
+	}
+	return a, nil
+}
+
+// HandleDatagram implements peers.Handler. It records a stream that a peer has begun.
+func (k *Keeper) HandleDatagram(from string, payload []byte) {
+	var b begun
+	if err := cbor.Unmarshal(payload, &b); err != nil || !b.valid() {
+		k.options.Logger.WithField("peer", from).Warn("Ignored a peer's word of a stream: it is malformed")
+		return
+	}
+	k.add(k.options.Now(), &b)
+}
+
+// HandleCall implements peers.Handler. It answers what this instance knows of a stream.
+func (k *Keeper) HandleCall(_ context.Context, _ string, payload []byte) ([]byte, error) {
+	var q question
+	if err := cbor.Unmarshal(payload, &q); err != nil {
+		return nil, fmt.Errorf("streamversion: decode question: %w", err)
+	}
+	v := k.view(q.ID, q.Service, time.Duration(q.LifeMillis)*time.Millisecond)
+	return cbor.Marshal(answer{
+		Record: v.Record.SoftwareVersion, Service: v.Record.Service, Versions: v.Versions, ObservedMillis: v.Observed.Milliseconds(),
+	})
+}
--- /dev/null
+++ b/internal/streamversion/streamversion_test.go
@@ -0,0 +1,257 @@
+package streamversion
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"limpethub/internal/logging"
+	"limpethub/internal/membership"
+	"limpethub/internal/peers"
+	"limpethub/internal/request"
+	"limpethub/internal/verdict"
+)
+
+// network connects keepers. It is the Cluster and the Transport of each.
+type network struct {
+	nodes map[string]*node
+	// datagrams counts what was sent of streams, and bytes their payloads, by sender.
+	datagrams, bytes map[string]int
+}
+
+type node struct {
+	network *network
+	name    string
+	keeper  *Keeper
+	// dead is true once the instance was killed; others still list it as alive.
+	dead bool
+	// cut is true while the instance reaches no other one.
+	cut bool
+}
+
+func newNetwork(n int) *network {
+	net := &network{nodes: map[string]*node{}, datagrams: map[string]int{}, bytes: map[string]int{}}
+	for i := range n {
+		net.start(fmt.Sprint("i", i))
+	}
+	return net
+}
+
+func (net *network) start(name string) *node {
+	n := &node{network: net, name: name}
+	net.nodes[name] = n
+	n.keeper = New(Options{Cluster: n, Transport: n, Logger: logging.Discard(), Now: time.Now})
+	return n
+}
+
+func (net *network) observeAll(servers ...Server) {
+	for _, n := range net.nodes {
+		n.keeper.ObserveServers(servers)
+	}
+}
+
+func (n *node) Self() string { return n.name }
+
+func (n *node) Members() []membership.Member {
+	var out []membership.Member
+	for name := range n.network.nodes {
+		out = append(out, membership.Member{Identity: membership.Identity{Name: name, PeerAddress: name}, State: membership.Alive})
+	}
+	return out
+}
+
+func (n *node) reaches(name string) (*node, bool) {
+	other := n.network.nodes[name]
+	return other, other != nil && !other.dead && !other.cut && !n.cut
+}
+
+func (n *node) Send(name string, kind peers.Kind, payload []byte) bool {
+	n.network.datagrams[n.name]++
+	n.network.bytes[n.name] += len(payload)
+	if other, ok := n.reaches(name); ok && kind == peers.KindStreams {
+		other.keeper.HandleDatagram(n.name, payload)
+	}
+	return true
+}
+
+func (n *node) Handle(peers.Kind, peers.Handler) {}
+
+func (n *node) Datagram(string, peers.Kind, []byte) {}
+
+var errSilent = errors.New("no answer")
+
+func (n *node) Call(ctx context.Context, address string, _ peers.Kind, payload []byte) ([]byte, error) {
+	other, ok := n.reaches(address)
+	if !ok {
+		<-ctx.Done()
+		return nil, errSilent
+	}
+	return other.keeper.HandleCall(ctx, n.name, payload)
+}
+
+const (
+	life    = 15 * time.Second
+	service = "llm"
+)
+
+var (
+	v1 = request.Origin{Service: service, SoftwareVersion: "v1"}
+	v2 = request.Origin{Service: service, SoftwareVersion: "v2"}
+)
+
+// versions returns one server of the service for each version.
+func versions(all ...string) []Server {
+	var out []Server
+	for _, version := range all {
+		out = append(out, Server{Service: service, Version: version})
+	}
+	return out
+}
+
+func wantOrigin(t *testing.T, n *node, id request.ID, want request.Origin) {
+	t.Helper()
+	got, err := n.keeper.OriginOf(context.Background(), id, service, life)
+	if got != want || (err == nil) != isKnown(want) {
+		t.Errorf("instance %s, stream %s: got %v, error %v, want %v", n.name, id, got, err, want)
+	}
+	if err != nil && verdict.Of(err) != verdict.NotRun {
+		t.Errorf("got %v, want an error with the verdict not-run", err)
+	}
+}
+
+// TestEachInstanceKnowsWhichVersionBeganAStream guards against streams that can't go on, or go on at
+// another version, because the instance that began them is gone or never told the one that is asked.
+func TestEachInstanceKnowsWhichVersionBeganAStream(t *testing.T) {
+	for _, size := range []int{2, 8, 68, 295} {
+		synctest.Test(t, func(t *testing.T) {
+			net := newNetwork(size)
+			net.observeAll(versions("v1", "v2")...)
+			time.Sleep(life)
+			for n := range 40 {
+				id := request.ID(fmt.Sprint("stream", n))
+				origin := []request.Origin{v1, v2}[n%2]
+				began := net.nodes[fmt.Sprint("i", n%size)]
+				began.keeper.Began(id, origin, time.Now().Add(life))
+				if size > 2 {
+					began.dead = true
+				}
+				wantOrigin(t, net.nodes[fmt.Sprint("i", (n+1)%size)], id, origin)
+				began.dead = false
+			}
+			for name, count := range net.datagrams {
+				if perStream := float64(count) / float64((40+size-1)/size); perStream > holdersPerStream {
+					t.Errorf("%d instances: %s sent %d datagrams, want at most %d a stream", size, name, count, holdersPerStream)
+				}
+			}
+		})
+	}
+}
+
+// TestVersionIsNeverGuessed guards against a stream that goes on at a version that may not have begun it:
+// its record is lost, several versions serve or have served, an instance is cut off or has just started.
+func TestVersionIsNeverGuessed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(8)
+		net.observeAll(versions("v1", "v1", "v1")...)
+		wantOrigin(t, net.nodes["i0"], "just started", request.Origin{})
+		time.Sleep(life)
+		wantOrigin(t, net.nodes["i0"], "one version all the time", v1)
+		cut := net.nodes["i1"]
+		cut.cut = true
+		wantOrigin(t, cut, "cut off", request.Origin{})
+		cut.cut = false
+		// Only the holders have learned of another version.
+		for name, n := range net.nodes {
+			if name != "i0" {
+				n.keeper.ObserveServers(versions("v1", "v2"))
+			}
+		}
+		wantOrigin(t, net.nodes["i0"], "a version that this instance doesn't know of", request.Origin{})
+		net.observeAll(versions("v2")...)
+		wantOrigin(t, net.nodes["i0"], "a version that has gone", request.Origin{})
+		time.Sleep(life + time.Second)
+		wantOrigin(t, net.nodes["i0"], "the other version all the time", v2)
+		net.observeAll(versions("v2", "")...)
+		wantOrigin(t, net.nodes["i0"], "a server without a version", request.Origin{})
+	})
+}
+
+// TestStartedInstanceLearnsTheOnlyVersion guards against streams that can't go on at an instance that has
+// started just before, although only one version has served for long.
+func TestStartedInstanceLearnsTheOnlyVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(8)
+		net.observeAll(versions("v1")...)
+		time.Sleep(life)
+		started := net.start("i3")
+		started.keeper.ObserveServers(versions("v1"))
+		wantOrigin(t, started, "s", v1)
+	})
+}
+
+// TestServiceOfAStreamIsNotGuessed guards against a stream of a route with several services that goes on
+// at another one.
+func TestServiceOfAStreamIsNotGuessed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(4)
+		net.observeAll(versions("v1")...)
+		time.Sleep(life)
+		if got, err := net.nodes["i0"].keeper.OriginOf(t.Context(), "s", "", life); err == nil {
+			t.Errorf("got %v, want that nobody knows", got)
+		}
+		net.nodes["i1"].keeper.Began("s", v1, time.Now().Add(life))
+		if got, err := net.nodes["i0"].keeper.OriginOf(t.Context(), "s", "", life); err != nil || got != v1 {
+			t.Errorf("got %v, error %v, want %v", got, err, v1)
+		}
+	})
+}
+
+// TestStreamsAreForgotten guards against memory that grows with streams.
+func TestStreamsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(2)
+		k := net.nodes["i0"].keeper
+		for n := range maxRecords + 100 {
+			k.Began(request.ID(fmt.Sprint(n)), v1, time.Now().Add(life))
+		}
+		if n := len(k.records.byID); n > maxRecords || n != k.records.order.Len() {
+			t.Errorf("%d streams are known, want at most %d", n, maxRecords)
+		}
+		time.Sleep(life + lifeMargin)
+		k.Began("last", v1, time.Now().Add(life))
+		if n := len(k.records.byID); n != 1 {
+			t.Errorf("%d streams are known after their end, want the last one", n)
+		}
+	})
+}
+
+// TestMalformedWordOfAStreamIsIgnored guards against a peer's word that gives a stream a version for good
+// or takes much memory.
+func TestMalformedWordOfAStreamIsIgnored(t *testing.T) {
+	net := newNetwork(2)
+	k := net.nodes["i0"].keeper
+	long := string(make([]byte, 200))
+	for _, b := range []begun{
+		{}, {ID: "a", Version: "v", LifeMillis: 1}, {ID: "a", Service: "s", LifeMillis: 1}, {ID: "a", Version: "v", Service: "s"},
+		{ID: "a", Version: "v", Service: "s", LifeMillis: -1}, {ID: "a", Version: "v", Service: "s", LifeMillis: 1 << 60},
+		{ID: request.ID(long), Version: "v", Service: "s", LifeMillis: 1}, {ID: "a", Version: long, Service: "s", LifeMillis: 1},
+	} {
+		payload, err := cbor.Marshal(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		k.HandleDatagram("i1", payload)
+	}
+	k.HandleDatagram("i1", []byte("no message"))
+	if n := len(k.records.byID); n != 0 {
+		t.Errorf("%d malformed records were taken", n)
+	}
+	if _, err := k.HandleCall(t.Context(), "i1", []byte{0xff}); err == nil {
+		t.Error("a malformed question is answered")
+	}
+}
