Soak: servers of two software versions, and streams that are taken up elsewhere

Engines end and start again under their id with the other version of their software, in series beside all other faults. Callers leave a fifth of their streams, and take these and all that break off up at random instances, up to twice. Judged: the events that a caller has of a stream, by one answer or several, are of one version; each try goes on just after the last event.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -23,6 +25,11 @@
 	// repeatShare is the fraction of requests that are the one that crashes servers, while there is one
 	// for their route.
 	repeatShare = 0.3
+	// leavingShare is the fraction of streams that their callers leave after leaveAfter, to go on with them
+	// elsewhere. A stream that breaks off is taken up too, each up to maxTakeUps times.
+	leavingShare = 0.2
+	leaveAfter   = 3 * streamEventInterval
+	maxTakeUps   = 2
 	// adapterShare is the fraction of a caller's streams that ask for an adapter.
 	adapterShare = 0.2
 )
@@ -78,15 +85,50 @@
 		if path := s.crashingPath.Load(); path != nil && strings.HasPrefix(*path, routePrefix(kind)) && random.Float64() < repeatShare {
 			request.Path = *path
 		}
-		r := s.sendRequest(ctx, caller, i, request, model)
-		t.add(r.Answer)
-		if ctx.Err() == nil {
-			s.judge.Answered(r)
+		request.Leaves = kind == Stream && random.Float64() < leavingShare
+		r := s.sendAndJudge(ctx, caller, i, request, model, t)
+		if kind == Stream {
+			s.takeUp(ctx, random, caller, r, model, t)
 		}
 		time.Sleep(time.Duration(random.ExpFloat64() * float64(thinkTime)))
 	}
 }
 
+// sendAndJudge sends a request and passes its answer to the judge.
+func (s *site) sendAndJudge(ctx context.Context, caller *standin.Caller, i *instance, request Request, model string, t *tally) Request {
+	r := s.sendRequest(ctx, caller, i, request, model)
+	t.add(r.Answer)
+	if ctx.Err() == nil {
+		s.judge.Answered(r)
+	}
+	return r
+}
+
+// takeUp goes on with a stream that broke off, or that its caller has left, at other instances.
+func (s *site) takeUp(ctx context.Context, random *rand.Rand, caller *standin.Caller, begun Request, model string, t *tally) {
+	tries := []Request{begun}
+	next := begun.eventCount()
+	for last := begun; len(tries) <= maxTakeUps && next > 0 && last.Answer.Err != nil && ctx.Err() == nil; {
+		i := s.instances[random.IntN(len(s.instances))]
+		last = s.sendAndJudge(ctx, caller, i, Request{
+			ID: fmt.Sprintf("%s-again%d", begun.ID, len(tries)), Kind: Stream, Part: begun.Part, Resumes: begun.ID, From: next,
+		}, model, t)
+		tries = append(tries, last)
+		if last.Answer.Status != http.StatusOK {
+			// The refused try brought no event, and the next one may come to another instance.
+			last.Answer.Err = errRefused
+			continue
+		}
+		next += last.eventCount()
+	}
+	if ctx.Err() == nil {
+		s.judge.StreamEnded(tries)
+	}
+}
+
+// errRefused stands for the answer of an instance that refused to go on with a stream.
+var errRefused = errors.New("soak: refused")
+
 // routePrefix returns the prefix of the paths of a kind of request.
 func routePrefix(kind RequestKind) string {
 	switch kind {
@@ -124,6 +166,10 @@
 	if r.Path != "" {
 		a.Path = r.Path
 	}
+	a.Resumes, a.LastEventID = r.Resumes, r.From-1
+	if r.Leaves {
+		a.LeaveAfter = leaveAfter
+	}
 	r.Instance, r.StartNumber, r.Began = i.number, i.currentStart(), s.now()
 	s.judge.Sending(r.ID, r.Kind, r.processID(), r.Began)
 	if r.Part != "" || r.Path != "" {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -267,6 +268,9 @@
 	case PromptCrashes:
 		s.crashOnPrompts(waitForEnd)
 		return
+	case ServerChangesVersion:
+		s.changeVersion(server, waitForEnd)
+		return
 	case RequestCrashes:
 		s.crashOnRequest(waitForEnd)
 		return
@@ -305,6 +309,25 @@
 	s.restartServer(server)
 }
 
+// changeVersion ends an engine, or the next one after a plain server, and starts it again with the other
+// version of its software.
+func (s *site) changeVersion(target *server, waitForEnd func()) {
+	if n := slices.Index(s.servers, target); n < s.size.Plain {
+		target = s.servers[s.size.Plain+n%s.size.Engines]
+	}
+	version := softwareVersions[0]
+	if target.Version() == version {
+		version = softwareVersions[1]
+	}
+	target.Close()
+	waitForEnd()
+	s.judge.ServerRestarting(target.ID())
+	s.judge.LimitEnded(target.ID())
+	if err := target.RestartAs(version); err != nil {
+		s.judge.RecordViolation(StaysUp, s.now(), "restart of the stand-in %s failed: %v", target.ID(), err)
+	}
+}
+
 // restartServer starts a server again. A failed restart is recorded as a violation, so that the
 // run counts as failed.
 func (s *site) restartServer(server *server) {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -76,6 +76,9 @@
 	KillMost FaultKind = "instances-kill-most"
 	// PromptCrashes makes a part of some callers' prompts end each server that begins to answer it.
 	PromptCrashes FaultKind = "prompt-crashes-servers"
+	// ServerChangesVersion ends an engine and starts it again under its id with another version of its
+	// software.
+	ServerChangesVersion FaultKind = "server-changes-version"
 	// RequestCrashes makes a request that some callers repeat end each server that begins to run it.
 	RequestCrashes FaultKind = "request-crashes-servers"
 	// ServerLimits makes a server name, in its answers, how many requests a second it takes.
@@ -125,8 +128,11 @@
 // several times. They have a random sequence of their own too.
 var longestFaultKinds = []scopedKind{{RequestCrashes, onServer}, {PromptCrashes, onServer}}
 
+// versionFaultKinds has the kind that changes software versions, with a random sequence of its own.
+var versionFaultKinds = []scopedKind{{ServerChangesVersion, onServer}}
+
 func scopeOf(kind FaultKind) scope {
-	for _, k := range slices.Concat(faultKinds, laterFaultKinds, fleetFaultKinds, longFaultKinds, longestFaultKinds) {
+	for _, k := range slices.Concat(faultKinds, laterFaultKinds, fleetFaultKinds, longFaultKinds, longestFaultKinds, versionFaultKinds) {
 		if k.kind == kind {
 			return k.scope
 		}
@@ -163,11 +169,12 @@
 
 const (
 	// meanSeriesGap is the mean time between the starts of two series of faults,
-	// laterMeanSeriesGap that between two series of laterFaultKinds, and fleetMeanSeriesGap that
-	// of fleetFaultKinds.
-	meanSeriesGap      = 1200 * time.Millisecond
-	laterMeanSeriesGap = 6 * time.Second
-	fleetMeanSeriesGap = 7 * time.Second
+	// laterMeanSeriesGap that between two series of laterFaultKinds, fleetMeanSeriesGap that of
+	// fleetFaultKinds, and versionMeanSeriesGap that of versionFaultKinds.
+	meanSeriesGap        = 1200 * time.Millisecond
+	laterMeanSeriesGap   = 6 * time.Second
+	fleetMeanSeriesGap   = 7 * time.Second
+	versionMeanSeriesGap = 6 * time.Second
 	// longMeanGap is the mean time between the starts of two faults of longFaultKinds, and
 	// longFaultDuration is how long each lasts.
 	longMeanGap       = 8 * time.Second
@@ -185,13 +192,14 @@
 // Plan returns the schedule of a seed. It consists of series of faults. All faults of a series are
 // of one kind and begin within one second. Faults may overlap, also those of one series.
 func Plan(seed uint64, size Size) []Event {
-	// The second values, 13 to 17, differ from those of the callers (100 and up), so that they
+	// The second values, 13 to 18, differ from those of the callers (100 and up), so that they
 	// get other random sequences.
 	out := planSeries(rand.New(rand.NewPCG(seed, 13)), faultKinds, meanSeriesGap, size)
 	out = append(out, planSeries(rand.New(rand.NewPCG(seed, 14)), laterFaultKinds, laterMeanSeriesGap, size)...)
 	out = append(out, planSeries(rand.New(rand.NewPCG(seed, 15)), fleetFaultKinds, fleetMeanSeriesGap, size)...)
 	out = append(out, planLong(rand.New(rand.NewPCG(seed, 16)), longFaultKinds, longFaultDuration, size)...)
 	out = append(out, planLong(rand.New(rand.NewPCG(seed, 17)), longestFaultKinds, longestFaultDuration, size)...)
+	out = append(out, planSeries(rand.New(rand.NewPCG(seed, 18)), versionFaultKinds, versionMeanSeriesGap, size)...)
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -26,6 +26,9 @@
 	retrySlack = 56
 )
 
+// softwareVersions are the versions of engines. All begin with the first.
+var softwareVersions = [...]string{"v1", "v2"}
+
 const (
 	// readyTimeout is how long an instance may take to be ready at the start of a run.
 	readyTimeout        = 30 * time.Second
@@ -122,7 +125,8 @@
 	}
 	standIn, err := standin.NewServer(s.store, standin.ServerOptions{
 		ID: fmt.Sprintf("%s-%d", service, n), Service: service, Zone: failureDomain(n), EventPause: streamEventInterval, Unannounced: true,
-		OnRun: func(server, id string) { s.judge.Ran(server, id, s.now()) },
+		OnRun:   func(server, id string) { s.judge.Ran(server, id, s.now()) },
+		OnEvent: s.judge.EventSent,
 		OnOrder: func(server string, order standin.Order, holds []string) {
 			s.judge.Ordered(server, order, holds, s.now())
 		},
