--- a/internal/fleet/facts_test.go
+++ b/internal/fleet/facts_test.go
@@ -59,9 +59,13 @@
 		}
 		return
 	}
+	kind := quarantine.PromptPart
+	if f.Topic == gossip.TopicRequestCrash {
+		kind = quarantine.WholeRequest
+	}
 	c := quarantine.Crash{Process: f.Key, At: f.At}
 	for value := f.Value; len(value) > 0; value = value[8:] {
-		c.Subjects = append(c.Subjects, quarantine.PartSubject(request.Part(binary.LittleEndian.Uint64(value))))
+		c.Subjects = append(c.Subjects, quarantine.Subject{Kind: kind, Hash: binary.LittleEndian.Uint64(value)})
 	}
 	if _, isNew := n.facts.evidence.AddCrash(n.w.now, c); isNew {
 		n.facts.spreader.Put(f)
@@ -91,11 +95,16 @@
 
 // quarantinedOn counts the instances that keep requests with the parts away from servers.
 func (w *world) quarantinedOn(parts ...request.Part) int {
-	count := 0
 	var subjects []quarantine.Subject
 	for _, part := range parts {
 		subjects = append(subjects, quarantine.PartSubject(part))
 	}
+	return w.quarantinedOnOf(subjects)
+}
+
+// quarantinedOnOf counts the instances that keep requests with the subjects away from servers.
+func (w *world) quarantinedOnOf(subjects []quarantine.Subject) int {
+	count := 0
 	for _, n := range w.instances {
 		if n.facts.evidence.Find(w.now, subjects).State == quarantine.Quarantined {
 			count++
@@ -143,6 +152,54 @@
 	}
 }
 
+// TestAllInstancesQuarantineARequestThatEachSawOnce guards against a request that each instance sends to a
+// server once more because it hasn't had it yet. On each server that ends there are others, of which no
+// two are alike.
+func TestAllInstancesQuarantineARequestThatEachSawOnce(t *testing.T) {
+	t.Parallel()
+	const (
+		bound      = 3 * time.Second // From the third crash to the quarantine on each instance.
+		bytesBound = 20_000          // What each instance may send for it, whatever the size of the fleet.
+		others     = 30
+		dead       = 7
+	)
+	for _, n := range []int{8, 68, 295} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			w := newJoinedWorld(n, 3)
+			w.advance(joinSettleTime)
+			w.lossPerMille = 100
+			for crash := range 3 {
+				f := gossip.Timed{Topic: gossip.TopicRequestCrash, Key: uint64(crash), At: w.now}
+				f.Value = binary.LittleEndian.AppendUint64(f.Value, dead)
+				for other := range others {
+					f.Value = binary.LittleEndian.AppendUint64(f.Value, uint64(1000*crash+100+other))
+				}
+				w.instances[w.random.IntN(len(w.instances))].learn(f)
+				w.advance(300 * time.Millisecond)
+			}
+			subjects := []quarantine.Subject{quarantine.RequestSubject(dead)}
+			start := w.now
+			for w.quarantinedOnOf(subjects) < n && w.now.Sub(start) < bound {
+				w.advance(50 * time.Millisecond)
+			}
+			if count := w.quarantinedOnOf(subjects); count < n {
+				t.Fatalf("%d of %d instances keep the request away %v after the third crash, want all", count, n, bound)
+			}
+			took := w.now.Sub(start)
+			w.advance(10 * time.Second)
+			most := 0
+			for _, i := range w.instances {
+				most = max(most, i.facts.bytes)
+			}
+			t.Logf("all %d instances %v after the third crash and 300ms, at most %d bytes of facts from one", n, took, most)
+			if most > bytesBound {
+				t.Errorf("an instance sent %d bytes of facts, want at most %d", most, bytesBound)
+			}
+		})
+	}
+}
+
 // TestProofReachesAllInstances guards against an instance that refuses a part although another one
 // has got answers for it since.
 func TestProofReachesAllInstances(t *testing.T) {
