--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -143,6 +143,11 @@
 				wantOrigin(t, net.nodes[fmt.Sprint("i", (n+1)%size)], id, origin)
 				began.dead = false
 			}
+			total := 0
+			for _, bytes := range net.bytes {
+				total += bytes
+			}
+			t.Logf("%d instances: %d bytes of payload a stream, from all together", size, total/40)
 			for name, count := range net.datagrams {
 				if perStream := float64(count) / float64((40+size-1)/size); perStream > holdersPerStream {
 					t.Errorf("%d instances: %s sent %d datagrams, want at most %d a stream", size, name, count, holdersPerStream)
