Conclusions on crashes are found on numbers in place of subjects

Subjects that were on one crash, as nearly all whole requests are, explain nothing and are left out; the others and the crashes get numbers, so that the search works on slices in place of maps.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -53,7 +53,7 @@
 	crashes  map[uint64]*Crash
 	subjects map[Subject]*record
 	// knownCulprits is the result of culprits; nil if the evidence has changed since.
-	knownCulprits map[Subject]culprit
+	knownCulprits *culprits
 	// proven holds the last proofs of whole requests, the oldest first.
 	proven []provenRequest
 }
--- a/internal/quarantine/finding.go
+++ b/internal/quarantine/finding.go
@@ -83,12 +83,16 @@
 // those that always come together with it only together with it.
 func (e *Evidence) Find(now time.Time, subjects []Subject) Finding {
 	var strictest Finding
+	var own []int
 	for _, subject := range subjects {
 		if e.Crashes(subject) == 0 {
 			continue
 		}
+		if own == nil {
+			own = e.culprits().numbersOf(subjects)
+		}
 		// Of equal ones the last counts: parts at the start of prompts are in many of them.
-		if f := e.findSubject(now, subject, subjects); f.State > Clear && f.State >= strictest.State {
+		if f := e.findSubject(now, subject, own); f.State > Clear && f.State >= strictest.State {
 			strictest = f
 		}
 	}
@@ -99,8 +103,12 @@
 // Those that have only come together are all in the list.
 func (e *Evidence) List(now time.Time) []Finding {
 	var out []Finding
-	for subject := range e.culprits() {
-		if f := e.findSubject(now, subject, companions(subject, e.subjects[subject].crashes)); f.State >= Trial {
+	c := e.culprits()
+	for n, s := range c.subjects {
+		if !s.found {
+			continue
+		}
+		if f := e.findSubject(now, s.subject, c.companions(n)); f.State >= Trial {
 			out = append(out, f)
 		}
 	}
@@ -108,41 +116,51 @@
 	return out
 }
 
-// findSubject returns the conclusion about one subject of a request with the given subjects.
-func (e *Evidence) findSubject(now time.Time, subject Subject, subjects []Subject) Finding {
-	record := e.subjects[subject]
-	culprits := e.culprits()
-	against := e.unexplained(record.crashes, subjects, func(other Subject) bool {
-		if !culprits[other].found || bothParts(subject, other) {
-			return culprits[other].found
+// findSubject returns the conclusion about one subject of a request, given the numbers of the subjects that
+// the request has.
+func (e *Evidence) findSubject(now time.Time, subject Subject, own []int) Finding {
+	record, c := e.subjects[subject], e.culprits()
+	state, crashes := c.state(subject), c.crashNumbers(record.crashes)
+	against := c.unexplained(crashes, own, func(other *subjectState) bool {
+		switch {
+		case !other.found:
+			return false
+		case subject.Kind == PromptPart && other.subject.Kind == PromptPart:
+			return true
 		}
-		return !culprits[subject].alone && e.explainsAsWell(subject, len(record.crashes), other, e.Crashes(other))
+		return !state.alone && other.explainsAsWell(state.proven, len(crashes))
 	})
-	finding := Finding{Subject: subject, Crashes: e.count(subject, against)}
-	if len(against) > 0 {
-		finding.First, finding.Last = against[0].At, against[len(against)-1].At
-	}
-	needed, delay := record.needed()
-	if culprits[subject].found && e.isEnough(subject, record.crashes, against) {
-		return finding.decide(now, delay, record.holdEnd(finding, needed))
+	if needed, delay := record.needed(); state.found && c.isEnough(subject, crashes, against) {
+		f := e.finding(subject, c.pick(against))
+		return f.decide(now, delay, record.holdEnd(f, needed))
 	}
 	// A suspicion needs less: a culprit that has been on just the same crashes doesn't end it.
-	if own := len(record.crashes); record.provenAt.IsZero() {
-		against = e.unexplained(record.crashes, subjects, func(other Subject) bool { return culprits[other].found && e.Crashes(other) > own })
+	if !state.proven {
+		against = c.unexplained(crashes, own, func(other *subjectState) bool { return other.found && len(other.crashes) > len(crashes) })
 	}
-	finding.State, finding.Crashes = Suspect, e.count(subject, against)
-	if record.isSuspect(subject.Kind, finding.Crashes) {
-		finding.First, finding.Last = against[0].At, against[len(against)-1].At
-		return finding
+	f := e.finding(subject, c.pick(against))
+	f.State = Suspect
+	if record.isSuspect(subject.Kind, f.Crashes) {
+		return f
 	}
 	// A whole request is also suspected if something else explains its crashes: it may crash servers too.
-	if all := e.count(subject, record.crashes); subject.Kind == WholeRequest && record.isSuspect(subject.Kind, all) {
-		finding.First, finding.Last = record.crashes[0].At, record.crashes[len(record.crashes)-1].At
-		return finding
+	all := e.finding(subject, record.crashes)
+	if subject.Kind == WholeRequest && record.isSuspect(subject.Kind, all.Crashes) {
+		all.State, all.Crashes = Suspect, f.Crashes
+		return all
 	}
 	return Finding{}
 }
 
+// finding returns a finding without a state about the crashes of a subject.
+func (e *Evidence) finding(s Subject, crashes []*Crash) Finding {
+	f := Finding{Subject: s, Crashes: e.count(s, crashes)}
+	if len(crashes) > 0 {
+		f.First, f.Last = crashes[0].At, crashes[len(crashes)-1].At
+	}
+	return f
+}
+
 // needed returns how many crashes put a subject into quarantine, and how long after the first one.
 func (r *record) needed() (crashes int, delay time.Duration) {
 	if r.provenAt.IsZero() {
--- a/internal/quarantine/subject.go
+++ b/internal/quarantine/subject.go
@@ -6,8 +6,9 @@
 	"limpethub/internal/request"
 )
 
-// Kind is the kind of a Subject.
-type Kind uint8
+// Kind is the kind of a Subject. It has the size of the hash, so that subjects have no padding and are compared
+// and hashed as a whole: evidence is mostly maps of them.
+type Kind uint64
 
 const (
 	// PromptPart is a part of prompts, request.Part.
