Streams go on where only one version serves, also if those that knew them have ended

Two more are asked, which know the versions that have served; and once 80 ms have passed, those that haven't answered aren't waited for if all that have agree on one version. With several versions all are waited for as before.

--- a/internal/streamversion/keeper.go
+++ b/internal/streamversion/keeper.go
@@ -22,8 +22,14 @@
 	// holdersPerStream is how many instances know which version began a stream, so that it is still known
 	// if some of them end.
 	holdersPerStream = 3
-	// askTimeout limits the time for a question to the holders: the caller waits.
+	// askedPerStream is how many instances are asked: the holders, and others that only know which versions
+	// have served, in case the holders have ended.
+	askedPerStream = 5
+	// askTimeout limits the time for the questions: the caller waits.
 	askTimeout = 250 * time.Millisecond
+	// settledAfter is when those that haven't answered yet aren't waited for any more if all that have
+	// agree that only one version has served.
+	settledAfter = 80 * time.Millisecond
 	// maxIDBytes, maxVersionBytes and maxServiceBytes limit what is recorded. A stream with longer ones
 	// isn't, and can't go on where several versions serve.
 	maxIDBytes      = 128
@@ -112,7 +118,7 @@
 		k.options.Logger.WithField("request", id).WithError(err).Error("The software version of a stream can't be told to other instances: encoding failed")
 		return
 	}
-	for _, holder := range k.holders(id) {
+	for _, holder := range k.nearest(id, holdersPerStream) {
 		k.options.Cluster.Send(holder.Name, peers.KindStreams, payload)
 	}
 }
@@ -126,9 +132,9 @@
 	})
 }
 
-// holders returns the instances that know of a stream, without this one: those with the highest hashes of
-// the stream's id and their names.
-func (k *Keeper) holders(id request.ID) []membership.Member {
+// nearest returns so many instances, less this one, that all instances choose alike for a stream: those with
+// the highest hashes of its id and their names. The first holdersPerStream of them know of the stream.
+func (k *Keeper) nearest(id request.ID, count int) []membership.Member {
 	type ranked struct {
 		member membership.Member
 		hash   uint64
@@ -139,12 +145,12 @@
 			continue
 		}
 		hash := xxhash.Sum64String(string(id) + " " + m.Name)
-		if len(best) == holdersPerStream && hash <= best[len(best)-1].hash {
+		if len(best) == count && hash <= best[len(best)-1].hash {
 			continue
 		}
 		best = append(best, ranked{member: m, hash: hash})
 		slices.SortFunc(best, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
-		best = best[:min(len(best), holdersPerStream)]
+		best = best[:min(len(best), count)]
 	}
 	var out []membership.Member
 	for _, r := range best {
@@ -163,7 +169,7 @@
 	if isKnown(own.Record) {
 		return own.Record, nil
 	}
-	others := k.ask(ctx, question{ID: id, Service: service, LifeMillis: life.Milliseconds()})
+	others := k.ask(ctx, own, question{ID: id, Service: service, LifeMillis: life.Milliseconds()})
 	if origin := conclude(own, others, service, life); isKnown(origin) {
 		return origin, nil
 	}
@@ -197,7 +203,7 @@
 	return v
 }
 
-// question and answer are a call to a holder.
+// question and answer are a call to another instance.
 type question struct {
 	ID         request.ID `cbor:"1,keyasint"`
 	Service    string     `cbor:"2,keyasint"`
@@ -212,34 +218,44 @@
 	Service string `cbor:"4,keyasint,omitempty"`
 }
 
-// ask asks the holders of a stream at the same time, until one has a record or all have answered.
-func (k *Keeper) ask(ctx context.Context, q question) []View {
+// ask asks other instances about a stream at the same time, until one has a record, all have answered, or
+// the answer is settled. own is what this instance knows.
+func (k *Keeper) ask(ctx context.Context, own View, q question) []View {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	holders := k.holders(q.ID)
-	views := make(chan *View, len(holders))
-	for _, holder := range holders {
-		go func() { views <- k.askOne(ctx, holder, q) }()
+	asked := k.nearest(q.ID, askedPerStream)
+	views := make(chan *View, len(asked))
+	for _, peer := range asked {
+		go func() { views <- k.askOne(ctx, peer, q) }()
 	}
+	settled := time.After(settledAfter)
+	isLate := false
 	var out []View
-	for range holders {
-		v := <-views
-		if v == nil {
-			continue
+	for left := len(asked); left > 0; {
+		select {
+		case v := <-views:
+			left--
+			if v != nil {
+				out = append(out, *v)
+			}
+			if v != nil && isKnown(v.Record) {
+				return out
+			}
+		case <-settled:
+			isLate = true
 		}
-		out = append(out, *v)
-		if isKnown(v.Record) {
-			break
+		if isLate && len(out) > 0 && onlyVersion(append([]View{own}, out...), 0) != "" {
+			return out
 		}
 	}
 	return out
 }
 
-// askOne returns nil if the holder gives no answer.
-func (k *Keeper) askOne(ctx context.Context, holder membership.Member, q question) *View {
-	a, err := k.call(ctx, holder.PeerAddress, q)
+// askOne returns nil if the peer gives no answer.
+func (k *Keeper) askOne(ctx context.Context, peer membership.Member, q question) *View {
+	a, err := k.call(ctx, peer.PeerAddress, q)
 	if err != nil {
-		k.options.Logger.WithFields(logrus.Fields{"resumes": q.ID, "peer": holder.Name}).WithError(err).Debug("A peer didn't answer which software version began a stream")
+		k.options.Logger.WithFields(logrus.Fields{"resumes": q.ID, "peer": peer.Name}).WithError(err).Debug("A peer didn't answer which software version began a stream")
 		return nil
 	}
 	return &View{Record: request.Origin{Service: a.Service, SoftwareVersion: a.Record}, Versions: a.Versions, Observed: time.Duration(a.ObservedMillis) * time.Millisecond}
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -260,3 +260,25 @@
 		t.Error("a malformed question is answered")
 	}
 }
+
+// TestStreamGoesOnAfterItsHoldersHaveEnded guards against streams that can't go on, or wait long, because the
+// instances that knew them have ended and others still list them, although only one version serves.
+func TestStreamGoesOnAfterItsHoldersHaveEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(8)
+		net.observeAll(versions("v1")...)
+		time.Sleep(life)
+		asking := net.nodes["i0"]
+		for _, holder := range asking.keeper.nearest("s", holdersPerStream) {
+			net.nodes[holder.Name].dead = true
+		}
+		start := time.Now()
+		wantOrigin(t, asking, "s", v1)
+		if took := time.Since(start); took > settledAfter {
+			t.Errorf("known after %v, want at most %v", took, settledAfter)
+		}
+		// With two versions the record matters, and all are waited for.
+		net.observeAll(versions("v1", "v2")...)
+		wantOrigin(t, asking, "s", request.Origin{})
+	})
+}
