--- a/internal/streamversion/keeper.go
+++ b/internal/streamversion/keeper.go
@@ -27,8 +27,8 @@
 	askedPerStream = 5
 	// askTimeout limits the time for the questions: the caller waits.
 	askTimeout = 250 * time.Millisecond
-	// settledAfter is when those that haven't answered yet aren't waited for any more if all that have
-	// agree that only one version has served.
+	// settledAfter is when those that haven't answered yet aren't waited for any more if those that have
+	// suffice to know that only one version has served.
 	settledAfter = 80 * time.Millisecond
 	// maxIDBytes, maxVersionBytes and maxServiceBytes limit what is recorded. A stream with longer ones
 	// isn't, and can't go on where several versions serve.
@@ -244,7 +244,7 @@
 		case <-settled:
 			isLate = true
 		}
-		if isLate && len(out) > 0 && onlyVersion(append([]View{own}, out...), 0) != "" {
+		if isLate && isKnown(conclude(own, out, q.Service, time.Duration(q.LifeMillis)*time.Millisecond)) {
 			return out
 		}
 	}
