A stream waits for a copy of its model where all servers have its version

With one version the next copy will be at it; with several it may not, so that these are still refused at once.

TestStreamWaitsForACopyWhereOnlyItsVersionServes failed on the code before (refused at once).

--- a/internal/scheduling/version.go
+++ b/internal/scheduling/version.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"slices"
 	"time"
 
 	"limpethub/internal/request"
@@ -28,7 +29,8 @@
 // The load is a release under way, or servers that were lost: new streams take the room of the few
 // servers that are left of a version. A stream that goes on had its place before, so the limits that make
 // new ones wait don't apply to it, up to maxResumedShare. It doesn't wait for room either: its caller can
-// begin anew.
+// begin anew. It waits for a copy of its model like a new one, if all servers have the version: else the next
+// copy may be at another version.
 func (c *core) decideResumed(now time.Time, t *target, a *attempt) Decision {
 	in := c.routingInput(now, t, &a.request, a.avoid)
 	if chosen, candidate := c.choose(now, t, &in); chosen != nil {
@@ -37,7 +39,7 @@
 	if chosen, candidate := c.leastLoadedCopy(now, t, &in); chosen != nil {
 		return c.dispatch(now, a, chosen, &candidate)
 	}
-	if c.backsOff(now, t, &a.request) {
+	if c.backsOff(now, t, &a.request) || c.lacksCopies(now, t) && c.onlyVersionServes(now, &a.request) {
 		return c.enqueue(now, t, a)
 	}
 	return c.refuseVersion(a)
@@ -91,16 +93,39 @@
 	return false
 }
 
-// versionIsGone reports whether no server that isn't leaving has the software version which a request
-// needs.
-func (c *core) versionIsGone(now time.Time, t *target, r *request.Request) bool {
-	if r.SoftwareVersion == "" {
-		return false
-	}
-	for _, tc := range t.copies {
-		if tc.server.listed && !tc.server.leaving(now) && tc.server.hasVersion(r) {
+// lacksCopies reports whether no server that isn't leaving holds what the target asks for.
+func (c *core) lacksCopies(now time.Time, t *target) bool {
+	return !slices.ContainsFunc(t.copies, func(tc *targetCopy) bool { return tc.server.listed && !tc.server.leaving(now) })
+}
+
+// onlyVersionServes reports whether all servers of a request's service have the version that it needs, and one
+// of them stays.
+func (c *core) onlyVersionServes(now time.Time, r *request.Request) bool {
+	stays := false
+	for _, s := range c.servers {
+		if !s.listed || !s.serves(r.Service) {
+			continue
+		}
+		if !s.hasVersion(r) {
 			return false
 		}
+		stays = stays || !s.leaving(now)
+	}
+	return stays
+}
+
+// serves reports whether the server belongs to a service.
+func (s *server) serves(service string) bool {
+	return s.Pool == service || slices.Contains(s.Services, service)
+}
+
+// versionIsGone reports whether a waiting request has nothing to wait for any more: no server that isn't leaving
+// has a copy and the software version that it needs, nor can get a copy.
+func (c *core) versionIsGone(now time.Time, t *target, r *request.Request) bool {
+	if r.SoftwareVersion == "" || c.lacksCopies(now, t) && c.onlyVersionServes(now, r) {
+		return false
 	}
-	return true
+	return !slices.ContainsFunc(t.copies, func(tc *targetCopy) bool {
+		return tc.server.listed && !tc.server.leaving(now) && tc.server.hasVersion(r)
+	})
 }
--- a/internal/scheduling/version_test.go
+++ b/internal/scheduling/version_test.go
@@ -117,3 +117,24 @@
 	}
 	t.Error("never went on at the server of its version")
 }
+
+// TestStreamWaitsForACopyWhereOnlyItsVersionServes guards against streams that are refused at once because the
+// servers with their model were lost, although another one is about to load it, and against ones that wait
+// for a copy that may come at another version.
+func TestStreamWaitsForACopyWhereOnlyItsVersionServes(t *testing.T) {
+	server := func(name, version string) Server {
+		return Server{Name: name, FailureDomain: "a", Near: true, Slots: 4, Pool: "llm", SoftwareVersion: version}
+	}
+	resumed := resumedAt("r", "v1")
+	resumed.Service = "llm"
+	s := newScheduler(t)
+	s.SetServers(epoch, []Server{server("s1", "v1"), server("s2", "v1")})
+	requireOne(t, s.Arrive(epoch, resumed), Queue)
+	s.Tick(epoch.Add(versionCheckPeriod + time.Millisecond))
+	if d := requireOne(t, s.ObserveResident(epoch.Add(time.Second), "s2", report("m@1").Resident), Dispatch); d.Server != "s2" {
+		t.Errorf("went on at %s, want s2, which has loaded the model", d.Server)
+	}
+	s = newScheduler(t)
+	s.SetServers(epoch, []Server{server("s1", "v1"), server("s2", "v2")})
+	requireOne(t, s.Arrive(epoch, resumed), Refuse)
+}
