--- a/internal/crashguard/ticket.go
+++ b/internal/crashguard/ticket.go
@@ -118,14 +118,14 @@
 	}
 }
 
-// canceled returns why the request ended while it waited: its prompt came into quarantine, or nobody
+// canceled returns why the request ended while it waited: it came into quarantine, or nobody
 // waits for it any more. In both cases nothing was sent meanwhile.
 func (t *Ticket) canceled() error {
 	var refused *verdict.Error
 	if errors.As(context.Cause(t.ctx), &refused) {
 		return refused
 	}
-	return verdict.Refused(verdict.CodeCanceled, "the request ended while another one with the same suspected part was tried")
+	return verdict.Refused(verdict.CodeCanceled, "the request ended while another one with the same suspected subject was tried")
 }
 
 // look decides once. It returns a nil channel if the request may go on, and otherwise the channel
--- a/internal/crashwatch/watch.go
+++ b/internal/crashwatch/watch.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// provenAfter is how long after its first event an answer counts as proof that its prompt
+	// provenAfter is how long after its first event an answer counts as proof that its request
 	// doesn't crash servers.
 	provenAfter = 500 * time.Millisecond
 	// probeRetryDelay is the time between two probes of a server that gave no sign.
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -15,7 +14,6 @@
 	"limpethub/internal/crashwatch"
 	"limpethub/internal/dispatch"
 	"limpethub/internal/engine"
-	"limpethub/internal/request"
 	"limpethub/internal/scheduling"
 	"limpethub/internal/verdict"
 )
@@ -53,17 +51,6 @@
 	Now     func() time.Time
 }
 
-// StreamVersions knows, for the whole fleet, which software version began a stream. See package
-// streamversion.
-type StreamVersions interface {
-	// Began records what began a stream, which its caller takes up again until the deadline at the latest.
-	Began(id request.ID, origin request.Origin, deadline time.Time)
-	// OriginOf returns what began a stream, given the longest time that it can have lived and the only
-	// service that it can have begun at; an empty service means that there are several. The error is a
-	// *verdict.Error with NotRun.
-	OriginOf(ctx context.Context, id request.ID, service string, life time.Duration) (request.Origin, error)
-}
-
 // Relay forwards requests to backend servers and returns their answers, both unchanged. It
 // retries requests that may be retried, and resumes a broken stream on another server. In
 // contrast, Forwarder handles decoded events and resumes a stream on the same server.
@@ -143,75 +130,6 @@
 	return relayed.result, err
 }
 
-// findOrigin finds out what began the stream that a request goes on with, if it does.
-func (r *Relay) findOrigin(ctx context.Context, relayed *relayedRequest) error {
-	q := &relayed.call.Request
-	isStream := !q.FirstEventBy.IsZero()
-	if r.options.Streams == nil || relayed.lastEventID == noEventID || !isStream {
-		return nil
-	}
-	service := q.Service
-	if len(q.Services) > 0 {
-		service = ""
-	}
-	origin, err := r.options.Streams.OriginOf(ctx, q.Stream(), service, q.StreamLife)
-	if err != nil {
-		return r.errorMapper.verdictError(ctx, err)
-	}
-	if origin.Service != q.Service && !slices.Contains(q.Services, origin.Service) {
-		return verdict.Refused(verdict.CodeVersionUnavailable, "the route no longer goes to service %s, which began the stream", origin.Service)
-	}
-	relayed.began, relayed.softwareVersion = true, origin.SoftwareVersion
-	q.Service, q.SoftwareVersion = origin.Service, origin.SoftwareVersion
-	return nil
-}
-
-// admit waits until the request may go to a server, and then for a server.
-func (r *Relay) admit(ctx context.Context, relayed *relayedRequest) (scheduling.Decision, error) {
-	for {
-		if err := relayed.waitForGuard(); err != nil {
-			return scheduling.Decision{}, err
-		}
-		decision, err := r.options.Dispatcher.Admit(ctx, relayed.call.Request)
-		if err != nil || relayed.ticket == nil || relayed.ticket.MaySend() {
-			return decision, err
-		}
-		// The request or a part of its prompt has become suspected while it waited for the server.
-		r.options.Dispatcher.Finish(unsentOutcome(relayed, decision))
-	}
-}
-
-// retry asks for another attempt like admit. The attempt that it releases if the request has become
-// suspected doesn't count.
-func (r *Relay) retry(ctx context.Context, relayed *relayedRequest, last scheduling.Outcome) (scheduling.Decision, error) {
-	if err := relayed.waitForGuard(); err != nil {
-		return scheduling.Decision{}, err
-	}
-	decision, err := r.options.Dispatcher.Retry(ctx, relayed.call.Request, last)
-	if err != nil || relayed.ticket == nil || relayed.ticket.MaySend() {
-		return decision, err
-	}
-	r.options.Dispatcher.Finish(unsentOutcome(relayed, decision))
-	return r.admit(ctx, relayed)
-}
-
-// waitForGuard waits until the request may go to a server.
-func (relayed *relayedRequest) waitForGuard() error {
-	if relayed.ticket == nil {
-		return nil
-	}
-	err := relayed.ticket.Wait()
-	relayed.call.Request.Suspect = relayed.ticket.Suspect()
-	return err
-}
-
-// errNotSent is the cause of an attempt that was released before anything was sent.
-var errNotSent = verdict.Refused(verdict.CodeCanceled, "nothing was sent, since the request has become suspected")
-
-func unsentOutcome(relayed *relayedRequest, decision scheduling.Decision) scheduling.Outcome {
-	return scheduling.Outcome{ID: relayed.call.Request.ID, Server: decision.Server, Verdict: verdict.NotRun, Err: errNotSent, Unsent: true}
-}
-
 func (r *Relay) runAttempts(ctx context.Context, relayed *relayedRequest) error {
 	decision, err := r.admit(ctx, relayed)
 	if err != nil {
@@ -347,59 +265,6 @@
 	return r.relayWhole(relayed, answer, run, outcome)
 }
 
-// brokenAnswerError marks the error of an answer that broke off or never came, although the request
-// was sent.
-type brokenAnswerError struct{ err error }
-
-func (e *brokenAnswerError) Error() string { return e.err.Error() }
-
-func (e *brokenAnswerError) Unwrap() error { return e.err }
-
-// startRun tells the crash watch that an attempt begins. It returns nil if there is no watch.
-func (r *Relay) startRun(server engine.Server, request *request.Request) *crashwatch.Run {
-	if r.options.Crashes == nil {
-		return nil
-	}
-	return r.options.Crashes.Start(server, request)
-}
-
-// answerBegun tells the crash watch and the guard that an event or a whole answer has arrived.
-func (relayed *relayedRequest) answerBegun(run *crashwatch.Run) {
-	if run == nil {
-		return
-	}
-	run.Event()
-	relayed.ticket.AnswerBegun()
-}
-
-// endRun tells the crash watch how an attempt ended.
-func (r *Relay) endRun(ctx context.Context, relayed *relayedRequest, run *crashwatch.Run, err error) {
-	if run == nil {
-		return
-	}
-	var broken *brokenAnswerError
-	switch {
-	case err == nil:
-		run.Complete()
-	case ctx.Err() == nil && errors.As(err, &broken):
-		relayed.awaitCause(ctx, run.Break())
-	default:
-		run.Leave()
-	}
-}
-
-// awaitCause waits until it is known whether the server of a broken answer has ended, if the request
-// may be the cause: the next attempt depends on it.
-func (relayed *relayedRequest) awaitCause(ctx context.Context, known <-chan struct{}) {
-	if relayed.ticket == nil || !relayed.ticket.MayBeCause() {
-		return
-	}
-	select {
-	case <-known:
-	case <-ctx.Done():
-	}
-}
-
 // handleRefusal handles an answer that states that the server didn't run the request.
 func (r *Relay) handleRefusal(relayed *relayedRequest, answer engine.Answer, outcome *scheduling.Outcome) error {
 	head := answer.Head()
@@ -517,28 +382,6 @@
 	return nil
 }
 
-// beginStream records, before the caller gets the first event, which software version began the stream.
-// From then on only servers with that version go on with it.
-func (r *Relay) beginStream(relayed *relayedRequest) {
-	if !relayed.began {
-		relayed.began, relayed.softwareVersion = true, r.versionNow(relayed.server)
-		relayed.call.Request.SoftwareVersion = relayed.softwareVersion
-	}
-	q := &relayed.call.Request
-	if r.options.Streams != nil && relayed.result.Events == 0 && q.Idempotent {
-		r.options.Streams.Began(q.Stream(), request.Origin{Service: q.Service, SoftwareVersion: relayed.softwareVersion}, q.Deadline)
-	}
-}
-
-// versionNow returns the software version of a server; empty if another process has the server's name by
-// now, so that it isn't known which of the two the answer comes from.
-func (r *Relay) versionNow(server engine.Server) string {
-	if current, ok := r.options.Directory.Server(server.Name); ok && current.StartMillis != server.StartMillis {
-		return ""
-	}
-	return server.SoftwareVersion
-}
-
 // deliverHead delivers the head of an answer once, before the first event or at the end of
 // an empty stream. Until then another server can take over without the caller noticing.
 func (r *Relay) deliverHead(relayed *relayedRequest, head *engine.AnswerHead) error {
--- /dev/null
+++ b/internal/forward/relay_version.go
@@ -0,0 +1,67 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"limpethub/internal/engine"
+	"limpethub/internal/request"
+	"limpethub/internal/verdict"
+)
+
+// StreamVersions knows, for the whole fleet, which software version began a stream. See package
+// streamversion.
+type StreamVersions interface {
+	// Began records what began a stream, which its caller takes up again until the deadline at the latest.
+	Began(id request.ID, origin request.Origin, deadline time.Time)
+	// OriginOf returns what began a stream, given the longest time that it can have lived and the only
+	// service that it can have begun at; an empty service means that there are several. The error is a
+	// *verdict.Error with NotRun.
+	OriginOf(ctx context.Context, id request.ID, service string, life time.Duration) (request.Origin, error)
+}
+
+// findOrigin finds out what began the stream that a request goes on with, if it does.
+func (r *Relay) findOrigin(ctx context.Context, relayed *relayedRequest) error {
+	q := &relayed.call.Request
+	isStream := !q.FirstEventBy.IsZero()
+	if r.options.Streams == nil || relayed.lastEventID == noEventID || !isStream {
+		return nil
+	}
+	service := q.Service
+	if len(q.Services) > 0 {
+		service = ""
+	}
+	origin, err := r.options.Streams.OriginOf(ctx, q.Stream(), service, q.StreamLife)
+	if err != nil {
+		return r.errorMapper.verdictError(ctx, err)
+	}
+	if origin.Service != q.Service && !slices.Contains(q.Services, origin.Service) {
+		return verdict.Refused(verdict.CodeVersionUnavailable, "the route no longer goes to service %s, which began the stream", origin.Service)
+	}
+	relayed.began, relayed.softwareVersion = true, origin.SoftwareVersion
+	q.Service, q.SoftwareVersion = origin.Service, origin.SoftwareVersion
+	return nil
+}
+
+// beginStream records, before the caller gets the first event, which software version began the stream.
+// From then on only servers with that version go on with it.
+func (r *Relay) beginStream(relayed *relayedRequest) {
+	if !relayed.began {
+		relayed.began, relayed.softwareVersion = true, r.versionNow(relayed.server)
+		relayed.call.Request.SoftwareVersion = relayed.softwareVersion
+	}
+	q := &relayed.call.Request
+	if r.options.Streams != nil && relayed.result.Events == 0 && q.Idempotent {
+		r.options.Streams.Began(q.Stream(), request.Origin{Service: q.Service, SoftwareVersion: relayed.softwareVersion}, q.Deadline)
+	}
+}
+
+// versionNow returns the software version of a server; empty if another process has the server's name by
+// now, so that it isn't known which of the two the answer comes from.
+func (r *Relay) versionNow(server engine.Server) string {
+	if current, ok := r.options.Directory.Server(server.Name); ok && current.StartMillis != server.StartMillis {
+		return ""
+	}
+	return server.SoftwareVersion
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -89,7 +89,7 @@
 	// FirstEventBy is when the caller leaves if no event of the stream has arrived; zero if it
 	// waits until Deadline.
 	FirstEventBy time.Time
-	// Suspect is true if the prompt may crash the server, so that the request should go where few
+	// Suspect is true if the request may crash the server, so that the request should go where few
 	// others are.
 	Suspect bool
 	// MaxAttempts limits how many times the request is sent to a server; 0 means no limit.
--- a/internal/scheduling/decide.go
+++ b/internal/scheduling/decide.go
@@ -34,7 +34,7 @@
 	// mayBeCached is true if other instances may have brought a large part of the prompt into
 	// the server's cache; see the function mayBeCached.
 	mayBeCached bool
-	// suspect is true until the answer begins, if the prompt may crash the server.
+	// suspect is true until the answer begins, if the request may crash the server.
 	suspect bool
 	// serverFull is true if the server was at its limit once it had this request.
 	serverFull bool
