A refused request is counted once; a test without a data race

Whoever comes second sees it now. The decisions are the same; only limpethub_request_refusals_total and its like for prompts could be too high.

--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -178,7 +178,7 @@
 // logs what has changed. The lock is held.
 func (g *Guard) recheck(now time.Time) {
 	for t := range g.tickets {
-		if t.survived || t.trial || t.ctx.Err() != nil {
+		if t.survived || t.trial || t.refused || t.ctx.Err() != nil {
 			continue
 		}
 		if f := g.evidence.Find(now, t.subjects); f.State == quarantine.Quarantined {
--- a/internal/crashguard/ticket.go
+++ b/internal/crashguard/ticket.go
@@ -37,6 +37,8 @@
 	tried          quarantine.Subject
 	// onServer is true while an attempt is on a server, and survived once an answer has begun.
 	onServer, survived bool
+	// refused is true once Wait has refused the request, which is counted then.
+	refused bool
 }
 
 // Enter registers a request. The caller must use Context for it, call Wait before each time that it
@@ -134,6 +136,10 @@
 	g := t.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	var refused *verdict.Error
+	if errors.As(context.Cause(t.ctx), &refused) {
+		return nil, 0, refused // The guard has ended, and counted, the request already.
+	}
 	now := g.options.Now()
 	f := g.evidence.Find(now, t.subjects)
 	t.suspect, t.trial = false, false
@@ -155,6 +161,7 @@
 		}
 	}
 	g.refusals[f.Subject.Kind]++
+	t.refused = true
 	return nil, 0, refusal(f, now)
 }
 
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,9 +30,9 @@
 	name    string
 	keeper  *Keeper
 	// dead is true once the instance was killed; others still list it as alive.
-	dead bool
+	dead atomic.Bool
 	// cut is true while the instance reaches no other one.
-	cut bool
+	cut atomic.Bool
 }
 
 func newNetwork(n int) *network {
@@ -67,7 +68,7 @@
 
 func (n *node) reaches(name string) (*node, bool) {
 	other := n.network.nodes[name]
-	return other, other != nil && !other.dead && !other.cut && !n.cut
+	return other, other != nil && !other.dead.Load() && !other.cut.Load() && !n.cut.Load()
 }
 
 func (n *node) Send(name string, kind peers.Kind, payload []byte) bool {
@@ -138,10 +139,10 @@
 				began := net.nodes[fmt.Sprint("i", n%size)]
 				began.keeper.Began(id, origin, time.Now().Add(life))
 				if size > 2 {
-					began.dead = true
+					began.dead.Store(true)
 				}
 				wantOrigin(t, net.nodes[fmt.Sprint("i", (n+1)%size)], id, origin)
-				began.dead = false
+				began.dead.Store(false)
 			}
 			total := 0
 			for _, bytes := range net.bytes {
@@ -167,9 +168,9 @@
 		time.Sleep(life)
 		wantOrigin(t, net.nodes["i0"], "one version all the time", v1)
 		cut := net.nodes["i1"]
-		cut.cut = true
+		cut.cut.Store(true)
 		wantOrigin(t, cut, "cut off", request.Origin{})
-		cut.cut = false
+		cut.cut.Store(false)
 		// Only the holders have learned of another version.
 		for name, n := range net.nodes {
 			if name != "i0" {
@@ -270,7 +271,7 @@
 		time.Sleep(life)
 		asking := net.nodes["i0"]
 		for _, holder := range asking.keeper.nearest("s", holdersPerStream) {
-			net.nodes[holder.Name].dead = true
+			net.nodes[holder.Name].dead.Store(true)
 		}
 		start := time.Now()
 		wantOrigin(t, asking, "s", v1)
