Each instance finds out whether it reaches the servers, and logs it

Package reachability decides from what arrives from servers, from attempts to connect that fail, and from probes on new connections, which only run on a suspicion: no byte for 250 ms while calls wait, or a failed attempt. "Reach of the servers has changed" names the evidence with its age, and how many other instances reach the servers, which they tell each other as a fact. Nothing decides by it yet.

Tests: a cut is known within a second and so is its end; open connections that answer are no cut; silence alone is none; a cut that comes and goes doesn't change the state each time; a paused process concludes nothing.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -29,6 +29,7 @@
 	"limpethub/internal/modelref"
 	"limpethub/internal/plugin"
 	"limpethub/internal/quarantine"
+	"limpethub/internal/reachability"
 	"limpethub/internal/request"
 	"limpethub/internal/residency"
 	"limpethub/internal/scheduling"
@@ -77,6 +78,8 @@
 	streams    *streamversion.Keeper
 	crashes    *crashwatch.Watch
 	guard      *crashguard.Guard
+	reach      *reachability.Monitor
+	peersReach *reachability.Peers
 	watcher    *discovery.Watcher
 	manager    *residency.Manager
 	extension  *residencyExtension
@@ -132,6 +135,7 @@
 		Logger:           d.log(logging.Routing),
 	})
 	d.buildLimits(h)
+	d.buildReach(h)
 	d.buildIdentities(h)
 	d.buildGuard(h)
 	h.relay = forward.NewRelay(forward.RelayOptions{
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -266,6 +266,7 @@
 	d.run(d.exchange.loop)
 	if d.hosted != nil {
 		d.run(d.hosted.watcher.Run)
+		d.run(d.watchReach)
 		d.run(d.hosted.manager.Run)
 		return nil
 	}
--- a/internal/engine/passthrough.go
+++ b/internal/engine/passthrough.go
@@ -140,6 +140,19 @@
 	ServerLimit(server Server, limit *float64, invalid error, sentAt time.Time)
 }
 
+// ContactObserver learns whether servers are heard of, on whatever connection and with whatever answer.
+// Its methods must not block.
+type ContactObserver interface {
+	// CallBegan is called when something is sent to a server, or a connection to it is opened, and CallEnded
+	// once nothing more is expected.
+	CallBegan()
+	CallEnded()
+	// Heard is called when the head, an event or the body of an answer has arrived.
+	Heard(server Server)
+	// ConnectFailed is called when no connection to a server could be opened.
+	ConnectFailed(server Server)
+}
+
 // Liveness says whether a server's process still runs.
 type Liveness uint8
 
@@ -173,4 +186,12 @@
 	// SetAnswerObserver sets the observer of all later answers. It must be called before the
 	// first request.
 	SetAnswerObserver(observer AnswerObserver)
+	// SetContactObserver sets the observer of contacts with servers. It must be called before the first
+	// request.
+	SetContactObserver(observer ContactObserver)
+	// ProbeAnew asks a server for a sign of life on a connection that it opens for this. A nil error means
+	// that something answered at the server's address.
+	ProbeAnew(ctx context.Context, server Server) error
+	// DropIdle closes the connections that no request uses now.
+	DropIdle()
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -33,6 +33,8 @@
 	TopicRequestTrial
 	// TopicIdentityKey is for the key of the identities of requests.
 	TopicIdentityKey
+	// TopicReach is for instances that don't reach the servers by themselves.
+	TopicReach
 )
 
 // Fact is a fact as it is sent. Instances' clocks differ, so it carries its age.
@@ -94,16 +96,21 @@
 	notifyPeriod = 100 * time.Millisecond
 	// maxFacts limits how many facts are held; the oldest is dropped first.
 	maxFacts = 1024
-	// lifetime is how long a fact is held, and evidenceLifetime how long one about crashes.
+	// lifetime is how long a fact is held, evidenceLifetime how long one about crashes, and reachLifetime
+	// how long one about the reach of an instance, which is soon out of date.
 	lifetime         = 30 * time.Minute
 	evidenceLifetime = 24 * time.Hour
+	reachLifetime    = 10 * time.Second
 )
 
 // isOver reports whether the fact is no longer held.
 func (t Timed) isOver(now time.Time) bool {
 	limit := evidenceLifetime
-	if t.Topic == TopicLimit {
+	switch t.Topic {
+	case TopicLimit:
 		limit = lifetime
+	case TopicReach:
+		limit = reachLifetime
 	}
 	return now.Sub(t.At) > limit
 }
--- a/internal/rawhttp/client.go
+++ b/internal/rawhttp/client.go
@@ -86,8 +86,32 @@
 	Body   []byte
 	// ID is the expected value of IDHeader in the answer; if empty, it isn't checked.
 	ID string
+	// Connections says on which connections the request may be sent.
+	Connections Connections
 }
 
+// Connections says which connections may carry a request.
+type Connections uint8
+
+const (
+	// AnyConnection means an idle connection, or else a new one.
+	AnyConnection Connections = iota
+	// OnlyIdle means that no connection is opened. Without an idle one, the error is ErrNoIdle.
+	OnlyIdle
+	// OnlyNew means a new connection, which is closed after the answer.
+	OnlyNew
+)
+
+// ErrNoIdle means that there was no idle connection for a request that may use no other.
+var ErrNoIdle = errors.New("no connection to the server is open and idle")
+
+// DialError is the cause of an Error if no connection could be opened.
+type DialError struct{ Err error }
+
+func (e *DialError) Error() string { return e.Err.Error() }
+
+func (e *DialError) Unwrap() error { return e.Err }
+
 // Error reports why a request got no complete answer.
 type Error struct {
 	// Sent is false only if no byte of the request was written to a connection, so that the
@@ -186,7 +210,7 @@
 // This isn't a second sending of the request, since no byte of it was sent before.
 func (c *Client) Do(ctx context.Context, server Server, request *Request) (*Response, error) {
 	for {
-		connection, reused, err := c.getConn(ctx, server)
+		connection, reused, err := c.getConn(ctx, server, request.Connections)
 		if err != nil {
 			return nil, &Error{Err: err}
 		}
@@ -199,8 +223,8 @@
 }
 
 // getConn returns a reusable idle connection, or opens a new one.
-func (c *Client) getConn(ctx context.Context, server Server) (connection *conn, reused bool, err error) {
-	for {
+func (c *Client) getConn(ctx context.Context, server Server, allowed Connections) (connection *conn, reused bool, err error) {
+	for allowed != OnlyNew {
 		kept := c.takeIdle(server)
 		if kept == nil {
 			break
@@ -210,9 +234,12 @@
 		}
 		_ = kept.Close()
 	}
+	if allowed == OnlyIdle {
+		return nil, false, ErrNoIdle
+	}
 	raw, err := c.dialer.DialContext(ctx, "tcp", server.Address)
 	if err != nil {
-		return nil, false, err
+		return nil, false, &DialError{Err: err}
 	}
 	bounded := &boundedReader{source: raw, left: noBound}
 	return &conn{Conn: raw, server: server, bounded: bounded, reader: bufio.NewReaderSize(bounded, readerBytes)}, false, nil
@@ -294,9 +321,17 @@
 
 // Close closes all idle connections. Connections in use are closed after their answer.
 func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.DropIdle()
+}
+
+// DropIdle closes all idle connections.
+func (c *Client) DropIdle() {
 	c.mu.Lock()
 	idle := c.idle
-	c.idle, c.closed = map[Server][]*conn{}, true
+	c.idle = map[Server][]*conn{}
 	c.mu.Unlock()
 	for _, list := range idle {
 		for _, connection := range list {
--- a/internal/rawhttp/exchange.go
+++ b/internal/rawhttp/exchange.go
@@ -128,7 +128,7 @@
 		}
 		if r.matchesRequest(answer) {
 			r.Status, r.Header, r.body = answer.StatusCode, answer.Header, answer.Body
-			r.closeAfter = answer.Close
+			r.closeAfter = answer.Close || request.Connections == OnlyNew
 			return nil
 		}
 		r.client.Stats.ForeignAnswers.Add(1)
--- /dev/null
+++ b/internal/reachability/tracker.go
@@ -0,0 +1,150 @@
+// Package reachability tells whether this instance reaches the backend servers by itself, and which
+// other instances do. Tracker decides from what is heard of servers, and from probes; it has no
+// goroutine, clock or socket. Monitor is the shell around it. Peers holds what other instances say of
+// themselves.
+package reachability
+
+import "time"
+
+// State says how this instance reaches the servers.
+type State uint8
+
+const (
+	// Direct means that nothing speaks against new connections to servers.
+	Direct State = iota
+	// OpenOnly means that no server takes a new connection of this instance, while open ones still bring
+	// answers.
+	OpenOnly
+	// CutOff means that no server answers this instance on any connection.
+	CutOff
+)
+
+var stateNames = [...]string{Direct: "direct", OpenOnly: "open connections only", CutOff: "cut off"}
+
+func (s State) String() string { return stateNames[s] }
+
+const (
+	// ProbesPerRound is how many servers a round of probes asks. An instance with fewer servers asks all.
+	ProbesPerRound = 3
+	// ProbeTimeout limits one probe. All probes of a round run at the same time.
+	ProbeTimeout = 300 * time.Millisecond
+	// quietAfter is how long no server may have been heard, while calls wait for an answer, before a round.
+	quietAfter = 250 * time.Millisecond
+	// quietRoundPeriod is the shortest time between two rounds because of silence. Calls may wait for long
+	// without anything being wrong.
+	quietRoundPeriod = time.Second
+	// roundPeriod is the time from the end of a round to the next one while the last one got no answer, and
+	// after a failed attempt to connect.
+	roundPeriod = 200 * time.Millisecond
+	// maxRoundTime is how long a round may last. A longer one says nothing, as the process was held up.
+	maxRoundTime = ProbeTimeout + 150*time.Millisecond
+	// failedRoundsForOpenOnly and goodRoundsForDirect are the rounds in a row that it takes to change the
+	// state, so that lost packets don't.
+	failedRoundsForOpenOnly = 2
+	goodRoundsForDirect     = 2
+	// openSilence is how long open connections may bring nothing before they count as cut off too, if
+	// there are no new ones.
+	openSilence = 700 * time.Millisecond
+)
+
+// Round is the outcome of one round of probes.
+type Round struct {
+	BeganAt time.Time
+	// Tried is how many servers were asked, and Answered how many of them answered.
+	Tried, Answered int
+}
+
+// Tracker decides on the State. It isn't safe for concurrent use.
+type Tracker struct {
+	state State
+	// calls is how many calls wait for a server, and waitingSince when the first of them began.
+	calls        int
+	waitingSince time.Time
+	heardAt      time.Time
+	// connectFailed is true if an attempt to connect has failed since the last round.
+	connectFailed bool
+	probing       bool
+	roundEndedAt  time.Time
+	// failedRounds and goodRounds are the rounds in a row without an answer, and with answers of most.
+	failedRounds, goodRounds int
+}
+
+// State returns the present state.
+func (t *Tracker) State() State { return t.state }
+
+// CallBegan and CallEnded record that a call to a server waits for bytes, or no longer does.
+func (t *Tracker) CallBegan(now time.Time) {
+	if t.calls == 0 {
+		t.waitingSince = now
+	}
+	t.calls++
+}
+
+func (t *Tracker) CallEnded() { t.calls-- }
+
+// Heard records that something arrived from a server.
+func (t *Tracker) Heard(now time.Time) { t.heardAt = now }
+
+// ConnectFailed records that a server couldn't be connected to.
+func (t *Tracker) ConnectFailed() { t.connectFailed = true }
+
+// quiet returns for how long calls have waited without a byte from any server.
+func (t *Tracker) quiet(now time.Time) time.Duration {
+	if t.calls == 0 {
+		return 0
+	}
+	if t.heardAt.After(t.waitingSince) {
+		return now.Sub(t.heardAt)
+	}
+	return now.Sub(t.waitingSince)
+}
+
+// BeginRound reports whether a round of probes is due; it then counts as begun.
+//
+// The load is a cut: each call to a server hangs or fails, whichever server it goes to.
+func (t *Tracker) BeginRound(now time.Time) bool {
+	sinceLast := now.Sub(t.roundEndedAt)
+	isSuspect := t.connectFailed || t.failedRounds > 0 || t.state != Direct
+	due := isSuspect && sinceLast >= roundPeriod ||
+		t.quiet(now) >= quietAfter && sinceLast >= quietRoundPeriod
+	if t.probing || !due {
+		return false
+	}
+	t.probing, t.connectFailed = true, false
+	return true
+}
+
+// RoundEnded takes the outcome of a round and reports whether the state has changed.
+func (t *Tracker) RoundEnded(now time.Time, r Round) bool {
+	t.probing, t.roundEndedAt = false, now
+	if r.Tried == 0 || r.Answered == 0 && now.Sub(r.BeganAt) > maxRoundTime {
+		return false
+	}
+	if r.Answered > 0 {
+		t.failedRounds = 0
+	} else {
+		t.failedRounds++
+	}
+	if 2*r.Answered > r.Tried {
+		t.goodRounds++
+	} else {
+		t.goodRounds = 0
+	}
+	before := t.state
+	t.state = t.next(now, r)
+	return t.state != before
+}
+
+func (t *Tracker) next(now time.Time, r Round) State {
+	switch {
+	case t.state != Direct && t.goodRounds >= goodRoundsForDirect:
+		return Direct
+	case r.Answered > 0:
+		return t.state
+	case !t.heardAt.After(r.BeganAt) && (t.state == Direct || now.Sub(t.heardAt) >= openSilence):
+		return CutOff
+	case t.state == Direct && t.failedRounds >= failedRoundsForOpenOnly:
+		return OpenOnly
+	}
+	return t.state
+}
