--- a/internal/lab/faultproxy/faultproxy.go
+++ b/internal/lab/faultproxy/faultproxy.go
@@ -41,6 +41,8 @@
 	mu       sync.Mutex
 	address  string
 	listener net.Listener
+	// hang keeps new connections from being opened; nil while they are accepted or refused.
+	hang     *hang
 	faults   Faults
 	links    map[*link]bool
 	accepted int
@@ -69,6 +71,8 @@
 	if p.listener != nil {
 		return nil
 	}
+	p.hang.end()
+	p.hang = nil
 	listener, err := net.Listen("tcp", p.address)
 	if err != nil {
 		return fmt.Errorf("faultproxy: listen: %w", err)
@@ -83,12 +87,29 @@
 func (p *Proxy) Refuse() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.refuse()
+}
+
+// refuse is Refuse with the lock held.
+func (p *Proxy) refuse() {
+	p.hang.end()
+	p.hang = nil
 	if p.listener != nil {
 		_ = p.listener.Close()
 		p.listener = nil
 	}
 }
 
+// Hang makes dials hang until Accept or Refuse. Open connections stay.
+func (p *Proxy) Hang() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refuse()
+	var err error
+	p.hang, err = newHang(p.address)
+	return err
+}
+
 // Close refuses new connections and resets the open ones.
 func (p *Proxy) Close() {
 	p.Refuse()
