A request is passed on through a peer while this instance reaches no server

Cause: an instance had no way to a server but its own connections, and no notion of whether it reaches any; each request went from one attempt to connect to the next, 0.8 s each, and waited in the queue between them. Class: an instance decides with its own means alone, where others could serve.

Now the relay asks how the servers are reached. Cut off: the request goes to a peer at once, also if it waits in the queue, and an attempt that may repeat ends and goes on there, after the last event that the caller has. Only open connections work: over one of them at once, or through a peer. Two attempts without a connection while others seem to find one: through a peer. Nobody has room: refused at once, with a true verdict.

- internal/peerrelay: frames over a stream of the peers' transport, so that only peers can mark a request as passed on; no header does.
One hop: a request that was taken in is run like one of the instance's own, but never passed on.
An answer is whole only with its last frame.
- Identity, the version that began a stream, attempts, deadline and event ids go along; the retry budget counts an attempt that reached a server, not the hop.
The peer's own admission and queue decide.
- Streams of the transport buffer 256 KB at most, a connection 16 MB.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -27,6 +27,7 @@
 	"limpethub/internal/membership"
 	"limpethub/internal/metrics"
 	"limpethub/internal/modelref"
+	"limpethub/internal/peerrelay"
 	"limpethub/internal/plugin"
 	"limpethub/internal/quarantine"
 	"limpethub/internal/reachability"
@@ -80,6 +81,8 @@
 	guard      *crashguard.Guard
 	reach      *reachability.Monitor
 	peersReach *reachability.Peers
+	passedOn   *peerrelay.Client
+	takenIn    *peerrelay.Server
 	watcher    *discovery.Watcher
 	manager    *residency.Manager
 	extension  *residencyExtension
@@ -135,13 +138,15 @@
 		Logger:           d.log(logging.Routing),
 	})
 	d.buildLimits(h)
-	d.buildReach(h)
+	if err := d.buildReach(h); err != nil {
+		return err
+	}
 	d.buildIdentities(h)
 	d.buildGuard(h)
 	h.relay = forward.NewRelay(forward.RelayOptions{
 		Dispatcher: d.dispatcher, Plane: d.plugins.relayer, Directory: h.watcher, Crashes: h.crashes, Guard: h.guard,
-		Streams: h.streams,
-		Logger:  d.log(logging.Routing), Now: time.Now,
+		Streams: h.streams, Reach: h.reach, Peers: h.passedOn,
+		Logger: d.log(logging.Routing), Now: time.Now,
 	})
 	d.directory = &callerDirectory{cluster: d.cluster, configuration: d.confsync, failureDomain: d.settings.FailureDomain, seed: d.seed}
 	h.front.SetServices(front.Services{
--- a/internal/daemon/reach.go
+++ b/internal/daemon/reach.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -11,19 +12,52 @@
 	"limpethub/internal/logging"
 	"limpethub/internal/membership"
 	"limpethub/internal/pause"
+	"limpethub/internal/peerrelay"
+	"limpethub/internal/peers"
 	"limpethub/internal/reachability"
+	"limpethub/internal/verdict"
 )
 
 // buildReach builds the parts that know whether this instance reaches the servers, and which others do.
-func (d *Daemon) buildReach(h *hosted) {
+func (d *Daemon) buildReach(h *hosted) error {
 	h.peersReach = reachability.NewPeers(d.settings.Instance, d.cluster.Publish, d.log(logging.Routing), time.Now)
 	d.cluster.OnFact(gossip.TopicReach, h.peersReach.HandleFact)
 	h.reach = reachability.New(reachability.Options{
-		Prober: d.plugins.relayer, Servers: h.probeableServers, OnChange: h.reachChanged,
+		Prober: d.plugins.relayer, Servers: h.probeableServers, OnChange: d.reachChanged,
 		PeersReaching: func() int { return len(d.peersThatReach()) },
 		Logger:        d.log(logging.Routing), Now: time.Now,
 	})
 	d.plugins.relayer.SetContactObserver(h.reach)
+	streamer, ok := d.plugins.peers.(peers.Streamer)
+	if !ok {
+		return fmt.Errorf("daemon: the peers plug-in %s carries no streams", d.settings.Plugins.Peers.Name)
+	}
+	h.passedOn = peerrelay.NewClient(peerrelay.ClientOptions{
+		Self: d.settings.Instance, Transport: streamer, Peers: d.helpers,
+		Logger: d.log(logging.Routing), Now: time.Now, Seed: d.seed,
+	})
+	h.takenIn = peerrelay.NewServer(peerrelay.ServerOptions{
+		Runner: h.front, MayTakeIn: h.mayTakeIn, Logger: d.log(logging.Routing), Now: time.Now,
+	})
+	streamer.HandleStreams(peers.KindRelay, h.takenIn)
+	return nil
+}
+
+// helpers returns the instances to which requests may be passed on.
+func (d *Daemon) helpers() []peerrelay.Peer {
+	var out []peerrelay.Peer
+	for _, m := range d.peersThatReach() {
+		out = append(out, peerrelay.Peer{Name: m.Name, Address: m.PeerAddress, Near: m.FailureDomain == d.settings.FailureDomain})
+	}
+	return out
+}
+
+// mayTakeIn returns why this instance can't run requests of peers; nil if it can.
+func (h *hosted) mayTakeIn() *verdict.Error {
+	if h.reach.State() == reachability.CutOff {
+		return verdict.Refused(verdict.CodeCutOff, "this instance reaches no server either")
+	}
+	return nil
 }
 
 // probeableServers returns the servers that may be asked for a sign of life.
@@ -39,7 +73,13 @@
 }
 
 // reachChanged is called when this instance reaches the servers in another way than before.
-func (h *hosted) reachChanged(state reachability.State) { h.peersReach.Tell(state) }
+func (d *Daemon) reachChanged(state reachability.State) {
+	d.hosted.peersReach.Tell(state)
+	if state == reachability.CutOff {
+		// They may have ended at the other side meanwhile.
+		d.plugins.relayer.DropIdle()
+	}
+}
 
 // peersThatReach returns the other instances that are alive and reach the servers, as far as is known.
 func (d *Daemon) peersThatReach() []membership.Member {
@@ -67,12 +107,29 @@
 }
 
 func (d *Daemon) reachMetrics() []prometheus.Collector {
-	return []prometheus.Collector{
+	passedOn := newRelayCollectors("limpethub_requests_passed_on_total", "Requests that this instance passed on to another one, by outcome.", &d.hosted.passedOn.Counts)
+	takenIn := newRelayCollectors("limpethub_requests_taken_in_total", "Requests that another instance passed on to this one, by outcome.", &d.hosted.takenIn.Counts)
+	return append(append(passedOn, takenIn...),
+		gauge("limpethub_requests_taken_in_open", "Requests that another instance passed on to this one and that are in progress.", func() float64 {
+			return float64(d.hosted.takenIn.InProgress())
+		}),
 		gauge("limpethub_servers_reach", "How this instance reaches the backend servers: 0 with new connections, 1 with open connections only, 2 not at all.", func() float64 {
 			return float64(d.hosted.reach.State())
 		}),
 		gauge("limpethub_peers_reaching_servers", "Other instances that are alive and haven't said that they don't reach the backend servers.", func() float64 {
 			return float64(len(d.peersThatReach()))
 		}),
+	)
+}
+
+// newRelayCollectors returns a counter for each outcome.
+func newRelayCollectors(name, help string, counts *peerrelay.Counts) []prometheus.Collector {
+	counter := func(outcome string, value func() uint64) prometheus.Collector {
+		return prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: name, Help: help, ConstLabels: prometheus.Labels{"outcome": outcome},
+		}, func() float64 { return float64(value()) })
+	}
+	return []prometheus.Collector{
+		counter("answered", counts.Answered.Load), counter("refused", counts.Refused.Load), counter("failed", counts.Failed.Load),
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -108,6 +108,33 @@
 	})
 }
 
+// AdmitAtOnce is Admit for a request that may not wait: ok is false if it isn't dispatched at once.
+func (d *Dispatcher) AdmitAtOnce(r request.Request) (decision scheduling.Decision, ok bool) {
+	if d.observer != nil {
+		d.observer.ObserveArrival(r)
+	}
+	w := &waiter{request: r, queuedAt: d.now(), ready: make(chan scheduling.Decision, 1)}
+	d.withLock(func() {
+		d.waiters[r.ID] = w
+		d.apply(d.scheduler.Arrive(d.now(), r))
+		select {
+		case decision = <-w.ready:
+		default:
+			delete(d.waiters, r.ID)
+			d.apply(d.scheduler.Cancel(d.now(), r.ID))
+		}
+	})
+	return decision, decision.Action == scheduling.Dispatch
+}
+
+// MayRetry reports whether another instance may make another attempt of a request, and takes it from the retry
+// budget. lastOutcome describes the last attempt.
+func (d *Dispatcher) MayRetry(r request.Request, lastOutcome scheduling.Outcome) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.MayRetry(d.now(), r, lastOutcome)
+}
+
 // await passes an event of the request to the scheduler and waits for the decision.
 func (d *Dispatcher) await(ctx context.Context, r request.Request, event func(time.Time) []scheduling.Decision) (scheduling.Decision, error) {
 	w := &waiter{request: r, queuedAt: d.now(), ready: make(chan scheduling.Decision, 1)}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -169,6 +169,9 @@
 	Header http.Header
 	// Body is the whole request body.
 	Body []byte
+	// OpenConnectionsOnly is true if no connection may be opened for the request. Without an open one that is
+	// idle, it isn't sent.
+	OpenConnectionsOnly bool
 }
 
 // Event is one event of a streamed answer, decoded. RawEvent is the same in undecoded form.
--- a/internal/engine/passthrough.go
+++ b/internal/engine/passthrough.go
@@ -29,6 +29,8 @@
 	Events bool
 	// Load is nil when the server states no load.
 	Load *StatedLoad
+	// Server is the server that sent the answer.
+	Server Server
 }
 
 func (h *AnswerHead) Succeeded() bool { return h.Status >= 200 && h.Status < 300 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -33,8 +33,8 @@
 	WholeAnswer(head *engine.AnswerHead, body []byte) error
 	// Begin delivers the head of a stream.
 	Begin(head *engine.AnswerHead) error
-	// Event delivers one whole event. The data is valid only during the call.
-	Event(data []byte) error
+	// Event delivers one whole event. Its data is valid only during the call.
+	Event(event engine.RawEvent) error
 }
 
 type RelayOptions struct {
@@ -47,8 +47,12 @@
 	Guard   *crashguard.Guard
 	// Streams knows which software versions began streams; nil if none are taken up elsewhere.
 	Streams StreamVersions
-	Logger  *logrus.Entry
-	Now     func() time.Time
+	// Reach says whether this instance reaches the servers, and Peers passes requests on if it doesn't. Both
+	// are nil or none.
+	Reach  Reach
+	Peers  Peers
+	Logger *logrus.Entry
+	Now    func() time.Time
 }
 
 // Relay forwards requests to backend servers and returns their answers, both unchanged. It
@@ -76,6 +80,8 @@
 	// Server is the server of the last attempt, and SoftwareVersion the version of its software; empty if
 	// unknown.
 	Server, SoftwareVersion string
+	// Peer is the instance that the request was passed on to; empty if it wasn't.
+	Peer string
 	// Attempts is how many times the request was sent to a server.
 	Attempts int
 	// Waited is the time from the call of Relay to the first dispatch.
@@ -105,6 +111,8 @@
 	began           bool
 	softwareVersion string
 	result          RelayResult
+	// connectionFailures is how many attempts found no connection to their server.
+	connectionFailures int
 	// serverFailure is the last failure that a server answered with. It is delivered only
 	// if no other attempt is made.
 	serverFailure     *engine.AnswerHead
@@ -131,7 +139,10 @@
 }
 
 func (r *Relay) runAttempts(ctx context.Context, relayed *relayedRequest) error {
-	decision, err := r.admit(ctx, relayed)
+	decision, err := r.firstDecision(ctx, relayed)
+	if err != nil && r.mayPassOn(ctx, relayed) && errors.Is(err, errNotDirect) {
+		return r.passOn(ctx, relayed, verdict.NotRun, nil)
+	}
 	if err != nil {
 		return r.errorMapper.verdictError(ctx, err)
 	}
@@ -151,9 +162,15 @@
 		if reason := r.noRetryReason(ctx, relayed, failure); reason != "" {
 			return r.endFailed(relayed, failure, reason)
 		}
+		if r.passesOnAfter(ctx, relayed, outcome) {
+			return r.passOnRetry(ctx, relayed, outcome, failure)
+		}
 		// The scheduler may still refuse the retry. The logged server is the one that failed.
 		r.log(relayed, decision.Server, failure).Info("Trying another server")
 		decision, err = r.retry(ctx, relayed, outcome)
+		if err != nil && errors.Is(err, errNotDirect) && r.mayPassOn(ctx, relayed) {
+			return r.passOn(ctx, relayed, combinedVerdict, failure)
+		}
 		if err != nil {
 			return r.endFailed(relayed, retryRefused(failure, r.errorMapper.verdictError(ctx, err)), "not retried")
 		}
@@ -218,11 +235,14 @@
 	}
 	relayed.server, relayed.result.SoftwareVersion = server, server.SoftwareVersion
 	relayed.call.Priority = decision.Priority
+	relayed.call.OpenConnectionsOnly = r.openConnectionsOnly(relayed)
 	start := r.options.Now()
 	relayed.attemptStart = start
 	run := r.startRun(server, &relayed.call.Request)
-	err := r.send(ctx, relayed, server, run, &outcome)
-	r.endRun(ctx, relayed, run, err)
+	attemptCtx, release := r.whileAnswered(ctx, relayed)
+	err := r.send(attemptCtx, relayed, server, run, &outcome)
+	r.endRun(attemptCtx, relayed, run, err)
+	release()
 	outcome.Duration = r.options.Now().Sub(start)
 	outcome.Err = err
 	// MayHaveRun is also the zero value. It means here that the answer didn't show the verdict,
@@ -371,7 +391,7 @@
 		return err
 	}
 	r.beginStream(relayed)
-	if err := wrapSinkError(relayed.sink.Event(piece.Data)); err != nil {
+	if err := wrapSinkError(relayed.sink.Event(piece)); err != nil {
 		return err
 	}
 	if relayed.result.Events == 0 {
--- a/internal/forward/relay_crash.go
+++ b/internal/forward/relay_crash.go
@@ -17,7 +17,7 @@
 		if err := relayed.waitForGuard(); err != nil {
 			return scheduling.Decision{}, err
 		}
-		decision, err := r.options.Dispatcher.Admit(ctx, relayed.call.Request)
+		decision, err := r.admitWhileDirect(ctx, relayed)
 		if err != nil || relayed.ticket == nil || relayed.ticket.MaySend() {
 			return decision, err
 		}
@@ -32,7 +32,10 @@
 	if err := relayed.waitForGuard(); err != nil {
 		return scheduling.Decision{}, err
 	}
-	decision, err := r.options.Dispatcher.Retry(ctx, relayed.call.Request, last)
+	waitCtx, release := r.whileDirect(ctx, relayed)
+	decision, err := r.options.Dispatcher.Retry(waitCtx, relayed.call.Request, last)
+	err = notDirectError(ctx, waitCtx, err)
+	release()
 	if err != nil || relayed.ticket == nil || relayed.ticket.MaySend() {
 		return decision, err
 	}
@@ -75,11 +78,12 @@
 
 // answerBegun tells the crash watch and the guard that an event or a whole answer has arrived.
 func (relayed *relayedRequest) answerBegun(run *crashwatch.Run) {
-	if run == nil {
-		return
+	if run != nil {
+		run.Event()
+	}
+	if relayed.ticket != nil {
+		relayed.ticket.AnswerBegun()
 	}
-	run.Event()
-	relayed.ticket.AnswerBegun()
 }
 
 // endRun tells the crash watch how an attempt ended.
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -103,7 +103,8 @@
 	return nil
 }
 
-func (c *recordingCaller) Event(data []byte) error {
+func (c *recordingCaller) Event(event engine.RawEvent) error {
+	data := event.Data
 	c.text.Write(data)
 	return nil
 }
--- a/internal/forward/relay_version.go
+++ b/internal/forward/relay_version.go
@@ -24,6 +24,11 @@
 // findOrigin finds out what began the stream that a request goes on with, if it does.
 func (r *Relay) findOrigin(ctx context.Context, relayed *relayedRequest) error {
 	q := &relayed.call.Request
+	if q.PassedOnBy != "" {
+		// The instance that passed the request on has found out.
+		relayed.began, relayed.softwareVersion = q.SoftwareVersion != "", q.SoftwareVersion
+		return nil
+	}
 	isStream := !q.FirstEventBy.IsZero()
 	if r.options.Streams == nil || relayed.lastEventID == noEventID || !isStream {
 		return nil
@@ -52,7 +57,7 @@
 		relayed.call.Request.SoftwareVersion = relayed.softwareVersion
 	}
 	q := &relayed.call.Request
-	if r.options.Streams != nil && relayed.result.Events == 0 && q.Idempotent {
+	if r.options.Streams != nil && relayed.result.Events == 0 && q.Idempotent && q.PassedOnBy == "" {
 		r.options.Streams.Began(q.Stream(), request.Origin{Service: q.Service, SoftwareVersion: relayed.softwareVersion}, q.Deadline)
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -13,6 +13,7 @@
 	"limpethub/internal/engine"
 	"limpethub/internal/forward"
 	"limpethub/internal/gateway"
+	"limpethub/internal/peerrelay"
 	"limpethub/internal/request"
 	"limpethub/internal/site"
 )
@@ -57,6 +58,8 @@
 	// implementation sets; after that, only if their deadline is before end.
 	StartDrain(end time.Time)
 	RequestsInProgress() int64
+	// RunForPeer runs a request that another instance has passed on to this one.
+	peerrelay.Runner
 	// CancelRequests ends all requests in progress immediately. Each gets an answer if that
 	// is still possible.
 	CancelRequests()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -4,7 +4,10 @@
 // it; package digest has the messages of one kind.
 package peers
 
-import "context"
+import (
+	"context"
+	"io"
+)
 
 // MaxDatagramBytes is the most that one datagram's payload may hold. Package quictransport sends
 // a datagram of this size, with its kind byte, in one QUIC packet, without path MTU discovery.
@@ -31,6 +34,8 @@
 	KindFacts
 	// KindStreams is for which software version began a stream; see package streamversion.
 	KindStreams
+	// KindRelay is for callers' requests that an instance passes on; see package peerrelay.
+	KindRelay
 )
 
 // Handler receives messages from authenticated peers.
@@ -52,3 +57,33 @@
 	// Call sends a payload and waits for the answer.
 	Call(ctx context.Context, address string, kind Kind, payload []byte) ([]byte, error)
 }
+
+// Stream is a stream of bytes to a peer and another one from it. Its methods may be called at the same
+// time, each by one goroutine.
+type Stream interface {
+	io.Reader
+	// Write sends bytes. It waits while the peer doesn't read what was sent before.
+	io.Writer
+	// CloseWrite ends the stream to the peer, who then reads io.EOF.
+	CloseWrite() error
+	// Cancel ends the stream from the peer, and the one to it unless CloseWrite was called. The peer's
+	// context ends. It must be called at last.
+	Cancel()
+	// Context ends when the peer or the connection ends the stream to it.
+	Context() context.Context
+}
+
+// StreamHandler serves streams that authenticated peers open.
+type StreamHandler interface {
+	// HandleStream serves a stream; from is the name of the peer that opened it. The stream ends when it
+	// returns.
+	HandleStream(from string, stream Stream)
+}
+
+// Streamer is a Transport that also carries streams.
+type Streamer interface {
+	// HandleStreams sets the handler of the streams of a kind. It must be called before Start.
+	HandleStreams(kind Kind, handler StreamHandler)
+	// OpenStream opens a stream to a peer. It doesn't wait while the peer has as many as it takes.
+	OpenStream(ctx context.Context, address string, kind Kind) (Stream, error)
+}
--- a/internal/peers/quictransport/serve.go
+++ b/internal/peers/quictransport/serve.go
@@ -1,6 +1,7 @@
 package quictransport
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -92,7 +93,17 @@
 	ctx, cancel := context.WithTimeout(stream.Context(), callTimeout)
 	defer cancel()
 	_ = stream.SetDeadline(time.Now().Add(callTimeout))
-	request, err := readBounded(stream)
+	var kind [1]byte
+	if _, err := io.ReadFull(stream, kind[:]); err != nil {
+		stream.CancelRead(0)
+		t.writeAnswer(stream, statusFailed, []byte(err.Error()))
+		return
+	}
+	if handler := t.streamHandlers[peers.Kind(kind[0])]; handler != nil {
+		t.serveStream(stream, from, handler)
+		return
+	}
+	request, err := readBounded(io.MultiReader(bytes.NewReader(kind[:]), stream))
 	if err != nil {
 		stream.CancelRead(0)
 		t.writeAnswer(stream, statusFailed, []byte(err.Error()))
--- a/internal/peers/quictransport/transport.go
+++ b/internal/peers/quictransport/transport.go
@@ -49,7 +49,7 @@
 	// SilenceTimeout is how long a connection in use may receive no packets before it is
 	// closed; 0 means DefaultSilenceTimeout.
 	SilenceTimeout time.Duration
-	// MaxStreams is the most calls that a peer may have in progress on one connection; 0
+	// MaxStreams is the most calls and streams that a peer may have in progress on one connection; 0
 	// means DefaultMaxStreams.
 	MaxStreams int
 	// Unauthenticated accepts any certificate of a peer, without verification.
@@ -69,7 +69,7 @@
 	MaxCallBytes = 1<<20 + 64<<10
 
 	// DefaultMaxStreams is the default of Options.MaxStreams.
-	DefaultMaxStreams = 32
+	DefaultMaxStreams = 128
 
 	dialTimeout = 3 * time.Second
 	// redialDelay is how long after a failed dial the address isn't dialed again.
@@ -81,7 +81,11 @@
 	// maxQueuedDatagrams is how many datagrams may wait to be sent to one peer.
 	maxQueuedDatagrams = 64
 	alpn               = "limpethub-peers/1"
-	streamWindowBytes  = 256 << 10
+	// streamWindowBytes limits what a stream buffers that isn't read, and connectionWindowBytes what all
+	// streams of a connection do. Readers that stand still on connectionWindowBytes / streamWindowBytes
+	// streams hold up the others.
+	streamWindowBytes     = 256 << 10
+	connectionWindowBytes = 16 << 20
 )
 
 // Errors of the transport.
@@ -100,8 +104,10 @@
 	// result of currentTLS, which outgoing connections use directly.
 	listenerTLS *tls.Config
 	handlers    map[peers.Kind]peers.Handler
-	counters    counters
-	network     networkCounters
+	// streamHandlers serve the kinds of streams that aren't calls.
+	streamHandlers map[peers.Kind]peers.StreamHandler
+	counters       counters
+	network        networkCounters
 
 	mu       sync.Mutex
 	running  bool
@@ -240,9 +246,9 @@
 		HandshakeIdleTimeout:           dialTimeout,
 		MaxIdleTimeout:                 t.options.IdleTimeout,
 		InitialStreamReceiveWindow:     streamWindowBytes,
-		MaxStreamReceiveWindow:         MaxCallBytes + streamWindowBytes,
+		MaxStreamReceiveWindow:         streamWindowBytes,
 		InitialConnectionReceiveWindow: streamWindowBytes,
-		MaxConnectionReceiveWindow:     4 * MaxCallBytes,
+		MaxConnectionReceiveWindow:     connectionWindowBytes,
 		MaxIncomingStreams:             int64(t.options.MaxStreams),
 		MaxIncomingUniStreams:          -1,
 		DisablePathMTUDiscovery:        true,
--- a/internal/reachability/monitor.go
+++ b/internal/reachability/monitor.go
@@ -39,8 +39,8 @@
 
 	mu      sync.Mutex
 	tracker Tracker
-	// cut is closed while the instance is cut off.
-	cut chan struct{}
+	// direct ends once the state isn't Direct any more, and answered once it is CutOff.
+	direct, answered stateContext
 	// heardFrom is the server that was heard last, and failedTo the one that couldn't be connected to last.
 	heardFrom, failedTo string
 }
@@ -49,7 +49,42 @@
 
 // New returns a Monitor, which sends probes only while Run runs.
 func New(options Options) *Monitor {
-	return &Monitor{options: options, cut: make(chan struct{})}
+	return &Monitor{options: options, direct: newStateContext(), answered: newStateContext()}
+}
+
+// stateContext is a context that ends with a state.
+type stateContext struct {
+	context.Context
+	end context.CancelFunc
+}
+
+func newStateContext() stateContext {
+	ctx, end := context.WithCancel(context.Background())
+	return stateContext{Context: ctx, end: end}
+}
+
+// update ends the context, or makes a new one for one that has ended.
+func (c *stateContext) update(holds bool) {
+	switch {
+	case !holds:
+		c.end()
+	case c.Err() != nil:
+		*c = newStateContext()
+	}
+}
+
+// Direct returns a context that ends once no new connections to servers can be opened, and Answered one that
+// ends once no server answers at all. They have ended already while that is so.
+func (m *Monitor) Direct() context.Context {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.direct.Context
+}
+
+func (m *Monitor) Answered() context.Context {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.answered.Context
 }
 
 // State returns how this instance reaches the servers.
@@ -151,7 +186,8 @@
 	changed := m.tracker.RoundEnded(now, r)
 	state, heardFrom, failedTo := m.tracker.State(), m.heardFrom, m.failedTo
 	if changed {
-		m.noteCut(before, state)
+		m.direct.update(state == Direct)
+		m.answered.update(state != CutOff)
 	}
 	m.mu.Unlock()
 	if !changed {
@@ -170,20 +206,3 @@
 		m.options.OnChange(state)
 	}
 }
-
-// noteCut closes cut when the instance becomes cut off, and makes a new one afterwards. The lock is held.
-func (m *Monitor) noteCut(before, state State) {
-	switch {
-	case state == CutOff:
-		close(m.cut)
-	case before == CutOff:
-		m.cut = make(chan struct{})
-	}
-}
-
-// Cut returns a channel that is closed once the instance is cut off from all servers.
-func (m *Monitor) Cut() <-chan struct{} {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.cut
-}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -89,6 +89,8 @@
 	// FirstEventBy is when the caller leaves if no event of the stream has arrived; zero if it
 	// waits until Deadline.
 	FirstEventBy time.Time
+	// PassedOnBy is the instance that the caller sent the request to, if that has passed it on to this one.
+	PassedOnBy string
 	// Suspect is true if the request may crash the server, so that the request should go where few
 	// others are.
 	Suspect bool
--- a/internal/scheduling/core.go
+++ b/internal/scheduling/core.go
@@ -156,6 +156,9 @@
 	// or if the request may have run and isn't idempotent. last.Verdict must be MayHaveRun if
 	// any attempt may have run, so that a refusal never says NotRun for it.
 	Retry(now time.Time, r request.Request, last Outcome) []Decision
+	// MayRetry is Retry without a decision: it reports whether another attempt is allowed, which another
+	// instance then makes, and takes it from the retry budget.
+	MayRetry(now time.Time, r request.Request, last Outcome) bool
 	// Progress records how many tokens of a dispatched request's answer have arrived.
 	Progress(now time.Time, id request.ID, tokens int)
 	// Cancel drops a waiting request whose caller has gone away.
--- a/internal/scheduling/finish.go
+++ b/internal/scheduling/finish.go
@@ -90,7 +90,7 @@
 		return true
 	}
 	switch e.Code {
-	case verdict.CodeCanceled, verdict.CodeDeadlineExpired, verdict.CodeBadRequest:
+	case verdict.CodeCanceled, verdict.CodeDeadlineExpired, verdict.CodeBadRequest, verdict.CodeNoConnection:
 		return false
 	}
 	return true
@@ -130,6 +130,14 @@
 	return c.decide(now, a)
 }
 
+// MayRetry implements Scheduler.
+func (c *core) MayRetry(now time.Time, r request.Request, last Outcome) bool {
+	if !retry.MayRetry(last.Verdict, r.Idempotent) {
+		return false
+	}
+	return c.retryIsFree(&last) || c.budgetOf(c.target(keyOf(&r))).Take(now)
+}
+
 // retryIsFree reports whether another attempt doesn't use up the retry budget. That is so if
 // no part of the request reached the server, and if a leaving server refused it: the server
 // gets no more requests, so such refusals can't multiply. If the site sets Budgets.RetrySpare,
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -102,6 +102,12 @@
 	// CodeRequestQuarantined means that the request crashes servers each time that it comes, so that no
 	// server gets it for a while.
 	CodeRequestQuarantined Code = "request_quarantined"
+	// CodeCutOff means that this instance reaches no server, and none that does has taken the request.
+	CodeCutOff Code = "cut_off"
+	// CodePeerBusy means that an instance that was to help another one has no room for its request.
+	CodePeerBusy Code = "peer_busy"
+	// CodeNoConnection means that no connection to the server is open, and none could be opened.
+	CodeNoConnection Code = "no_connection"
 	// CodeServerRefused means that a server states that it didn't run the request.
 	CodeServerRefused Code = "server_refused"
 	// CodeRunUnknown means that a server doesn't know the run that was to be resumed.
