The placement lease passes from an instance that reaches no server

It does now: a holder that reaches nothing for a whole TTL releases the lease, and a candidate that reaches nothing claims a TTL later. TestLeasePassesFromAnInstanceThatIsCutOffFromServers before: "9s after the holder was cut off: it holds the lease: true, the other: false".

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -271,13 +271,14 @@
 		ttl = defaultPlacementLease
 	}
 	h.manager = residency.New(residency.Options{
-		Instance:      d.settings.Instance,
-		Key:           "/limpethub/" + d.settings.Site + "/residency-lease",
-		Store:         d.plugins.storeFor(purposePlacer),
-		Control:       d.plugins.relayer,
-		Document:      h.document,
-		KnownServers:  h.watcher.Servers,
-		RequestCounts: d.requestCounts,
+		Instance:       d.settings.Instance,
+		Key:            "/limpethub/" + d.settings.Site + "/residency-lease",
+		Store:          d.plugins.storeFor(purposePlacer),
+		Control:        d.plugins.relayer,
+		Document:       h.document,
+		KnownServers:   h.watcher.Servers,
+		RequestCounts:  d.requestCounts,
+		ReachesServers: func() bool { return h.reach.State() == reachability.Direct },
 		OnResidencyChange: func(changes []residency.ResidencyChange) {
 			h.extension.PublishChanges(changes)
 			d.exchange.TriggerSend()
--- a/internal/residency/manager.go
+++ b/internal/residency/manager.go
@@ -56,6 +56,9 @@
 	KnownServers func() []discovery.KnownServer
 	// RequestCounts counts the requests of all instances, by version and by server.
 	RequestCounts func() (byRef map[modelref.Ref]RequestCounts, byServer map[string]int)
+	// ReachesServers reports whether this instance reaches the servers, which a holder must; nil means that it
+	// does.
+	ReachesServers func() bool
 	// OnResidencyChange is called with the versions that became or ceased to be usable on
 	// servers. It must not block.
 	OnResidencyChange func(changes []ResidencyChange)
@@ -85,6 +88,8 @@
 // New makes a Manager, which does nothing until Run is called.
 func New(options Options) *Manager {
 	options.Lease.Instance = options.Instance
+	// Either all servers count as reached or none, so any share between does.
+	options.Lease.StepDownReach, options.Lease.ReachDelay = 0.5, options.Lease.TTL
 	// The second value, 5, gives the lease its own random sequence: other parts of the
 	// instance use the same seed with other values.
 	machine := lease.New(options.Lease, rand.New(rand.NewPCG(options.Seed, 5)))
@@ -239,6 +244,7 @@
 	convertTimes(servers, time.Now(), now)
 	o := observation{document: m.options.Document(), servers: servers, requestCounts: byRef, requestsByServer: byServer}
 	m.mu.Lock()
+	m.core.lease.SetReach(now, m.reachShare())
 	m.core.step(now, o)
 	effects, changes, logLines := m.core.effects, m.core.changes, m.core.logLines
 	m.core.effects, m.core.changes, m.core.logLines = nil, nil, nil
@@ -260,6 +266,14 @@
 	}
 }
 
+// reachShare returns the share of the servers that this instance reaches: all or none.
+func (m *Manager) reachShare() float64 {
+	if m.options.ReachesServers == nil || m.options.ReachesServers() {
+		return 1
+	}
+	return 0
+}
+
 // convertTimes converts the times of servers, which are of the usual clock, to the clock of
 // Options.Now: its zero is another one, so that times of the two clocks can't be compared. from
 // and to are the present time of the usual clock and of the other.
