Callers aren't sent to instances that reach no server, while most do

The directory, which went on naming such instances, leaves them out while at least half of the instances reach the servers; else the few that do would have to read all requests too.

--- a/internal/daemon/directories.go
+++ b/internal/daemon/directories.go
@@ -21,6 +21,8 @@
 	configuration gateway.Configuration
 	failureDomain string
 	seed          uint64
+	// reaches reports whether an instance reaches the servers by itself; nil means that all do.
+	reaches func(instance string) bool
 	// queries counts the calls of Entries, so that each one shuffles differently.
 	queries atomic.Uint64
 
@@ -40,7 +42,11 @@
 	r := rand.New(rand.NewPCG(c.seed, c.queries.Add(1)))
 	name, _, _ := strings.Cut(model, "@")
 	members := c.cluster.Members()
-	answer := entries.Pick(entries.Query{Model: name, FailureDomain: failureDomain}, members, c.subsets(members), r)
+	subsets := c.subsets(members)
+	if c.reaches != nil {
+		members = entries.Reaching(members, c.reaches)
+	}
+	answer := entries.Pick(entries.Query{Model: name, FailureDomain: failureDomain}, members, subsets, r)
 	out := make([]gateway.Entry, 0, len(answer.Entries))
 	for _, e := range answer.Entries {
 		out = append(out, gateway.Entry{Instance: e.Instance, Address: e.Address, FailureDomain: e.FailureDomain, Incarnation: e.Incarnation})
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -148,7 +148,7 @@
 		Streams: h.streams, Reach: h.reach, Peers: h.passedOn,
 		Logger: d.log(logging.Routing), Now: time.Now,
 	})
-	d.directory = &callerDirectory{cluster: d.cluster, configuration: d.confsync, failureDomain: d.settings.FailureDomain, seed: d.seed}
+	d.directory = &callerDirectory{cluster: d.cluster, configuration: d.confsync, failureDomain: d.settings.FailureDomain, seed: d.seed, reaches: h.peersReach.Reaches}
 	h.front.SetServices(front.Services{
 		Relay:         h.relay,
 		Configuration: h.inForce.Load,
