--- a/internal/peerrelay/wire.go
+++ b/internal/peerrelay/wire.go
@@ -168,18 +168,27 @@
 	return nil
 }
 
-// readFrame reads a frame. The error is io.EOF only if the stream ends before it.
+// readFrame reads a frame. The error is never io.EOF, which stands for the end of a complete answer: a stream
+// that ends between two frames has broken off.
 func readFrame(r io.Reader) (frameKind, []byte, error) {
 	var header [frameHeaderBytes]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return 0, nil, err
+	_, err := io.ReadFull(r, header[:])
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return 0, nil, fmt.Errorf("peerrelay: read a frame: %w", err)
 	}
 	length := binary.BigEndian.Uint32(header[1:])
 	if length > maxFrameBytes {
 		return 0, nil, fmt.Errorf("%w: %d bytes long", errFrame, length)
 	}
 	data := make([]byte, length)
-	if _, err := io.ReadFull(r, data); err != nil {
+	_, err = io.ReadFull(r, data)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
 		return 0, nil, fmt.Errorf("peerrelay: a frame is cut: %w", err)
 	}
 	return frameKind(header[0]), data, nil
