--- a/internal/daemon/reach.go
+++ b/internal/daemon/reach.go
@@ -103,6 +103,7 @@
 			d.hosted.peersReach.Renew()
 		}
 	})
+	d.run(d.hosted.takenIn.Run)
 	d.hosted.reach.Run(ctx)
 }
 
--- a/internal/peerrelay/server.go
+++ b/internal/peerrelay/server.go
@@ -70,6 +70,7 @@
 	Counts     Counts
 	inProgress atomic.Int64
 	bytes      atomic.Int64
+	lag        guardedLag
 }
 
 var _ peers.StreamHandler = (*Server)(nil)
@@ -77,6 +78,9 @@
 // NewServer returns a Server.
 func NewServer(options ServerOptions) *Server { return &Server{options: options} }
 
+// Run measures, until ctx ends, whether this process has time for requests of others.
+func (s *Server) Run(ctx context.Context) { s.lag.run(ctx, s.options.Now) }
+
 // InProgress returns how many requests of peers are in progress.
 func (s *Server) InProgress() int64 { return s.inProgress.Load() }
 
@@ -105,6 +109,9 @@
 		return busy("this instance has taken in as many requests as it may")
 	}
 	defer s.inProgress.Add(-1)
+	if s.lag.tooLate() {
+		return busy("this instance has too little processor time for requests of others")
+	}
 	if refused := s.options.MayTakeIn(); refused != nil {
 		return refused
 	}
--- a/internal/reachability/monitor.go
+++ b/internal/reachability/monitor.go
@@ -13,7 +13,7 @@
 )
 
 // tickPeriod is how often the monitor checks whether a round of probes is due.
-const tickPeriod = 50 * time.Millisecond
+const tickPeriod = 100 * time.Millisecond
 
 // Prober asks a server for a sign of life on a connection of its own.
 type Prober interface {
