What all instances send to servers that fall over if they reject fits into their slots

Cause of the falls: each instance fills a server up to its own limit, beside what it last heard of the others.

All instances learn of it from the first answer by gossip, and forget it with answers that don't say so any more (serverlimits, used a second time). - scheduling/room deals out the slots of each server of such a service to the instances, by a hash: their sum is the number of slots, without a call or a message. Nothing waits in the servers. A rejection shrinks the instance's part for a second; a request whose answer broke off counts a little longer. - An instance that has no slot (few slots, many instances) passes the request on through a peer that has one.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -34,6 +34,7 @@
 	"limpethub/internal/request"
 	"limpethub/internal/residency"
 	"limpethub/internal/scheduling"
+	"limpethub/internal/scheduling/quota"
 	"limpethub/internal/serverlimits"
 	"limpethub/internal/site"
 	"limpethub/internal/storecall"
@@ -75,6 +76,7 @@
 	front      front.Front
 	relay      *forward.Relay
 	limits     *serverlimits.Limits
+	brittle    *serverlimits.Limits
 	identities *identitykey.Keeper
 	streams    *streamversion.Keeper
 	crashes    *crashwatch.Watch
@@ -168,11 +170,18 @@
 
 // buildLimits builds the parts that keep the limits that servers name.
 func (d *Daemon) buildLimits(h *hosted) {
+	h.brittle = serverlimits.New(serverlimits.Options{
+		Topic: gossip.TopicBrittle, Kind: "rejections", Publish: d.cluster.Publish,
+		OnChange: func(server string, limit *quota.Limit) { d.dispatcher.ObserveBrittle(server, limit != nil) },
+		Logger:   d.log(logging.Routing), Now: time.Now,
+	})
+	d.cluster.OnFact(gossip.TopicBrittle, h.brittle.HandleFact)
 	h.limits = serverlimits.New(serverlimits.Options{
+		Topic: gossip.TopicLimit, Kind: "requests",
 		Publish: d.cluster.Publish, OnChange: d.dispatcher.ObserveLimit, Logger: d.log(logging.Routing), Now: time.Now,
 	})
 	d.cluster.OnFact(gossip.TopicLimit, h.limits.HandleFact)
-	d.plugins.relayer.SetAnswerObserver(&answerObserver{Watcher: h.watcher, limits: h.limits, dispatcher: d.dispatcher})
+	d.plugins.relayer.SetAnswerObserver(&answerObserver{Watcher: h.watcher, limits: h.limits, brittle: h.brittle, dispatcher: d.dispatcher})
 	d.cluster.OnChange(func(membership.Transition) { d.dispatcher.SetInstances(d.sharingInstances()) })
 }
 
@@ -192,6 +201,7 @@
 type answerObserver struct {
 	*discovery.Watcher
 	limits     *serverlimits.Limits
+	brittle    *serverlimits.Limits
 	dispatcher *dispatch.Dispatcher
 }
 
@@ -205,6 +215,11 @@
 	o.limits.Observe(server, limit, invalid, sentAt)
 }
 
+// ServerBrittle implements engine.AnswerObserver.
+func (o *answerObserver) ServerBrittle(server engine.Server, rejections *float64, invalid error, sentAt time.Time) {
+	o.brittle.Observe(server, rejections, invalid, sentAt)
+}
+
 // buildGuard builds the parts that keep requests that crash servers away from them.
 func (d *Daemon) buildGuard(h *hosted) {
 	h.guard = crashguard.New(crashguard.Options{
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -75,6 +75,9 @@
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "limpethub_servers_ended_total", Help: "Server processes that ended while requests of this instance ran on them.",
 		}, func() float64 { return float64(d.hosted.crashes.EndedCount()) }),
+		gauge("limpethub_brittle_servers", "Backend servers that say, in their answers, how many requests they may turn away in a second without falling over.", func() float64 {
+			return float64(d.hosted.brittle.Count())
+		}),
 		gauge("limpethub_limited_servers", "Backend servers that name, in their answers, how many requests a second they take.", func() float64 {
 			return float64(d.hosted.limits.Count())
 		}),
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -124,7 +124,7 @@
 			d.apply(d.scheduler.Cancel(d.now(), r.ID))
 		}
 	})
-	return decision, decision.Action == scheduling.Dispatch
+	return decision, decision.Action == scheduling.Dispatch || decision.Action == scheduling.PassOn
 }
 
 // MayRetry reports whether another instance may make another attempt of a request, and takes it from the retry
@@ -230,6 +230,11 @@
 	d.handleEvent(func(now time.Time) []scheduling.Decision { return d.scheduler.ObserveLimit(now, server, limit) })
 }
 
+// ObserveBrittle tells the scheduler whether a server says that it falls over if it must turn requests away.
+func (d *Dispatcher) ObserveBrittle(server string, brittle bool) {
+	d.handleEvent(func(now time.Time) []scheduling.Decision { return d.scheduler.ObserveBrittle(now, server, brittle) })
+}
+
 // ObserveCall tells the scheduler that something else than a dispatched request was sent to a server.
 func (d *Dispatcher) ObserveCall(server string) {
 	d.mu.Lock()
@@ -434,7 +439,7 @@
 }
 
 // actionNames holds the names of actions in logs and in answers to operators.
-var actionNames = [...]string{scheduling.Dispatch: "dispatch", scheduling.Queue: "queue", scheduling.Refuse: "refuse"}
+var actionNames = [...]string{scheduling.Dispatch: "dispatch", scheduling.Queue: "queue", scheduling.Refuse: "refuse", scheduling.PassOn: "pass on"}
 
 // logDecision logs a decision. The field "class" is the index of the class.
 func (d *Dispatcher) logDecision(r request.Request, decision scheduling.Decision, waited time.Duration) {
--- a/internal/engine/passthrough.go
+++ b/internal/engine/passthrough.go
@@ -140,6 +140,8 @@
 	// something else than a number that can be meant. sentAt is when the request was sent that the
 	// answer is for.
 	ServerLimit(server Server, limit *float64, invalid error, sentAt time.Time)
+	// ServerBrittle is ServerLimit for the requests a second that the server may turn away without falling over.
+	ServerBrittle(server Server, rejections *float64, invalid error, sentAt time.Time)
 }
 
 // ContactObserver learns whether servers are heard of, on whatever connection and with whatever answer.
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -111,6 +111,8 @@
 	began           bool
 	softwareVersion string
 	result          RelayResult
+	// helpers are the only instances that the request may be passed on to; nil means any.
+	helpers []string
 	// connectionFailures is how many attempts found no connection to their server.
 	connectionFailures int
 	// serverFailure is the last failure that a server answered with. It is delivered only
@@ -148,7 +150,12 @@
 	}
 	relayed.result.Waited = r.options.Now().Sub(relayed.relayStart)
 	combinedVerdict := verdict.NotRun
+	var failure *verdict.Error
 	for {
+		if decision.Action == scheduling.PassOn {
+			relayed.helpers = decision.Peers
+			return r.passOn(ctx, relayed, combinedVerdict, failure)
+		}
 		outcome, err := r.attempt(ctx, relayed, decision)
 		r.options.Dispatcher.Finish(outcome)
 		if relayed.ticket != nil {
@@ -158,7 +165,7 @@
 			return nil
 		}
 		combinedVerdict = verdict.Combine(combinedVerdict, outcome.Verdict)
-		failure := r.errorMapper.verdictError(ctx, err).With(combinedVerdict)
+		failure = r.errorMapper.verdictError(ctx, err).With(combinedVerdict)
 		if reason := r.noRetryReason(ctx, relayed, failure); reason != "" {
 			return r.endFailed(relayed, failure, reason)
 		}
--- a/internal/forward/relay_crash.go
+++ b/internal/forward/relay_crash.go
@@ -18,7 +18,7 @@
 			return scheduling.Decision{}, err
 		}
 		decision, err := r.admitWhileDirect(ctx, relayed)
-		if err != nil || relayed.ticket == nil || relayed.ticket.MaySend() {
+		if err != nil || relayed.ticket == nil || decision.Action == scheduling.PassOn || relayed.ticket.MaySend() {
 			return decision, err
 		}
 		// The request or a part of its prompt has become suspected while it waited for the server.
@@ -36,7 +36,7 @@
 	decision, err := r.options.Dispatcher.Retry(waitCtx, relayed.call.Request, last)
 	err = notDirectError(ctx, waitCtx, err)
 	release()
-	if err != nil || relayed.ticket == nil || relayed.ticket.MaySend() {
+	if err != nil || relayed.ticket == nil || decision.Action == scheduling.PassOn || relayed.ticket.MaySend() {
 		return decision, err
 	}
 	r.options.Dispatcher.Finish(unsentOutcome(relayed, decision))
--- a/internal/forward/relay_peer.go
+++ b/internal/forward/relay_peer.go
@@ -37,6 +37,8 @@
 	Attempts int
 	// Began is true if the caller has events of the stream.
 	Began bool
+	// Helpers are the only instances that may get the request; nil means any that reaches the servers.
+	Helpers []string
 }
 
 const (
@@ -168,6 +170,7 @@
 	for range maxPeersTried {
 		answer, peer, again, err := r.options.Peers.PassOn(ctx, PassedOn{
 			Call: relayed.call, LastEventID: relayed.lastEventID, Attempts: relayed.result.Attempts, Began: relayed.began,
+			Helpers: relayed.helpers,
 		}, tried)
 		if peer == "" {
 			break
@@ -217,6 +220,9 @@
 		return r.endFailed(relayed, failure, "no peer that reaches the servers has taken it")
 	}
 	refused := verdict.Refused(verdict.CodeCutOff, "this instance reaches no server, and no peer that does has taken the request")
+	if relayed.helpers != nil {
+		refused = verdict.Refused(verdict.CodeServersLimited, "this instance has no slot of the servers, and no peer that has one has taken the request")
+	}
 	refused.RetryAfter, refused.Err = r.options.Dispatcher.RetryAfter(relayed.call.Request), lastErr
 	return refused
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -35,6 +35,8 @@
 	TopicIdentityKey
 	// TopicReach is for instances that don't reach the servers by themselves.
 	TopicReach
+	// TopicBrittle is for servers that say how many requests they may turn away.
+	TopicBrittle
 )
 
 // Fact is a fact as it is sent. Instances' clocks differ, so it carries its age.
@@ -107,7 +109,7 @@
 func (t Timed) isOver(now time.Time) bool {
 	limit := evidenceLifetime
 	switch t.Topic {
-	case TopicLimit:
+	case TopicLimit, TopicBrittle:
 		limit = lifetime
 	case TopicReach:
 		limit = reachLifetime
--- a/internal/peerrelay/client.go
+++ b/internal/peerrelay/client.go
@@ -86,24 +86,25 @@
 	now := c.options.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.helpers(now, nil)) > 0
+	return len(c.helpers(now, nil, nil)) > 0
 }
 
-// helpers returns the peers that may get a request. The lock is held.
-func (c *Client) helpers(now time.Time, except []string) []Peer {
+// helpers returns the peers that may get a request: those in only, or any if that is nil, which aren't in except. The
+// lock is held.
+func (c *Client) helpers(now time.Time, only, except []string) []Peer {
 	candidates := slices.DeleteFunc(c.options.Peers(), func(p Peer) bool {
-		return slices.Contains(except, p.Name) || now.Before(c.pausedUntil[p.Name])
+		return slices.Contains(except, p.Name) || now.Before(c.pausedUntil[p.Name]) || only != nil && !slices.Contains(only, p.Name)
 	})
 	return helpersOf(c.options.Self, candidates)
 }
 
-// take returns the peer that should get the next request, which is none of those given, and counts the request
-// as in progress there until done is called.
-func (c *Client) take(except []string) (peer Peer, done func(), ok bool) {
+// take returns the peer that should get the next request, see helpers, and counts the request as in progress there
+// until done is called.
+func (c *Client) take(only, except []string) (peer Peer, done func(), ok bool) {
 	now := c.options.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	peer, ok = choose(c.helpers(now, except), c.inProgress, c.random)
+	peer, ok = choose(c.helpers(now, only, except), c.inProgress, c.random)
 	if !ok {
 		return Peer{}, nil, false
 	}
@@ -135,7 +136,7 @@
 // PassOn implements forward.Peers. If the peer ends the request without a server's answer, the error has the
 // peer's verdict.
 func (c *Client) PassOn(ctx context.Context, p forward.PassedOn, except []string) (engine.Answer, string, bool, error) {
-	peer, done, ok := c.take(except)
+	peer, done, ok := c.take(p.Helpers, except)
 	if !ok {
 		return nil, "", false, nil
 	}
--- a/internal/scheduling/core.go
+++ b/internal/scheduling/core.go
@@ -27,15 +27,19 @@
 	// Refuse answers the caller with Decision.Err. The verdict is NotRun, or MayHaveRun if
 	// an earlier attempt may have run.
 	Refuse
+	// PassOn passes the request on to one of Decision.Peers, which may send it to a server.
+	PassOn
 )
 
 // Decision is a decision about one request. After each Arrive or Retry a request gets at
-// most one Queue and exactly one Dispatch or Refuse, unless it is canceled.
+// most one Queue and exactly one Dispatch, Refuse or PassOn, unless it is canceled.
 type Decision struct {
 	ID     request.ID
 	Action Action
 	// Server is the backend server, for Dispatch.
 	Server string
+	// Peers are the instances that may get the request, for PassOn.
+	Peers []string
 	// Priority is sent to the engine with the request; 0 is the most urgent.
 	Priority int
 	// Reason is one short sentence for the log.
@@ -129,6 +133,9 @@
 	// ObserveLimit records how many requests a second a server takes from all instances together;
 	// nil means that it names none any more.
 	ObserveLimit(now time.Time, server string, limit *quota.Limit) []Decision
+	// ObserveBrittle records whether a server says that it falls over if it must turn requests away. Then no server of
+	// its service gets more than it has slots, from all instances together.
+	ObserveBrittle(now time.Time, server string, brittle bool) []Decision
 	// ObserveCall records that something else than a dispatched request was sent to a server, which
 	// counts against its limit.
 	ObserveCall(now time.Time, server string)
--- a/internal/scheduling/decide.go
+++ b/internal/scheduling/decide.go
@@ -82,6 +82,11 @@
 	if chosen, candidate := c.choose(now, t, &in); chosen != nil {
 		return append(out, c.dispatch(now, &a, chosen, &candidate))
 	}
+	if owners := c.roomOwners(now, t); len(owners) > 0 && r.PassedOnBy == "" && !a.mayHaveRun {
+		return append(out, Decision{
+			ID: r.ID, Action: PassOn, Peers: owners, Reason: "this instance has none of the slots of the servers, which are brittle",
+		})
+	}
 	return append(out, c.enqueue(now, t, &a))
 }
 
--- a/internal/scheduling/finish.go
+++ b/internal/scheduling/finish.go
@@ -65,6 +65,7 @@
 func (c *core) recordFailure(now time.Time, d *dispatchedRequest, o Outcome) {
 	s := d.targetCopy.server
 	d.targetCopy.speed.ObserveIncomplete(now, o.Tokens, o.Duration-o.FirstToken)
+	s.observeRejection(now, o)
 	var e *verdict.Error
 	switch {
 	case o.ServerLeaving:
--- a/internal/scheduling/limited.go
+++ b/internal/scheduling/limited.go
@@ -39,11 +39,14 @@
 			s.quota.SetInstances(now, names)
 		}
 	}
+	c.updateRooms()
 }
 
-// atLimit reports whether the limit that the server has named keeps a further request of this
-// instance away now.
-func (s *server) atLimit(now time.Time) bool { return s.quota != nil && s.quota.Available(now) == 0 }
+// atLimit reports whether the limit that the server has named, or its room while it is brittle, keeps a further
+// request of this instance away now.
+func (s *server) atLimit(now time.Time) bool {
+	return s.quota != nil && s.quota.Available(now) == 0 || s.room != nil && s.room.Full(now, s.load.Own())
+}
 
 // limitRemaining returns about how long it takes until the server's limit lets the request through
 // that comes after the given number of others.
--- a/internal/scheduling/server.go
+++ b/internal/scheduling/server.go
@@ -10,6 +10,7 @@
 	"limpethub/internal/scheduling/load"
 	"limpethub/internal/scheduling/predict"
 	"limpethub/internal/scheduling/quota"
+	"limpethub/internal/scheduling/room"
 )
 
 const (
@@ -58,6 +59,10 @@
 	pendingPrefillByPeer map[string]peerPendingPrefill
 	// quota is this instance's part of the limit that the server has named; nil if it has named none.
 	quota *quota.Quota
+	// saysBrittle is true while the server's answers say that it falls over if it must turn requests away. room is
+	// this instance's part of it while a server of its service is brittle, else nil.
+	saysBrittle bool
+	room        *room.Room
 	// suspects is how many of this instance's requests on the server may crash it.
 	suspects int
 	// meanDuration is the mean duration of this instance's requests on the server. It includes
@@ -97,6 +102,7 @@
 			c.unlist(now, s)
 		}
 	}
+	c.updateRooms()
 	return c.advance(now)
 }
 
@@ -167,6 +173,7 @@
 		return nil
 	}
 	s.limit.ObserveBatch(reported.Slots)
+	c.updateRoom(s)
 	s.load.ObserveReport(now, load.Report{Taken: now, Total: reported.Running + reported.Waiting})
 	return c.expireAndDispatch(now, s)
 }
--- a/internal/serverlimits/fact.go
+++ b/internal/serverlimits/fact.go
@@ -44,7 +44,7 @@
 		l.options.Logger.WithField("server", k.server.Name).WithError(err).Error("A server's limit can't be told to other instances: it can't be encoded in few bytes")
 		return gossip.Timed{}, false
 	}
-	return gossip.Timed{Topic: gossip.TopicLimit, Key: k.server.ProcessNumber(), Value: data, At: k.heardAt}, true
+	return gossip.Timed{Topic: l.options.Topic, Key: k.server.ProcessNumber(), Value: data, At: k.heardAt}, true
 }
 
 // HandleFact joins what a peer says of a limit. It is the cluster's handler of gossip.TopicLimit.
--- a/internal/serverlimits/limits.go
+++ b/internal/serverlimits/limits.go
@@ -1,6 +1,6 @@
 // Package serverlimits keeps the limits that servers in need name in their answers: how many
-// requests a second they take from all instances together. It tells the other instances of them,
-// since each one sees only the answers to its own requests.
+// requests a second they take from all instances together, or how many they may turn away. It tells
+// the other instances of them, since each one sees only the answers to its own requests.
 package serverlimits
 
 import (
@@ -27,6 +27,9 @@
 
 // Options configures Limits.
 type Options struct {
+	// Topic is that of the facts, and Kind names in logs what is limited.
+	Topic gossip.Topic
+	Kind  string
 	// Publish spreads a fact to all instances; nil means that there are no others. It must not call
 	// Limits.
 	Publish func(gossip.Timed)
@@ -119,7 +122,7 @@
 func (l *Limits) begin(k *known, perSecond float64, since time.Time) {
 	k.inForce, k.perSecond, k.since, k.toldAt = true, perSecond, since, time.Time{}
 	l.options.Logger.WithFields(logrus.Fields{
-		"server": k.server.Name, "address": k.server.Address, "per_second": perSecond,
+		"server": k.server.Name, "address": k.server.Address, "per_second": perSecond, "kind": l.options.Kind,
 	}).Info("Server names a limit")
 }
 
@@ -154,7 +157,7 @@
 func (l *Limits) end(k *known, at time.Time, reason string) {
 	k.inForce, k.heardAt = false, at
 	k.expiry.Stop()
-	l.options.Logger.WithFields(logrus.Fields{"server": k.server.Name, "reason": reason}).Info("The limit of a server ends")
+	l.options.Logger.WithFields(logrus.Fields{"server": k.server.Name, "reason": reason, "kind": l.options.Kind}).Info("The limit of a server ends")
 	l.apply(k)
 }
 
@@ -180,7 +183,7 @@
 		clear(l.reported)
 	}
 	l.reported[number] = true
-	l.options.Logger.WithField("server", server.Name).WithError(invalid).Warn("Ignored the limit of a server: it isn't a number that can be meant")
+	l.options.Logger.WithFields(logrus.Fields{"server": server.Name, "kind": l.options.Kind}).WithError(invalid).Warn("Ignored the limit of a server: it isn't a number that can be meant")
 }
 
 // Count returns the number of servers with a limit.
