Soak: instances are cut off from all servers

Each instance reaches the servers through proxies of its own, by a view of the store with their addresses; one instance or all but one lose all servers for 9 s, in four forms (silent, reset, new connections refused, answers lost). The judge compares first tries at them, from 3 s after the begin, with those at the others; tries at instances with another fault, or while no undisturbed instance reaches the servers, or during another cut, say nothing.

Found with it: a proxy of an instance accepted connections for a server that had ended, so that no instance could tell that it had (a fault of the proxies: they now refuse when the one they follow does).

--- a/internal/lab/faultproxy/faultproxy.go
+++ b/internal/lab/faultproxy/faultproxy.go
@@ -46,6 +46,11 @@
 	faults   Faults
 	links    map[*link]bool
 	accepted int
+	// refuses is true between Refuse and Accept, and targetRefuses while the proxy that this one follows accepts
+	// nothing.
+	refuses, targetRefuses bool
+	// followers are told when this proxy accepts nothing.
+	followers []*Proxy
 }
 
 // Listen relays a free loopback port to the target.
@@ -64,15 +69,66 @@
 	return p.address
 }
 
+// Follow relays a free loopback port to a proxy, and refuses new connections whenever that does, as its target's
+// process does that has ended.
+func Follow(target *Proxy) (*Proxy, error) {
+	p, err := Listen(target.Address())
+	if err != nil {
+		return nil, err
+	}
+	target.mu.Lock()
+	target.followers = append(target.followers, p)
+	refuses := target.listener == nil
+	target.mu.Unlock()
+	return p, p.setTargetRefuses(refuses)
+}
+
+func (p *Proxy) setTargetRefuses(refuses bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.targetRefuses = refuses
+	return p.update()
+}
+
+// tellFollowers tells the followers whether this proxy accepts connections.
+func (p *Proxy) tellFollowers() error {
+	p.mu.Lock()
+	followers, refuses := p.followers, p.listener == nil
+	p.mu.Unlock()
+	for _, f := range followers {
+		if err := f.setTargetRefuses(refuses); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Accept takes new connections again after Refuse.
 func (p *Proxy) Accept() error {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.listener != nil {
-		return nil
+	p.refuses = false
+	err := p.update()
+	p.mu.Unlock()
+	if err != nil {
+		return err
 	}
+	return p.tellFollowers()
+}
+
+// update listens or stops listening. The lock is held.
+func (p *Proxy) update() error {
 	p.hang.end()
 	p.hang = nil
+	if p.refuses || p.targetRefuses {
+		if p.listener != nil {
+			_ = p.listener.Close()
+			p.listener = nil
+		}
+		return nil
+	}
+	if p.listener != nil {
+		return nil
+	}
 	listener, err := net.Listen("tcp", p.address)
 	if err != nil {
 		return fmt.Errorf("faultproxy: listen: %w", err)
@@ -86,25 +142,21 @@
 // Refuse makes dials fail. Open connections stay.
 func (p *Proxy) Refuse() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.refuse()
-}
-
-// refuse is Refuse with the lock held.
-func (p *Proxy) refuse() {
-	p.hang.end()
-	p.hang = nil
-	if p.listener != nil {
-		_ = p.listener.Close()
-		p.listener = nil
-	}
+	p.refuses = true
+	// Nothing is listened on, so there is no error.
+	_ = p.update()
+	p.mu.Unlock()
+	_ = p.tellFollowers()
 }
 
 // Hang makes dials hang until Accept or Refuse. Open connections stay.
 func (p *Proxy) Hang() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.refuse()
+	p.refuses = true
+	if err := p.update(); err != nil {
+		return err
+	}
 	var err error
 	p.hang, err = newHang(p.address)
 	return err
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -70,6 +70,7 @@
 		i.storeLink.SetFaults(faultproxy.NoFaults())
 		s.acceptConnections(i.storeLink)
 		i.peersLink.SetFaults(faultproxy.UDPFaults{})
+		i.healServerLinks(s)
 		i.signal(syscall.SIGCONT, false)
 	}
 	for _, server := range s.servers {
@@ -98,6 +99,8 @@
 		s.injectOnPeers(e.Kind, s.instances[e.Target%len(s.instances)], waitForEnd)
 	case onConfiguration:
 		s.writeConfiguration()
+	case onServerLinks:
+		s.cutOff(e.Target, waitForEnd)
 	}
 }
 
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -40,12 +40,16 @@
 
 // instance is one daemon: its proxies and its processes, of which at most one runs at a time.
 type instance struct {
-	number                        int
-	ip                            string
-	binary, dir                   string
-	settingsPath                  string
-	storeLink                     *faultproxy.Proxy
-	peersLink                     *faultproxy.UDPProxy
+	number       int
+	ip           string
+	binary, dir  string
+	settingsPath string
+	storeLink    *faultproxy.Proxy
+	peersLink    *faultproxy.UDPProxy
+	// serverLinks are the proxies to the servers, in the order of the site's servers, and storeView is the store with
+	// their addresses.
+	serverLinks                   []*faultproxy.Proxy
+	storeView                     *standin.View
 	onStart                       func(startNumber int)
 	onUnexpectedEnd               func(startNumber int, err error)
 	callersAddress, failureDomain string
@@ -197,4 +201,5 @@
 	if i.peersLink != nil {
 		i.peersLink.Close()
 	}
+	i.closeServerLinks()
 }
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -30,6 +30,7 @@
 	CrashingRequests     Promise = "requests that crash servers and come again are kept away from them"
 	SoundPrompts         Promise = "others aren't"
 	OneVersion           Promise = "a stream holds events of one software version"
+	CutOffServed         Promise = "callers of instances that are cut off from all servers are served"
 	ServerLimit          Promise = "a server gets no more than the limit that it names"
 )
 
@@ -121,6 +122,10 @@
 	eventVersions map[streamEvent][]string
 	// sentTo holds the process that got each request.
 	sentTo map[string]processID
+	// instances is the number of instances, and cuts holds first tries while some are cut off from all servers,
+	// by the number of the fault.
+	instances int
+	cuts      map[int]cutTally
 }
 
 // holder is a lease holder, with the time of the first accepted order under its fencing number.
@@ -158,6 +163,7 @@
 		arrivals: map[string]int{}, holders: map[uint64]holder{}, leavingSince: map[string]time.Duration{},
 		observed: map[processID][]observedVersion{}, stops: map[processID]plannedStop{}, startTimes: map[processID]time.Duration{},
 		crashing: map[crashingSubject]*crashRecord{}, crashingRequests: map[string]bool{}, limited: map[string]*limitedServer{}, eventVersions: map[streamEvent][]string{}, sentTo: map[string]processID{},
+		cuts: map[int]cutTally{},
 	}
 }
 
--- a/internal/soak/judge_requests.go
+++ b/internal/soak/judge_requests.go
@@ -106,6 +106,7 @@
 		return
 	}
 	j.checkTold(r)
+	j.checkCutOff(r)
 	j.checkRefusal(r)
 	j.checkWhole(r)
 	if !r.Leaves {
@@ -165,7 +166,7 @@
 		return
 	}
 	ran, answerBegan := len(j.runTimes[r.ID]) > 0, r.Answer.Status != 0
-	if (ran || answerBegan) && j.excusedUntil(r.Ended, inScopes(onServer)) <= r.Began && j.excusedUntil(r.Ended, interruptsInstance(r.Instance)) <= r.Began {
+	if (ran || answerBegan) && j.excusedUntil(r.Ended, inScopes(onServer, onServerLinks)) <= r.Began && j.excusedUntil(r.Ended, interruptsInstance(r.Instance)) <= r.Began {
 		j.addViolation(PlannedStop, r.Ended, "request %s to instance %d was cut by a planned stop (it ran: %v, status %d): %v",
 			r.ID, r.Instance, ran, r.Answer.Status, r.Answer.Err)
 	}
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -240,7 +241,7 @@
 }
 
 func isLong(kind FaultKind) bool {
-	return slices.ContainsFunc(slices.Concat(longFaultKinds, longestFaultKinds), func(k scopedKind) bool { return k.kind == kind })
+	return slices.ContainsFunc(slices.Concat(longFaultKinds, longestFaultKinds, cutFaultKinds), func(k scopedKind) bool { return k.kind == kind })
 }
 
 // TestJudgeOfPromptsThatCrashServers checks that requests which still reach servers are counted from
@@ -354,7 +355,7 @@
 			}
 		}
 	}
-	if want := len(faultKinds) + len(laterFaultKinds) + len(fleetFaultKinds) + len(longFaultKinds) + len(longestFaultKinds) - 1 + len(versionFaultKinds); len(planned) != want {
+	if want := len(faultKinds) + len(laterFaultKinds) + len(fleetFaultKinds) + len(longFaultKinds) + len(longestFaultKinds) - 1 + len(versionFaultKinds) + len(cutFaultKinds); len(planned) != want {
 		t.Errorf("50 seeds: got %d kinds of faults, want %d", len(planned), want)
 	}
 }
@@ -401,3 +402,35 @@
 		t.Errorf("got violations %v, want one for a stream of two versions", v)
 	}
 }
+
+// TestJudgeOfInstancesThatAreCutOff checks that first tries are counted from cutLag after the begin of a cut to its end,
+// and that instances may serve a third fewer.
+func TestJudgeOfInstancesThatAreCutOff(t *testing.T) {
+	for _, test := range []struct {
+		served, of int
+		broken     bool
+	}{{30, 30, false}, {20, 30, false}, {19, 30, true}, {0, minCutSent - 1, false}} {
+		const instances, target = 4, cutVariants // Instance 1 alone.
+		j := NewJudge(limits, []Event{{Kind: InstancesCutOff, At: time.Second, For: 9 * time.Second, Target: target}})
+		j.instances = instances
+		send := func(instance, status int, at time.Duration) {
+			j.Answered(Request{ID: "q", Kind: Idempotent, Instance: instance, Began: at, Ended: at + time.Millisecond, Answer: standin.Answer{
+				Status: status, Seal: "seal-q", Body: standin.PlainAnswer("q"),
+			}})
+		}
+		for n := range test.of {
+			status := http.StatusOK
+			if n >= test.served {
+				status = http.StatusServiceUnavailable
+			}
+			send(1, status, 5*time.Second)
+			send(2, http.StatusOK, 5*time.Second)
+			send(1, http.StatusServiceUnavailable, 3*time.Second)
+			send(1, http.StatusServiceUnavailable, 11*time.Second)
+		}
+		j.CheckCuts()
+		if broken := len(j.Violations()) > 0; broken != test.broken {
+			t.Errorf("%d of %d first tries served, all at the others: broken %v, want %v: %v", test.served, test.of, broken, test.broken, j.Violations())
+		}
+	}
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -75,6 +75,7 @@
 		return report
 	}
 	judge := NewJudge(limits, o.Events)
+	judge.instances = o.Size.Instances
 	s, err := newSite(ctx, o, judge, o.Subnet)
 	defer s.close()
 	if err != nil {
@@ -85,6 +86,7 @@
 	if err := checkRefusedForCrashes(o.Dir, judge, s.now()); err != nil {
 		report.Failure = err.Error()
 	}
+	judge.CheckCuts()
 	report.Violations = judge.Violations()
 	return report
 }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -81,6 +81,9 @@
 	ServerChangesVersion FaultKind = "server-changes-version"
 	// RequestCrashes makes a request that some callers repeat end each server that begins to run it.
 	RequestCrashes FaultKind = "request-crashes-servers"
+	// InstancesCutOff cuts one instance, or all but one, off from all servers. The target says which and in which
+	// form; see cutOf.
+	InstancesCutOff FaultKind = "instances-cut-off"
 	// ServerLimits makes a server name, in its answers, how many requests a second it takes.
 	ServerLimits FaultKind = "server-limits"
 )
@@ -94,6 +97,8 @@
 	onServer
 	onPeers
 	onConfiguration
+	// onServerLinks is for the connections of some instances to all servers.
+	onServerLinks
 )
 
 type scopedKind struct {
@@ -131,8 +136,11 @@
 // versionFaultKinds has the kind that changes software versions, with a random sequence of its own.
 var versionFaultKinds = []scopedKind{{ServerChangesVersion, onServer}}
 
+// cutFaultKinds has the kind that cuts instances off from the servers, with a random sequence of its own.
+var cutFaultKinds = []scopedKind{{InstancesCutOff, onServerLinks}}
+
 func scopeOf(kind FaultKind) scope {
-	for _, k := range slices.Concat(faultKinds, laterFaultKinds, fleetFaultKinds, longFaultKinds, longestFaultKinds, versionFaultKinds) {
+	for _, k := range slices.Concat(faultKinds, laterFaultKinds, fleetFaultKinds, longFaultKinds, longestFaultKinds, versionFaultKinds, cutFaultKinds) {
 		if k.kind == kind {
 			return k.scope
 		}
@@ -177,7 +185,9 @@
 	versionMeanSeriesGap = 6 * time.Second
 	// longMeanGap is the mean time between the starts of two faults of longFaultKinds, and
 	// longFaultDuration is how long each lasts.
-	longMeanGap       = 8 * time.Second
+	longMeanGap = 8 * time.Second
+	// cutMeanGap is that of cutFaultKinds.
+	cutMeanGap        = 14 * time.Second
 	longFaultDuration = 9 * time.Second
 	// longestFaultDuration is how long each fault of longestFaultKinds lasts; their gaps have the same
 	// mean.
@@ -192,14 +202,15 @@
 // Plan returns the schedule of a seed. It consists of series of faults. All faults of a series are
 // of one kind and begin within one second. Faults may overlap, also those of one series.
 func Plan(seed uint64, size Size) []Event {
-	// The second values, 13 to 18, differ from those of the callers (100 and up), so that they
+	// The second values, 13 to 19, differ from those of the callers (100 and up), so that they
 	// get other random sequences.
 	out := planSeries(rand.New(rand.NewPCG(seed, 13)), faultKinds, meanSeriesGap, size)
 	out = append(out, planSeries(rand.New(rand.NewPCG(seed, 14)), laterFaultKinds, laterMeanSeriesGap, size)...)
 	out = append(out, planSeries(rand.New(rand.NewPCG(seed, 15)), fleetFaultKinds, fleetMeanSeriesGap, size)...)
-	out = append(out, planLong(rand.New(rand.NewPCG(seed, 16)), longFaultKinds, longFaultDuration, size)...)
-	out = append(out, planLong(rand.New(rand.NewPCG(seed, 17)), longestFaultKinds, longestFaultDuration, size)...)
+	out = append(out, planLong(rand.New(rand.NewPCG(seed, 16)), longFaultKinds, longMeanGap, longFaultDuration, size)...)
+	out = append(out, planLong(rand.New(rand.NewPCG(seed, 17)), longestFaultKinds, longMeanGap, longestFaultDuration, size)...)
 	out = append(out, planSeries(rand.New(rand.NewPCG(seed, 18)), versionFaultKinds, versionMeanSeriesGap, size)...)
+	out = append(out, planLong(rand.New(rand.NewPCG(seed, 19)), cutFaultKinds, cutMeanGap, longFaultDuration, size)...)
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
@@ -221,9 +232,9 @@
 }
 
 // planLong returns single faults of the given kinds, each with the given duration.
-func planLong(random *rand.Rand, kinds []scopedKind, duration time.Duration, size Size) []Event {
+func planLong(random *rand.Rand, kinds []scopedKind, meanGap, duration time.Duration, size Size) []Event {
 	var out []Event
-	for at := seriesGap(random, longMeanGap); at < size.Length; at += seriesGap(random, longMeanGap) {
+	for at := seriesGap(random, meanGap); at < size.Length; at += seriesGap(random, meanGap) {
 		kind := kinds[random.IntN(len(kinds))]
 		out = append(out, Event{
 			Kind: kind.kind, At: at.Round(time.Millisecond), For: duration, Target: randomTarget(random, kind.scope, size),
@@ -237,8 +248,11 @@
 }
 
 func randomTarget(random *rand.Rand, s scope, size Size) int {
-	if s == onServer {
+	switch s {
+	case onServer:
 		return random.IntN(size.Servers())
+	case onServerLinks:
+		return random.IntN(size.Instances * cutVariants)
 	}
 	return random.IntN(size.Instances)
 }
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -166,7 +166,10 @@
 			},
 		}
 		s.instances = append(s.instances, i)
-		if err := i.prepare(s.store.Address(), peerSeeds); err != nil {
+		if err := s.openServerLinks(i); err != nil {
+			return err
+		}
+		if err := i.prepare(i.storeView.Address(), peerSeeds); err != nil {
 			return err
 		}
 	}
