--- a/internal/soak/cutoff.go
+++ b/internal/soak/cutoff.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"limpethub/internal/lab/faultproxy"
@@ -86,10 +88,41 @@
 			cutForms[form](link)
 		}
 	}
+	stopSending := s.sendFirstTries()
 	waitForEnd()
 	for _, n := range cut {
 		s.instances[n].healServerLinks(s)
 	}
+	stopSending()
+}
+
+// firstTryPause is the time between two first tries at each instance during a cut.
+const firstTryPause = 150 * time.Millisecond
+
+// sendFirstTries sends requests to all instances until stop is called, whatever becomes of those before: the other
+// callers wait for their answers, so that they send next to nothing to instances that hold requests. stop waits for
+// the answers.
+func (s *site) sendFirstTries() (stop func()) {
+	done := make(chan struct{})
+	var sending sync.WaitGroup
+	sending.Go(func() {
+		for sleepUntil(time.Now().Add(firstTryPause), done) {
+			for _, i := range s.instances {
+				id := fmt.Sprintf("first-%d-%d", s.firstTries.Add(1), i.number)
+				sending.Go(func() { s.sendFirstTry(i, id) })
+			}
+		}
+	})
+	return func() {
+		close(done)
+		sending.Wait()
+	}
+}
+
+func (s *site) sendFirstTry(i *instance, id string) {
+	caller := standin.NewCaller()
+	defer caller.Close()
+	s.judge.Answered(s.sendRequest(context.Background(), caller, i, Request{ID: id, Kind: Idempotent}, ""))
 }
 
 // healServerLinks ends a cut. Connections whose bytes were dropped can't go on.
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -56,6 +56,8 @@
 	// crashingPaths counts them.
 	crashingPath  atomic.Pointer[string]
 	crashingPaths atomic.Int64
+	// firstTries counts the requests of sendFirstTries.
+	firstTries atomic.Int64
 }
 
 // server is a stand-in of a server, with the proxy through which all instances reach it.
