Probes for the reach of the servers leave out those that name a limit

Cause: an instance that is cut off one way probes three servers several times a second; the probes arrive and count against the limits that servers name. Such servers, and brittle ones, are left out now.

TestServerThatNamesALimitGetsNoProbes before: "6 probes reached a server that takes one request in two seconds".

--- a/internal/daemon/reach.go
+++ b/internal/daemon/reach.go
@@ -60,13 +60,15 @@
 	return nil
 }
 
-// probeableServers returns the servers that may be asked for a sign of life.
+// probeableServers returns the servers that may be asked for a sign of life. Probes count against the limit that a
+// server names, and most of them come while nothing else can be sent.
 func (h *hosted) probeableServers() []engine.Server {
 	now := time.Now()
 	var out []engine.Server
 	for _, s := range h.watcher.Servers() {
-		if !s.Leaving && !s.Paused(now) {
-			out = append(out, engine.Server{Name: s.ID, Address: s.Address, StartMillis: s.StartMillis, SoftwareVersion: s.SoftwareVersion})
+		server := engine.Server{Name: s.ID, Address: s.Address, StartMillis: s.StartMillis, SoftwareVersion: s.SoftwareVersion}
+		if !s.Leaving && !s.Paused(now) && !h.limits.InForce(server) && !h.brittle.InForce(server) {
+			out = append(out, server)
 		}
 	}
 	return out
--- a/internal/serverlimits/limits.go
+++ b/internal/serverlimits/limits.go
@@ -186,6 +186,14 @@
 	l.options.Logger.WithFields(logrus.Fields{"server": server.Name, "kind": l.options.Kind}).WithError(invalid).Warn("Ignored the limit of a server: it isn't a number that can be meant")
 }
 
+// InForce reports whether a server's process names a limit now.
+func (l *Limits) InForce(server engine.Server) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := l.known[server.ProcessNumber()]
+	return k != nil && k.inForce
+}
+
 // Count returns the number of servers with a limit.
 func (l *Limits) Count() int {
 	l.mu.Lock()
