--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -3,6 +3,8 @@
 package request
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"time"
 
 	"limpethub/internal/modelref"
@@ -100,4 +102,20 @@
 	PromptTokens int
 	// MaxTokens is the maximum length of the answer, in tokens.
 	MaxTokens int
+	// Workspace is the name of the caller's workspace; empty if the caller presented no key.
+	Workspace string
+	// KeyHash is the hash of the caller's key; zero if the caller presented none.
+	KeyHash KeyHash
+	// Cost is what the request counts against the limit of its workspace.
+	Cost int
 }
+
+// KeyHash is the SHA-256 hash of a caller's key. Only hashes are kept, logged nowhere, so that a key
+// never leaves the instance that received it.
+type KeyHash [sha256.Size]byte
+
+// HashKey returns the hash of a key.
+func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
+
+// String returns the hash in hexadecimal.
+func (h KeyHash) String() string { return hex.EncodeToString(h[:]) }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,6 +47,10 @@
 	// EntriesTTLMillis is how long callers may cache an answer of /v1/entries, the list of
 	// the instances that they should use, in milliseconds.
 	EntriesTTLMillis int64 `json:"entries_ttl_ms" validate:"gt=0"`
+	// RevocationMillis is how long after its removal a caller's key may still be accepted, in
+	// milliseconds, also by an instance that doesn't reach the key-value store. 0 means that an instance
+	// goes by the configuration that it has.
+	RevocationMillis int64 `json:"revocation_ms,omitempty" validate:"gte=0"`
 }
 
 // Processor is the processor capacity of an instance. Instances with little of it
@@ -240,6 +244,9 @@
 
 func (s Settings) EntriesTTL() time.Duration { return millis(s.EntriesTTLMillis) }
 
+// Revocation returns how long after its removal a key may still be accepted; 0 means no limit.
+func (s Settings) Revocation() time.Duration { return millis(s.RevocationMillis) }
+
 // NeedsRestart reports whether other differs from s in more than the log, which is the
 // only part that a running daemon can change.
 func (s Settings) NeedsRestart(other Settings) bool {
--- a/internal/site/document.go
+++ b/internal/site/document.go
@@ -34,6 +34,11 @@
 	Pools []Pool `json:"pools,omitzero" validate:"dive"`
 	// CallerLimits limits the requests of callers on routes.
 	CallerLimits CallerLimits `json:"caller_limits,omitzero"`
+	// RequireKeys tells that callers must present a key of one of Workspaces, except on public
+	// routes. With no workspaces every key is unknown.
+	RequireKeys bool `json:"require_keys,omitempty"`
+	// Workspaces lists the workspaces and the hashes of their keys.
+	Workspaces []Workspace `json:"workspaces,omitzero" validate:"dive"`
 }
 
 // Class is a class of work. Its position in the list defines its urgency.
--- a/internal/site/routes.go
+++ b/internal/site/routes.go
@@ -48,6 +48,8 @@
 	// Affinity tells that requests share prompt prefixes, so that they are best sent to a
 	// server that has their prefix cached.
 	Affinity bool `json:"affinity"`
+	// Public tells that callers need no key, if the document requires keys.
+	Public bool `json:"public,omitempty"`
 }
 
 // Idempotent reports whether requests of the route may run more than once.
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -125,6 +125,14 @@
 	// CodeDuplicate means that the request ID was used before, by an attempt that is in
 	// progress, has ended or may have run.
 	CodeDuplicate Code = "duplicate_request"
+	// CodeUnauthorized means that the caller presented no key, or one that the configuration in force
+	// doesn't have.
+	CodeUnauthorized Code = "unauthorized"
+	// CodeStaleConfiguration means that this instance can't prove that its configuration is the newest, so
+	// that a key may have been revoked.
+	CodeStaleConfiguration Code = "stale_configuration"
+	// CodeOverQuota means that the workspace has used up its limit.
+	CodeOverQuota Code = "over_quota"
 	// CodeCanceled means that the caller canceled the request or disconnected.
 	CodeCanceled Code = "canceled"
 	// CodeInternal means that the failure has no known cause.
