Keys of callers: authorization on arrival, at peers and before each send

Cause: a configuration may hold workspaces with keys, and nothing acted on them. The caller's key went to the backend server and into messages between instances.

Change: package workspace has the table of keys and the Authorizer. Where the configuration requires keys, the front hashes the key at once, removes it and the caller's Tenant header, and sets Tenant for the server. Requests that are passed on carry the hash and the name of the workspace; the peer decides with its own configuration and answers 503 to a key that only it doesn't know. The relay checks again before each send. Times at which the configuration is proven to be the newest one come from reads of the store, from answers to watches, and from peers' answers to heartbeats, always as of when the call or the heartbeat was sent.

Considered: a proof in all messages between instances, which a delayed message would make younger; a revision in requests that are passed on, to tell a revoked key from one that isn't known yet (left out, as the caller comes again after the 503).

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -31,6 +31,9 @@
 	Lister instancelist.Lister
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
+	// BootNow is the clock of proofs of the configuration, which keeps running while the machine is suspended; nil
+	// means that messages carry none.
+	BootNow func() time.Time
 	// Logger gets changes of members' states and failures, such as a failed read of the list or
 	// a dropped message; nil means no logging.
 	Logger *logrus.Entry
@@ -87,6 +90,7 @@
 	membersVersion uint64
 	onChange       []func(membership.Transition)
 	onRevision     []func(peer string, revision uint64, confirmation membership.Confirmation)
+	onProof        []func(revision uint64, at time.Time)
 }
 
 var _ peers.Handler = (*Cluster)(nil)
@@ -221,14 +225,23 @@
 // resulting transitions.
 func (c *Cluster) step(event func(*membership.Machine, time.Time) []membership.OutgoingMessage) {
 	c.mu.Lock()
+	if c.options.BootNow != nil {
+		c.machine.SetBootTime(c.options.BootNow())
+	}
 	outgoing := event(c.machine, c.options.Now())
 	transitions := c.machine.TakeTransitions()
-	callbacks := c.onChange
+	proofs := c.machine.TakeProofs()
+	callbacks, proofCallbacks := c.onChange, c.onProof
 	c.mu.Unlock()
 
 	for _, message := range outgoing {
 		c.send(message)
 	}
+	for _, proof := range proofs {
+		for _, callback := range proofCallbacks {
+			callback(proof.Revision, proof.At)
+		}
+	}
 	for _, transition := range transitions {
 		c.logTransition(transition)
 		for _, callback := range callbacks {
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -62,6 +62,21 @@
 	c.machine.SetConfirmation(confirmation)
 }
 
+// SetProof sets the time of the latest proof of the configuration, by the boot clock. Answers to heartbeats carry its age.
+func (c *Cluster) SetProof(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.machine.SetProof(at)
+}
+
+// OnProof adds a callback for the proofs in the answers to heartbeats. The callback must not block. OnProof must be called
+// before Run.
+func (c *Cluster) OnProof(callback func(revision uint64, at time.Time)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onProof = append(c.onProof, callback)
+}
+
 // OnRevision adds a callback for the configuration revision in each message of a peer and the
 // confirmation of it. The callback must not block. OnRevision must be called before Run.
 func (c *Cluster) OnRevision(callback func(peer string, revision uint64, confirmation membership.Confirmation)) {
--- a/internal/confsync/contact.go
+++ b/internal/confsync/contact.go
@@ -18,13 +18,31 @@
 	failingSince time.Time
 }
 
-// watchProgress records an answer of the store to a watch: that no newer configuration than the one
-// held exists.
-func (s *Sync) watchProgress() {
+// watchProgress takes the answers of the store to one watch.
+type watchProgress struct {
+	sync *Sync
+	// held is the revision held when the watch began, or a newer one. sentAt is a time before the next answer's call
+	// was sent.
+	held   uint64
+	sentAt time.Time
+}
+
+func (s *Sync) newWatchProgress() *watchProgress {
+	return &watchProgress{sync: s, held: s.heldRevision(), sentAt: s.options.BootNow()}
+}
+
+// unchanged records an answer that the revision in the store is still the one that the watch began with, so that no newer
+// configuration than the one held exists. The store sends the call of the next answer only after that.
+func (p *watchProgress) unchanged() {
+	s := p.sync
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.recordAnswer()
 	s.confirm(s.planner.Held())
+	if s.watchProves {
+		s.prove(p.held, p.sentAt)
+	}
+	p.sentAt = s.options.BootNow()
 }
 
 // confirm records that the store answered with a revision of the configuration. An older one than
@@ -76,11 +94,17 @@
 	ConfirmedAt time.Time
 	// Watching is whether this instance watches the store for newer revisions.
 	Watching bool
+	// ProvenAt is the latest time at which no newer configuration than the one held is proven to have existed, by the
+	// boot clock; zero means that none is known.
+	ProvenAt time.Time
 }
 
 // Freshness returns how well this instance knows whether its configuration is the newest.
 func (s *Sync) Freshness() Freshness {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Freshness{ConfirmedAt: s.planner.Confirmation().At, Watching: s.planner.Watching()}
+	return Freshness{
+		ConfirmedAt: s.planner.Confirmation().At, Watching: s.planner.Watching(),
+		ProvenAt: s.proofs.provenAt(s.planner.Held()),
+	}
 }
--- a/internal/confsync/fakes_test.go
+++ b/internal/confsync/fakes_test.go
@@ -124,6 +124,8 @@
 	callbacks []func(string, uint64, membership.Confirmation)
 
 	confirmation membership.Confirmation
+	provenAt     time.Time
+	onProof      func(uint64, time.Time)
 	down         bool
 }
 
@@ -212,6 +214,14 @@
 	n.confirmation = c
 }
 
+func (n *node) SetProof(at time.Time) {
+	n.group.mu.Lock()
+	defer n.group.mu.Unlock()
+	n.provenAt = at
+}
+
+func (n *node) OnProof(callback func(uint64, time.Time)) { n.onProof = callback }
+
 func (n *node) OnRevision(callback func(string, uint64, membership.Confirmation)) {
 	n.callbacks = append(n.callbacks, callback)
 }
--- a/internal/confsync/fetch_planner.go
+++ b/internal/confsync/fetch_planner.go
@@ -23,6 +23,8 @@
 	ActionFetch Action = iota + 1
 	// ActionRead reads the store; the result goes to StoreRead.
 	ActionRead
+	// ActionProve reads the store too, for a proof that no newer configuration exists.
+	ActionProve
 )
 
 // Task is one operation to perform.
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -27,6 +28,11 @@
 	Member(name string) (membership.Member, bool)
 	// SetRevision sets the revision that messages to peers carry.
 	SetRevision(revision uint64)
+	// SetProof sets the latest time at which no newer revision than the one set by SetRevision is proven to have
+	// existed, by the boot clock. Answers to peers' heartbeats carry its age.
+	SetProof(at time.Time)
+	// OnProof adds a callback for the proofs in the answers of peers to heartbeats of this instance.
+	OnProof(callback func(revision uint64, at time.Time))
 	// SetConfirmation sets the latest known confirmation of the revision set by SetRevision,
 	// which messages to peers carry.
 	SetConfirmation(confirmation membership.Confirmation)
@@ -53,6 +59,11 @@
 	Logger *logrus.Entry
 	// Seed seeds the random choices.
 	Seed uint64
+	// Revocation is how long after its removal a key of a caller may still be accepted. Where it isn't 0 and the
+	// configuration requires keys, proofs are kept that no newer configuration exists.
+	Revocation time.Duration
+	// BootNow is the clock of proofs, which keeps running while the machine is suspended; nil means Now.
+	BootNow func() time.Time
 	// MaxRetryWait limits the wait after a failed read, watch or fetch, before jitter; 0
 	// means 5 s.
 	MaxRetryWait time.Duration
@@ -87,7 +98,11 @@
 	// store's revisions differ from those of the configuration.
 	storeRevision store.Revision
 	contact       storeContact
-	subscribers   []chan site.Accepted
+	proofs        proofLog
+	proofReads    proofReads
+	// watchProves is whether answers to watches count as proofs; see store.ProgressReporter.
+	watchProves bool
+	subscribers []chan site.Accepted
 	// notifiedRevision is the configuration revision last sent to the subscribers.
 	notifiedRevision uint64
 	membersLoaded    bool
@@ -107,16 +122,22 @@
 		logger.SetOutput(io.Discard)
 		options.Logger = logrus.NewEntry(logger)
 	}
+	if options.BootNow == nil {
+		options.BootNow = options.Now
+	}
 	s := &Sync{
 		options: options,
 		key:     Key(options.Site),
 		planner: NewFetchPlanner(options.Members.Self(), options.Seed),
+		// 4 selects another random stream than those of the planner and of package cluster.
+		proofReads: proofReads{rand: rand.New(rand.NewPCG(options.Seed, 4))},
 	}
 	if options.MaxRetryWait > 0 {
 		s.planner.maxRetryWait = options.MaxRetryWait
 	}
 	options.Transport.Handle(peers.KindConfiguration, s)
 	if r, ok := options.Store.(store.ProgressReporter); ok && r.ProgressInterval() > 0 {
+		s.watchProves = true
 		s.planner.SetProgressInterval(r.ProgressInterval())
 	}
 	options.Members.OnRevision(func(peer string, revision uint64, confirmation membership.Confirmation) {
@@ -126,6 +147,11 @@
 		s.planner.ObserveConfirmation(revision, confirmation)
 		s.options.Members.SetConfirmation(s.planner.Confirmation())
 	})
+	options.Members.OnProof(func(revision uint64, at time.Time) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.prove(revision, at)
+	})
 	return s
 }
 
@@ -153,6 +179,9 @@
 	s.refreshMembers()
 	s.mu.Lock()
 	tasks := s.planner.Tick(s.options.Now())
+	if s.proofReadDue() {
+		tasks = append(tasks, Task{Action: ActionProve})
+	}
 	s.notifySubscribers()
 	s.mu.Unlock()
 	for _, task := range tasks {
@@ -195,6 +224,11 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.planner.StoreRead(s.options.Now(), err)
+	case ActionProve:
+		err := s.read(ctx)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.proofReads.ended(err)
 	}
 }
 
@@ -202,9 +236,10 @@
 func (s *Sync) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	sentAt := s.options.BootNow()
 	entry, err := s.options.Store.Get(ctx, s.key)
 	if err == nil {
-		err = s.offerEntry(entry)
+		err = s.offerEntry(entry, sentAt)
 	}
 	if ctx.Err() != context.Canceled {
 		s.recordResult(err)
@@ -215,7 +250,9 @@
 	return err
 }
 
-func (s *Sync) offerEntry(entry store.Entry) error {
+// offerEntry takes what the store answered to a read that was sent at sentAt or later; zero if the answer needn't be the
+// newest.
+func (s *Sync) offerEntry(entry store.Entry, sentAt time.Time) error {
 	stored, err := Decode(entry.Value)
 	if err != nil {
 		s.options.Logger.WithError(err).Error("Decoding the stored configuration failed; the configuration in force is unchanged")
@@ -227,6 +264,7 @@
 	s.offer("the store", stored, entry.Value)
 	s.mu.Lock()
 	s.confirm(stored.Accepted.Revision)
+	s.prove(stored.Accepted.Revision, sentAt)
 	s.mu.Unlock()
 	return nil
 }
@@ -241,6 +279,7 @@
 	}
 	s.held = stored
 	s.heldValue = value
+	s.holdProofs(&stored.Accepted)
 	s.options.Members.SetRevision(stored.Accepted.Revision)
 	s.options.Logger.WithFields(logrus.Fields{
 		"revision": stored.Accepted.Revision,
--- a/internal/confsync/watch.go
+++ b/internal/confsync/watch.go
@@ -49,10 +49,12 @@
 	s.mu.Lock()
 	after := s.storeRevision
 	s.mu.Unlock()
-	entry, err := s.options.Store.Watch(watchCtx, s.key, after, s.watchProgress)
+	progress := s.newWatchProgress()
+	entry, err := s.options.Store.Watch(watchCtx, s.key, after, progress.unchanged)
 	switch {
 	case err == nil:
-		err = s.offerEntry(entry)
+		// The answer may hold further changes of the key, so it proves nothing.
+		err = s.offerEntry(entry, time.Time{})
 	case watchCtx.Err() != nil:
 		return 0 // Nothing changed within watchTimeout, or the instance stops.
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,6 +44,8 @@
 	registry  *prometheus.Registry
 	seed      uint64
 	startedAt time.Time
+	// bootNow is a clock that keeps running while the machine is suspended; see bootClock.
+	bootNow func() time.Time
 
 	plugins          plugins
 	lifecycle        kernel.Lifecycle
@@ -88,6 +90,7 @@
 		startedAt: time.Now(),
 		drained:   make(chan struct{}),
 	}
+	d.bootNow = bootClock(d.log(logging.Daemon))
 	d.loopContext, d.stopLoops = context.WithCancel(context.Background())
 	for _, warning := range s.Warnings() {
 		d.log(logging.Daemon).Warn(warning)
@@ -134,6 +137,7 @@
 		Lister:    d.plugins.instances,
 		Logger:    d.log(logging.Membership),
 		Seed:      d.seed,
+		BootNow:   d.bootNow,
 	})
 	d.confsync = confsync.New(confsync.Options{
 		Site:      d.settings.Site,
@@ -143,6 +147,7 @@
 		Logger:    d.log(logging.Config),
 		Seed:      d.seed,
 
+		Revocation: d.settings.Revocation(), BootNow: d.bootNow,
 		MaxRetryWait: d.settings.Platform.MaxBackOff(),
 	})
 	return nil
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -39,6 +39,7 @@
 	"limpethub/internal/site"
 	"limpethub/internal/storecall"
 	"limpethub/internal/streamversion"
+	"limpethub/internal/workspace"
 )
 
 const (
@@ -85,6 +86,7 @@
 	peersReach *reachability.Peers
 	passedOn   *peerrelay.Client
 	takenIn    *peerrelay.Server
+	authorizer *workspace.Authorizer
 	watcher    *discovery.Watcher
 	manager    *residency.Manager
 	extension  *residencyExtension
@@ -145,9 +147,10 @@
 	}
 	d.buildIdentities(h)
 	d.buildGuard(h)
+	d.buildAuthorizer(h)
 	h.relay = forward.NewRelay(forward.RelayOptions{
 		Dispatcher: d.dispatcher, Plane: d.plugins.relayer, Directory: h.watcher, Crashes: h.crashes, Guard: h.guard,
-		Streams: h.streams, Reach: h.reach, Peers: h.passedOn,
+		Streams: h.streams, Reach: h.reach, Peers: h.passedOn, Recheck: h.authorizer.Recheck,
 		Logger: d.log(logging.Routing), Now: time.Now,
 	})
 	d.directory = &callerDirectory{cluster: d.cluster, configuration: d.confsync, failureDomain: d.settings.FailureDomain, seed: d.seed, reaches: h.peersReach.Reaches}
@@ -156,6 +159,7 @@
 		Configuration: h.inForce.Load,
 		Entries:       d.hostedEntries,
 		Identities:    h.identities.Hasher,
+		Authorizer:    h.authorizer,
 		Observe:       d.requestMetrics.ObserveRequest,
 		Logger:        d.log(logging.Gateway),
 		Now:           time.Now,
@@ -307,7 +311,7 @@
 			ReadPeriod: candidateReadPeriodTTLs * ttl, TrustUnchanged: true,
 			ClaimDelay: claimDelay(d.settings.Processor.Cores()),
 		},
-		Now:    bootClock(d.log(logging.Placement)),
+		Now:    d.bootNow,
 		Seed:   d.seed,
 		Logger: d.log(logging.Placement),
 	})
@@ -364,7 +368,8 @@
 // bootClock returns a clock that keeps running while the machine is suspended. If there is
 // none, it returns the usual clock, which stops during a suspension. After a suspension longer
 // than the lease's margin, a holder with that clock may act on an expired lease until it
-// learns that another instance holds it.
+// learns that another instance holds it, and an instance may take the proof of its configuration
+// for younger than it is.
 func bootClock(logger *logrus.Entry) func() time.Time {
 	read := func() (time.Time, error) {
 		var now unix.Timespec
@@ -372,7 +377,7 @@
 		return time.Unix(now.Unix()), err
 	}
 	if _, err := read(); err != nil {
-		logger.WithError(err).Warn("CLOCK_BOOTTIME can't be read; the placement lease uses a clock that stops while the machine is suspended, so after a long suspension this instance may act on an expired lease until it learns of another holder")
+		logger.WithError(err).Warn("CLOCK_BOOTTIME can't be read; the clock in use stops while the machine is suspended, so after a long suspension this instance may act on an expired lease, or accept a revoked key, until it hears from others")
 		return time.Now
 	}
 	return func() time.Time {
@@ -388,6 +393,7 @@
 func (h *hosted) putInForce(accepted site.Accepted) {
 	inForce := &front.ConfigurationInForce{Accepted: accepted}
 	inForce.Routes = site.NewRouteTable(&inForce.Document)
+	inForce.Workspaces = workspace.NewTable(&inForce.Accepted)
 	h.inForce.Store(inForce)
 	h.watcher.Refresh()
 	h.manager.Wake()
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -14,6 +14,7 @@
 	"limpethub/internal/crashwatch"
 	"limpethub/internal/dispatch"
 	"limpethub/internal/engine"
+	"limpethub/internal/request"
 	"limpethub/internal/scheduling"
 	"limpethub/internal/verdict"
 )
@@ -49,10 +50,13 @@
 	Streams StreamVersions
 	// Reach says whether this instance reaches the servers, and Peers passes requests on if it doesn't. Both
 	// are nil or none.
-	Reach  Reach
-	Peers  Peers
-	Logger *logrus.Entry
-	Now    func() time.Time
+	Reach Reach
+	Peers Peers
+	// Recheck reports, right before each send to a server, whether the request may still run: it may have waited
+	// since it was authorized. Its error is a *verdict.Error with NotRun. nil means that all may.
+	Recheck func(*request.Request) error
+	Logger  *logrus.Entry
+	Now     func() time.Time
 }
 
 // Relay forwards requests to backend servers and returns their answers, both unchanged. It
@@ -191,6 +195,8 @@
 	switch {
 	case ctx.Err() != nil || failure.Code == verdict.CodeCanceled:
 		return "nobody waits any more"
+	case failure.Code == verdict.CodeUnauthorized || failure.Code == verdict.CodeStaleConfiguration:
+		return "not sent to a server"
 	case request.Deadline.Sub(r.options.Now()) < minTimeLeft:
 		return "no time left"
 	case request.MaxAttempts > 0 && relayed.result.Attempts >= request.MaxAttempts:
@@ -240,6 +246,10 @@
 		outcome.Verdict, outcome.Err, outcome.Unsent = verdict.NotRun, err, true
 		return outcome, err
 	}
+	if err := r.recheck(&relayed.call.Request); err != nil {
+		outcome.Verdict, outcome.Err, outcome.Unsent = verdict.NotRun, err, true
+		return outcome, err
+	}
 	relayed.server, relayed.result.SoftwareVersion = server, server.SoftwareVersion
 	relayed.call.Priority = decision.Priority
 	relayed.call.OpenConnectionsOnly = r.openConnectionsOnly(relayed)
@@ -263,6 +273,14 @@
 	return outcome, err
 }
 
+// recheck reports whether the request may still run.
+func (r *Relay) recheck(q *request.Request) error {
+	if r.options.Recheck == nil {
+		return nil
+	}
+	return r.options.Recheck(q)
+}
+
 // send sends the request and relays the answer. It sets outcome.Verdict only if the answer
 // shows the verdict; otherwise the verdict is that of the error.
 func (r *Relay) send(ctx context.Context, relayed *relayedRequest, server engine.Server, run *crashwatch.Run, outcome *scheduling.Outcome) error {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -16,6 +16,7 @@
 	"limpethub/internal/peerrelay"
 	"limpethub/internal/request"
 	"limpethub/internal/site"
+	"limpethub/internal/workspace"
 )
 
 // Relay forwards requests to backend servers.
@@ -25,10 +26,11 @@
 	Relay(ctx context.Context, call engine.Call, lastEventID int64, sink forward.AnswerSink) (forward.RelayResult, error)
 }
 
-// ConfigurationInForce is the configuration in force, with the routes derived from it.
+// ConfigurationInForce is the configuration in force, with the routes and the table of keys derived from it.
 type ConfigurationInForce struct {
 	site.Accepted
-	Routes *site.RouteTable
+	Routes     *site.RouteTable
+	Workspaces *workspace.Table
 }
 
 // Services is what a daemon provides to its front.
@@ -41,6 +43,9 @@
 	Entries func(failureDomain string) []gateway.Entry
 	// Identities returns what computes the identities of requests now.
 	Identities func() *request.IdentityHasher
+	// Authorizer decides which workspace a request belongs to and whether it may run, where the configuration
+	// requires keys.
+	Authorizer *workspace.Authorizer
 	// Observe reports the end of a request, for metrics.
 	Observe func(end gateway.RequestOutcome)
 	Logger  *logrus.Entry
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -64,6 +64,7 @@
 func (m *Machine) send(now time.Time, to *member, message Message) {
 	message.From = m.self.Name
 	m.setConfiguration(now, &message)
+	m.setProof(&message)
 	size := 0
 	if message.Type == TypePing || message.Type == TypeSync {
 		message.Records = append(message.Records, m.self.record(true))
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -42,7 +42,11 @@
 	// revision is the configuration revision that messages to peers carry.
 	revision     uint64
 	confirmation Confirmation
-	members      map[string]*member
+	// bootNow is the time of the current event by the boot clock, provenAt that of the latest proof of revision, and
+	// proofs those that peers sent.
+	bootNow, provenAt time.Time
+	proofs            []Proof
+	members           map[string]*member
 	// memberList holds the same members as the map, in the order in which they were added.
 	memberList []*member
 	suspects   map[string]*member
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -83,12 +83,15 @@
 	ConfirmedAgeMillis int64  `cbor:"10,keyasint,omitempty"`
 	// Facts are facts that belong to the fleet. Package cluster adds and reads them.
 	Facts []gossip.Fact `cbor:"11,keyasint,omitempty"`
+	// ProofAgeMillis is, in an Ack, the age of the latest proof that no newer configuration than Revision exists, at
+	// least 1; 0 without one.
+	ProofAgeMillis int64 `cbor:"12,keyasint,omitempty"`
 }
 
 const (
 	// maxNameBytes limits the names and peer addresses in a received message.
 	maxNameBytes = 128
-	// maxConfirmedAgeMillis limits the age of a confirmation in a received message; a year.
+	// maxConfirmedAgeMillis limits the ages of a confirmation and of a proof in a received message; a year.
 	maxConfirmedAgeMillis = 365 * 24 * 3600 * 1000
 )
 
@@ -113,7 +116,8 @@
 		return Message{}, fmt.Errorf("membership: decode message: %w", err)
 	}
 	if m.Type < TypePing || m.Type > TypeRecords || !validName(m.From) || len(m.Target) > maxNameBytes ||
-		len(m.ConfirmedBy) > maxNameBytes || m.ConfirmedAgeMillis < 0 || m.ConfirmedAgeMillis > maxConfirmedAgeMillis {
+		len(m.ConfirmedBy) > maxNameBytes || m.ConfirmedAgeMillis < 0 || m.ConfirmedAgeMillis > maxConfirmedAgeMillis ||
+		m.ProofAgeMillis < 0 || m.ProofAgeMillis > maxConfirmedAgeMillis {
 		return Message{}, errMalformed
 	}
 	for _, f := range m.Facts {
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -5,8 +5,10 @@
 // probe is the state of the heartbeats to one heartbeat peer. A heartbeat is a Ping; it is
 // repeated with the same sequence number until it is answered or times out.
 type probe struct {
-	sequence     uint64
-	sentAt       time.Time
+	sequence uint64
+	sentAt   time.Time
+	// sentAtBoot is sentAt by the boot clock.
+	sentAtBoot   time.Time
 	nextPingAt   time.Time
 	waiting      bool
 	indirectSent bool
@@ -61,7 +63,7 @@
 	}
 	p.nextPingAt = now.Add(m.settings.Period)
 	if !p.waiting {
-		*p = probe{sequence: m.nextSequence(), sentAt: now, nextPingAt: p.nextPingAt, waiting: true}
+		*p = probe{sequence: m.nextSequence(), sentAt: now, sentAtBoot: m.bootNow, nextPingAt: p.nextPingAt, waiting: true}
 	}
 	m.send(now, peer, Message{Type: TypePing, Sequence: p.sequence})
 }
@@ -112,6 +114,7 @@
 	for _, p := range m.probes {
 		if p.waiting && p.sequence == message.Sequence {
 			p.waiting = false
+			m.receiveProof(message, p.sentAtBoot)
 		}
 	}
 }
--- a/internal/peerrelay/client.go
+++ b/internal/peerrelay/client.go
@@ -18,6 +18,7 @@
 	"limpethub/internal/engine"
 	"limpethub/internal/forward"
 	"limpethub/internal/peers"
+	"limpethub/internal/request"
 	"limpethub/internal/verdict"
 )
 
@@ -194,6 +195,9 @@
 		RemainingMillis: r.Deadline.Sub(now).Milliseconds(), AgeMillis: now.Sub(r.Arrived).Milliseconds(),
 		LastEventID: p.LastEventID, Attempts: p.Attempts, Identity: r.Identity, Suspect: r.Suspect,
 	}
+	if r.KeyHash != (request.KeyHash{}) {
+		head.KeyHash, head.Workspace = r.KeyHash[:], r.Workspace
+	}
 	if p.Began {
 		head.Service, head.SoftwareVersion = r.Service, r.SoftwareVersion
 	}
@@ -218,7 +222,7 @@
 		return true
 	}
 	switch ended.err.Code {
-	case verdict.CodeCutOff, verdict.CodeStopping, verdict.CodePeerBusy:
+	case verdict.CodeCutOff, verdict.CodeStopping, verdict.CodePeerBusy, verdict.CodeStaleConfiguration:
 		return true
 	}
 	return false
--- a/internal/peerrelay/server.go
+++ b/internal/peerrelay/server.go
@@ -47,6 +47,10 @@
 	// Began is what began the stream that the request goes on with; zero if it goes on with none.
 	Began   request.Origin
 	Suspect bool
+	// KeyHash is the hash of the caller's key; zero if it sent none. Workspace is the name of the workspace that it
+	// belongs to at the peer.
+	KeyHash   request.KeyHash
+	Workspace string
 }
 
 // Runner runs a request that was taken in, and passes its answer to the sink.
@@ -141,6 +145,9 @@
 	if err := readMessage(reader, frameRequest, &head); err != nil {
 		return r, release, malformed(err)
 	}
+	if n := len(head.KeyHash); n != 0 && n != len(request.KeyHash{}) {
+		return r, release, malformed(fmt.Errorf("%w: the hash of a key of %d bytes", errFrame, n))
+	}
 	if head.BodyBytes < 0 || head.BodyBytes > maxTakenInBytes {
 		return r, release, malformed(fmt.Errorf("%w: a body of %d bytes", errFrame, head.BodyBytes))
 	}
@@ -164,14 +171,16 @@
 
 func (s *Server) request(from string, head *requestHead, body []byte) Request {
 	now := s.options.Now()
-	return Request{
+	r := Request{
 		Peer: from, Method: head.Method, Target: head.Target, Host: head.Host, Header: head.Header, Body: body,
 		Arrived:     now.Add(-time.Duration(head.AgeMillis) * time.Millisecond),
 		Deadline:    now.Add(time.Duration(head.RemainingMillis) * time.Millisecond),
 		LastEventID: head.LastEventID, Attempts: head.Attempts, Identity: head.Identity,
 		Began:   request.Origin{Service: head.Service, SoftwareVersion: head.SoftwareVersion},
-		Suspect: head.Suspect,
+		Suspect: head.Suspect, Workspace: head.Workspace,
 	}
+	copy(r.KeyHash[:], head.KeyHash)
+	return r
 }
 
 func readBody(r io.Reader, length int) ([]byte, error) {
--- a/internal/peerrelay/wire.go
+++ b/internal/peerrelay/wire.go
@@ -71,6 +71,10 @@
 	SoftwareVersion string `cbor:"12,keyasint,omitempty"`
 	// Suspect is request.Request.Suspect.
 	Suspect bool `cbor:"13,keyasint,omitempty"`
+	// KeyHash is the hash of the caller's key, and Workspace the name of the workspace that it belongs to; both are
+	// empty if the request has none. The key itself isn't passed on.
+	KeyHash   []byte `cbor:"14,keyasint,omitempty"`
+	Workspace string `cbor:"15,keyasint,omitempty"`
 }
 
 // answerHead is the head of a server's answer.
--- a/internal/scheduling/finish.go
+++ b/internal/scheduling/finish.go
@@ -91,7 +91,8 @@
 		return true
 	}
 	switch e.Code {
-	case verdict.CodeCanceled, verdict.CodeDeadlineExpired, verdict.CodeBadRequest, verdict.CodeNoConnection:
+	case verdict.CodeCanceled, verdict.CodeDeadlineExpired, verdict.CodeBadRequest, verdict.CodeNoConnection,
+		verdict.CodeUnauthorized, verdict.CodeStaleConfiguration:
 		return false
 	}
 	return true
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -142,7 +142,9 @@
 	Revoke(ctx context.Context, lease LeaseID) error
 }
 
-// ProgressReporter is implemented by those Stores whose Watch calls progress regularly.
+// ProgressReporter is implemented by those Stores whose Watch calls progress regularly: each time after the answer to a
+// call that was sent after progress was called before, or after Watch was. So the revision was the newest one at the time
+// of the earlier of the two calls.
 type ProgressReporter interface {
 	// ProgressInterval returns the longest time between two calls of progress while the store
 	// answers; 0 means that there is no bound.
