Proofs of the configuration: decisions in one type, played on a simulated fleet

Cause: it must be shown that proofs reach 295 instances well within half of 5 s while a few read the store, and that none is ever taken for younger than it is.

Change: confsync.Proofs holds the times and decides on reads. Chosen watchers read once a second, as a read proves more than a watch of the same time; others read only if their proof is older than a third of the bound, after a random wait that spreads the reads of the whole fleet to 100 a second.

Considered: shorter watches by the same instances (same number of calls, proofs older by the length of the watch); a question to a watcher by each instance (295 messages a second at one instance).

Tests: oldest proof 1.5 s at 295 instances, also with a tenth of the messages lost, 17 calls a second of the whole fleet.

--- a/internal/confsync/contact.go
+++ b/internal/confsync/contact.go
@@ -105,6 +105,6 @@
 	defer s.mu.Unlock()
 	return Freshness{
 		ConfirmedAt: s.planner.Confirmation().At, Watching: s.planner.Watching(),
-		ProvenAt: s.proofs.provenAt(s.planner.Held()),
+		ProvenAt: s.proofs.ProvenAt(s.planner.Held()),
 	}
 }
--- a/internal/confsync/fetch_planner.go
+++ b/internal/confsync/fetch_planner.go
@@ -125,6 +125,9 @@
 // Watching reports whether this instance watches the store.
 func (p *FetchPlanner) Watching() bool { return p.role.watching() }
 
+// ChosenToWatch reports whether this instance is among the few that watch the store at any rate.
+func (p *FetchPlanner) ChosenToWatch() bool { return p.role.chosen }
+
 // Backup reports whether this instance watches the store only because it has heard of no other
 // that does so successfully.
 func (p *FetchPlanner) Backup() bool { return p.role.backup && !p.role.chosen }
--- a/internal/confsync/proof.go
+++ b/internal/confsync/proof.go
@@ -19,110 +19,107 @@
 	proofReadSpread = 10 * time.Millisecond
 )
 
-// proofLog knows, for the latest two revisions held, at which time no newer one is proven to have existed. It has two,
-// since requests are authorized with the former one until the new one is in force in all parts.
-type proofLog struct{ latest, former proven }
+// Proofs knows at which time no newer configuration than the ones held is proven to have existed, and decides when the
+// instance reads the store for such a proof. Its times are those of the boot clock. It is a state machine without
+// goroutine, socket or clock, and isn't safe for concurrent use.
+type Proofs struct {
+	rand *rand.Rand
+	// revocation is the bound of a revocation, and needed is true if the configuration held requires keys.
+	revocation time.Duration
+	needed     bool
+	// latest belongs to the revision held, and former to the one before: requests are authorized with that until the
+	// new one is in force in all parts.
+	latest, former proven
+
+	// reading is true while a read is in progress, and failed if the last one failed.
+	reading, failed bool
+	readAt          time.Time
+	// nextReadAt is when to read for want of proofs by others; zero while the proof isn't old.
+	nextReadAt time.Time
+}
 
 type proven struct {
 	revision uint64
 	at       time.Time
 }
 
-// hold begins a new revision. A proof of an older one holds for it too: what was the newest then is older than it.
-func (l *proofLog) hold(revision uint64) {
-	l.former = l.latest
-	l.latest.revision = revision
+// NewProofs returns the state of a new instance. With a revocation of 0, it needs no proofs.
+func NewProofs(revocation time.Duration, seed uint64) *Proofs {
+	// 4 selects another random stream than those of FetchPlanner and of package cluster.
+	return &Proofs{revocation: revocation, rand: rand.New(rand.NewPCG(seed, 4))}
 }
 
-// observe takes a proof that the revision was the newest one at a time. It reports whether it is the latest proof of the
-// revision held. One of a newer revision than that proves the opposite and doesn't count.
-func (l *proofLog) observe(revision uint64, at time.Time) bool {
-	if l.former.revision >= revision {
-		l.former.at = latest(l.former.at, at)
+// Hold begins a new revision. A proof of an older one holds for it too: what was the newest one then isn't newer.
+func (p *Proofs) Hold(accepted *site.Accepted) {
+	p.former = p.latest
+	p.latest.revision = accepted.Revision
+	p.needed = accepted.Document.RequireKeys && p.revocation > 0
+}
+
+// Observe takes a proof that the revision was the newest one at a time. It reports whether it is the latest proof of the
+// revision held. A proof of a newer revision doesn't count.
+func (p *Proofs) Observe(revision uint64, at time.Time) bool {
+	if p.revocation == 0 {
+		return false
 	}
-	if l.latest.revision < revision || !at.After(l.latest.at) {
+	if p.former.revision >= revision {
+		p.former.at = latest(p.former.at, at)
+	}
+	if p.latest.revision < revision || !at.After(p.latest.at) {
 		return false
 	}
-	l.latest.at = at
+	p.latest.at = at
 	return true
 }
 
-// provenAt returns the time of the latest proof that holds for a revision; zero if there is none.
-func (l *proofLog) provenAt(revision uint64) time.Time {
+// ProvenAt returns the time of the latest proof that holds for a revision; zero if there is none.
+func (p *Proofs) ProvenAt(revision uint64) time.Time {
 	switch {
-	case l.latest.revision == 0:
+	case revision == 0:
 		return time.Time{}
-	case revision >= l.latest.revision:
-		return l.latest.at
-	case revision >= l.former.revision && l.former.revision > 0:
-		return l.former.at
+	case revision >= p.latest.revision:
+		return p.latest.at
+	case revision >= p.former.revision:
+		return p.former.at
 	}
 	return time.Time{}
 }
 
-// proofReads decides when an instance reads the store for a proof. Its times are those of the boot clock. It is a state
-// machine without goroutine, socket or clock.
-type proofReads struct {
-	rand *rand.Rand
-	// bound is the bound of a revocation; 0 means that no proofs are needed.
-	bound time.Duration
-	// reading is true while a read is in progress, and failed if the last one failed.
-	reading, failed bool
-	beganAt         time.Time
-	// nextAt is when to read next for want of a proof by others; zero while the proof isn't old.
-	nextAt time.Time
-}
-
-// due reports whether to read now, and takes the read for begun. chosen tells that the instance is chosen to watch the
-// store, and provenAt is the time of the latest proof.
-func (r *proofReads) due(now time.Time, chosen bool, provenAt time.Time, instances int) bool {
-	if r.bound == 0 || r.reading || !(r.periodicDue(now, chosen) || r.oldDue(now, provenAt, instances)) {
+// ReadDue reports whether to read the store now, and takes the read for begun. chosen tells that the instance is chosen to
+// watch the store.
+func (p *Proofs) ReadDue(now time.Time, chosen bool, instances int) bool {
+	if !p.needed || p.reading || !(p.periodicReadDue(now, chosen) || p.oldProofReadDue(now, instances)) {
 		return false
 	}
-	r.reading, r.beganAt, r.nextAt = true, now, time.Time{}
+	p.reading, p.readAt, p.nextReadAt = true, now, time.Time{}
 	return true
 }
 
-func (r *proofReads) periodicDue(now time.Time, chosen bool) bool {
-	return chosen && !r.failed && now.Sub(r.beganAt) >= r.bound/watcherReadsPerBound
+func (p *Proofs) periodicReadDue(now time.Time, chosen bool) bool {
+	return chosen && !p.failed && now.Sub(p.readAt) >= p.revocation/watcherReadsPerBound
 }
 
-func (r *proofReads) oldDue(now, provenAt time.Time, instances int) bool {
-	old := r.bound / oldProofDivisor
-	if now.Sub(provenAt) < old {
-		r.nextAt = time.Time{}
+func (p *Proofs) oldProofReadDue(now time.Time, instances int) bool {
+	old := p.revocation / oldProofDivisor
+	if now.Sub(p.latest.at) < old {
+		p.nextReadAt = time.Time{}
 		return false
 	}
-	if r.nextAt.IsZero() {
+	if p.nextReadAt.IsZero() {
 		spread := max(old, time.Duration(instances)*proofReadSpread)
-		r.nextAt = now.Add(time.Duration(r.rand.Int64N(int64(spread))))
+		p.nextReadAt = now.Add(time.Duration(p.rand.Int64N(int64(spread))))
 	}
-	return !now.Before(r.nextAt)
+	return !now.Before(p.nextReadAt)
 }
 
-// ended takes the result of a read.
-func (r *proofReads) ended(err error) { r.reading, r.failed = false, err != nil }
+// ReadEnded takes the result of a read.
+func (p *Proofs) ReadEnded(err error) { p.reading, p.failed = false, err != nil }
 
 // prove takes a proof that the revision was the newest one at a time; a zero time is none. s.mu must be held.
 func (s *Sync) prove(revision uint64, at time.Time) {
-	if s.options.Revocation == 0 || at.IsZero() || !s.proofs.observe(revision, at) {
-		return
+	if !at.IsZero() && s.proofs.Observe(revision, at) {
+		s.options.Members.SetProof(at)
 	}
-	s.options.Members.SetProof(at)
-}
-
-// holdProofs begins the proofs of a revision that comes into force. s.mu must be held.
-func (s *Sync) holdProofs(accepted *site.Accepted) {
-	s.proofs.hold(accepted.Revision)
-	s.proofReads.bound = 0
-	if accepted.Document.RequireKeys {
-		s.proofReads.bound = s.options.Revocation
-	}
-}
-
-// proofReadDue reports whether to read the store for a proof now. s.mu must be held.
-func (s *Sync) proofReadDue() bool {
-	return s.proofReads.due(s.options.BootNow(), s.planner.role.chosen, s.proofs.latest.at, len(s.planner.reachableMembers))
 }
 
 // ProvenAt returns the latest time at which no newer configuration than the one with the given revision is proven to
@@ -130,5 +127,5 @@
 func (s *Sync) ProvenAt(revision uint64) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.proofs.provenAt(revision)
+	return s.proofs.ProvenAt(revision)
 }
--- a/internal/confsync/sync.go
+++ b/internal/confsync/sync.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -98,8 +97,7 @@
 	// store's revisions differ from those of the configuration.
 	storeRevision store.Revision
 	contact       storeContact
-	proofs        proofLog
-	proofReads    proofReads
+	proofs        *Proofs
 	// watchProves is whether answers to watches count as proofs; see store.ProgressReporter.
 	watchProves bool
 	subscribers []chan site.Accepted
@@ -129,8 +127,7 @@
 		options: options,
 		key:     Key(options.Site),
 		planner: NewFetchPlanner(options.Members.Self(), options.Seed),
-		// 4 selects another random stream than those of the planner and of package cluster.
-		proofReads: proofReads{rand: rand.New(rand.NewPCG(options.Seed, 4))},
+		proofs:  NewProofs(options.Revocation, options.Seed),
 	}
 	if options.MaxRetryWait > 0 {
 		s.planner.maxRetryWait = options.MaxRetryWait
@@ -179,7 +176,7 @@
 	s.refreshMembers()
 	s.mu.Lock()
 	tasks := s.planner.Tick(s.options.Now())
-	if s.proofReadDue() {
+	if s.proofs.ReadDue(s.options.BootNow(), s.planner.ChosenToWatch(), len(s.planner.reachableMembers)) {
 		tasks = append(tasks, Task{Action: ActionProve})
 	}
 	s.notifySubscribers()
@@ -228,7 +225,7 @@
 		err := s.read(ctx)
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.proofReads.ended(err)
+		s.proofs.ReadEnded(err)
 	}
 }
 
@@ -279,7 +276,7 @@
 	}
 	s.held = stored
 	s.heldValue = value
-	s.holdProofs(&stored.Accepted)
+	s.proofs.Hold(&stored.Accepted)
 	s.options.Members.SetRevision(stored.Accepted.Revision)
 	s.options.Logger.WithFields(logrus.Fields{
 		"revision": stored.Accepted.Revision,
--- a/internal/fleet/rejected_watchers_test.go
+++ b/internal/fleet/rejected_watchers_test.go
@@ -70,7 +70,7 @@
 	if latest := w.store.latest(); latest != nil {
 		entry, base = store.Entry{Value: latest.value, Revision: store.Revision(latest.revision)}, latest.stored.Accepted.Revision
 	}
-	applier, err := confsync.NewApplier(base, fmt.Sprintf("change-%d", w.changes), site.Document{})
+	applier, err := confsync.NewApplier(base, fmt.Sprintf("change-%d", w.changes), site.Document{RequireKeys: w.keys})
 	if err != nil {
 		panic(err)
 	}
--- a/internal/fleet/spread_test.go
+++ b/internal/fleet/spread_test.go
@@ -29,6 +29,9 @@
 	if n.fetchPlanner.Watching() && !n.watching {
 		n.watch()
 	}
+	if n.proofs.ReadDue(n.w.now, n.fetchPlanner.ChosenToWatch(), len(n.w.instances)) {
+		n.readForProof()
+	}
 }
 
 // offer puts a configuration into force if it is newer than the one held.
@@ -36,6 +39,7 @@
 	if n.fetchPlanner.Offer(n.w.now, stored.Accepted.Revision) || n.w.defect == acceptsOlder {
 		n.held = stored
 		n.machine.SetRevision(stored.Accepted.Revision)
+		n.proofs.Hold(&stored.Accepted)
 	}
 }
 
@@ -71,13 +75,14 @@
 }
 
 func (n *instance) readStore() {
-	epoch := n.epoch
+	epoch, sentAt := n.epoch, n.w.now
 	n.w.store.get(n.id.Name, func(entry *storeEntry, err error) {
 		n.runUnlessPaused(epoch, func() {
 			if err == nil && entry != nil {
 				n.storeRevision = max(n.storeRevision, entry.revision)
 				n.offer(entry.stored)
 				n.confirmed()
+				n.prove(entry.stored.Accepted.Revision, sentAt)
 			}
 			n.fetchPlanner.StoreRead(n.w.now, err)
 		})
@@ -85,7 +90,7 @@
 }
 
 func (n *instance) watch() {
-	epoch := n.epoch
+	epoch, sentAt, held := n.epoch, n.w.now, n.held.Accepted.Revision
 	n.watching = true
 	n.w.store.watch(n.id.Name, n.storeRevision, func(entry *storeEntry, err error) {
 		n.runUnlessPaused(epoch, func() {
@@ -97,6 +102,7 @@
 				n.confirmed()
 			case errors.Is(err, errUnchanged):
 				n.confirmed()
+				n.prove(held, sentAt)
 				pause = 0
 			}
 			n.w.schedule(pause, func() { n.allowWatch(epoch) })
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -68,6 +68,11 @@
 	phantomListed bool
 
 	settings membership.Settings
+	// revocation is the bound of a revocation, and keys is whether configurations require keys; 0 and false mean that
+	// no proofs are needed.
+	revocation time.Duration
+	keys       bool
+
 	events   int
 	actions  int
 	messages int
@@ -91,6 +96,7 @@
 
 	machine       *membership.Machine
 	fetchPlanner  *confsync.FetchPlanner
+	proofs        *confsync.Proofs
 	held          confsync.Stored
 	storeRevision int
 	watching      bool
@@ -153,10 +159,12 @@
 	n.machine = membership.New(n.id, incarnation, n.w.settings, seed)
 	n.fetchPlanner = confsync.NewFetchPlanner(n.id.Name, seed)
 	n.fetchPlanner.SetProgressInterval(watchTimeout)
+	n.proofs = confsync.NewProofs(n.w.revocation, seed)
 	n.held, n.storeRevision, n.watching, n.membersVersion = confsync.Stored{}, 0, false, 0
 	n.facts = newFacts()
 	n.w.oracle.processStarted(n)
 	n.every(membershipTickPeriod, func() {
+		n.machine.SetBootTime(n.w.now)
 		n.send(n.machine.Tick(n.w.now))
 		n.notifyIfDue()
 	})
@@ -225,7 +233,11 @@
 	n.fetchPlanner.ObserveRevision(message.From, message.Revision)
 	n.fetchPlanner.ObserveConfirmation(message.Revision, message.Confirmation(n.w.now))
 	n.machine.SetConfirmation(n.fetchPlanner.Confirmation())
+	n.machine.SetBootTime(n.w.now)
 	n.send(n.machine.Receive(n.w.now, message))
+	for _, proof := range n.machine.TakeProofs() {
+		n.prove(proof.Revision, proof.At)
+	}
 	n.receiveFacts(message)
 }
 
