--- a/internal/daemon/directories.go
+++ b/internal/daemon/directories.go
@@ -21,8 +21,9 @@
 	configuration gateway.Configuration
 	failureDomain string
 	seed          uint64
-	// reaches reports whether an instance reaches the servers by itself; nil means that all do.
-	reaches func(instance string) bool
+	// conditions report whether callers may be sent to an instance: whether it reaches the servers by itself, and
+	// whether its configuration is proven to be the newest one. One that most instances don't meet doesn't count.
+	conditions []func(instance string) bool
 	// queries counts the calls of Entries, so that each one shuffles differently.
 	queries atomic.Uint64
 
@@ -43,8 +44,8 @@
 	name, _, _ := strings.Cut(model, "@")
 	members := c.cluster.Members()
 	subsets := c.subsets(members)
-	if c.reaches != nil {
-		members = entries.Reaching(members, c.reaches)
+	for _, met := range c.conditions {
+		members = entries.Reaching(members, met)
 	}
 	answer := entries.Pick(entries.Query{Model: name, FailureDomain: failureDomain}, members, subsets, r)
 	out := make([]gateway.Entry, 0, len(answer.Entries))
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -87,10 +87,12 @@
 	passedOn   *peerrelay.Client
 	takenIn    *peerrelay.Server
 	authorizer *workspace.Authorizer
-	watcher    *discovery.Watcher
-	manager    *residency.Manager
-	extension  *residencyExtension
-	inForce    atomic.Pointer[front.ConfigurationInForce]
+	// peersInTouch knows which instances say that their configuration isn't proven to be the newest one.
+	peersInTouch *reachability.Peers
+	watcher      *discovery.Watcher
+	manager      *residency.Manager
+	extension    *residencyExtension
+	inForce      atomic.Pointer[front.ConfigurationInForce]
 }
 
 // buildHosted builds the parts that replace those of buildRequests and buildPlacement on an
@@ -153,7 +155,7 @@
 		Streams: h.streams, Reach: h.reach, Peers: h.passedOn, Recheck: h.authorizer.Recheck,
 		Logger: d.log(logging.Routing), Now: time.Now,
 	})
-	d.directory = &callerDirectory{cluster: d.cluster, configuration: d.confsync, failureDomain: d.settings.FailureDomain, seed: d.seed, reaches: h.peersReach.Reaches}
+	d.directory = &callerDirectory{cluster: d.cluster, configuration: d.confsync, failureDomain: d.settings.FailureDomain, seed: d.seed, conditions: []func(string) bool{h.peersReach.Reaches, h.peersInTouch.Reaches}}
 	h.front.SetServices(front.Services{
 		Relay:         h.relay,
 		Configuration: h.inForce.Load,
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -267,6 +267,7 @@
 	if d.hosted != nil {
 		d.run(d.hosted.watcher.Run)
 		d.run(d.watchReach)
+		d.run(d.watchProof)
 		d.run(d.hosted.manager.Run)
 		return nil
 	}
--- a/internal/daemon/reach.go
+++ b/internal/daemon/reach.go
@@ -20,7 +20,7 @@
 
 // buildReach builds the parts that know whether this instance reaches the servers, and which others do.
 func (d *Daemon) buildReach(h *hosted) error {
-	h.peersReach = reachability.NewPeers(d.settings.Instance, d.cluster.Publish, d.log(logging.Routing), time.Now)
+	h.peersReach = reachability.NewPeers(d.settings.Instance, gossip.TopicReach, d.cluster.Publish, d.log(logging.Routing), time.Now)
 	d.cluster.OnFact(gossip.TopicReach, h.peersReach.HandleFact)
 	h.reach = reachability.New(reachability.Options{
 		Prober: d.plugins.relayer, Servers: h.probeableServers, OnChange: d.reachChanged,
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -37,6 +37,8 @@
 	TopicReach
 	// TopicBrittle is for servers that say how many requests they may turn away.
 	TopicBrittle
+	// TopicOutOfTouch is for instances whose configuration isn't proven to be the newest one.
+	TopicOutOfTouch
 )
 
 // Fact is a fact as it is sent. Instances' clocks differ, so it carries its age.
@@ -99,7 +101,7 @@
 	// maxFacts limits how many facts are held; the oldest is dropped first.
 	maxFacts = 1024
 	// lifetime is how long a fact is held, evidenceLifetime how long one about crashes, and reachLifetime
-	// how long one about the reach of an instance, which is soon out of date.
+	// how long one about what an instance reaches, which is soon out of date.
 	lifetime         = 30 * time.Minute
 	evidenceLifetime = 24 * time.Hour
 	reachLifetime    = 10 * time.Second
@@ -111,7 +113,7 @@
 	switch t.Topic {
 	case TopicLimit, TopicBrittle:
 		limit = lifetime
-	case TopicReach:
+	case TopicReach, TopicOutOfTouch:
 		limit = reachLifetime
 	}
 	return now.Sub(t.At) > limit
--- a/internal/reachability/peers.go
+++ b/internal/reachability/peers.go
@@ -27,9 +27,11 @@
 }
 
 // Peers knows which other instances say that they don't reach the servers by themselves, and says so for
-// this instance. It is safe for concurrent use.
+// this instance. With another topic, it does the same for other things that instances may not reach, with the states
+// Direct and CutOff only. It is safe for concurrent use.
 type Peers struct {
 	self    string
+	topic   gossip.Topic
 	publish func(gossip.Timed)
 	logger  *logrus.Entry
 	now     func() time.Time
@@ -47,8 +49,8 @@
 }
 
 // NewPeers returns Peers of the instance named self.
-func NewPeers(self string, publish func(gossip.Timed), logger *logrus.Entry, now func() time.Time) *Peers {
-	return &Peers{self: self, publish: publish, logger: logger, now: now, states: map[string]peerState{}}
+func NewPeers(self string, topic gossip.Topic, publish func(gossip.Timed), logger *logrus.Entry, now func() time.Time) *Peers {
+	return &Peers{self: self, topic: topic, publish: publish, logger: logger, now: now, states: map[string]peerState{}}
 }
 
 // Tell tells the other instances the state of this one.
@@ -56,13 +58,13 @@
 	now := p.now()
 	value, err := cbor.Marshal(factValue{Instance: p.self, State: state})
 	if err != nil {
-		p.logger.WithError(err).Error("The reach of the servers can't be told to other instances: encoding failed")
+		p.logger.WithError(err).WithField("topic", p.topic).Error("The reach of the servers can't be told to other instances: encoding failed")
 		return
 	}
 	p.mu.Lock()
 	p.own, p.toldAt = state, now
 	p.mu.Unlock()
-	p.publish(gossip.Timed{Topic: gossip.TopicReach, Key: xxhash.Sum64String(p.self), Value: value, At: now})
+	p.publish(gossip.Timed{Topic: p.topic, Key: xxhash.Sum64String(p.self), Value: value, At: now})
 }
 
 // Renew tells the state again if that is due.
@@ -75,11 +77,11 @@
 	}
 }
 
-// HandleFact joins what a peer says. It is the cluster's handler of gossip.TopicReach.
+// HandleFact joins what a peer says. It is the cluster's handler of the topic.
 func (p *Peers) HandleFact(now time.Time, f gossip.Timed) (gossip.Timed, bool) {
 	var value factValue
 	if err := cbor.Unmarshal(f.Value, &value); err != nil || value.Instance == "" || len(value.Instance) > maxNameBytes || value.State > CutOff {
-		p.logger.WithField("bytes", len(f.Value)).Warn("Ignored a peer's word of its reach: it is malformed")
+		p.logger.WithFields(logrus.Fields{"bytes": len(f.Value), "topic": p.topic}).Warn("Ignored a peer's word of its reach: it is malformed")
 		return f, false
 	}
 	p.mu.Lock()
--- a/internal/workspace/authorizer.go
+++ b/internal/workspace/authorizer.go
@@ -23,6 +23,8 @@
 	// to 0.05 % fast or slow, and those of virtual machines at times by several percent. Transit times need no margin,
 	// since a proof is never taken for younger than it is.
 	marginDivisor = 20
+	// inTouchDivisor gives the age of a proof from which callers are sent elsewhere, as a part of the bound.
+	inTouchDivisor = 2
 	// staleRetryAfter is when a request may come again that was refused for want of a proof: instances get the proofs
 	// of others with their heartbeats, a few times a second.
 	staleRetryAfter = 250 * time.Millisecond
@@ -129,6 +131,13 @@
 	return a.options.Now().Sub(at), !at.IsZero(), true
 }
 
+// InTouch reports whether callers may be sent here: whether no proof is needed, or the latest one is younger than half of
+// the bound. The other half is the time that callers, who keep answers of the directory for 2 s, have to go elsewhere.
+func (a *Authorizer) InTouch() bool {
+	age, proven, needed := a.ProofAge()
+	return !needed || proven && age < a.options.Revocation/inTouchDivisor
+}
+
 func (a *Authorizer) proven(t *Table) bool {
 	if a.options.Revocation == 0 {
 		return true
