--- a/internal/confsync/proof.go
+++ b/internal/confsync/proof.go
@@ -107,7 +107,11 @@
 	}
 	if p.nextReadAt.IsZero() {
 		spread := max(old, time.Duration(instances)*proofReadSpread)
-		p.nextReadAt = now.Add(time.Duration(p.rand.Int64N(int64(spread))))
+		wait := time.Duration(p.rand.Int64N(int64(spread)))
+		if p.failed {
+			wait += spread / 2
+		}
+		p.nextReadAt = now.Add(wait)
 	}
 	return !now.Before(p.nextReadAt)
 }
--- a/internal/peerrelay/relay_test.go
+++ b/internal/peerrelay/relay_test.go
@@ -98,6 +98,35 @@
 	}
 }
 
+// TestWorkspaceOfARequestGoesWithIt guards against a peer that can't tell whose request it gets, and against the end of a
+// request at a peer whose configuration is old, although another peer may run it.
+func TestWorkspaceOfARequestGoesWithIt(t *testing.T) {
+	var got []Request
+	refuseFirst := func(_ context.Context, r Request, sink forward.AnswerSink) error {
+		if got = append(got, r); len(got) == 1 {
+			return verdict.Refused(verdict.CodeStaleConfiguration, "old")
+		}
+		return sink.WholeAnswer(&engine.AnswerHead{Status: 200}, nil)
+	}
+	client, _ := newClient(map[string]*Server{"p": newServer(nil, refuseFirst), "q": newServer(nil, refuseFirst)})
+	p := passedOn("")
+	p.Call.Request.Workspace, p.Call.Request.KeyHash = "w", request.HashKey("k")
+	_, peer, again, err := client.PassOn(t.Context(), p, nil)
+	if err == nil || !again {
+		t.Fatalf("first peer: got error %v, another one may get it: %v, want an error and true", err, again)
+	}
+	answer, _, _, err := client.PassOn(t.Context(), p, []string{peer})
+	if err != nil {
+		t.Fatal(err)
+	}
+	answer.Close()
+	for _, r := range got {
+		if r.Workspace != "w" || r.KeyHash != request.HashKey("k") {
+			t.Errorf("a peer got workspace %q, hash %v", r.Workspace, r.KeyHash)
+		}
+	}
+}
+
 // TestRequestsAndAnswersAreTheSameOnBothSides: method, target, headers, body, the time that is left and what is
 // known of a stream arrive as sent, and so does the answer.
 func TestRequestsAndAnswersAreTheSameOnBothSides(t *testing.T) {
