The deadline of one try doesn't tell how long a stream has lived

Cause: the life of a stream that is taken up again was computed as the route's timeout less the Deadline-Ms of the new request. That holds only if a caller states what is left of one time over all its tries. If each try has a deadline of its own that is a little below the timeout, a stream of any age was taken to have lived for 1.1 s. After all instances were killed during a release, two instances that had seen only the new version for that long agreed on it, and the stream went on there with 200: from 0.6 s after the first of them served. The first such answer also recorded the new version for the stream, so that all later tries were served too. A caller that waits for longer than the timeout, and one that states more than 292 years, came out too short as well.

Considered: trusting Deadline-Ms only where it is far below the timeout (a guess), and a constant of many minutes (refuses for as long after each kill of all instances).

Versions are remembered for 30 minutes, so that routes with a timeout of up to 14 minutes still have a known life.

--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -57,7 +57,8 @@
 	// Resumes is the ID of the request that brought the first event of the stream which this one goes on
 	// with; empty if the caller names none.
 	Resumes ID
-	// StreamLife is how long the stream can have lived that the request goes on with.
+	// StreamLife is how far back the request can have arrived that last brought an event of the stream which this
+	// one goes on with.
 	StreamLife time.Duration
 	// SoftwareVersion is the version that the server's software must have, since it began the stream which
 	// the request goes on with; empty means any.
--- a/internal/streamversion/history.go
+++ b/internal/streamversion/history.go
@@ -6,9 +6,9 @@
 	"limpethub/internal/request"
 )
 
-// historyMemory is how long a version that no server has any more is remembered. It is longer than any
-// stream lasts.
-const historyMemory = 10 * time.Minute
+// historyMemory is how long a version that no server has any more is remembered. Streams of routes with a
+// timeout of more than about half of it aren't known by the versions that have served.
+const historyMemory = 30 * time.Minute
 
 // history holds which versions the servers of each service have had. It isn't safe for concurrent use.
 type history struct {
