A stream that was refused isn't served later by the versions that serve then

Cause: without a record, a stream is taken to have begun at the only version that has served for as long as it can live. That time assumes that the caller gives up at some time. A caller that goes on trying for longer, as one with a deadline of its own for each try may, was served at the new version once the instances had watched for that long after a restart.

Considered: a longer life for all streams, which refuses more of them and only moves the limit. The tries of such a caller are seen here, each of them refused, so that they can be told apart.

Change: a refused stream with a name (Resumes) is recorded as such, at the instance that refused it and at the three that would know its version, and the record is renewed by each refusal. Only a record of the version counts for it then. A stream that begins anew under the name replaces it. Instances of earlier releases log the message as malformed and ignore it. A try that names no stream can't be recognized and stays bounded by its life.

--- a/internal/forward/relay_version.go
+++ b/internal/forward/relay_version.go
@@ -15,10 +15,8 @@
 type StreamVersions interface {
 	// Began records what began a stream, which its caller takes up again until the deadline at the latest.
 	Began(id request.ID, origin request.Origin, deadline time.Time)
-	// OriginOf returns what began a stream, given the longest time that it can have lived and the only
-	// service that it can have begun at; an empty service means that there are several. The error is a
-	// *verdict.Error with NotRun.
-	OriginOf(ctx context.Context, id request.ID, service string, life time.Duration) (request.Origin, error)
+	// OriginOf returns what began a stream. The error is a *verdict.Error with NotRun.
+	OriginOf(ctx context.Context, stream request.ResumedStream) (request.Origin, error)
 }
 
 // findOrigin finds out what began the stream that a request goes on with, if it does.
@@ -33,11 +31,7 @@
 	if r.options.Streams == nil || relayed.lastEventID == noEventID || !isStream {
 		return nil
 	}
-	service := q.Service
-	if len(q.Services) > 0 {
-		service = ""
-	}
-	origin, err := r.options.Streams.OriginOf(ctx, q.Stream(), service, q.StreamLife)
+	origin, err := r.options.Streams.OriginOf(ctx, resumedStream(q))
 	if err != nil {
 		return r.errorMapper.verdictError(ctx, err)
 	}
@@ -49,6 +43,15 @@
 	return nil
 }
 
+// resumedStream describes the stream that a request goes on with.
+func resumedStream(q *request.Request) request.ResumedStream {
+	stream := request.ResumedStream{ID: q.Stream(), Named: q.Resumes != "", Service: q.Service, Life: q.StreamLife}
+	if len(q.Services) > 0 {
+		stream.Service = ""
+	}
+	return stream
+}
+
 // beginStream records, before the caller gets the first event, which software version began the stream.
 // From then on only servers with that version go on with it.
 func (r *Relay) beginStream(relayed *relayedRequest) {
--- a/internal/forward/relay_version_test.go
+++ b/internal/forward/relay_version_test.go
@@ -20,7 +20,7 @@
 
 func (f *fixedOrigins) Began(id request.ID, origin request.Origin, _ time.Time) { f.begun[id] = origin }
 
-func (f *fixedOrigins) OriginOf(context.Context, request.ID, string, time.Duration) (request.Origin, error) {
+func (f *fixedOrigins) OriginOf(context.Context, request.ResumedStream) (request.Origin, error) {
 	return f.origin, f.err
 }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -40,6 +40,18 @@
 	Service, SoftwareVersion string
 }
 
+// ResumedStream is a stream that a request goes on with, as far as the request tells.
+type ResumedStream struct {
+	// ID is that of the request that brought its first event. Named is false if the caller didn't tell it; ID is
+	// that of the request that goes on with the stream then.
+	ID    ID
+	Named bool
+	// Service is the only service that the stream can have begun at; empty if there are several.
+	Service string
+	// Life is how far back the request can have arrived that last brought an event of the stream.
+	Life time.Duration
+}
+
 // Stream returns the ID under which all instances know the stream: that of the request that brought its
 // first event.
 func (r *Request) Stream() ID {
--- a/internal/streamversion/history.go
+++ b/internal/streamversion/history.go
@@ -1,6 +1,7 @@
 package streamversion
 
 import (
+	"slices"
 	"time"
 
 	"limpethub/internal/request"
@@ -62,6 +63,8 @@
 type View struct {
 	// Record is what began the stream, if the instance knows; the zero value otherwise.
 	Record request.Origin
+	// Refused is true if the stream was refused before because nobody knew what began it.
+	Refused bool
 	// Versions are the versions that the servers of its service have had in the time that the stream can
 	// have lived, as far as the instance knows. An empty one stands for servers that don't say.
 	Versions []string
@@ -83,14 +86,14 @@
 	return v
 }
 
-// conclude returns what began a stream which can have lived for a time; the zero value if it isn't known.
-// service is the only one that it can have begun at, or empty if there are several. own is what this instance knows, and others what those know that the instance with the stream
-// has told.
+// conclude returns what began a stream; the zero value if it isn't known. own is what this instance knows, and
+// others what those know that were asked.
 //
 // Without a record the version is known only if all agree that just one has served, one of them has seen
 // all that time, and at least one other instance was asked: this one may be the last to learn of a new
-// version.
-func conclude(own View, others []View, service string, life time.Duration) request.Origin {
+// version. It isn't known if the stream was refused before: its caller has tried since, for longer than a
+// stream is expected to live if need be.
+func conclude(own View, others []View, stream *request.ResumedStream) request.Origin {
 	all := append([]View{own}, others...)
 	var recorded request.Origin
 	for _, v := range all {
@@ -101,15 +104,23 @@
 			recorded = v.Record
 		}
 	}
-	if isKnown(recorded) || len(others) == 0 || service == "" || life > historyMemory {
+	if isKnown(recorded) || len(others) == 0 || stream.Service == "" || stream.Life > historyMemory {
 		return recorded
 	}
-	if version := onlyVersion(all, life); version != "" {
-		return request.Origin{Service: service, SoftwareVersion: version}
+	if wasRefused(own, others) {
+		return request.Origin{}
+	}
+	if version := onlyVersion(all, stream.Life); version != "" {
+		return request.Origin{Service: stream.Service, SoftwareVersion: version}
 	}
 	return request.Origin{}
 }
 
+// wasRefused reports whether a view says that the stream was refused before.
+func wasRefused(own View, others []View) bool {
+	return own.Refused || slices.ContainsFunc(others, func(v View) bool { return v.Refused })
+}
+
 func isKnown(o request.Origin) bool { return o.SoftwareVersion != "" }
 
 // onlyVersion returns the only version that has served in a time, by all views; empty if there were
--- a/internal/streamversion/keeper.go
+++ b/internal/streamversion/keeper.go
@@ -96,10 +96,13 @@
 	Version    string     `cbor:"2,keyasint"`
 	LifeMillis int64      `cbor:"3,keyasint"`
 	Service    string     `cbor:"4,keyasint"`
+	// Refused tells that the stream was refused because nobody knew what began it. Version and Service are
+	// empty then.
+	Refused bool `cbor:"5,keyasint,omitempty"`
 }
 
 func (b *begun) valid() bool {
-	isComplete := b.ID != "" && b.Version != "" && b.Service != ""
+	isComplete := b.ID != "" && (b.Version != "") == !b.Refused && (b.Service != "") == !b.Refused
 	return isComplete && len(b.ID) <= maxIDBytes && len(b.Version) <= maxVersionBytes && len(b.Service) <= maxServiceBytes &&
 		b.LifeMillis > 0 && b.LifeMillis <= maxLife.Milliseconds()
 }
@@ -108,17 +111,22 @@
 // and tells its holders.
 func (k *Keeper) Began(id request.ID, origin request.Origin, deadline time.Time) {
 	now := k.options.Now()
-	b := begun{ID: id, Version: origin.SoftwareVersion, Service: origin.Service, LifeMillis: (deadline.Sub(now) + lifeMargin).Milliseconds()}
+	life := deadline.Sub(now) + lifeMargin
+	k.record(now, &begun{ID: id, Version: origin.SoftwareVersion, Service: origin.Service, LifeMillis: life.Milliseconds()})
+}
+
+// record records a stream here and at its holders.
+func (k *Keeper) record(now time.Time, b *begun) {
 	if !b.valid() {
 		return
 	}
-	k.add(now, &b)
+	k.add(now, b)
 	payload, err := cbor.Marshal(b)
 	if err != nil {
-		k.options.Logger.WithField("request", id).WithError(err).Error("The software version of a stream can't be told to other instances: encoding failed")
+		k.options.Logger.WithField("request", b.ID).WithError(err).Error("The software version of a stream can't be told to other instances: encoding failed")
 		return
 	}
-	for _, holder := range k.nearest(id, holdersPerStream) {
+	for _, holder := range k.nearest(b.ID, holdersPerStream) {
 		k.options.Cluster.Send(holder.Name, peers.KindStreams, payload)
 	}
 }
@@ -161,27 +169,35 @@
 	return out
 }
 
-// OriginOf returns what began a stream, given the longest time that it can have lived and the only service
-// that it can have begun at; an empty service means that there are several. The error is a *verdict.Error
-// with NotRun if nobody knows.
-func (k *Keeper) OriginOf(ctx context.Context, id request.ID, service string, life time.Duration) (request.Origin, error) {
-	own := k.view(id, service, life)
+// OriginOf returns what began a stream. The error is a *verdict.Error with NotRun if nobody knows.
+func (k *Keeper) OriginOf(ctx context.Context, stream request.ResumedStream) (request.Origin, error) {
+	own := k.view(&stream)
 	if isKnown(own.Record) {
 		return own.Record, nil
 	}
-	others := k.ask(ctx, own, question{ID: id, Service: service, LifeMillis: life.Milliseconds()})
-	if origin := conclude(own, others, service, life); isKnown(origin) {
+	others := k.ask(ctx, own, &stream)
+	if origin := conclude(own, others, &stream); isKnown(origin) {
 		return origin, nil
 	}
-	k.mu.Lock()
-	k.unknown++
-	k.mu.Unlock()
+	k.refused(&stream)
 	k.options.Logger.WithFields(logrus.Fields{
-		"resumes": id, "answers": len(others), "versions": versionsOf(own, others), "observed_ms": own.Observed.Milliseconds(),
+		"resumes": stream.ID, "answers": len(others), "versions": versionsOf(own, others), "observed_ms": own.Observed.Milliseconds(),
+		"refused_before": wasRefused(own, others),
 	}).Info("A stream can't go on: nobody knows which software version began it")
 	return request.Origin{}, verdict.Refused(verdict.CodeVersionUnavailable, "nobody knows which software version began the stream")
 }
 
+// refused counts a stream that can't go on, and records that under its name, if it has one, for as long as its
+// caller may go on trying.
+func (k *Keeper) refused(stream *request.ResumedStream) {
+	k.mu.Lock()
+	k.unknown++
+	k.mu.Unlock()
+	if stream.Named {
+		k.record(k.options.Now(), &begun{ID: stream.ID, Refused: true, LifeMillis: stream.Life.Milliseconds()})
+	}
+}
+
 func versionsOf(own View, others []View) []string {
 	var out []string
 	for _, v := range append([]View{own}, others...) {
@@ -194,12 +210,12 @@
 	return out
 }
 
-func (k *Keeper) view(id request.ID, service string, life time.Duration) View {
+func (k *Keeper) view(stream *request.ResumedStream) View {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.options.Now()
-	v := k.history.view(now, service, life)
-	v.Record = k.records.originOf(now, id)
+	v := k.history.view(now, stream.Service, stream.Life)
+	v.Record, v.Refused = k.records.originOf(now, stream.ID), k.records.wasRefused(now, stream.ID)
 	return v
 }
 
@@ -210,19 +226,43 @@
 	LifeMillis int64      `cbor:"3,keyasint"`
 }
 
+func questionOf(stream *request.ResumedStream) question {
+	return question{ID: stream.ID, Service: stream.Service, LifeMillis: stream.Life.Milliseconds()}
+}
+
+func (q *question) stream() *request.ResumedStream {
+	return &request.ResumedStream{ID: q.ID, Service: q.Service, Life: time.Duration(q.LifeMillis) * time.Millisecond}
+}
+
 type answer struct {
 	Record         string   `cbor:"1,keyasint,omitempty"`
 	Versions       []string `cbor:"2,keyasint,omitempty"`
 	ObservedMillis int64    `cbor:"3,keyasint,omitempty"`
 	// Service is that of Record.
 	Service string `cbor:"4,keyasint,omitempty"`
+	Refused bool   `cbor:"5,keyasint,omitempty"`
+}
+
+func answerOf(v *View) answer {
+	return answer{
+		Record: v.Record.SoftwareVersion, Service: v.Record.Service, Refused: v.Refused,
+		Versions: v.Versions, ObservedMillis: v.Observed.Milliseconds(),
+	}
+}
+
+func (a *answer) view() *View {
+	return &View{
+		Record: request.Origin{Service: a.Service, SoftwareVersion: a.Record}, Refused: a.Refused,
+		Versions: a.Versions, Observed: time.Duration(a.ObservedMillis) * time.Millisecond,
+	}
 }
 
 // ask asks other instances about a stream at the same time, until one has a record, all have answered, or
 // the answer is settled. own is what this instance knows.
-func (k *Keeper) ask(ctx context.Context, own View, q question) []View {
+func (k *Keeper) ask(ctx context.Context, own View, stream *request.ResumedStream) []View {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
+	q := questionOf(stream)
 	asked := k.nearest(q.ID, askedPerStream)
 	views := make(chan *View, len(asked))
 	for _, peer := range asked {
@@ -244,7 +284,7 @@
 		case <-settled:
 			isLate = true
 		}
-		if isLate && isKnown(conclude(own, out, q.Service, time.Duration(q.LifeMillis)*time.Millisecond)) {
+		if isLate && isKnown(conclude(own, out, stream)) {
 			return out
 		}
 	}
@@ -258,7 +298,7 @@
 		k.options.Logger.WithFields(logrus.Fields{"resumes": q.ID, "peer": peer.Name}).WithError(err).Debug("A peer didn't answer which software version began a stream")
 		return nil
 	}
-	return &View{Record: request.Origin{Service: a.Service, SoftwareVersion: a.Record}, Versions: a.Versions, Observed: time.Duration(a.ObservedMillis) * time.Millisecond}
+	return a.view()
 }
 
 func (k *Keeper) call(ctx context.Context, address string, q question) (answer, error) {
@@ -293,8 +333,6 @@
 	if err := cbor.Unmarshal(payload, &q); err != nil {
 		return nil, fmt.Errorf("streamversion: decode question: %w", err)
 	}
-	v := k.view(q.ID, q.Service, time.Duration(q.LifeMillis)*time.Millisecond)
-	return cbor.Marshal(answer{
-		Record: v.Record.SoftwareVersion, Service: v.Record.Service, Versions: v.Versions, ObservedMillis: v.Observed.Milliseconds(),
-	})
+	v := k.view(q.stream())
+	return cbor.Marshal(answerOf(&v))
 }
--- a/internal/streamversion/records.go
+++ b/internal/streamversion/records.go
@@ -24,7 +24,8 @@
 }
 
 type record struct {
-	id     request.ID
+	id request.ID
+	// origin is zero for a stream that was refused because nobody knew what began it.
 	origin request.Origin
 	// until is when the record is no longer needed.
 	until time.Time
@@ -34,8 +35,11 @@
 	return &records{byID: map[request.ID]*list.Element{}, order: list.New()}
 }
 
-// add records what began a stream.
+// add records what began a stream, or that it was refused, which doesn't replace what is known.
 func (r *records) add(now time.Time, rec record) {
+	if !isKnown(rec.origin) && isKnown(r.originOf(now, rec.id)) {
+		return
+	}
 	if e := r.byID[rec.id]; e != nil {
 		r.remove(e)
 	}
@@ -61,9 +65,23 @@
 
 // originOf returns what began a stream; the zero value if it isn't known.
 func (r *records) originOf(now time.Time, id request.ID) request.Origin {
+	if rec := r.find(now, id); rec != nil {
+		return rec.origin
+	}
+	return request.Origin{}
+}
+
+// wasRefused reports whether a stream was refused because nobody knew what began it.
+func (r *records) wasRefused(now time.Time, id request.ID) bool {
+	rec := r.find(now, id)
+	return rec != nil && !isKnown(rec.origin)
+}
+
+// find returns the record of a stream that is still needed; nil if there is none.
+func (r *records) find(now time.Time, id request.ID) *record {
 	e := r.byID[id]
 	if e == nil || !now.Before(e.Value.(*record).until) {
-		return request.Origin{}
+		return nil
 	}
-	return e.Value.(*record).origin
+	return e.Value.(*record)
 }
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -116,7 +116,7 @@
 
 func wantOrigin(t *testing.T, n *node, id request.ID, want request.Origin) {
 	t.Helper()
-	got, err := n.keeper.OriginOf(context.Background(), id, service, life)
+	got, err := n.keeper.OriginOf(context.Background(), request.ResumedStream{ID: id, Named: true, Service: service, Life: life})
 	if got != want || (err == nil) != isKnown(want) {
 		t.Errorf("instance %s, stream %s: got %v, error %v, want %v", n.name, id, got, err, want)
 	}
@@ -207,11 +207,11 @@
 		net := newNetwork(4)
 		net.observeAll(versions("v1")...)
 		time.Sleep(life)
-		if got, err := net.nodes["i0"].keeper.OriginOf(t.Context(), "s", "", life); err == nil {
+		if got, err := net.nodes["i0"].keeper.OriginOf(t.Context(), request.ResumedStream{ID: "s", Named: true, Life: life}); err == nil {
 			t.Errorf("got %v, want that nobody knows", got)
 		}
 		net.nodes["i1"].keeper.Began("s", v1, time.Now().Add(life))
-		if got, err := net.nodes["i0"].keeper.OriginOf(t.Context(), "s", "", life); err != nil || got != v1 {
+		if got, err := net.nodes["i0"].keeper.OriginOf(t.Context(), request.ResumedStream{ID: "s", Named: true, Life: life}); err != nil || got != v1 {
 			t.Errorf("got %v, error %v, want %v", got, err, v1)
 		}
 	})
@@ -246,6 +246,7 @@
 		{}, {ID: "a", Version: "v", LifeMillis: 1}, {ID: "a", Service: "s", LifeMillis: 1}, {ID: "a", Version: "v", Service: "s"},
 		{ID: "a", Version: "v", Service: "s", LifeMillis: -1}, {ID: "a", Version: "v", Service: "s", LifeMillis: 1 << 60},
 		{ID: request.ID(long), Version: "v", Service: "s", LifeMillis: 1}, {ID: "a", Version: long, Service: "s", LifeMillis: 1},
+		{ID: "a", Refused: true, Version: "v", Service: "s", LifeMillis: 1}, {ID: "a", Refused: true},
 	} {
 		payload, err := cbor.Marshal(b)
 		if err != nil {
@@ -283,3 +284,19 @@
 		wantOrigin(t, asking, "s", request.Origin{})
 	})
 }
+
+// TestStreamThatWasRefusedIsntServedOnceNobodyRemembersItsVersion guards against a stream of a version that has left,
+// which goes on at another one because its caller tries for longer than streams are expected to live.
+func TestStreamThatWasRefusedIsntServedOnceNobodyRemembersItsVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(8)
+		net.observeAll(versions("v2")...)
+		for n := range 12 {
+			wantOrigin(t, net.nodes[fmt.Sprint("i", n%8)], "begun at v1", request.Origin{})
+			time.Sleep(life / 3)
+		}
+		wantOrigin(t, net.nodes["i0"], "another", v2)
+		net.nodes["i1"].keeper.Began("begun at v1", v2, time.Now().Add(life))
+		wantOrigin(t, net.nodes["i0"], "begun at v1", v2)
+	})
+}
