An instance without news of the servers proves no stream's version

Cause: for how long an instance has known the servers was the time since its first list, whether or not the store had answered since. An instance that was frozen, suspended or cut off from the store for a while counted as one that had seen all that time, although a version could have come and gone. With all others killed and restarted, its word sufficed to go on with a stream at the version that serves now. The clock stood still during a suspension of the machine, so that such an instance couldn't tell by itself.

Considered: asking the store anew for each such stream (a call of the store per resumed stream, after a kill of all instances for all of them at once).

Change: each answer of the store confirms the servers as of when the call was sent, since a frozen process may read an answer long after. Without a confirmation for 10 s an instance has observed nothing, and after such a gap it begins anew. The clock is the boot clock, which the placement lease uses too. What is told to holders is how long a stream's caller waits, as the relay's clock is another one.

The other tests of the package let time pass with answers of the store now (net.pass); what they expect is unchanged. TestOnlyAnswersOfTheStoreConfirmTheServers covers the watcher.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -89,6 +89,8 @@
 	manager    *residency.Manager
 	extension  *residencyExtension
 	inForce    atomic.Pointer[front.ConfigurationInForce]
+	// clock keeps running while the machine is suspended; see bootClock.
+	clock func() time.Time
 }
 
 // buildHosted builds the parts that replace those of buildRequests and buildPlacement on an
@@ -99,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	h := &hosted{extension: newResidencyExtension()}
+	h := &hosted{extension: newResidencyExtension(), clock: bootClock(d.log(logging.Placement))}
 	if h.front, err = plugin.Load[front.Front](d.settings.Plugins.Front.Plugin(), environment); err != nil {
 		return err
 	}
@@ -126,7 +128,7 @@
 		OnUrgentUpdates: func(servers []string) { d.exchange.TriggerLoadSend(servers) },
 	})
 	h.streams = streamversion.New(streamversion.Options{
-		Cluster: d.cluster, Transport: d.plugins.peers, Logger: d.log(logging.Routing), Now: time.Now,
+		Cluster: d.cluster, Transport: d.plugins.peers, Logger: d.log(logging.Routing), Now: h.clock,
 	})
 	h.watcher = discovery.New(discovery.Options{
 		FailureDomain:    d.settings.FailureDomain,
@@ -137,6 +139,7 @@
 		DecidesPlacement: func() bool { return h.manager.Holding() },
 		OnLeaving:        h.extension.AddLeavingNotice,
 		OnServers:        h.observeVersions,
+		OnRead:           h.confirmVersions,
 		Logger:           d.log(logging.Routing),
 	})
 	d.buildLimits(h)
@@ -249,6 +252,13 @@
 	h.streams.ObserveServers(servers)
 }
 
+// confirmVersions tells that the servers known after a call of the store are all that there were when it was sent.
+// That time counts because the process may have been frozen before it read the answer.
+func (h *hosted) confirmVersions() (succeeded func()) {
+	sentAt := h.clock()
+	return func() { h.streams.ConfirmServers(sentAt) }
+}
+
 // pauseRespectingProber sends no probe to a server that wants nothing from this instance for a while.
 type pauseRespectingProber struct {
 	engine.Prober
@@ -307,7 +317,7 @@
 			ReadPeriod: candidateReadPeriodTTLs * ttl, TrustUnchanged: true,
 			ClaimDelay: claimDelay(d.settings.Processor.Cores()),
 		},
-		Now:    bootClock(d.log(logging.Placement)),
+		Now:    h.clock,
 		Seed:   d.seed,
 		Logger: d.log(logging.Placement),
 	})
--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -354,3 +354,34 @@
 		}
 	})
 }
+
+// TestOnlyAnswersOfTheStoreConfirmTheServers guards against servers that are taken for all that there are although
+// the store gives no answer.
+func TestOnlyAnswersOfTheStoreConfirmTheServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &fakeSource{servers: []Server{server("a", 1, 1)}, revision: 1}
+		reads, confirmed := 0, 0
+		w := New(Options{
+			Source: source, Sink: &fakeSink{}, Pooled: func(string) bool { return false }, Logger: logging.Discard(),
+			OnRead: func() func() {
+				reads++
+				return func() { confirmed++ }
+			},
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go w.Run(ctx)
+		time.Sleep(20 * time.Second)
+		synctest.Wait()
+		before := confirmed
+		if before == 0 {
+			t.Error("no answer of the store confirms the servers")
+		}
+		source.change(func() { source.unreachable = true })
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		if confirmed > before+1 || reads < confirmed+2 {
+			t.Errorf("%d of %d reads confirm the servers, %d of them before the store was out of reach", confirmed, reads, before)
+		}
+	})
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -80,6 +80,9 @@
 	// OnServers is called with all known servers when something of them has changed. It must not call the
 	// Watcher; nil means no call.
 	OnServers func([]KnownServer)
+	// OnRead is called before each call of the store; what it returns is called once the servers are those that
+	// the call has read. Neither may call the Watcher. nil means no call.
+	OnRead func() (succeeded func())
 	// OnLeaving, if set, is called for each server that is found to be leaving. It must not
 	// block.
 	OnLeaving func(server KnownServer)
@@ -112,6 +115,9 @@
 
 // New makes a Watcher, which does nothing until Run is called.
 func New(options Options) *Watcher {
+	if options.OnRead == nil {
+		options.OnRead = func() func() { return func() {} }
+	}
 	return &Watcher{options: options, registry: NewRegistry(), lastLogged: map[string]loggedServer{}}
 }
 
@@ -160,6 +166,7 @@
 }
 
 func (w *Watcher) list(ctx context.Context) (store.Revision, error) {
+	succeeded := w.options.OnRead()
 	update, err := w.options.Source.List(ctx)
 	if err != nil {
 		return 0, err
@@ -176,10 +183,12 @@
 		}
 		r.Confirmed(now)
 	})
+	succeeded()
 	return update.Revision, nil
 }
 
 func (w *Watcher) watch(ctx context.Context, after store.Revision) (store.Revision, error) {
+	succeeded := w.options.OnRead()
 	update, err := w.options.Source.Watch(ctx, after)
 	if err != nil {
 		return after, err
@@ -198,6 +207,7 @@
 		}
 		r.Confirmed(now)
 	})
+	succeeded()
 	return max(update.Revision, after), nil
 }
 
--- a/internal/forward/relay_version.go
+++ b/internal/forward/relay_version.go
@@ -13,8 +13,8 @@
 // StreamVersions knows, for the whole fleet, which software version began a stream. See package
 // streamversion.
 type StreamVersions interface {
-	// Began records what began a stream, which its caller takes up again until the deadline at the latest.
-	Began(id request.ID, origin request.Origin, deadline time.Time)
+	// Began records what began a stream, whose caller waits for so long.
+	Began(id request.ID, origin request.Origin, waits time.Duration)
 	// OriginOf returns what began a stream. The error is a *verdict.Error with NotRun.
 	OriginOf(ctx context.Context, stream request.ResumedStream) (request.Origin, error)
 }
@@ -61,7 +61,7 @@
 	}
 	q := &relayed.call.Request
 	if r.options.Streams != nil && relayed.result.Events == 0 && q.Idempotent && q.PassedOnBy == "" {
-		r.options.Streams.Began(q.Stream(), request.Origin{Service: q.Service, SoftwareVersion: relayed.softwareVersion}, q.Deadline)
+		r.options.Streams.Began(q.Stream(), request.Origin{Service: q.Service, SoftwareVersion: relayed.softwareVersion}, q.Deadline.Sub(r.options.Now()))
 	}
 }
 
--- a/internal/forward/relay_version_test.go
+++ b/internal/forward/relay_version_test.go
@@ -18,7 +18,9 @@
 	begun  map[request.ID]request.Origin
 }
 
-func (f *fixedOrigins) Began(id request.ID, origin request.Origin, _ time.Time) { f.begun[id] = origin }
+func (f *fixedOrigins) Began(id request.ID, origin request.Origin, _ time.Duration) {
+	f.begun[id] = origin
+}
 
 func (f *fixedOrigins) OriginOf(context.Context, request.ResumedStream) (request.Origin, error) {
 	return f.origin, f.err
--- a/internal/streamversion/history.go
+++ b/internal/streamversion/history.go
@@ -11,10 +11,17 @@
 // timeout of more than about half of it aren't known by the versions that have served.
 const historyMemory = 30 * time.Minute
 
+// maxUnconfirmed is how long servers may go without a confirmation that they are all. In a fleet of 75 instances or
+// more, up to 9 s pass between two answers of the store if one of them is late: 3 s from the call to the answer,
+// 3 s of pause, and 3 s to the next answer.
+const maxUnconfirmed = 10 * time.Second
+
 // history holds which versions the servers of each service have had. It isn't safe for concurrent use.
 type history struct {
-	// since is when the servers were first known; zero before.
-	since    time.Time
+	// since is since when the servers have been known without a gap; zero before they are. confirmed is the last
+	// time as of which they were known to be all.
+	since, confirmed time.Time
+
 	services map[string]map[string]*served
 }
 
@@ -27,6 +34,18 @@
 
 func newHistory() *history { return &history{services: map[string]map[string]*served{}} }
 
+// confirm takes that the servers that were observed last were all that there were at a time. If the one before is
+// long past, other versions may have come and gone in between.
+func (h *history) confirm(asOf time.Time) {
+	if h.since.IsZero() || !asOf.After(h.confirmed) {
+		return
+	}
+	if asOf.Sub(h.confirmed) > maxUnconfirmed {
+		h.since = asOf
+	}
+	h.confirmed = asOf
+}
+
 // Server is what matters of a server here: its service, and the version of its software, empty if it
 // doesn't say.
 type Server struct{ Service, Version string }
@@ -37,7 +56,7 @@
 		return
 	}
 	if h.since.IsZero() {
-		h.since = now
+		h.since, h.confirmed = now, now
 	}
 	for _, versions := range h.services {
 		for version, s := range versions {
@@ -68,14 +87,14 @@
 	// Versions are the versions that the servers of its service have had in the time that the stream can
 	// have lived, as far as the instance knows. An empty one stands for servers that don't say.
 	Versions []string
-	// Observed is for how long the instance has known the servers.
+	// Observed is for how long the instance has known the servers without a gap; 0 if its knowledge is old.
 	Observed time.Duration
 }
 
 // view returns what is known of the versions of a service in a time.
 func (h *history) view(now time.Time, service string, life time.Duration) View {
 	var v View
-	if !h.since.IsZero() {
+	if !h.since.IsZero() && now.Sub(h.confirmed) <= maxUnconfirmed {
 		v.Observed = now.Sub(h.since)
 	}
 	for version, s := range h.services[service] {
--- a/internal/streamversion/keeper.go
+++ b/internal/streamversion/keeper.go
@@ -53,7 +53,8 @@
 	Cluster   Cluster
 	Transport peers.Transport
 	Logger    *logrus.Entry
-	Now       func() time.Time
+	// Now should keep running while the machine is suspended, so that old knowledge is known to be old.
+	Now func() time.Time
 }
 
 // Keeper knows which versions began streams. It is safe for concurrent use.
@@ -83,6 +84,14 @@
 	k.history.observe(k.options.Now(), servers)
 }
 
+// ConfirmServers takes that the servers which were observed last were all that there were at a time, by the clock
+// of the options.
+func (k *Keeper) ConfirmServers(asOf time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.history.confirm(asOf)
+}
+
 // Unknown returns how many streams couldn't go on because nobody knew their version.
 func (k *Keeper) Unknown() uint64 {
 	k.mu.Lock()
@@ -107,12 +116,10 @@
 		b.LifeMillis > 0 && b.LifeMillis <= maxLife.Milliseconds()
 }
 
-// Began records what began a stream, which its caller takes up again until the deadline at the latest,
-// and tells its holders.
-func (k *Keeper) Began(id request.ID, origin request.Origin, deadline time.Time) {
-	now := k.options.Now()
-	life := deadline.Sub(now) + lifeMargin
-	k.record(now, &begun{ID: id, Version: origin.SoftwareVersion, Service: origin.Service, LifeMillis: life.Milliseconds()})
+// Began records what began a stream, whose caller waits for so long, and tells its holders.
+func (k *Keeper) Began(id request.ID, origin request.Origin, waits time.Duration) {
+	life := waits + lifeMargin
+	k.record(k.options.Now(), &begun{ID: id, Version: origin.SoftwareVersion, Service: origin.Service, LifeMillis: life.Milliseconds()})
 }
 
 // record records a stream here and at its holders.
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -33,6 +33,8 @@
 	dead atomic.Bool
 	// cut is true while the instance reaches no other one.
 	cut atomic.Bool
+	// frozen is true while the instance gets no answer of the store.
+	frozen bool
 }
 
 func newNetwork(n int) *network {
@@ -56,6 +58,19 @@
 	}
 }
 
+// pass lets time pass, in which the store goes on answering all instances but those that are frozen.
+func (net *network) pass(d time.Duration) {
+	const step = time.Second
+	for ; d > 0; d -= step {
+		time.Sleep(min(d, step))
+		for _, n := range net.nodes {
+			if !n.frozen {
+				n.keeper.ConfirmServers(time.Now())
+			}
+		}
+	}
+}
+
 func (n *node) Self() string { return n.name }
 
 func (n *node) Members() []membership.Member {
@@ -132,12 +147,12 @@
 		synctest.Test(t, func(t *testing.T) {
 			net := newNetwork(size)
 			net.observeAll(versions("v1", "v2")...)
-			time.Sleep(life)
+			net.pass(life)
 			for n := range 40 {
 				id := request.ID(fmt.Sprint("stream", n))
 				origin := []request.Origin{v1, v2}[n%2]
 				began := net.nodes[fmt.Sprint("i", n%size)]
-				began.keeper.Began(id, origin, time.Now().Add(life))
+				began.keeper.Began(id, origin, life)
 				if size > 2 {
 					began.dead.Store(true)
 				}
@@ -165,7 +180,7 @@
 		net := newNetwork(8)
 		net.observeAll(versions("v1", "v1", "v1")...)
 		wantOrigin(t, net.nodes["i0"], "just started", request.Origin{})
-		time.Sleep(life)
+		net.pass(life)
 		wantOrigin(t, net.nodes["i0"], "one version all the time", v1)
 		cut := net.nodes["i1"]
 		cut.cut.Store(true)
@@ -180,7 +195,7 @@
 		wantOrigin(t, net.nodes["i0"], "a version that this instance doesn't know of", request.Origin{})
 		net.observeAll(versions("v2")...)
 		wantOrigin(t, net.nodes["i0"], "a version that has gone", request.Origin{})
-		time.Sleep(life + time.Second)
+		net.pass(life + time.Second)
 		wantOrigin(t, net.nodes["i0"], "the other version all the time", v2)
 		net.observeAll(versions("v2", "")...)
 		wantOrigin(t, net.nodes["i0"], "a server without a version", request.Origin{})
@@ -193,7 +208,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		net := newNetwork(8)
 		net.observeAll(versions("v1")...)
-		time.Sleep(life)
+		net.pass(life)
 		started := net.start("i3")
 		started.keeper.ObserveServers(versions("v1"))
 		wantOrigin(t, started, "s", v1)
@@ -206,11 +221,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		net := newNetwork(4)
 		net.observeAll(versions("v1")...)
-		time.Sleep(life)
+		net.pass(life)
 		if got, err := net.nodes["i0"].keeper.OriginOf(t.Context(), request.ResumedStream{ID: "s", Named: true, Life: life}); err == nil {
 			t.Errorf("got %v, want that nobody knows", got)
 		}
-		net.nodes["i1"].keeper.Began("s", v1, time.Now().Add(life))
+		net.nodes["i1"].keeper.Began("s", v1, life)
 		if got, err := net.nodes["i0"].keeper.OriginOf(t.Context(), request.ResumedStream{ID: "s", Named: true, Life: life}); err != nil || got != v1 {
 			t.Errorf("got %v, error %v, want %v", got, err, v1)
 		}
@@ -223,13 +238,13 @@
 		net := newNetwork(2)
 		k := net.nodes["i0"].keeper
 		for n := range maxRecords + 100 {
-			k.Began(request.ID(fmt.Sprint(n)), v1, time.Now().Add(life))
+			k.Began(request.ID(fmt.Sprint(n)), v1, life)
 		}
 		if n := len(k.records.byID); n > maxRecords || n != k.records.order.Len() {
 			t.Errorf("%d streams are known, want at most %d", n, maxRecords)
 		}
 		time.Sleep(life + lifeMargin)
-		k.Began("last", v1, time.Now().Add(life))
+		k.Began("last", v1, life)
 		if n := len(k.records.byID); n != 1 {
 			t.Errorf("%d streams are known after their end, want the last one", n)
 		}
@@ -269,7 +284,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		net := newNetwork(8)
 		net.observeAll(versions("v1")...)
-		time.Sleep(life)
+		net.pass(life)
 		asking := net.nodes["i0"]
 		for _, holder := range asking.keeper.nearest("s", holdersPerStream) {
 			net.nodes[holder.Name].dead.Store(true)
@@ -293,10 +308,34 @@
 		net.observeAll(versions("v2")...)
 		for n := range 12 {
 			wantOrigin(t, net.nodes[fmt.Sprint("i", n%8)], "begun at v1", request.Origin{})
-			time.Sleep(life / 3)
+			net.pass(life / 3)
 		}
 		wantOrigin(t, net.nodes["i0"], "another", v2)
-		net.nodes["i1"].keeper.Began("begun at v1", v2, time.Now().Add(life))
+		net.nodes["i1"].keeper.Began("begun at v1", v2, life)
 		wantOrigin(t, net.nodes["i0"], "begun at v1", v2)
 	})
 }
+
+// TestInstanceThatWasFrozenProvesNoVersion guards against a stream that goes on at the wrong version since an
+// instance that has got no news of the servers, frozen or cut off from the store, claims to have seen all that time:
+// a version came and went meanwhile, and all that knew it were killed.
+func TestInstanceThatWasFrozenProvesNoVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(4)
+		net.observeAll(versions("v1")...)
+		net.pass(2 * life)
+		frozen := net.nodes["i0"]
+		frozen.frozen = true
+		net.pass(2 * life)
+		for _, name := range []string{"i1", "i2", "i3"} {
+			net.start(name).keeper.ObserveServers(versions("v1"))
+		}
+		wantOrigin(t, net.nodes["i1"], "begun at v2", request.Origin{})
+		frozen.frozen = false
+		net.pass(time.Second)
+		wantOrigin(t, net.nodes["i2"], "begun at v2", request.Origin{})
+		wantOrigin(t, frozen, "begun at v2 too", request.Origin{})
+		net.pass(life)
+		wantOrigin(t, frozen, "begun since", v1)
+	})
+}
