A stream whose route has changed isn't taken for one of the service that it leads to now

Cause: the service and the timeout that decide what a stream can have begun at were those of the route in force. If the operators pointed the route at another service, took one of several away, or shortened its timeout, a stream that began before, without a record (its caller names none, or the instances that knew it were killed), was taken to have begun at the only version of the new service, or not to have lived when an old version served.

Considered: refusing after any change of routes (a configuration that adds a route every few seconds would refuse all), and only this instance's own memory of routes (an instance that has just started would refuse for as long as a stream lives, though others know).

A question names host, path and timeout, and whoever knows that this path led elsewhere or had a longer timeout in the time that the stream can have lived says so. An instance proves nothing about times before its first configuration; answers of earlier releases prove nothing at all.

Tests: TestStreamOfARouteThatHasChangedIsNotGuessed (fails in all refusals without the check), TestManyChangesOfRoutesTakeLittleMemory, TestRouteOfAResumedStreamIsTold.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -399,6 +399,7 @@
 	inForce := &front.ConfigurationInForce{Accepted: accepted}
 	inForce.Routes = site.NewRouteTable(&inForce.Document)
 	h.inForce.Store(inForce)
+	h.streams.ObserveRoutes(inForce.Document.Routes)
 	h.watcher.Refresh()
 	h.manager.Wake()
 }
--- a/internal/forward/relay_version.go
+++ b/internal/forward/relay_version.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"limpethub/internal/engine"
@@ -31,7 +32,7 @@
 	if r.options.Streams == nil || relayed.lastEventID == noEventID || !isStream {
 		return nil
 	}
-	origin, err := r.options.Streams.OriginOf(ctx, resumedStream(q))
+	origin, err := r.options.Streams.OriginOf(ctx, resumedStream(&relayed.call))
 	if err != nil {
 		return r.errorMapper.verdictError(ctx, err)
 	}
@@ -44,8 +45,13 @@
 }
 
 // resumedStream describes the stream that a request goes on with.
-func resumedStream(q *request.Request) request.ResumedStream {
-	stream := request.ResumedStream{ID: q.Stream(), Named: q.Resumes != "", Service: q.Service, Life: q.StreamLife}
+func resumedStream(call *engine.Call) request.ResumedStream {
+	q := &call.Request
+	path, _, _ := strings.Cut(call.Path, "?")
+	stream := request.ResumedStream{
+		ID: q.Stream(), Named: q.Resumes != "", Service: q.Service, Life: q.StreamLife, Timeout: q.RouteTimeout,
+		Host: call.Header.Get("Host"), Path: path,
+	}
 	if len(q.Services) > 0 {
 		stream.Service = ""
 	}
--- a/internal/forward/relay_version_test.go
+++ b/internal/forward/relay_version_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -16,13 +17,16 @@
 	origin request.Origin
 	err    error
 	begun  map[request.ID]request.Origin
+	// asked is the stream that was asked for last.
+	asked request.ResumedStream
 }
 
 func (f *fixedOrigins) Began(id request.ID, origin request.Origin, _ time.Duration) {
 	f.begun[id] = origin
 }
 
-func (f *fixedOrigins) OriginOf(context.Context, request.ResumedStream) (request.Origin, error) {
+func (f *fixedOrigins) OriginOf(_ context.Context, stream request.ResumedStream) (request.Origin, error) {
+	f.asked = stream
 	return f.origin, f.err
 }
 
@@ -94,3 +98,21 @@
 		t.Error("the stream went on at another server")
 	}
 }
+
+// TestRouteOfAResumedStreamIsTold guards against a stream whose route has changed and isn't found by those who know
+// the routes of before.
+func TestRouteOfAResumedStreamIsTold(t *testing.T) {
+	r, _ := newTestRelay(t, serverReply{status: 200, events: []int64{2, 3}})
+	origins := &fixedOrigins{origin: request.Origin{Service: "svc", SoftwareVersion: testVersion}, begun: map[request.ID]request.Origin{}}
+	r.options.Streams = origins
+	call := resumingCall("second", "first")
+	call.Path, call.Header = "/s/x?q=1", http.Header{"Host": {"h"}}
+	call.Request.StreamLife, call.Request.RouteTimeout = 9*time.Second, 2*time.Second
+	if _, err := r.Relay(t.Context(), call, 1, &recordingCaller{}); err != nil {
+		t.Fatal(err)
+	}
+	want := request.ResumedStream{ID: "first", Named: true, Service: "svc", Life: 9 * time.Second, Timeout: 2 * time.Second, Host: "h", Path: "/s/x"}
+	if origins.asked != want {
+		t.Errorf("asked for %+v, want %+v", origins.asked, want)
+	}
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -48,8 +48,11 @@
 	Named bool
 	// Service is the only service that the stream can have begun at; empty if there are several.
 	Service string
-	// Life is how far back the request can have arrived that last brought an event of the stream.
-	Life time.Duration
+	// Life is how far back the request can have arrived that last brought an event of the stream. Timeout is the
+	// timeout of its route.
+	Life, Timeout time.Duration
+	// Host and Path are those of the request that goes on with it, by which its route is found.
+	Host, Path string
 }
 
 // Stream returns the ID under which all instances know the stream: that of the request that brought its
@@ -72,6 +75,8 @@
 	// StreamLife is how far back the request can have arrived that last brought an event of the stream which this
 	// one goes on with.
 	StreamLife time.Duration
+	// RouteTimeout is the timeout of the request's route; 0 if it has none.
+	RouteTimeout time.Duration
 	// SoftwareVersion is the version that the server's software must have, since it began the stream which
 	// the request goes on with; empty means any.
 	SoftwareVersion string
--- a/internal/streamversion/history.go
+++ b/internal/streamversion/history.go
@@ -87,7 +87,11 @@
 	// Versions are the versions that the servers of its service have had in the time that the stream can
 	// have lived, as far as the instance knows. An empty one stands for servers that don't say.
 	Versions []string
-	// Observed is for how long the instance has known the servers without a gap; 0 if its knowledge is old.
+	// Rerouted is true if the stream can have begun at another service, or lived for longer, as the route was
+	// another one then.
+	Rerouted bool
+	// Observed is for how long the instance has known the servers and routes without a gap; 0 if its knowledge
+	// is old.
 	Observed time.Duration
 }
 
@@ -111,7 +115,7 @@
 // Without a record the version is known only if all agree that just one has served, one of them has seen
 // all that time, and at least one other instance was asked: this one may be the last to learn of a new
 // version. It isn't known if the stream was refused before: its caller has tried since, for longer than a
-// stream is expected to live if need be.
+// stream is expected to live if need be. Nor is it if its route has changed.
 func conclude(own View, others []View, stream *request.ResumedStream) request.Origin {
 	all := append([]View{own}, others...)
 	var recorded request.Origin
@@ -126,7 +130,7 @@
 	if isKnown(recorded) || len(others) == 0 || stream.Service == "" || stream.Life > historyMemory {
 		return recorded
 	}
-	if wasRefused(own, others) {
+	if wasRefused(own, others) || wasRerouted(own, others) {
 		return request.Origin{}
 	}
 	if version := onlyVersion(all, stream.Life); version != "" {
@@ -140,6 +144,11 @@
 	return own.Refused || slices.ContainsFunc(others, func(v View) bool { return v.Refused })
 }
 
+// wasRerouted reports whether a view says that the stream can have begun under another route.
+func wasRerouted(own View, others []View) bool {
+	return own.Rerouted || slices.ContainsFunc(others, func(v View) bool { return v.Rerouted })
+}
+
 func isKnown(o request.Origin) bool { return o.SoftwareVersion != "" }
 
 // onlyVersion returns the only version that has served in a time, by all views; empty if there were
--- a/internal/streamversion/keeper.go
+++ b/internal/streamversion/keeper.go
@@ -15,6 +15,7 @@
 	"limpethub/internal/membership"
 	"limpethub/internal/peers"
 	"limpethub/internal/request"
+	"limpethub/internal/site"
 	"limpethub/internal/verdict"
 )
 
@@ -35,6 +36,8 @@
 	maxIDBytes      = 128
 	maxVersionBytes = 64
 	maxServiceBytes = 64
+	// maxPathBytes limits the path in a question. No route has a longer prefix.
+	maxPathBytes = 2048
 	// lifeMargin is how much longer a stream is known than its caller waits.
 	lifeMargin = 2 * time.Second
 	// maxLife limits for how long a peer may have a stream recorded.
@@ -64,6 +67,7 @@
 	mu      sync.Mutex
 	records *records
 	history *history
+	routes  routes
 	// unknown counts the streams that couldn't go on because nobody knew their version.
 	unknown uint64
 }
@@ -92,6 +96,13 @@
 	k.history.confirm(asOf)
 }
 
+// ObserveRoutes takes the routes of the configuration in force.
+func (k *Keeper) ObserveRoutes(all []site.Route) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.routes.observe(k.options.Now(), all)
+}
+
 // Unknown returns how many streams couldn't go on because nobody knew their version.
 func (k *Keeper) Unknown() uint64 {
 	k.mu.Lock()
@@ -189,7 +200,7 @@
 	k.refused(&stream)
 	k.options.Logger.WithFields(logrus.Fields{
 		"resumes": stream.ID, "answers": len(others), "versions": versionsOf(own, others), "observed_ms": own.Observed.Milliseconds(),
-		"refused_before": wasRefused(own, others),
+		"refused_before": wasRefused(own, others), "rerouted": wasRerouted(own, others),
 	}).Info("A stream can't go on: nobody knows which software version began it")
 	return request.Origin{}, verdict.Refused(verdict.CodeVersionUnavailable, "nobody knows which software version began the stream")
 }
@@ -222,6 +233,7 @@
 	defer k.mu.Unlock()
 	now := k.options.Now()
 	v := k.history.view(now, stream.Service, stream.Life)
+	v.Observed, v.Rerouted = min(v.Observed, k.routes.observed(now)), k.routes.changed(now, stream)
 	v.Record, v.Refused = k.records.originOf(now, stream.ID), k.records.wasRefused(now, stream.ID)
 	return v
 }
@@ -231,14 +243,24 @@
 	ID         request.ID `cbor:"1,keyasint"`
 	Service    string     `cbor:"2,keyasint"`
 	LifeMillis int64      `cbor:"3,keyasint"`
+	// Host, Path and TimeoutMillis are empty if an instance of an earlier release asks.
+	Host          string `cbor:"4,keyasint,omitempty"`
+	Path          string `cbor:"5,keyasint,omitempty"`
+	TimeoutMillis int64  `cbor:"6,keyasint,omitempty"`
 }
 
 func questionOf(stream *request.ResumedStream) question {
-	return question{ID: stream.ID, Service: stream.Service, LifeMillis: stream.Life.Milliseconds()}
+	return question{
+		ID: stream.ID, Service: stream.Service, LifeMillis: stream.Life.Milliseconds(),
+		Host: stream.Host, Path: stream.Path[:min(len(stream.Path), maxPathBytes)], TimeoutMillis: stream.Timeout.Milliseconds(),
+	}
 }
 
 func (q *question) stream() *request.ResumedStream {
-	return &request.ResumedStream{ID: q.ID, Service: q.Service, Life: time.Duration(q.LifeMillis) * time.Millisecond}
+	return &request.ResumedStream{
+		ID: q.ID, Service: q.Service, Life: time.Duration(q.LifeMillis) * time.Millisecond,
+		Host: q.Host, Path: q.Path, Timeout: time.Duration(q.TimeoutMillis) * time.Millisecond,
+	}
 }
 
 type answer struct {
@@ -248,20 +270,28 @@
 	// Service is that of Record.
 	Service string `cbor:"4,keyasint,omitempty"`
 	Refused bool   `cbor:"5,keyasint,omitempty"`
+	// Rerouted is View.Rerouted. KnowsRoutes is false in an answer of an earlier release, which proves nothing
+	// where routes may have changed.
+	Rerouted    bool `cbor:"6,keyasint,omitempty"`
+	KnowsRoutes bool `cbor:"7,keyasint,omitempty"`
 }
 
 func answerOf(v *View) answer {
 	return answer{
 		Record: v.Record.SoftwareVersion, Service: v.Record.Service, Refused: v.Refused,
-		Versions: v.Versions, ObservedMillis: v.Observed.Milliseconds(),
+		Versions: v.Versions, ObservedMillis: v.Observed.Milliseconds(), Rerouted: v.Rerouted, KnowsRoutes: true,
 	}
 }
 
 func (a *answer) view() *View {
-	return &View{
+	v := &View{
 		Record: request.Origin{Service: a.Service, SoftwareVersion: a.Record}, Refused: a.Refused,
-		Versions: a.Versions, Observed: time.Duration(a.ObservedMillis) * time.Millisecond,
+		Versions: a.Versions, Rerouted: a.Rerouted,
 	}
+	if a.KnowsRoutes {
+		v.Observed = time.Duration(a.ObservedMillis) * time.Millisecond
+	}
+	return v
 }
 
 // ask asks other instances about a stream at the same time, until one has a record, all have answered, or
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -15,6 +15,7 @@
 	"limpethub/internal/membership"
 	"limpethub/internal/peers"
 	"limpethub/internal/request"
+	"limpethub/internal/site"
 	"limpethub/internal/verdict"
 )
 
@@ -49,6 +50,7 @@
 	n := &node{network: net, name: name}
 	net.nodes[name] = n
 	n.keeper = New(Options{Cluster: n, Transport: n, Logger: logging.Discard(), Now: time.Now})
+	n.keeper.ObserveRoutes(routesTo(timeout, service))
 	return n
 }
 
@@ -112,9 +114,30 @@
 
 const (
 	life    = 15 * time.Second
+	timeout = 4 * time.Second
 	service = "llm"
 )
 
+// stream is a stream as requests tell of it.
+func stream(id request.ID) request.ResumedStream {
+	return request.ResumedStream{ID: id, Named: true, Service: service, Life: life, Timeout: timeout, Host: "h", Path: "/s/x"}
+}
+
+// routesTo returns a route to services, by which streams find them, and one that changes nothing.
+func routesTo(timeout time.Duration, services ...string) []site.Route {
+	route := site.Route{Host: "h", PathPrefix: "/s/", TimeoutMillis: timeout.Milliseconds()}
+	for _, service := range services {
+		route.Targets = append(route.Targets, site.RouteTarget{Service: service, Weight: 1})
+	}
+	return []site.Route{route}
+}
+
+func (net *network) observeRoutes(routes []site.Route) {
+	for _, n := range net.nodes {
+		n.keeper.ObserveRoutes(routes)
+	}
+}
+
 var (
 	v1 = request.Origin{Service: service, SoftwareVersion: "v1"}
 	v2 = request.Origin{Service: service, SoftwareVersion: "v2"}
@@ -131,7 +154,7 @@
 
 func wantOrigin(t *testing.T, n *node, id request.ID, want request.Origin) {
 	t.Helper()
-	got, err := n.keeper.OriginOf(context.Background(), request.ResumedStream{ID: id, Named: true, Service: service, Life: life})
+	got, err := n.keeper.OriginOf(context.Background(), stream(id))
 	if got != want || (err == nil) != isKnown(want) {
 		t.Errorf("instance %s, stream %s: got %v, error %v, want %v", n.name, id, got, err, want)
 	}
@@ -339,3 +362,55 @@
 		wantOrigin(t, frozen, "begun since", v1)
 	})
 }
+
+// TestStreamOfARouteThatHasChangedIsNotGuessed guards against a stream that goes on at the service to which its route
+// leads now, though it began at another one, or that is taken to have lived for a shorter time than its route allowed
+// when it began.
+func TestStreamOfARouteThatHasChangedIsNotGuessed(t *testing.T) {
+	other := site.Route{Host: "h", PathPrefix: "/other/", TimeoutMillis: 60000, Targets: []site.RouteTarget{{Service: "other"}}}
+	for name, c := range map[string]struct {
+		before []site.Route
+		// refusedFor is for how long the stream is refused after the change.
+		refusedFor time.Duration
+	}{
+		"another service":         {routesTo(timeout, "old"), life},
+		"one of several services": {routesTo(timeout, "old", service), life},
+		"a longer timeout":        {routesTo(timeout+5*time.Second, service), life + 10*time.Second},
+		"a shorter timeout":       {routesTo(timeout/2, service), 0},
+		"another path":            {append(routesTo(timeout, service), other), 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			net := newNetwork(4)
+			net.observeAll(versions("v1")...)
+			net.observeRoutes(c.before)
+			net.pass(4 * life)
+			net.observeRoutes(routesTo(timeout, service))
+			t.Log(name)
+			net.pass(time.Second)
+			if c.refusedFor > 0 {
+				wantOrigin(t, net.nodes["i0"], "first", request.Origin{})
+				wantOrigin(t, net.start("i4"), "asked by an instance that has started since", request.Origin{})
+				delete(net.nodes, "i4")
+			}
+			net.pass(c.refusedFor)
+			wantOrigin(t, net.nodes["i0"], "second", v1)
+		})
+	}
+}
+
+// TestManyChangesOfRoutesTakeLittleMemory guards against tables of routes that are kept for each of many changes, and
+// against a stream that is guessed once the one under which it began was dropped.
+func TestManyChangesOfRoutesTakeLittleMemory(t *testing.T) {
+	var r routes
+	now := time.Unix(1000, 0)
+	for n := range 3 * maxTables {
+		now = now.Add(time.Second)
+		r.observe(now, routesTo(timeout, fmt.Sprint("s", n)))
+	}
+	if got := r.observed(now); len(r.tables) != maxTables || got != (maxTables-1)*time.Second {
+		t.Errorf("%d tables are kept, known for %v, want %d and no longer than the oldest of them", len(r.tables), got, maxTables)
+	}
+	if r.observe(now.Add(historyMemory+time.Hour), routesTo(timeout, "s")); len(r.tables) != 2 {
+		t.Errorf("%d tables are kept, want the present one and the one before", len(r.tables))
+	}
+}
