A version that comes and goes between two lists has served

Cause: an instance takes several changes of announcements at once, every 1 to 3 s. A server that was announced and removed within them, or that announced one version and then another, left no trace of the first version. An instance with a shorter pause may have sent it streams; with that one killed, the others agreed that only one version had served.

Change: the adapter tells announcements that were removed again as withdrawn, and all announcements of an update count as versions that have served, until the update.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -139,6 +139,7 @@
 		DecidesPlacement: func() bool { return h.manager.Holding() },
 		OnLeaving:        h.extension.AddLeavingNotice,
 		OnServers:        h.observeVersions,
+		OnAnnounced:      h.observeAnnouncements,
 		OnRead:           h.confirmVersions,
 		Logger:           d.log(logging.Routing),
 	})
@@ -252,6 +253,15 @@
 	h.streams.ObserveServers(servers)
 }
 
+// observeAnnouncements tells which software versions servers have announced, though they may have another one by now.
+func (h *hosted) observeAnnouncements(announced []discovery.Server) {
+	servers := make([]streamversion.Server, 0, len(announced))
+	for _, s := range announced {
+		servers = append(servers, streamversion.Server{Service: s.Service, Version: s.SoftwareVersion})
+	}
+	h.streams.ObserveAnnounced(servers)
+}
+
 // confirmVersions tells that the servers known after a call of the store are all that there were when it was sent.
 // That time counts because the process may have been frozen before it read the answer.
 func (h *hosted) confirmVersions() (succeeded func()) {
--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -102,8 +102,10 @@
 
 // fakeSource is a store that can be unreachable and can compact its history.
 type fakeSource struct {
-	mu          sync.Mutex
-	servers     []Server
+	mu      sync.Mutex
+	servers []Server
+	// withdrawn are the servers of which each watch with changes tells that they came and went.
+	withdrawn   []Server
 	revision    store.Revision
 	unreachable bool
 	// compacted makes all watches from an earlier revision fail.
@@ -140,7 +142,7 @@
 		case after < compacted:
 			return Update{}, store.ErrCompacted
 		case revision > after && !missesChanges:
-			return Update{Announced: servers, Revision: revision}, nil
+			return Update{Announced: servers, Withdrawn: s.withdrawn, Revision: revision}, nil
 		}
 		pause.For(ctx, 100*time.Millisecond)
 	}
@@ -356,27 +358,35 @@
 }
 
 // TestOnlyAnswersOfTheStoreConfirmTheServers guards against servers that are taken for all that there are although
-// the store gives no answer.
+// the store gives no answer, or another one came and went between two answers.
 func TestOnlyAnswersOfTheStoreConfirmTheServers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		source := &fakeSource{servers: []Server{server("a", 1, 1)}, revision: 1}
 		reads, confirmed := 0, 0
+		var announced []Server
 		w := New(Options{
 			Source: source, Sink: &fakeSink{}, Pooled: func(string) bool { return false }, Logger: logging.Discard(),
 			OnRead: func() func() {
 				reads++
 				return func() { confirmed++ }
 			},
+			OnAnnounced: func(servers []Server) { announced = append(announced, servers...) },
 		})
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
 		go w.Run(ctx)
 		time.Sleep(20 * time.Second)
 		synctest.Wait()
+		source.change(func() { source.servers, source.withdrawn = nil, []Server{server("b", 1, 1)} })
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
 		before := confirmed
 		if before == 0 {
 			t.Error("no answer of the store confirms the servers")
 		}
+		if len(announced) != 1 || announced[0].ID != "b" {
+			t.Errorf("got announcements %v, want that of the server that came and went", announced)
+		}
 		source.change(func() { source.unreachable = true })
 		time.Sleep(5 * time.Second)
 		synctest.Wait()
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,7 +39,11 @@
 
 // Update is a set of changes to announcements.
 type Update struct {
+	// Announced lists announcements, the oldest first. There may be several of a server.
 	Announced []Server
+	// Withdrawn lists those that are followed by a removal. The server may have got requests of other instances
+	// in between.
+	Withdrawn []Server
 	// Unusable lists servers whose announcement can't be parsed; Removed lists servers whose
 	// announcement is gone.
 	Unusable, Removed []string
@@ -80,6 +85,9 @@
 	// OnServers is called with all known servers when something of them has changed. It must not call the
 	// Watcher; nil means no call.
 	OnServers func([]KnownServer)
+	// OnAnnounced is called with the announcements of an update, also with those of servers that are gone again or
+	// have announced something else since. It must not call the Watcher; nil means no call.
+	OnAnnounced func([]Server)
 	// OnRead is called before each call of the store; what it returns is called once the servers are those that
 	// the call has read. Neither may call the Watcher. nil means no call.
 	OnRead func() (succeeded func())
@@ -207,6 +215,9 @@
 		}
 		r.Confirmed(now)
 	})
+	if w.options.OnAnnounced != nil {
+		w.options.OnAnnounced(slices.Concat(update.Announced, update.Withdrawn))
+	}
 	succeeded()
 	return max(update.Revision, after), nil
 }
--- a/internal/streamversion/history.go
+++ b/internal/streamversion/history.go
@@ -69,15 +69,28 @@
 		}
 	}
 	for _, server := range servers {
-		versions := h.services[server.Service]
-		if versions == nil {
-			versions = map[string]*served{}
-			h.services[server.Service] = versions
+		h.versions(server.Service)[server.Version] = &served{now: true}
+	}
+}
+
+// observeAnnounced takes servers that were there at some time since the last call of observe.
+func (h *history) observeAnnounced(now time.Time, servers []Server) {
+	for _, server := range servers {
+		versions := h.versions(server.Service)
+		if s := versions[server.Version]; s == nil || !s.now {
+			versions[server.Version] = &served{until: now}
 		}
-		versions[server.Version] = &served{now: true}
 	}
 }
 
+// versions returns the versions of a service, to be changed.
+func (h *history) versions(service string) map[string]*served {
+	if h.services[service] == nil {
+		h.services[service] = map[string]*served{}
+	}
+	return h.services[service]
+}
+
 // View is what one instance knows of a stream.
 type View struct {
 	// Record is what began the stream, if the instance knows; the zero value otherwise.
--- a/internal/streamversion/keeper.go
+++ b/internal/streamversion/keeper.go
@@ -88,6 +88,14 @@
 	k.history.observe(k.options.Now(), servers)
 }
 
+// ObserveAnnounced takes servers that have announced themselves since the last call of ObserveServers, and may be
+// gone again.
+func (k *Keeper) ObserveAnnounced(servers []Server) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.history.observeAnnounced(k.options.Now(), servers)
+}
+
 // ConfirmServers takes that the servers which were observed last were all that there were at a time, by the clock
 // of the options.
 func (k *Keeper) ConfirmServers(asOf time.Time) {
