A stream isn't gone on with at a server that was upgraded meanwhile

Cause: the scheduler keeps a resumed stream to servers of its version, but the process behind a server's id was looked up again right before the request was sent, and its version wasn't compared. Nor was it when the answer came. A server that starts again under its id with another version, and announces that in between, got the stream and was believed.

Change: a server with another version than the stream needs doesn't get the request (not run, another one may), and an answer isn't gone on with if another process has the server's name when its first event arrives. An answer that a peer passes back counts by the version that the peer names, since the peer may know another process than this instance.

Not covered: a server that has started again and whose announcement hasn't arrived when the first event does. Its answers don't tell which process gives them.

Tests: TestStreamIsNotResumedAtAServerThatWasUpgradedMeanwhile, where the stream was delivered before.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -234,9 +234,8 @@
 func (r *Relay) attempt(ctx context.Context, relayed *relayedRequest, decision scheduling.Decision) (scheduling.Outcome, error) {
 	outcome := scheduling.Outcome{ID: relayed.call.Request.ID, Server: decision.Server}
 	relayed.result.Server = decision.Server
-	server, ok := r.options.Directory.Server(decision.Server)
-	if !ok {
-		err := verdict.Refused(verdict.CodeNoServer, "server %s is gone", decision.Server)
+	server, err := r.chosenServer(relayed, decision.Server)
+	if err != nil {
 		outcome.Verdict, outcome.Err, outcome.Unsent = verdict.NotRun, err, true
 		return outcome, err
 	}
@@ -247,7 +246,7 @@
 	relayed.attemptStart = start
 	run := r.startRun(server, &relayed.call.Request)
 	attemptCtx, release := r.whileAnswered(ctx, relayed)
-	err := r.send(attemptCtx, relayed, server, run, &outcome)
+	err = r.send(attemptCtx, relayed, server, run, &outcome)
 	r.endRun(attemptCtx, relayed, run, err)
 	release()
 	outcome.Duration = r.options.Now().Sub(start)
@@ -357,6 +356,9 @@
 			return &brokenAnswerError{err: cut}
 		}
 		relayed.answerBegun(run)
+		if outcome.Tokens == 0 && r.isOtherVersion(relayed) {
+			return verdict.Unclear(verdict.CodeStreamCut, nil, "the server has another software version than the one that began the stream")
+		}
 		skip, err := relayed.checkSequence(piece)
 		if err != nil {
 			return err
--- a/internal/forward/relay_version.go
+++ b/internal/forward/relay_version.go
@@ -79,3 +79,29 @@
 	}
 	return server.SoftwareVersion
 }
+
+// chosenServer returns the server that was chosen for a request, as it is now. The error is for one that is gone, or
+// has another version by now than the stream needs that the request goes on with.
+func (r *Relay) chosenServer(relayed *relayedRequest, name string) (engine.Server, error) {
+	server, ok := r.options.Directory.Server(name)
+	if !ok {
+		return server, verdict.Refused(verdict.CodeNoServer, "server %s is gone", name)
+	}
+	if needed := relayed.call.Request.SoftwareVersion; needed != "" && server.SoftwareVersion != needed {
+		return server, verdict.Refused(verdict.CodeVersionUnavailable, "server %s has started again with another software version", name)
+	}
+	return server, nil
+}
+
+// isOtherVersion reports whether an answer that begins comes from another version than the one that began the stream
+// which it goes on with, or may do so since another process has the server's name by now.
+func (r *Relay) isOtherVersion(relayed *relayedRequest) bool {
+	if !relayed.began || relayed.softwareVersion == "" {
+		return false
+	}
+	if relayed.result.Peer != "" {
+		// The peer may have learned earlier or later than this instance which process has the name.
+		return relayed.server.SoftwareVersion != relayed.softwareVersion
+	}
+	return r.versionNow(relayed.server) != relayed.softwareVersion
+}
--- a/internal/forward/relay_version_test.go
+++ b/internal/forward/relay_version_test.go
@@ -116,3 +116,38 @@
 		t.Errorf("asked for %+v, want %+v", origins.asked, want)
 	}
 }
+
+// upgradedServers is a Directory that knows another process of each server, with another version, from the given call
+// on.
+type upgradedServers struct{ callsBefore *int }
+
+func (d upgradedServers) Server(name string) (engine.Server, bool) {
+	if *d.callsBefore--; *d.callsBefore >= 0 {
+		return engine.Server{Name: name, StartMillis: 1, SoftwareVersion: testVersion}, true
+	}
+	return engine.Server{Name: name, StartMillis: 2, SoftwareVersion: "other"}, true
+}
+
+// TestStreamIsNotResumedAtAServerThatWasUpgradedMeanwhile guards against a stream that goes on at another version since
+// the server that was chosen for it started again under its id, before the request was sent or before the answer came.
+func TestStreamIsNotResumedAtAServerThatWasUpgradedMeanwhile(t *testing.T) {
+	for name, c := range map[string]struct {
+		callsBefore int
+		verdict     verdict.Verdict
+	}{
+		"before it was sent":     {0, verdict.NotRun},
+		"before the answer came": {1, verdict.MayHaveRun},
+	} {
+		r, plane := newTestRelay(t, serverReply{status: 200, events: []int64{2, 3}})
+		r.options.Streams = &fixedOrigins{origin: request.Origin{Service: "svc", SoftwareVersion: testVersion}, begun: map[request.ID]request.Origin{}}
+		r.options.Directory = upgradedServers{callsBefore: &c.callsBefore}
+		caller := &recordingCaller{}
+		result, err := r.Relay(t.Context(), resumingCall("q", "first"), 1, caller)
+		if e := verdictOf(t, err); e.Verdict != c.verdict || result.Events > 0 {
+			t.Errorf("%s: got %v and %d events, want verdict %v and none", name, e, result.Events, c.verdict)
+		}
+		if ran := len(plane.replies) == 0; ran != (c.verdict != verdict.NotRun) {
+			t.Errorf("%s: the server got the request: %v", name, ran)
+		}
+	}
+}
