config check warns of what is probably a mistake, and lists differences

Cause: config check told only what instances refuse. A route that another one shadows or whose prefix matches nothing, a key of two workspaces, a burst that no request fits into and the like were accepted without a word.

Considered: refusing them, as the other checks do. Instances run the same checks, so that a configuration which is in force today could not be applied again.

A target that no service or pool has is a warning with its condition, since servers that announce themselves can offer plain services which the document doesn't list.

The existing golden files are unchanged.

--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -31,32 +32,97 @@
 // loadDocument reads and checks the files on the command line: a base file and an optional
 // overlay.
 func loadDocument(files []string) (site.Document, error) {
-	overlay := ""
-	if len(files) == maxFiles {
-		overlay = files[1]
+	return sitecheck.Load(files[0], overlayOf(files))
+}
+
+// overlayOf returns the overlay of the files on the command line; empty if there is none.
+func overlayOf(files []string) string {
+	if len(files) < maxFiles {
+		return ""
 	}
-	return sitecheck.Load(files[0], overlay)
+	return files[1]
+}
+
+// checkOptions are the flags of config check.
+type checkOptions struct {
+	strict  bool
+	inForce bool
+	against string
 }
 
 func (t *tool) configCheckCommand() *cobra.Command {
-	return &cobra.Command{
+	var options checkOptions
+	c := &cobra.Command{
 		Use:   "check " + filesUsage,
 		Short: "Check configuration files without an instance",
 		Long: `Check configuration files and list every problem, each with its file, line, field and
-correction. No instance is called. Exit code 3 means that there are problems.`,
-		Example: "  limpethubctl config check examples/rigline/base.json examples/rigline/pnw.json",
-		Args:    cobra.RangeArgs(minFiles, maxFiles),
-		RunE: func(_ *cobra.Command, files []string) error {
-			doc, err := loadDocument(files)
-			if err != nil {
-				return t.reportInvalid(err)
-			}
-			return t.print(checkResult{Valid: true}, func(w io.Writer) error {
-				_, err := fmt.Fprintf(w, "%s is valid: %s\n", doc.Site, summary(&doc))
-				return err
-			})
+correction. Errors are what an instance refuses; exit code 3 means that there are some.
+Warnings are what is probably a mistake: entries without effect, names that nothing has, and
+limits that contradict each other. With warnings alone the exit code is 0, or 3 with --strict.
+
+No instance is called, unless --in-force asks for the differences from the configuration in
+force. --against lists those from another file.`,
+		Example: `  limpethubctl config check examples/rigline/base.json examples/rigline/pnw.json
+  limpethubctl config check edited.json --strict --in-force`,
+		Args: cobra.RangeArgs(minFiles, maxFiles),
+		RunE: func(c *cobra.Command, files []string) error {
+			return t.checkFiles(c.Context(), files, options)
 		},
 	}
+	c.Flags().BoolVar(&options.strict, "strict", false, "fail with exit code 3 if there are warnings")
+	c.Flags().BoolVar(&options.inForce, "in-force", false, "list the differences from the configuration in force")
+	c.Flags().StringVar(&options.against, "against", "", "list the differences from another file")
+	c.MarkFlagsMutuallyExclusive("in-force", "against")
+	return c
+}
+
+func (t *tool) checkFiles(ctx context.Context, files []string, options checkOptions) error {
+	doc, err := loadDocument(files)
+	if err != nil {
+		return t.reportInvalid(err)
+	}
+	result := checkResult{Valid: true, Warnings: site.LoadAdvice(files[0], overlayOf(files))}
+	if result.Differences, err = t.differences(ctx, &doc, options); err != nil {
+		return err
+	}
+	if err := t.print(result, func(w io.Writer) error { return result.show(w, &doc) }); err != nil {
+		return err
+	}
+	if options.strict && len(result.Warnings) > 0 {
+		return &warningsError{count: len(result.Warnings)}
+	}
+	return nil
+}
+
+// differences compares a document with what the options name; nil if they name nothing.
+func (t *tool) differences(ctx context.Context, doc *site.Document, options checkOptions) (*diffResult, error) {
+	var before site.Accepted
+	switch {
+	case options.against != "":
+		var err error
+		if before.Document, err = sitecheck.Load(options.against, ""); err != nil {
+			return nil, t.reportInvalid(err)
+		}
+	case options.inForce:
+		client, err := t.client()
+		if err != nil {
+			return nil, err
+		}
+		if before, err = currentConfiguration(ctx, client); err != nil {
+			return nil, err
+		}
+	default:
+		return nil, nil
+	}
+	changes, err := site.Diff(&before.Document, doc)
+	return &diffResult{Revision: before.Revision, Changes: append([]site.Change{}, changes...)}, err
+}
+
+// warningsError means that files have warnings, which --strict doesn't allow.
+type warningsError struct{ count int }
+
+func (e *warningsError) Error() string {
+	return fmt.Sprintf("warnings found: %d, and --strict allows none", e.count)
 }
 
 // checkResult is the JSON output of config check. The other commands that check files (config
@@ -64,6 +130,29 @@
 type checkResult struct {
 	Valid    bool                `json:"valid"`
 	Problems strictjson.Problems `json:"problems,omitempty"`
+	// Warnings and Differences are only those of config check.
+	Warnings    strictjson.Problems `json:"warnings,omitempty"`
+	Differences *diffResult         `json:"differences,omitempty"`
+}
+
+func (r *checkResult) show(w io.Writer, doc *site.Document) error {
+	var lines []string
+	for _, warning := range r.Warnings {
+		lines = append(lines, "warning: "+warning.String())
+	}
+	if r.Differences != nil {
+		for _, change := range r.Differences.Changes {
+			lines = append(lines, change.String())
+		}
+		lines = append(lines, fmt.Sprintf("%d changes", len(r.Differences.Changes)))
+	}
+	valid := "valid"
+	if len(r.Warnings) > 0 {
+		valid = fmt.Sprintf("valid, with %d warnings", len(r.Warnings))
+	}
+	lines = append(lines, fmt.Sprintf("%s is %s: %s", doc.Site, valid, summary(doc)))
+	_, err := fmt.Fprintln(w, strings.Join(lines, "\n"))
+	return err
 }
 
 // reportInvalid returns err. With --output json it first prints the problems as JSON.
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -24,7 +24,7 @@
 	// ExitUsage means that the command line or the tool's own settings are wrong.
 	ExitUsage ExitCode = 2
 	// ExitInvalid means that a site's configuration or a settings file of limpethubd is not
-	// valid.
+	// valid, or that config check --strict has warnings.
 	ExitInvalid ExitCode = 3
 	// ExitConflict means that a change was not made from the revision in force, usually
 	// because another change was accepted first. Nothing was changed.
@@ -54,6 +54,7 @@
 		usage       *usageError
 		problems    strictjson.Problems
 		invalid     *operatorapi.InvalidError
+		warnings    *warningsError
 		conflict    *operatorapi.ConflictError
 		unreachable *operatorapi.UnreachableError
 		unavailable *operatorapi.UnavailableError
@@ -65,7 +66,7 @@
 		return ExitOK
 	case errors.As(err, &usage):
 		return ExitUsage
-	case errors.As(err, &problems), errors.As(err, &invalid):
+	case errors.As(err, &problems), errors.As(err, &invalid), errors.As(err, &warnings):
 		return ExitInvalid
 	case errors.As(err, &conflict):
 		return ExitConflict
