--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -130,7 +130,7 @@
 		OnUrgentUpdates: func(servers []string) { d.exchange.TriggerLoadSend(servers) },
 	})
 	h.streams = streamversion.New(streamversion.Options{
-		Cluster: d.cluster, Transport: d.plugins.peers, Logger: d.log(logging.Routing), Now: time.Now,
+		Cluster: d.cluster, Transport: d.plugins.peers, Logger: d.log(logging.Routing), Now: d.bootNow,
 	})
 	h.watcher = discovery.New(discovery.Options{
 		FailureDomain:    d.settings.FailureDomain,
@@ -141,6 +141,8 @@
 		DecidesPlacement: func() bool { return h.manager.Holding() },
 		OnLeaving:        h.extension.AddLeavingNotice,
 		OnServers:        h.observeVersions,
+		OnAnnounced:      h.observeAnnouncements,
+		OnRead:           d.confirmVersions,
 		Logger:           d.log(logging.Routing),
 	})
 	d.buildLimits(h)
@@ -255,6 +257,22 @@
 	h.streams.ObserveServers(servers)
 }
 
+// observeAnnouncements tells which software versions servers have announced, though they may have another one by now.
+func (h *hosted) observeAnnouncements(announced []discovery.Server) {
+	servers := make([]streamversion.Server, 0, len(announced))
+	for _, s := range announced {
+		servers = append(servers, streamversion.Server{Service: s.Service, Version: s.SoftwareVersion})
+	}
+	h.streams.ObserveAnnounced(servers)
+}
+
+// confirmVersions tells that the servers known after a call of the store are all that there were when it was sent.
+// That time counts because the process may have been frozen before it read the answer.
+func (d *Daemon) confirmVersions() (succeeded func()) {
+	sentAt := d.bootNow()
+	return func() { d.hosted.streams.ConfirmServers(sentAt) }
+}
+
 // pauseRespectingProber sends no probe to a server that wants nothing from this instance for a while.
 type pauseRespectingProber struct {
 	engine.Prober
@@ -397,6 +415,7 @@
 	inForce.Routes = site.NewRouteTable(&inForce.Document)
 	inForce.Workspaces = workspace.NewTable(&inForce.Accepted)
 	h.inForce.Store(inForce)
+	h.streams.ObserveRoutes(inForce.Document.Routes)
 	h.watcher.Refresh()
 	h.manager.Wake()
 }
--- a/internal/forward/relay_version.go
+++ b/internal/forward/relay_version.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"limpethub/internal/engine"
@@ -13,12 +14,10 @@
 // StreamVersions knows, for the whole fleet, which software version began a stream. See package
 // streamversion.
 type StreamVersions interface {
-	// Began records what began a stream, which its caller takes up again until the deadline at the latest.
-	Began(id request.ID, origin request.Origin, deadline time.Time)
-	// OriginOf returns what began a stream, given the longest time that it can have lived and the only
-	// service that it can have begun at; an empty service means that there are several. The error is a
-	// *verdict.Error with NotRun.
-	OriginOf(ctx context.Context, id request.ID, service string, life time.Duration) (request.Origin, error)
+	// Began records what began a stream, whose caller waits for so long.
+	Began(id request.ID, origin request.Origin, waits time.Duration)
+	// OriginOf returns what began a stream. The error is a *verdict.Error with NotRun.
+	OriginOf(ctx context.Context, stream request.ResumedStream) (request.Origin, error)
 }
 
 // findOrigin finds out what began the stream that a request goes on with, if it does.
@@ -33,11 +32,7 @@
 	if r.options.Streams == nil || relayed.lastEventID == noEventID || !isStream {
 		return nil
 	}
-	service := q.Service
-	if len(q.Services) > 0 {
-		service = ""
-	}
-	origin, err := r.options.Streams.OriginOf(ctx, q.Stream(), service, q.StreamLife)
+	origin, err := r.options.Streams.OriginOf(ctx, resumedStream(&relayed.call))
 	if err != nil {
 		return r.errorMapper.verdictError(ctx, err)
 	}
@@ -49,6 +44,20 @@
 	return nil
 }
 
+// resumedStream describes the stream that a request goes on with.
+func resumedStream(call *engine.Call) request.ResumedStream {
+	q := &call.Request
+	path, _, _ := strings.Cut(call.Path, "?")
+	stream := request.ResumedStream{
+		ID: q.Stream(), Named: q.Resumes != "", Service: q.Service, Life: q.StreamLife, Timeout: q.RouteTimeout,
+		Host: call.Header.Get("Host"), Path: path,
+	}
+	if len(q.Services) > 0 {
+		stream.Service = ""
+	}
+	return stream
+}
+
 // beginStream records, before the caller gets the first event, which software version began the stream.
 // From then on only servers with that version go on with it.
 func (r *Relay) beginStream(relayed *relayedRequest) {
@@ -58,7 +67,7 @@
 	}
 	q := &relayed.call.Request
 	if r.options.Streams != nil && relayed.result.Events == 0 && q.Idempotent && q.PassedOnBy == "" {
-		r.options.Streams.Began(q.Stream(), request.Origin{Service: q.Service, SoftwareVersion: relayed.softwareVersion}, q.Deadline)
+		r.options.Streams.Began(q.Stream(), request.Origin{Service: q.Service, SoftwareVersion: relayed.softwareVersion}, q.Deadline.Sub(r.options.Now()))
 	}
 }
 
@@ -70,3 +79,29 @@
 	}
 	return server.SoftwareVersion
 }
+
+// chosenServer returns the server that was chosen for a request, as it is now. The error is for one that is gone, or
+// has another version by now than the stream needs that the request goes on with.
+func (r *Relay) chosenServer(relayed *relayedRequest, name string) (engine.Server, error) {
+	server, ok := r.options.Directory.Server(name)
+	if !ok {
+		return server, verdict.Refused(verdict.CodeNoServer, "server %s is gone", name)
+	}
+	if needed := relayed.call.Request.SoftwareVersion; needed != "" && server.SoftwareVersion != needed {
+		return server, verdict.Refused(verdict.CodeVersionUnavailable, "server %s has started again with another software version", name)
+	}
+	return server, nil
+}
+
+// isOtherVersion reports whether an answer that begins comes from another version than the one that began the stream
+// which it goes on with, or may do so since another process has the server's name by now.
+func (r *Relay) isOtherVersion(relayed *relayedRequest) bool {
+	if !relayed.began || relayed.softwareVersion == "" {
+		return false
+	}
+	if relayed.result.Peer != "" {
+		// The peer may have learned earlier or later than this instance which process has the name.
+		return relayed.server.SoftwareVersion != relayed.softwareVersion
+	}
+	return r.versionNow(relayed.server) != relayed.softwareVersion
+}
--- a/internal/forward/relay_version_test.go
+++ b/internal/forward/relay_version_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -16,11 +17,16 @@
 	origin request.Origin
 	err    error
 	begun  map[request.ID]request.Origin
+	// asked is the stream that was asked for last.
+	asked request.ResumedStream
 }
 
-func (f *fixedOrigins) Began(id request.ID, origin request.Origin, _ time.Time) { f.begun[id] = origin }
+func (f *fixedOrigins) Began(id request.ID, origin request.Origin, _ time.Duration) {
+	f.begun[id] = origin
+}
 
-func (f *fixedOrigins) OriginOf(context.Context, request.ID, string, time.Duration) (request.Origin, error) {
+func (f *fixedOrigins) OriginOf(_ context.Context, stream request.ResumedStream) (request.Origin, error) {
+	f.asked = stream
 	return f.origin, f.err
 }
 
@@ -92,3 +98,56 @@
 		t.Error("the stream went on at another server")
 	}
 }
+
+// TestRouteOfAResumedStreamIsTold guards against a stream whose route has changed and isn't found by those who know
+// the routes of before.
+func TestRouteOfAResumedStreamIsTold(t *testing.T) {
+	r, _ := newTestRelay(t, serverReply{status: 200, events: []int64{2, 3}})
+	origins := &fixedOrigins{origin: request.Origin{Service: "svc", SoftwareVersion: testVersion}, begun: map[request.ID]request.Origin{}}
+	r.options.Streams = origins
+	call := resumingCall("second", "first")
+	call.Path, call.Header = "/s/x?q=1", http.Header{"Host": {"h"}}
+	call.Request.StreamLife, call.Request.RouteTimeout = 9*time.Second, 2*time.Second
+	if _, err := r.Relay(t.Context(), call, 1, &recordingCaller{}); err != nil {
+		t.Fatal(err)
+	}
+	want := request.ResumedStream{ID: "first", Named: true, Service: "svc", Life: 9 * time.Second, Timeout: 2 * time.Second, Host: "h", Path: "/s/x"}
+	if origins.asked != want {
+		t.Errorf("asked for %+v, want %+v", origins.asked, want)
+	}
+}
+
+// upgradedServers is a Directory that knows another process of each server, with another version, from the given call
+// on.
+type upgradedServers struct{ callsBefore *int }
+
+func (d upgradedServers) Server(name string) (engine.Server, bool) {
+	if *d.callsBefore--; *d.callsBefore >= 0 {
+		return engine.Server{Name: name, StartMillis: 1, SoftwareVersion: testVersion}, true
+	}
+	return engine.Server{Name: name, StartMillis: 2, SoftwareVersion: "other"}, true
+}
+
+// TestStreamIsNotResumedAtAServerThatWasUpgradedMeanwhile guards against a stream that goes on at another version since
+// the server that was chosen for it started again under its id, before the request was sent or before the answer came.
+func TestStreamIsNotResumedAtAServerThatWasUpgradedMeanwhile(t *testing.T) {
+	for name, c := range map[string]struct {
+		callsBefore int
+		verdict     verdict.Verdict
+	}{
+		"before it was sent":     {0, verdict.NotRun},
+		"before the answer came": {1, verdict.MayHaveRun},
+	} {
+		r, plane := newTestRelay(t, serverReply{status: 200, events: []int64{2, 3}})
+		r.options.Streams = &fixedOrigins{origin: request.Origin{Service: "svc", SoftwareVersion: testVersion}, begun: map[request.ID]request.Origin{}}
+		r.options.Directory = upgradedServers{callsBefore: &c.callsBefore}
+		caller := &recordingCaller{}
+		result, err := r.Relay(t.Context(), resumingCall("q", "first"), 1, caller)
+		if e := verdictOf(t, err); e.Verdict != c.verdict || result.Events > 0 {
+			t.Errorf("%s: got %v and %d events, want verdict %v and none", name, e, result.Events, c.verdict)
+		}
+		if ran := len(plane.replies) == 0; ran != (c.verdict != verdict.NotRun) {
+			t.Errorf("%s: the server got the request: %v", name, ran)
+		}
+	}
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -40,6 +40,21 @@
 	Service, SoftwareVersion string
 }
 
+// ResumedStream is a stream that a request goes on with, as far as the request tells.
+type ResumedStream struct {
+	// ID is that of the request that brought its first event. Named is false if the caller didn't tell it; ID is
+	// that of the request that goes on with the stream then.
+	ID    ID
+	Named bool
+	// Service is the only service that the stream can have begun at; empty if there are several.
+	Service string
+	// Life is how far back the request can have arrived that last brought an event of the stream. Timeout is the
+	// timeout of its route.
+	Life, Timeout time.Duration
+	// Host and Path are those of the request that goes on with it, by which its route is found.
+	Host, Path string
+}
+
 // Stream returns the ID under which all instances know the stream: that of the request that brought its
 // first event.
 func (r *Request) Stream() ID {
@@ -57,8 +72,11 @@
 	// Resumes is the ID of the request that brought the first event of the stream which this one goes on
 	// with; empty if the caller names none.
 	Resumes ID
-	// StreamLife is how long the stream can have lived that the request goes on with.
+	// StreamLife is how far back the request can have arrived that last brought an event of the stream which this
+	// one goes on with.
 	StreamLife time.Duration
+	// RouteTimeout is the timeout of the request's route; 0 if it has none.
+	RouteTimeout time.Duration
 	// SoftwareVersion is the version that the server's software must have, since it began the stream which
 	// the request goes on with; empty means any.
 	SoftwareVersion string
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -15,6 +15,7 @@
 	"limpethub/internal/membership"
 	"limpethub/internal/peers"
 	"limpethub/internal/request"
+	"limpethub/internal/site"
 	"limpethub/internal/verdict"
 )
 
@@ -33,6 +34,8 @@
 	dead atomic.Bool
 	// cut is true while the instance reaches no other one.
 	cut atomic.Bool
+	// frozen is true while the instance gets no answer of the store.
+	frozen bool
 }
 
 func newNetwork(n int) *network {
@@ -47,6 +50,7 @@
 	n := &node{network: net, name: name}
 	net.nodes[name] = n
 	n.keeper = New(Options{Cluster: n, Transport: n, Logger: logging.Discard(), Now: time.Now})
+	n.keeper.ObserveRoutes(routesTo(timeout, service))
 	return n
 }
 
@@ -56,6 +60,19 @@
 	}
 }
 
+// pass lets time pass, in which the store goes on answering all instances but those that are frozen.
+func (net *network) pass(d time.Duration) {
+	const step = time.Second
+	for ; d > 0; d -= step {
+		time.Sleep(min(d, step))
+		for _, n := range net.nodes {
+			if !n.frozen {
+				n.keeper.ConfirmServers(time.Now())
+			}
+		}
+	}
+}
+
 func (n *node) Self() string { return n.name }
 
 func (n *node) Members() []membership.Member {
@@ -97,9 +114,30 @@
 
 const (
 	life    = 15 * time.Second
+	timeout = 4 * time.Second
 	service = "llm"
 )
 
+// stream is a stream as requests tell of it.
+func stream(id request.ID) request.ResumedStream {
+	return request.ResumedStream{ID: id, Named: true, Service: service, Life: life, Timeout: timeout, Host: "h", Path: "/s/x"}
+}
+
+// routesTo returns a route to services, by which streams find them, and one that changes nothing.
+func routesTo(timeout time.Duration, services ...string) []site.Route {
+	route := site.Route{Host: "h", PathPrefix: "/s/", TimeoutMillis: timeout.Milliseconds()}
+	for _, service := range services {
+		route.Targets = append(route.Targets, site.RouteTarget{Service: service, Weight: 1})
+	}
+	return []site.Route{route}
+}
+
+func (net *network) observeRoutes(routes []site.Route) {
+	for _, n := range net.nodes {
+		n.keeper.ObserveRoutes(routes)
+	}
+}
+
 var (
 	v1 = request.Origin{Service: service, SoftwareVersion: "v1"}
 	v2 = request.Origin{Service: service, SoftwareVersion: "v2"}
@@ -116,7 +154,7 @@
 
 func wantOrigin(t *testing.T, n *node, id request.ID, want request.Origin) {
 	t.Helper()
-	got, err := n.keeper.OriginOf(context.Background(), id, service, life)
+	got, err := n.keeper.OriginOf(context.Background(), stream(id))
 	if got != want || (err == nil) != isKnown(want) {
 		t.Errorf("instance %s, stream %s: got %v, error %v, want %v", n.name, id, got, err, want)
 	}
@@ -132,12 +170,12 @@
 		synctest.Test(t, func(t *testing.T) {
 			net := newNetwork(size)
 			net.observeAll(versions("v1", "v2")...)
-			time.Sleep(life)
+			net.pass(life)
 			for n := range 40 {
 				id := request.ID(fmt.Sprint("stream", n))
 				origin := []request.Origin{v1, v2}[n%2]
 				began := net.nodes[fmt.Sprint("i", n%size)]
-				began.keeper.Began(id, origin, time.Now().Add(life))
+				began.keeper.Began(id, origin, life)
 				if size > 2 {
 					began.dead.Store(true)
 				}
@@ -165,7 +203,7 @@
 		net := newNetwork(8)
 		net.observeAll(versions("v1", "v1", "v1")...)
 		wantOrigin(t, net.nodes["i0"], "just started", request.Origin{})
-		time.Sleep(life)
+		net.pass(life)
 		wantOrigin(t, net.nodes["i0"], "one version all the time", v1)
 		cut := net.nodes["i1"]
 		cut.cut.Store(true)
@@ -180,8 +218,12 @@
 		wantOrigin(t, net.nodes["i0"], "a version that this instance doesn't know of", request.Origin{})
 		net.observeAll(versions("v2")...)
 		wantOrigin(t, net.nodes["i0"], "a version that has gone", request.Origin{})
-		time.Sleep(life + time.Second)
+		net.pass(life + time.Second)
 		wantOrigin(t, net.nodes["i0"], "the other version all the time", v2)
+		net.nodes["i2"].keeper.ObserveAnnounced(versions("v3", "v2"))
+		wantOrigin(t, net.nodes["i2"], "a version that has come and gone between two lists", request.Origin{})
+		net.pass(life + time.Second)
+		wantOrigin(t, net.nodes["i2"], "long after it", v2)
 		net.observeAll(versions("v2", "")...)
 		wantOrigin(t, net.nodes["i0"], "a server without a version", request.Origin{})
 	})
@@ -193,7 +235,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		net := newNetwork(8)
 		net.observeAll(versions("v1")...)
-		time.Sleep(life)
+		net.pass(life)
 		started := net.start("i3")
 		started.keeper.ObserveServers(versions("v1"))
 		wantOrigin(t, started, "s", v1)
@@ -206,12 +248,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		net := newNetwork(4)
 		net.observeAll(versions("v1")...)
-		time.Sleep(life)
-		if got, err := net.nodes["i0"].keeper.OriginOf(t.Context(), "s", "", life); err == nil {
+		net.pass(life)
+		if got, err := net.nodes["i0"].keeper.OriginOf(t.Context(), request.ResumedStream{ID: "s", Named: true, Life: life}); err == nil {
 			t.Errorf("got %v, want that nobody knows", got)
 		}
-		net.nodes["i1"].keeper.Began("s", v1, time.Now().Add(life))
-		if got, err := net.nodes["i0"].keeper.OriginOf(t.Context(), "s", "", life); err != nil || got != v1 {
+		net.nodes["i1"].keeper.Began("s", v1, life)
+		if got, err := net.nodes["i0"].keeper.OriginOf(t.Context(), request.ResumedStream{ID: "s", Named: true, Life: life}); err != nil || got != v1 {
 			t.Errorf("got %v, error %v, want %v", got, err, v1)
 		}
 	})
@@ -223,13 +265,13 @@
 		net := newNetwork(2)
 		k := net.nodes["i0"].keeper
 		for n := range maxRecords + 100 {
-			k.Began(request.ID(fmt.Sprint(n)), v1, time.Now().Add(life))
+			k.Began(request.ID(fmt.Sprint(n)), v1, life)
 		}
 		if n := len(k.records.byID); n > maxRecords || n != k.records.order.Len() {
 			t.Errorf("%d streams are known, want at most %d", n, maxRecords)
 		}
 		time.Sleep(life + lifeMargin)
-		k.Began("last", v1, time.Now().Add(life))
+		k.Began("last", v1, life)
 		if n := len(k.records.byID); n != 1 {
 			t.Errorf("%d streams are known after their end, want the last one", n)
 		}
@@ -246,6 +288,7 @@
 		{}, {ID: "a", Version: "v", LifeMillis: 1}, {ID: "a", Service: "s", LifeMillis: 1}, {ID: "a", Version: "v", Service: "s"},
 		{ID: "a", Version: "v", Service: "s", LifeMillis: -1}, {ID: "a", Version: "v", Service: "s", LifeMillis: 1 << 60},
 		{ID: request.ID(long), Version: "v", Service: "s", LifeMillis: 1}, {ID: "a", Version: long, Service: "s", LifeMillis: 1},
+		{ID: "a", Refused: true, Version: "v", Service: "s", LifeMillis: 1}, {ID: "a", Refused: true},
 	} {
 		payload, err := cbor.Marshal(b)
 		if err != nil {
@@ -268,7 +311,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		net := newNetwork(8)
 		net.observeAll(versions("v1")...)
-		time.Sleep(life)
+		net.pass(life)
 		asking := net.nodes["i0"]
 		for _, holder := range asking.keeper.nearest("s", holdersPerStream) {
 			net.nodes[holder.Name].dead.Store(true)
@@ -283,3 +326,95 @@
 		wantOrigin(t, asking, "s", request.Origin{})
 	})
 }
+
+// TestStreamThatWasRefusedIsntServedOnceNobodyRemembersItsVersion guards against a stream of a version that has left,
+// which goes on at another one because its caller tries for longer than streams are expected to live.
+func TestStreamThatWasRefusedIsntServedOnceNobodyRemembersItsVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(8)
+		net.observeAll(versions("v2")...)
+		for n := range 12 {
+			wantOrigin(t, net.nodes[fmt.Sprint("i", n%8)], "begun at v1", request.Origin{})
+			net.pass(life / 3)
+		}
+		wantOrigin(t, net.nodes["i0"], "another", v2)
+		net.nodes["i1"].keeper.Began("begun at v1", v2, life)
+		wantOrigin(t, net.nodes["i0"], "begun at v1", v2)
+	})
+}
+
+// TestInstanceThatWasFrozenProvesNoVersion guards against a stream that goes on at the wrong version since an
+// instance that has got no news of the servers, frozen or cut off from the store, claims to have seen all that time:
+// a version came and went meanwhile, and all that knew it were killed.
+func TestInstanceThatWasFrozenProvesNoVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(4)
+		net.observeAll(versions("v1")...)
+		net.pass(2 * life)
+		frozen := net.nodes["i0"]
+		frozen.frozen = true
+		net.pass(2 * life)
+		for _, name := range []string{"i1", "i2", "i3"} {
+			net.start(name).keeper.ObserveServers(versions("v1"))
+		}
+		wantOrigin(t, net.nodes["i1"], "begun at v2", request.Origin{})
+		frozen.frozen = false
+		net.pass(time.Second)
+		wantOrigin(t, net.nodes["i2"], "begun at v2", request.Origin{})
+		wantOrigin(t, frozen, "begun at v2 too", request.Origin{})
+		net.pass(life)
+		wantOrigin(t, frozen, "begun since", v1)
+	})
+}
+
+// TestStreamOfARouteThatHasChangedIsNotGuessed guards against a stream that goes on at the service to which its route
+// leads now, though it began at another one, or that is taken to have lived for a shorter time than its route allowed
+// when it began.
+func TestStreamOfARouteThatHasChangedIsNotGuessed(t *testing.T) {
+	other := site.Route{Host: "h", PathPrefix: "/other/", TimeoutMillis: 60000, Targets: []site.RouteTarget{{Service: "other"}}}
+	for name, c := range map[string]struct {
+		before []site.Route
+		// refusedFor is for how long the stream is refused after the change.
+		refusedFor time.Duration
+	}{
+		"another service":         {routesTo(timeout, "old"), life},
+		"one of several services": {routesTo(timeout, "old", service), life},
+		"a longer timeout":        {routesTo(timeout+5*time.Second, service), life + 10*time.Second},
+		"a shorter timeout":       {routesTo(timeout/2, service), 0},
+		"another path":            {append(routesTo(timeout, service), other), 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			net := newNetwork(4)
+			net.observeAll(versions("v1")...)
+			net.observeRoutes(c.before)
+			net.pass(4 * life)
+			net.observeRoutes(routesTo(timeout, service))
+			t.Log(name)
+			net.pass(time.Second)
+			if c.refusedFor > 0 {
+				wantOrigin(t, net.nodes["i0"], "first", request.Origin{})
+				wantOrigin(t, net.start("i4"), "asked by an instance that has started since", request.Origin{})
+				delete(net.nodes, "i4")
+			}
+			net.pass(c.refusedFor)
+			wantOrigin(t, net.nodes["i0"], "second", v1)
+		})
+	}
+}
+
+// TestManyChangesOfRoutesTakeLittleMemory guards against tables of routes that are kept for each of many changes, and
+// against a stream that is guessed once the one under which it began was dropped.
+func TestManyChangesOfRoutesTakeLittleMemory(t *testing.T) {
+	var r routes
+	now := time.Unix(1000, 0)
+	for n := range 3 * maxTables {
+		now = now.Add(time.Second)
+		r.observe(now, routesTo(timeout, fmt.Sprint("s", n)))
+	}
+	if got := r.observed(now); len(r.tables) != maxTables || got != (maxTables-1)*time.Second {
+		t.Errorf("%d tables are kept, known for %v, want %d and no longer than the oldest of them", len(r.tables), got, maxTables)
+	}
+	if r.observe(now.Add(historyMemory+time.Hour), routesTo(timeout, "s")); len(r.tables) != 2 {
+		t.Errorf("%d tables are kept, want the present one and the one before", len(r.tables))
+	}
+}
