Origins of streams are archived while several versions serve

After all instances were killed amid a release, nobody knew which software version had begun a stream, and every resumption was refused with 503 although servers with the version were there.

While the servers of a service have, or within the life of a stream had, several versions, the instance that begins a stream tells an archivist, one instance of 32 alive, chosen by hash. It writes what is new with at most one call a second. Streams that began before the second version appeared are told then, and those of an archivist that ends are told to the next one. An instance that is asked for a stream that no peer remembers reads the archive, within the time in which it asks its peers.

Considered: a ring of keys that are used again. Taken: slots that are only appended to, under a random prefix for each process, each with a lease that is never renewed. No write can replace a stream that still lives, and nothing depends on the time of day.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -59,6 +59,9 @@
 	// that a larger one gets the lease if there is one.
 	fullHolderCores = 0.4
 	maxClaimDelay   = 400 * time.Millisecond
+	// streamArchivePrefix is the prefix of the keys that hold the software versions of streams. Instances of
+	// all versions read them, so it may not change.
+	streamArchivePrefix = "limpethub/streams/"
 )
 
 // claimDelay returns how long an instance of the given capacity waits before it claims a
@@ -127,6 +130,7 @@
 	})
 	h.streams = streamversion.New(streamversion.Options{
 		Cluster: d.cluster, Transport: d.plugins.peers, Logger: d.log(logging.Routing), Now: time.Now,
+		Store: d.plugins.storeFor(purposeStreams), ArchivePrefix: streamArchivePrefix, Registerer: d.registry,
 	})
 	h.watcher = discovery.New(discovery.Options{
 		FailureDomain:    d.settings.FailureDomain,
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -26,6 +26,8 @@
 const (
 	purposeConfig = storecall.PurposeConfig
 	purposePlacer = storecall.PurposeLedger
+	// purposeStreams is for what began streams.
+	purposeStreams = storecall.PurposeStreams
 )
 
 // plugins holds the plug-ins that the settings name.
@@ -268,6 +270,7 @@
 		d.run(d.hosted.watcher.Run)
 		d.run(d.watchReach)
 		d.run(d.hosted.manager.Run)
+		d.run(d.hosted.streams.Run)
 		return nil
 	}
 	d.run(d.monitor.Run)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -36,6 +36,9 @@
 	KindStreams
 	// KindRelay is for callers' requests that an instance passes on; see package peerrelay.
 	KindRelay
+	// KindArchive is for the software versions of streams that are to be written to the store; see package
+	// streamversion.
+	KindArchive
 )
 
 // Handler receives messages from authenticated peers.
--- a/internal/storecall/storecall.go
+++ b/internal/storecall/storecall.go
@@ -25,7 +25,9 @@
 	PurposeConfig Purpose = "config"
 	PurposeLease  Purpose = "lease"
 	PurposeLedger Purpose = "ledger"
-	PurposeOther  Purpose = "other"
+	// PurposeStreams is for the software versions that began streams.
+	PurposeStreams Purpose = "streams"
+	PurposeOther   Purpose = "other"
 )
 
 // Options configures a Store.
--- a/internal/streamversion/keeper.go
+++ b/internal/streamversion/keeper.go
@@ -10,11 +10,13 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"limpethub/internal/membership"
 	"limpethub/internal/peers"
 	"limpethub/internal/request"
+	"limpethub/internal/store"
 	"limpethub/internal/verdict"
 )
 
@@ -25,7 +27,7 @@
 	// askedPerStream is how many instances are asked: the holders, and others that only know which versions
 	// have served, in case the holders have ended.
 	askedPerStream = 5
-	// askTimeout limits the time for the questions: the caller waits.
+	// askTimeout limits the time for the questions and for the archive: the caller waits.
 	askTimeout = 250 * time.Millisecond
 	// settledAfter is when those that haven't answered yet aren't waited for any more if those that have
 	// suffice to know that only one version has served.
@@ -54,11 +56,17 @@
 	Transport peers.Transport
 	Logger    *logrus.Entry
 	Now       func() time.Time
+	// Store holds the archive under ArchivePrefix, which outlasts all instances; nil if there is none.
+	Store         store.Store
+	ArchivePrefix string
+	// Registerer registers the metrics of the archive; nil means that they are not exported.
+	Registerer prometheus.Registerer
 }
 
 // Keeper knows which versions began streams. It is safe for concurrent use.
 type Keeper struct {
 	options Options
+	archive *archive
 
 	mu      sync.Mutex
 	records *records
@@ -73,9 +81,20 @@
 func New(options Options) *Keeper {
 	k := &Keeper{options: options, records: newRecords(), history: newHistory()}
 	options.Transport.Handle(peers.KindStreams, k)
+	k.archive = newArchive(options, k.hasSeveral)
 	return k
 }
 
+// Run keeps the archive until ctx ends.
+func (k *Keeper) Run(ctx context.Context) { k.archive.run(ctx) }
+
+// hasSeveral reports whether the servers of a service have had several versions within a time.
+func (k *Keeper) hasSeveral(service string, life time.Duration) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.history.view(k.options.Now(), service, life).Versions) > 1
+}
+
 // ObserveServers takes all servers that are known now. It must not be called again before it returns.
 func (k *Keeper) ObserveServers(servers []Server) {
 	k.mu.Lock()
@@ -113,6 +132,7 @@
 		return
 	}
 	k.add(now, &b)
+	k.archive.began(id, origin, now.Add(time.Duration(b.LifeMillis)*time.Millisecond))
 	payload, err := cbor.Marshal(b)
 	if err != nil {
 		k.options.Logger.WithField("request", id).WithError(err).Error("The software version of a stream can't be told to other instances: encoding failed")
@@ -169,15 +189,26 @@
 	if isKnown(own.Record) {
 		return own.Record, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	archived := k.archive.lookUp(ctx, id)
 	others := k.ask(ctx, own, question{ID: id, Service: service, LifeMillis: life.Milliseconds()})
 	if origin := conclude(own, others, service, life); isKnown(origin) {
 		return origin, nil
 	}
+	outcome := lookupUnused
+	// Instances whose records differ know the stream, but not what began it.
+	if !slices.ContainsFunc(others, func(v View) bool { return isKnown(v.Record) }) {
+		var origin request.Origin
+		if origin, outcome = archived(); isKnown(origin) {
+			return origin, nil
+		}
+	}
 	k.mu.Lock()
 	k.unknown++
 	k.mu.Unlock()
 	k.options.Logger.WithFields(logrus.Fields{
-		"resumes": id, "answers": len(others), "versions": versionsOf(own, others), "observed_ms": own.Observed.Milliseconds(),
+		"resumes": id, "answers": len(others), "versions": versionsOf(own, others), "observed_ms": own.Observed.Milliseconds(), "archive": outcome,
 	}).Info("A stream can't go on: nobody knows which software version began it")
 	return request.Origin{}, verdict.Refused(verdict.CodeVersionUnavailable, "nobody knows which software version began the stream")
 }
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -23,6 +23,8 @@
 	nodes map[string]*node
 	// datagrams counts what was sent of streams, and bytes their payloads, by sender.
 	datagrams, bytes map[string]int
+	// store holds the archive; nil if there is none.
+	store *memoryStore
 }
 
 type node struct {
@@ -46,7 +48,14 @@
 func (net *network) start(name string) *node {
 	n := &node{network: net, name: name}
 	net.nodes[name] = n
-	n.keeper = New(Options{Cluster: n, Transport: n, Logger: logging.Discard(), Now: time.Now})
+	options := Options{Cluster: n, Transport: n, Logger: logging.Discard(), Now: time.Now}
+	if net.store != nil {
+		options.Store, options.ArchivePrefix = net.store, "archive/"
+		// The clocks of instances differ by years.
+		ahead := time.Duration(len(net.nodes)) * 10_000 * time.Hour
+		options.Now = func() time.Time { return time.Now().Add(ahead) }
+	}
+	n.keeper = New(options)
 	return n
 }
 
@@ -76,6 +85,8 @@
 	n.network.bytes[n.name] += len(payload)
 	if other, ok := n.reaches(name); ok && kind == peers.KindStreams {
 		other.keeper.HandleDatagram(n.name, payload)
+	} else if ok {
+		other.keeper.archive.HandleDatagram(n.name, payload)
 	}
 	return true
 }
