A slot whose write failed is written again as a whole

A failed write may also mean that the slot has vanished. Writing its streams twice is harmless and bounded by the size of a slot. Without it TestStoreThatFailsJoinsNothing fails.

--- a/internal/streamversion/journal.go
+++ b/internal/streamversion/journal.go
@@ -134,15 +134,13 @@
 	w.slot.written = append(w.slot.written, w.added...)
 }
 
-// failed records a write that failed. The slot is given up unless the store has refused the write before it took effect,
-// since its revision isn't known any more. If it may have vanished, or if the store has lost its last
-// writes, all of its streams are written again. It returns how many were dropped.
+// failed records a write that failed. Unless the store has refused the write before it took effect, the slot is given up
+// and all of its streams are written again: its revision isn't known any more, and it may have vanished with
+// its lease or with the store's last writes. It returns how many streams were dropped.
 func (j *journal) failed(now time.Time, w *slotWrite, err error) (dropped int) {
 	again := w.added
-	if errors.Is(err, store.ErrLeaseLost) || errors.Is(err, store.ErrConflict) {
-		again = append(slices.Clone(w.slot.written), again...)
-	}
 	if !errors.Is(err, store.ErrThrottled) {
+		again = append(w.slot.written, again...)
 		j.open = nil
 	}
 	later := j.pending
