--- a/internal/streamversion/keeper.go
+++ b/internal/streamversion/keeper.go
@@ -10,12 +10,14 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"limpethub/internal/membership"
 	"limpethub/internal/peers"
 	"limpethub/internal/request"
 	"limpethub/internal/site"
+	"limpethub/internal/store"
 	"limpethub/internal/verdict"
 )
 
@@ -26,7 +28,7 @@
 	// askedPerStream is how many instances are asked: the holders, and others that only know which versions
 	// have served, in case the holders have ended.
 	askedPerStream = 5
-	// askTimeout limits the time for the questions: the caller waits.
+	// askTimeout limits the time for the questions and for the archive: the caller waits.
 	askTimeout = 250 * time.Millisecond
 	// settledAfter is when those that haven't answered yet aren't waited for any more if those that have
 	// suffice to know that only one version has served.
@@ -58,11 +60,17 @@
 	Logger    *logrus.Entry
 	// Now should keep running while the machine is suspended, so that old knowledge is known to be old.
 	Now func() time.Time
+	// Store holds the archive under ArchivePrefix, which outlasts all instances; nil if there is none.
+	Store         store.Store
+	ArchivePrefix string
+	// Registerer registers the metrics of the archive; nil means that they are not exported.
+	Registerer prometheus.Registerer
 }
 
 // Keeper knows which versions began streams. It is safe for concurrent use.
 type Keeper struct {
 	options Options
+	archive *archive
 
 	mu      sync.Mutex
 	records *records
@@ -78,9 +86,20 @@
 func New(options Options) *Keeper {
 	k := &Keeper{options: options, records: newRecords(), history: newHistory()}
 	options.Transport.Handle(peers.KindStreams, k)
+	k.archive = newArchive(options, k.hasSeveral)
 	return k
 }
 
+// Run keeps the archive until ctx ends.
+func (k *Keeper) Run(ctx context.Context) { k.archive.run(ctx) }
+
+// hasSeveral reports whether the servers of a service have had several versions within a time.
+func (k *Keeper) hasSeveral(service string, life time.Duration) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.history.view(k.options.Now(), service, life).Versions) > 1
+}
+
 // ObserveServers takes all servers that are known now. It must not be called again before it returns.
 func (k *Keeper) ObserveServers(servers []Server) {
 	k.mu.Lock()
@@ -147,6 +166,9 @@
 		return
 	}
 	k.add(now, b)
+	if !b.Refused {
+		k.archive.began(b.ID, request.Origin{Service: b.Service, SoftwareVersion: b.Version}, now.Add(time.Duration(b.LifeMillis)*time.Millisecond))
+	}
 	payload, err := cbor.Marshal(b)
 	if err != nil {
 		k.options.Logger.WithField("request", b.ID).WithError(err).Error("The software version of a stream can't be told to other instances: encoding failed")
@@ -201,14 +223,25 @@
 	if isKnown(own.Record) {
 		return own.Record, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	archived := k.archive.lookUp(ctx, stream.ID)
 	others := k.ask(ctx, own, &stream)
 	if origin := conclude(own, others, &stream); isKnown(origin) {
 		return origin, nil
 	}
+	outcome := lookupUnused
+	// Instances whose records differ know the stream, but not what began it.
+	if !slices.ContainsFunc(others, func(v View) bool { return isKnown(v.Record) }) {
+		var origin request.Origin
+		if origin, outcome = archived(); isKnown(origin) {
+			return origin, nil
+		}
+	}
 	k.refused(&stream)
 	k.options.Logger.WithFields(logrus.Fields{
 		"resumes": stream.ID, "answers": len(others), "versions": versionsOf(own, others), "observed_ms": own.Observed.Milliseconds(),
-		"refused_before": wasRefused(own, others), "rerouted": wasRerouted(own, others),
+		"refused_before": wasRefused(own, others), "rerouted": wasRerouted(own, others), "archive": outcome,
 	}).Info("A stream can't go on: nobody knows which software version began it")
 	return request.Origin{}, verdict.Refused(verdict.CodeVersionUnavailable, "nobody knows which software version began the stream")
 }
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -24,6 +24,10 @@
 	nodes map[string]*node
 	// datagrams counts what was sent of streams, and bytes their payloads, by sender.
 	datagrams, bytes map[string]int
+	// store holds the archive; nil if there is none.
+	store *memoryStore
+	// knowsOthers is true once instances know each other.
+	knowsOthers bool
 }
 
 type node struct {
@@ -39,7 +43,7 @@
 }
 
 func newNetwork(n int) *network {
-	net := &network{nodes: map[string]*node{}, datagrams: map[string]int{}, bytes: map[string]int{}}
+	net := &network{knowsOthers: true, nodes: map[string]*node{}, datagrams: map[string]int{}, bytes: map[string]int{}}
 	for i := range n {
 		net.start(fmt.Sprint("i", i))
 	}
@@ -49,7 +53,14 @@
 func (net *network) start(name string) *node {
 	n := &node{network: net, name: name}
 	net.nodes[name] = n
-	n.keeper = New(Options{Cluster: n, Transport: n, Logger: logging.Discard(), Now: time.Now})
+	options := Options{Cluster: n, Transport: n, Logger: logging.Discard(), Now: time.Now}
+	if net.store != nil {
+		options.Store, options.ArchivePrefix = net.store, "archive/"
+		// The clocks of instances differ by years.
+		ahead := time.Duration(len(net.nodes)) * 10_000 * time.Hour
+		options.Now = func() time.Time { return time.Now().Add(ahead) }
+	}
+	n.keeper = New(options)
 	n.keeper.ObserveRoutes(routesTo(timeout, service))
 	return n
 }
@@ -78,6 +89,9 @@
 func (n *node) Members() []membership.Member {
 	var out []membership.Member
 	for name := range n.network.nodes {
+		if !n.network.knowsOthers && name != n.name {
+			continue
+		}
 		out = append(out, membership.Member{Identity: membership.Identity{Name: name, PeerAddress: name}, State: membership.Alive})
 	}
 	return out
@@ -93,6 +107,8 @@
 	n.network.bytes[n.name] += len(payload)
 	if other, ok := n.reaches(name); ok && kind == peers.KindStreams {
 		other.keeper.HandleDatagram(n.name, payload)
+	} else if ok {
+		other.keeper.archive.HandleDatagram(n.name, payload)
 	}
 	return true
 }
