--- a/internal/engine/passthrough.go
+++ b/internal/engine/passthrough.go
@@ -13,6 +13,9 @@
 	Running, Waiting int
 	// Slots is the most requests that the server can run at once, as MaxBatch of a Report.
 	Slots int
+	// MomentaryPercent is how long work takes on the server's machine right now, in percent of the usual
+	// time; 0 if the server doesn't state it. It is a single sample and changes many times a second.
+	MomentaryPercent int
 }
 
 // AnswerHead is the status line and the headers of a server's answer.
