Servers' speed: learn it from answers, share it, and use it in predictions and limits

Servers of one service differ in speed and some slow down before their slots are taken. Predictions for a pair of target and server follow this only where an instance has samples of that pair, which is hardly ever the case with hundreds of instances.

Package pace keeps a decaying average of the ratio of actual and expected time per server. The expectation is a new reference in package predict: time per token, and a line over the prompt's length for the first token. Digests carry the samples since the last digest, so that peers add them up without state per peer and nothing is echoed. Predictions, waits, backlogs and the limit use the factor; within a dead band it is exactly 1. While servers differ, requests are spread over the better half by two random choices, and slow servers get sparse probes. Digests that are sent early carry no speed, since they name only some servers.

--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -203,9 +202,8 @@
 
 // sendServerLoads sends the load of only some servers to all peers.
 func (e *exchange) sendServerLoads(servers []string) {
-	d := e.loadDigest()
-	d.Loads = slices.DeleteFunc(d.Loads, func(l digest.ServerLoad) bool { return !slices.Contains(servers, l.Server) })
-	e.broadcast(d)
+	e.sequence++
+	e.broadcast(digest.FromServerDigests(e.cluster.Self(), e.sequence, e.dispatcher.DigestOf(servers)))
 }
 
 // sendNotices sends all peers the notices of the extension, regardless of the byte budget,
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -281,6 +282,27 @@
 	return d.scheduler.Digest()
 }
 
+// DigestOf returns this instance's outstanding work on some servers, to send to peers without delay.
+func (d *Dispatcher) DigestOf(servers []string) []scheduling.ServerDigest {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.DigestOf(servers)
+}
+
+// ServerSpeeds returns what the scheduler assumes of the speed of each server.
+func (d *Dispatcher) ServerSpeeds() []scheduling.ServerSpeed {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.ServerSpeeds(d.now())
+}
+
+// SlowProbes returns how many requests were sent to slow servers to see whether they still are.
+func (d *Dispatcher) SlowProbes() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.SlowProbes()
+}
+
 // Preview returns what the scheduler would decide now about a request, without admitting it.
 func (d *Dispatcher) Preview(r request.Request) scheduling.Preview {
 	d.mu.Lock()
@@ -372,10 +394,12 @@
 	if d.onUrgentUpdates != nil {
 		changedServers = d.scheduler.TakeUrgentUpdates()
 	}
+	speedChanges := d.scheduler.TakeSpeedChanges()
 	d.mu.Unlock()
 	if len(changedServers) > 0 {
 		d.onUrgentUpdates(changedServers)
 	}
+	d.logSpeedChanges(speedChanges)
 	for _, l := range logs {
 		d.logDecision(l.request, l.decision, l.waited)
 	}
@@ -457,5 +481,16 @@
 	}).Info(ActionName(decision.Action))
 }
 
+// logSpeedChanges logs which servers were found slow or have recovered.
+func (d *Dispatcher) logSpeedChanges(changes []scheduling.SpeedChange) {
+	for _, c := range changes {
+		message := "A server has recovered its usual speed"
+		if c.Slow {
+			message = "A server is slower than the others of its service"
+		}
+		d.logger.WithFields(logrus.Fields{"server": c.Server, "factor": math.Round(c.Factor*100) / 100}).Info(message)
+	}
+}
+
 // ActionName returns the name of an action in logs and in answers to operators.
 func ActionName(a scheduling.Action) string { return actionNames[a] }
--- a/internal/peers/digest/digest.go
+++ b/internal/peers/digest/digest.go
@@ -10,6 +10,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
@@ -17,6 +18,7 @@
 	"limpethub/internal/modelref"
 	"limpethub/internal/peers"
 	"limpethub/internal/scheduling"
+	"limpethub/internal/scheduling/pace"
 )
 
 // ServerLoad is the load of the sender's own requests on one backend server.
@@ -31,6 +33,20 @@
 	// PendingPrefillTokens is the number of those requests' prompt tokens that the server
 	// has yet to prefill.
 	PendingPrefillTokens int `cbor:"5,keyasint,omitempty"`
+	// Light and Crowded are what the sender's samples since its last digest show about the speed of the
+	// server, with less than half of its slots in use and with more; nil if that doesn't matter.
+	Light   *SpeedSample `cbor:"6,keyasint,omitempty"`
+	Crowded *SpeedSample `cbor:"7,keyasint,omitempty"`
+}
+
+// SpeedSample is an average of samples of a server's speed. Whole numbers keep it small.
+type SpeedSample struct {
+	// Percent is the time as a share of the usual time.
+	Percent int `cbor:"1,keyasint"`
+	// Tenths is the weight of the samples, in tenths of a sample.
+	Tenths int `cbor:"2,keyasint"`
+	// LoadPercent is the share of the server's slots that was in use.
+	LoadPercent int `cbor:"3,keyasint,omitempty"`
 }
 
 // ModelDemand is the sender's demand for one model or adapter version since the start of its
@@ -131,16 +147,18 @@
 
 // Sizes for splitting a digest into datagrams.
 const (
-	// itemOverheadBytes is the most bytes that one item needs besides its strings and the
-	// entries of Classes.
+	// itemOverheadBytes is the most bytes that one item needs besides its strings, the
+	// entries of Classes and speed samples.
 	itemOverheadBytes = 50
 	// headerOverheadBytes is the most bytes that a datagram's header (Instance, Sequence and
 	// Process) and the array headers need besides the strings.
 	headerOverheadBytes = 48
 	// classBytes is the most that CBOR needs for one entry of ServerLoad.Classes, a
 	// number of requests below 2^32.
-	classBytes   = 5
-	maxNameBytes = 256
+	classBytes = 5
+	// speedSampleBytes is the most that CBOR needs for a SpeedSample.
+	speedSampleBytes = 14
+	maxNameBytes     = 256
 )
 
 var errMalformed = errors.New("digest: malformed: the instance name is empty or too long, or a server load has a negative number or too many classes")
@@ -159,7 +177,7 @@
 		s.current.Lease = d.Lease
 	}
 	for _, load := range d.Loads {
-		s.reserve(len(load.Server) + classBytes*len(load.Classes))
+		s.reserve(len(load.Server) + classBytes*len(load.Classes) + load.speedBytes())
 		s.current.Loads = append(s.current.Loads, load)
 	}
 	for _, demand := range d.Demands {
@@ -186,6 +204,17 @@
 	return s.datagrams, s.err
 }
 
+// speedBytes returns the most bytes that the speed samples need.
+func (l *ServerLoad) speedBytes() int {
+	bytes := 0
+	for _, sample := range []*SpeedSample{l.Light, l.Crowded} {
+		if sample != nil {
+			bytes += speedSampleBytes
+		}
+	}
+	return bytes
+}
+
 // splitter fills one datagram after the other. Each begins with the same header.
 type splitter struct {
 	header    Digest
@@ -255,11 +284,40 @@
 func FromServerDigests(instance string, sequence uint64, serverDigests []scheduling.ServerDigest) Digest {
 	d := Digest{Instance: instance, Sequence: sequence}
 	for _, r := range serverDigests {
-		d.Loads = append(d.Loads, ServerLoad{Server: r.Server, Outstanding: r.Outstanding, Tokens: r.Tokens, Classes: r.Classes, PendingPrefillTokens: r.PendingPrefillTokens})
+		d.Loads = append(d.Loads, ServerLoad{
+			Server: r.Server, Outstanding: r.Outstanding, Tokens: r.Tokens, Classes: r.Classes, PendingPrefillTokens: r.PendingPrefillTokens,
+			Light: sampleOf(r.Speed.Light), Crowded: sampleOf(r.Speed.Crowded),
+		})
 	}
 	return d
 }
 
+// Bounds of SpeedSample. What lies beyond them can't be meant; see package pace.
+const (
+	minSpeedPercent, maxSpeedPercent = 5, 2000
+	maxSpeedTenths                   = 200
+)
+
+// sampleOf returns the sample as it is sent; nil if there is none.
+func sampleOf(p pace.Part) *SpeedSample {
+	if p.Weight <= 0 {
+		return nil
+	}
+	return &SpeedSample{
+		Percent:     min(max(int(math.Round(p.Factor*100)), minSpeedPercent), maxSpeedPercent),
+		Tenths:      min(max(int(math.Round(p.Weight*10)), 1), maxSpeedTenths),
+		LoadPercent: int(math.Round(p.Load * 100)),
+	}
+}
+
+// part returns the sample as package pace uses it; an empty part if it is malformed.
+func (s *SpeedSample) part() pace.Part {
+	if s == nil || s.Percent < minSpeedPercent || s.Percent > maxSpeedPercent || s.Tenths <= 0 || s.Tenths > maxSpeedTenths || s.LoadPercent < 0 || s.LoadPercent > 100 {
+		return pace.Part{}
+	}
+	return pace.Part{Factor: float64(s.Percent) / 100, Weight: float64(s.Tenths) / 10, Load: float64(s.LoadPercent) / 100}
+}
+
 // ServerDigests returns the digest's loads in the form that package scheduling uses.
 func (d Digest) ServerDigests() []scheduling.ServerDigest {
 	out := make([]scheduling.ServerDigest, 0, len(d.Loads))
@@ -271,6 +329,7 @@
 			Tokens:               load.Tokens,
 			Classes:              load.Classes,
 			PendingPrefillTokens: load.PendingPrefillTokens,
+			Speed:                pace.Estimate{Light: load.Light.part(), Crowded: load.Crowded.part()},
 			Sequence:             d.Sequence,
 		})
 	}
--- a/internal/scheduling/candidate.go
+++ b/internal/scheduling/candidate.go
@@ -66,6 +66,7 @@
 	}
 	total, ahead := s.load.Total(now), s.load.TotalUpTo(now, in.class)
 	limit := s.limitFor(in.request)
+	slowdown := s.slowdown(now)
 	return routing.Candidate{
 		Name:          s.Name,
 		Near:          s.Near,
@@ -77,12 +78,12 @@
 		Share:         c.share(limit),
 		Cached:        cached,
 		PrefillTokens: prefillTokens,
-		Backlog:       s.backlog(now, tc),
-		PrefillTime:   in.prefillTime(tc, prefillTokens),
+		Backlog:       scaled(s.backlog(now, tc), s.pace.momentarySlowdown(now)),
+		PrefillTime:   scaled(in.prefillTime(tc, prefillTokens), slowdown),
 		PrefixSaving:  in.prefixSaving(tc),
 		Probe:         in.probe,
-		Wait:          s.predictServerWait(total, ahead),
-		Estimate:      tc.speed.Estimate(now, prefillTokens, in.request.MaxTokens, cached),
+		Wait:          scaled(s.predictServerWait(total, ahead), s.pace.momentarySlowdown(now)),
+		Estimate:      tc.speed.Estimate(now, prefillTokens, in.request.MaxTokens, cached).Scaled(slowdown),
 	}
 }
 
@@ -95,7 +96,7 @@
 		return 0
 	}
 	completions := max(0, ahead-batch) + 1
-	return time.Duration(completions) * s.meanDuration / time.Duration(batch)
+	return time.Duration(completions) * s.expectedDuration() / time.Duration(batch)
 }
 
 // choose asks the routing policy for a copy of the target. It returns nil if no usable copy
@@ -156,6 +157,13 @@
 		c.query.Affinity = in.shared.Key
 		c.query.MaxBacklog = backlogLimit(in.request)
 	}
+	if c.differs(now) {
+		c.query.Spread = true
+		if i := c.slowProbe(now, in); i >= 0 {
+			c.candidates[i].SlowProbe = true
+			return c.candidateCopies[i], c.candidates[i]
+		}
+	}
 	i := c.policy.Choose(&c.query, c.candidates)
 	if i < 0 {
 		return nil, routing.Candidate{}
@@ -187,17 +195,20 @@
 )
 
 // limitFor returns how many requests that are at least as urgent the server may have when it gets
-// the request. For a stream it is so low that its first event can meet the objective.
+// the request. A server that slows down with more has a lower limit. For a stream it is so low that its first event can meet the objective.
 //
 // The load is an overload of streams with a short objective: a limit that only keeps the server
 // busy lets each of them wait in the server for longer than its objective, where it can't go to
 // another copy or behind a request that is still in time.
 func (s *server) limitFor(r *request.Request) int {
 	limit, batch := s.limit.Value(), s.limit.Batch()
+	if s.pace.limit > 0 {
+		limit = min(limit, s.pace.limit)
+	}
 	if batch == 0 || r.FirstEventBy.IsZero() || r.Objective.IsZero() || s.meanDuration <= 0 {
 		return limit
 	}
-	mayWait := objectiveShareInServer * float64(r.Objective.Sub(r.Arrived)) / float64(s.meanDuration)
+	mayWait := objectiveShareInServer * float64(r.Objective.Sub(r.Arrived)) / float64(s.expectedDuration())
 	return min(limit, int(float64(batch)*(1+max(minWaitingShare, mayWait))))
 }
 
@@ -217,7 +228,7 @@
 			continue
 		}
 		cached := holders.Has(now, tc.server.Name)
-		e := tc.speed.Estimate(now, r.PromptTokens, r.MaxTokens, cached)
+		e := tc.speed.Estimate(now, r.PromptTokens, r.MaxTokens, cached).Scaled(tc.server.pace.factor)
 		if !e.Known {
 			return 0, false
 		}
--- a/internal/scheduling/core.go
+++ b/internal/scheduling/core.go
@@ -10,6 +10,7 @@
 	"limpethub/internal/engine"
 	"limpethub/internal/modelref"
 	"limpethub/internal/request"
+	"limpethub/internal/scheduling/pace"
 	"limpethub/internal/scheduling/quota"
 	"limpethub/internal/site"
 	"limpethub/internal/verdict"
@@ -110,6 +111,8 @@
 	// PendingPrefillTokens is how many prompt tokens of those requests the server has yet to
 	// prefill.
 	PendingPrefillTokens int
+	// Speed is what the peer's samples show about the speed of the server that earlier digests didn't.
+	Speed pace.Estimate
 	// Sequence numbers the peer's digests; all entries of one digest carry the same number.
 	Sequence uint64
 }
@@ -187,6 +190,15 @@
 	// TakeUrgentUpdates returns the servers whose load peers should learn without delay, and
 	// clears the list.
 	TakeUrgentUpdates() []string
-	// Digest returns this instance's outstanding requests per server, for its peers.
+	// Digest returns this instance's outstanding requests per server, for its peers, and what it has
+	// learned of the servers' speed since the last digest.
 	Digest() []ServerDigest
+	// DigestOf returns the outstanding requests on the given servers, without their speed.
+	DigestOf(servers []string) []ServerDigest
+	// TakeSpeedChanges returns the servers that were found slow or have recovered, and clears the list.
+	TakeSpeedChanges() []SpeedChange
+	// ServerSpeeds returns what is assumed of the speed of each server.
+	ServerSpeeds(now time.Time) []ServerSpeed
+	// SlowProbes returns how many requests were sent to slow servers only to see whether they still are.
+	SlowProbes() uint64
 }
--- a/internal/scheduling/decide.go
+++ b/internal/scheduling/decide.go
@@ -40,8 +40,18 @@
 	serverFull bool
 	// predictedWait is the predicted wait in the server.
 	predictedWait time.Duration
+	// predictedBacklog is the predicted time in which the server prefills earlier prompts.
+	predictedBacklog time.Duration
 	// estimate is the predicted duration without the wait.
 	estimate predict.Estimate
+	// dispatchedAt is when the request was dispatched.
+	dispatchedAt time.Time
+	// windowStart is when the last tokens arrived from which the server's speed was learned, and
+	// windowTokens how many there were until then; zero before the first token.
+	windowStart  time.Time
+	windowTokens int
+	// resumed is true if the request goes on with a stream.
+	resumed bool
 }
 
 // attempt is a request that needs a decision, with what is known of its earlier attempts.
@@ -67,6 +77,7 @@
 // decide dispatches, queues or refuses a request. The requests that wait for the same servers
 // are dispatched first, so that a new request never overtakes them.
 func (c *core) decide(now time.Time, a attempt) []Decision {
+	c.refreshPaces(now)
 	out := c.expire(now, nil)
 	r := &a.request
 	if !now.Before(r.Deadline) {
@@ -130,11 +141,14 @@
 	c.dispatched[a.request.ID] = &dispatchedRequest{
 		target: tc.target, targetCopy: tc, class: a.request.Class, deadline: a.request.Deadline,
 		prefillTokens: chosen.PrefillTokens, maxTokens: a.request.MaxTokens,
-		cached:        chosen.Cached,
-		mayBeCached:   mayBeCached(&a.request, chosen.PrefillTokens),
-		serverFull:    chosen.Ahead+1 >= chosen.Limit,
-		predictedWait: chosen.Wait,
-		estimate:      chosen.Estimate,
+		cached:           chosen.Cached,
+		mayBeCached:      mayBeCached(&a.request, chosen.PrefillTokens),
+		serverFull:       chosen.Ahead+1 >= chosen.Limit,
+		predictedWait:    chosen.Wait,
+		predictedBacklog: chosen.Backlog,
+		estimate:         chosen.Estimate,
+		dispatchedAt:     now,
+		resumed:          a.request.SoftwareVersion != "",
 	}
 	if a.request.Suspect {
 		c.dispatched[a.request.ID].suspect = true
@@ -143,6 +157,9 @@
 	if chosen.Probe {
 		tc.target.lastProbe = now
 	}
+	if chosen.SlowProbe {
+		c.slowProbeSent(now, s)
+	}
 	tc.target.dispatched++
 	s.load.Dispatched(now, a.request.Class)
 	if s.quota != nil {
--- a/internal/scheduling/digest.go
+++ b/internal/scheduling/digest.go
@@ -22,6 +22,11 @@
 	c.peers[digest.Instance] = now
 	s.load.ObserveDigest(now, digest.Instance, digest.outstandingByClass(), digest.Sequence)
 	s.observePendingPrefill(now, digest.Instance, digest.PendingPrefillTokens)
+	if !digest.Speed.Empty() {
+		s.pace.Merge(now, digest.Speed)
+		c.learnsPaces = true
+	}
+	c.refreshPaces(now)
 	return c.expireAndDispatch(now, s)
 }
 
@@ -51,10 +56,27 @@
 }
 
 func (c *core) Digest() []ServerDigest {
+	out := c.digestOf(func(*server) bool { return true })
+	for i := range out {
+		out[i].Speed = c.servers[out[i].Server].pace.Estimate(c.pacesAt)
+	}
+	return out
+}
+
+// DigestOf implements Scheduler.
+func (c *core) DigestOf(servers []string) []ServerDigest {
+	return c.digestOf(func(s *server) bool { return slices.Contains(servers, s.Name) })
+}
+
+// digestOf returns the outstanding requests on the servers that the filter passes.
+func (c *core) digestOf(passes func(*server) bool) []ServerDigest {
 	c.digestSequence++
 	tokens := c.tokensLeft()
 	out := make([]ServerDigest, 0, len(c.digestsLeft))
 	for s, left := range c.digestsLeft {
+		if !passes(s) {
+			continue
+		}
 		out = append(out, ServerDigest{
 			Instance: c.instance, Server: s.Name,
 			Outstanding: s.load.Own(), Classes: s.load.OwnByClass(), Tokens: tokens[s], PendingPrefillTokens: s.pendingPrefillTokens, Sequence: c.digestSequence,
--- a/internal/scheduling/finish.go
+++ b/internal/scheduling/finish.go
@@ -20,6 +20,7 @@
 	delete(c.dispatched, o.ID)
 	d.target.dispatched--
 	s := d.targetCopy.server
+	c.refreshPaces(now)
 	s.load.Finished(now, d.class)
 	d.clearPendingPrefill()
 	d.clearSuspicion()
@@ -40,19 +41,21 @@
 	s := d.targetCopy.server
 	c.budgetOf(d.target).Success(now)
 	s.failures = 0
+	c.learnEnd(now, d, o)
 	d.targetCopy.speed.Observe(now, predict.Sample{
 		PromptTokens: d.prefillTokens, MaxTokens: d.maxTokens, Tokens: o.Tokens,
 		Cached:      d.cached,
 		MayBeCached: d.mayBeCached,
 		FirstToken:  o.FirstToken, Duration: o.Duration,
+		ServerFactor: s.pace.factor,
 	})
 	s.limit.Observe(now, limit.Observation{
 		Expected: d.predictedWait + d.estimate.TotalFor(o.Tokens), Actual: o.Duration, Full: d.serverFull,
 	})
-	s.observeDuration(o.Duration)
+	s.observeDuration(scaled(o.Duration, 1/s.pace.factor))
 }
 
-// observeDuration updates the mean duration of requests on the server.
+// observeDuration updates the mean duration of requests on the server with one that was divided by its factor.
 func (s *server) observeDuration(sample time.Duration) {
 	if s.meanDuration == 0 {
 		s.meanDuration = sample
@@ -60,11 +63,16 @@
 	s.meanDuration += (sample - s.meanDuration) / 8
 }
 
+// expectedDuration returns the mean duration of requests on the server at its current speed.
+func (s *server) expectedDuration() time.Duration { return scaled(s.meanDuration, s.pace.factor) }
+
 // recordFailure keeps new requests away from a server that is leaving, refuses requests or
 // fails them. A failure that isn't the server's fault keeps nothing away.
 func (c *core) recordFailure(now time.Time, d *dispatchedRequest, o Outcome) {
 	s := d.targetCopy.server
-	d.targetCopy.speed.ObserveIncomplete(now, o.Tokens, o.Duration-o.FirstToken)
+	if s.pace.factor == 1 {
+		d.targetCopy.speed.ObserveIncomplete(now, o.Tokens, o.Duration-o.FirstToken)
+	}
 	s.observeRejection(now, o)
 	var e *verdict.Error
 	switch {
@@ -97,9 +105,10 @@
 	return true
 }
 
-func (c *core) Progress(_ time.Time, id request.ID, tokens int) {
+func (c *core) Progress(now time.Time, id request.ID, tokens int) {
 	if d := c.dispatched[id]; d != nil {
 		d.answerTokens = tokens
+		c.learnProgress(now, d, tokens)
 		d.clearPendingPrefill()
 		d.clearSuspicion()
 	}
--- a/internal/scheduling/predict/speed.go
+++ b/internal/scheduling/predict/speed.go
@@ -19,6 +19,9 @@
 	decodeStep average
 }
 
+// ReportsStep reports whether the server's reports tell how fast it is.
+func (s *Server) ReportsStep() bool { return s.decodeStep.known() }
+
 // ObserveStep takes the duration of a decode step from a server's report; 0 means that the
 // server doesn't report it.
 func (s *Server) ObserveStep(now time.Time, step time.Duration) {
@@ -39,8 +42,12 @@
 	// aggregate holds what was learned of all targets together. It is used while nothing
 	// is known of this one.
 	aggregate *Target
+	reference Reference
 }
 
+// Reference returns how long the target takes on a server of usual speed.
+func (t *Target) Reference() *Reference { return &t.reference }
+
 // NewTarget returns a target without samples. All targets share one aggregate, which is
 // itself made by NewTarget(nil).
 func NewTarget(aggregate *Target) *Target {
@@ -100,10 +107,27 @@
 	FirstToken time.Duration
 	// Duration is the time from dispatch to the end of the answer.
 	Duration time.Duration
+	// ServerFactor is how long the server takes, as a multiple of what is usual in its service. If it
+	// isn't 1, the sample only says something about the target: the times are divided by it.
+	ServerFactor float64
 }
 
 // Observe learns from a completed answer.
 func (s *Speed) Observe(now time.Time, sample Sample) {
+	if sample.ServerFactor > 0 && sample.ServerFactor != 1 {
+		sample.FirstToken = scaled(sample.FirstToken, 1/sample.ServerFactor)
+		sample.Duration = scaled(sample.Duration, 1/sample.ServerFactor)
+		unused := NewSpeed(s.server, s.target)
+		unused.observe(now, sample)
+		return
+	}
+	s.observe(now, sample)
+}
+
+// Forget drops the samples of this server. They don't count for another speed of the server.
+func (s *Speed) Forget() { *s = *NewSpeed(s.server, s.target) }
+
+func (s *Speed) observe(now time.Time, sample Sample) {
 	s.duration.add(now, float64(sample.Duration))
 	s.target.duration.add(now, float64(sample.Duration))
 	if sample.MaxTokens > 0 {
@@ -179,6 +203,21 @@
 	return time.Duration(s.uncachedPrefillPerToken() * float64(tokens))
 }
 
+// Scaled returns the estimate for a server that takes the given multiple of the time.
+func (e Estimate) Scaled(factor float64) Estimate {
+	if factor == 1 {
+		return e
+	}
+	e.FirstToken = scaled(e.FirstToken, factor)
+	e.PerToken = scaled(e.PerToken, factor)
+	e.Total = scaled(e.Total, factor)
+	return e
+}
+
+func scaled(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * factor)
+}
+
 // TotalFor returns the predicted time to the end of an answer with the given number of tokens.
 func (e Estimate) TotalFor(tokens int) time.Duration {
 	if e.PerToken == 0 || !e.Known {
--- a/internal/scheduling/prefill.go
+++ b/internal/scheduling/prefill.go
@@ -94,7 +94,7 @@
 			tokens += peer.tokens
 		}
 	}
-	return tc.speed.PrefillTime(tokens)
+	return scaled(tc.speed.PrefillTime(tokens), s.pace.factor)
 }
 
 // prefixSaving predicts the time to prefill the shared part of the prompt.
--- a/internal/scheduling/routing/nearequal.go
+++ b/internal/scheduling/routing/nearequal.go
@@ -32,9 +32,15 @@
 func (nearEqual) Pick(q *Query, scored []Scored) int {
 	best := indexOfLowest(scored)
 	bound := scored[best].Score*(1+tolerance) + toleranceSeconds
+	if q.Spread {
+		bound = max(bound, spreadBound(scored))
+	}
 	if q.Affinity != 0 {
 		return pickByAffinity(q.Affinity, scored, bound+affinityShare*scored[best].PrefixSaving.Seconds())
 	}
+	if q.Spread {
+		return pickOfTwo(q, scored, bound)
+	}
 	nearServers, allServers := 0, 0
 	for i := range scored {
 		if scored[i].Score > bound {
--- a/internal/scheduling/routing/routing.go
+++ b/internal/scheduling/routing/routing.go
@@ -31,6 +31,9 @@
 	// MaxBacklog is the highest backlog of a server that may get the request; 0 means no
 	// limit.
 	MaxBacklog time.Duration
+	// Spread is true if the servers differ in speed, or did a short time ago. Then no server may get all
+	// requests that are decided on the same information, however much better it is than the others.
+	Spread bool
 	// DecisionCount counts the decisions about the same target. It drives round-robin picking.
 	DecisionCount uint64
 }
@@ -72,6 +75,8 @@
 	// Probe lets the request pass the filters that use predictions, so that its answer corrects
 	// them. It doesn't make room on a full server.
 	Probe bool
+	// SlowProbe is true for a slow server that gets the request only to see whether it still is slow.
+	SlowProbe bool
 	// Wait is the predicted wait in the server.
 	Wait time.Duration
 	// Estimate is the predicted duration without the wait.
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -51,6 +51,16 @@
 	// digests in which it still appears once it is idle.
 	digestsLeft    map[*server]int
 	digestSequence uint64
+	// learnsPaces is true once a sample of a server's speed was taken or heard of. pacesAt is when the
+	// factors of the servers were last computed, and usualAt when what is usual was.
+	learnsPaces      bool
+	pacesAt, usualAt time.Time
+	speedChanges     []SpeedChange
+	// changeCredit is how many changes of speed may be told now.
+	changeCredit float64
+	// probeCredit is how many probes to slow servers may be sent now, and slowProbes how many were.
+	probeCredit float64
+	slowProbes  uint64
 	// urgentUpdates lists the servers whose load peers should learn without delay.
 	urgentUpdates []string
 	// pass numbers the attempts to find the next waiting request for a server. It increases at
--- a/internal/scheduling/server.go
+++ b/internal/scheduling/server.go
@@ -63,16 +63,18 @@
 	// this instance's part of it while a server of its service is brittle, else nil.
 	saysBrittle bool
 	room        *room.Room
+	// pace is how fast the server is compared with the others of its service.
+	pace serverPace
 	// suspects is how many of this instance's requests on the server may crash it.
 	suspects int
 	// meanDuration is the mean duration of this instance's requests on the server. It includes
 	// the wait in the server, so that predictions made from it also allow for more urgent
-	// requests that arrive later and go first.
+	// requests that arrive later and go first. It is divided by the server's factor; see expectedDuration.
 	meanDuration time.Duration
 }
 
 func newServer() *server {
-	return &server{knownCopies: map[targetKey]*targetCopy{}, limit: limit.New()}
+	return &server{knownCopies: map[targetKey]*targetCopy{}, limit: limit.New(), pace: serverPace{factor: 1}}
 }
 
 // usable reports whether the server may get new requests at now.
@@ -114,6 +116,7 @@
 	}
 	if s.StartMillis != info.StartMillis {
 		s.quota = nil
+		s.pace = serverPace{factor: 1}
 	}
 	same := slices.Equal(s.Services, info.Services) && s.Pool == info.Pool
 	s.Server = info
@@ -173,6 +176,7 @@
 		return nil
 	}
 	s.limit.ObserveBatch(reported.Slots)
+	s.pace.observeMomentary(now, reported)
 	c.updateRoom(s)
 	s.load.ObserveReport(now, load.Report{Taken: now, Total: reported.Running + reported.Waiting})
 	return c.expireAndDispatch(now, s)
