--- a/internal/ctl/lists.go
+++ b/internal/ctl/lists.go
@@ -68,7 +68,10 @@
 		Short: "List backend servers with their memory and load",
 		Long: `List backend servers with their memory and load. Committed memory is that of the
 resident copies, and of copies that pending orders may still load. RESIDENT is the
-number of resident copies in the table, and the list of their names in JSON.`,
+number of resident copies in the table, and the list of their names in JSON.
+If servers of a service differ in speed, SLOWDOWN is the time that one takes as a
+multiple of the usual time, and LIMIT the most requests that it gets since it slows
+down with more.`,
 		Example: "  limpethubctl servers --output json",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -84,14 +87,33 @@
 }
 
 func serverTable(servers []operatorapi.ServerStatus) *table {
-	out := newTable("SERVER", "KIND", "STATE", "FAILURE DOMAIN", "COMMITTED MIB", "SIZE MIB", "RUNNING", "WAITING", "REPORT AGE", "RESIDENT")
+	header := []string{"SERVER", "KIND", "STATE", "FAILURE DOMAIN", "COMMITTED MIB", "SIZE MIB", "RUNNING", "WAITING", "REPORT AGE", "RESIDENT"}
+	differ := slices.ContainsFunc(servers, func(s operatorapi.ServerStatus) bool { return s.Slowdown != 0 || s.Limit != 0 })
+	if differ {
+		header = append(header, "SLOWDOWN", "LIMIT")
+	}
+	out := newTable(header...)
 	for _, s := range servers {
-		out.add(s.Name, s.Kind, s.State, s.FailureDomain, formatMemory(s, s.CommittedMB), formatMemory(s, s.MemoryMB),
-			s.Running, s.Waiting, fmt.Sprintf("%d ms", s.ReportAgeMillis), len(s.Resident))
+		row := []any{
+			s.Name, s.Kind, s.State, s.FailureDomain, formatMemory(s, s.CommittedMB), formatMemory(s, s.MemoryMB),
+			s.Running, s.Waiting, fmt.Sprintf("%d ms", s.ReportAgeMillis), len(s.Resident),
+		}
+		if differ {
+			row = append(row, formatDifference(s.Slowdown), formatDifference(float64(s.Limit)))
+		}
+		out.add(row...)
 	}
 	return out
 }
 
+// formatDifference formats a number that is 0 for a server that doesn't differ from others.
+func formatDifference(value float64) string {
+	if value == 0 {
+		return ""
+	}
+	return fmt.Sprint(value)
+}
+
 // formatMemory formats a size in MiB. It returns "" for a server of kind service, which holds
 // no models.
 func formatMemory(s operatorapi.ServerStatus, mib int64) string {
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"limpethub/internal/confsync"
@@ -10,6 +11,7 @@
 	"limpethub/internal/membership"
 	"limpethub/internal/operatorapi"
 	"limpethub/internal/placer"
+	"limpethub/internal/scheduling"
 	"limpethub/internal/servers"
 	"limpethub/internal/site"
 )
@@ -31,7 +33,7 @@
 		Placement: placementStatus(snapshot),
 		Store:     d.storeStatus(),
 		Instances: d.instanceStatuses(ctx),
-		Servers:   serverStatuses(d.monitor.Statuses(), snapshot),
+		Servers:   serverStatuses(d.monitor.Statuses(), snapshot, d.dispatcher.ServerSpeeds()),
 		Classes:   d.classStatuses(&accepted.Document),
 	}
 	for _, unit := range accepted.Document.Units() {
@@ -135,11 +137,15 @@
 	return out
 }
 
-func serverStatuses(statuses []servers.Status, snapshot placer.Snapshot) []operatorapi.ServerStatus {
+func serverStatuses(statuses []servers.Status, snapshot placer.Snapshot, speeds []scheduling.ServerSpeed) []operatorapi.ServerStatus {
 	committed := map[string]int64{}
 	for _, s := range snapshot.Servers {
 		committed[s.Name] = s.CommittedMB
 	}
+	speedOf := map[string]scheduling.ServerSpeed{}
+	for _, s := range speeds {
+		speedOf[s.Server] = s
+	}
 	out := make([]operatorapi.ServerStatus, 0, len(statuses))
 	for _, s := range statuses {
 		out = append(out, operatorapi.ServerStatus{
@@ -153,11 +159,21 @@
 			Running:         s.Report.Running,
 			Waiting:         s.Report.Waiting,
 			ReportAgeMillis: reportAge(s),
+			Slowdown:        slowdown(speedOf[s.Config.Name]),
+			Limit:           speedOf[s.Config.Name].Limit,
 		})
 	}
 	return out
 }
 
+// slowdown returns the factor of a server as operators see it: 0 for one of usual speed.
+func slowdown(s scheduling.ServerSpeed) float64 {
+	if s.Factor == 1 {
+		return 0
+	}
+	return math.Round(s.Factor*100) / 100
+}
+
 func serverState(s servers.Status) operatorapi.ServerState {
 	switch {
 	case s.Unreachable:
--- a/internal/daemon/explain.go
+++ b/internal/daemon/explain.go
@@ -29,7 +29,7 @@
 	}
 	accepted, _ := d.confsync.Current()
 	snapshot := d.placementSnapshot(ctx)
-	statuses := serverStatuses(d.monitor.Statuses(), snapshot)
+	statuses := serverStatuses(d.monitor.Statuses(), snapshot, d.dispatcher.ServerSpeeds())
 	return operatorapi.Explanation{
 		Asked:  model,
 		Status: modelStatus(&accepted.Document, unit, statuses, snapshot),
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -8,6 +8,7 @@
 
 	"limpethub/internal/membership"
 	"limpethub/internal/quarantine"
+	"limpethub/internal/scheduling"
 )
 
 // collectorProvider is a plug-in that has its own metrics.
@@ -36,12 +37,31 @@
 			Name: "limpethub_attempts_total", Help: "Attempts sent to backend servers, including retries.",
 		}, func() float64 { return float64(d.attempts()) }),
 	)
+	d.registerSpeedMetrics()
 	d.registerLogAndHostedMetrics()
 	if c, ok := d.plugins.peers.(collectorProvider); ok {
 		d.registry.MustRegister(c.Collectors()...)
 	}
 }
 
+// registerSpeedMetrics registers the metrics of the servers' speed. They have no label for the server, since there
+// may be thousands.
+func (d *Daemon) registerSpeedMetrics() {
+	ofSpeeds := func(value func(scheduling.SpeedSummary) float64) func() float64 {
+		return func() float64 { return value(scheduling.SummarizeSpeeds(d.dispatcher.ServerSpeeds())) }
+	}
+	d.registry.MustRegister(
+		gauge("limpethub_servers_slow", "Backend servers that take longer than usual in their service.", ofSpeeds(func(s scheduling.SpeedSummary) float64 { return float64(s.Slow) })),
+		gauge("limpethub_servers_fast", "Backend servers that take less time than usual in their service.", ofSpeeds(func(s scheduling.SpeedSummary) float64 { return float64(s.Fast) })),
+		gauge("limpethub_servers_crowding", "Backend servers that get fewer requests than they have slots, since they slow down with more.", ofSpeeds(func(s scheduling.SpeedSummary) float64 { return float64(s.Limited) })),
+		gauge("limpethub_server_slowdown_max", "Time that the slowest backend server takes, as a multiple of what is usual in its service.", ofSpeeds(func(s scheduling.SpeedSummary) float64 { return s.Max })),
+		gauge("limpethub_server_slowdown_min", "Time that the fastest backend server takes, as a multiple of what is usual in its service.", ofSpeeds(func(s scheduling.SpeedSummary) float64 { return s.Min })),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "limpethub_slow_server_probes_total", Help: "Requests sent to a slow server only to see whether it still is.",
+		}, func() float64 { return float64(d.dispatcher.SlowProbes()) }),
+	)
+}
+
 func (d *Daemon) configurationAge() float64 {
 	since := d.startedAt
 	if confirmed := d.confsync.Freshness().ConfirmedAt; !confirmed.IsZero() {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -484,11 +484,12 @@
 // logSpeedChanges logs which servers were found slow or have recovered.
 func (d *Dispatcher) logSpeedChanges(changes []scheduling.SpeedChange) {
 	for _, c := range changes {
-		message := "A server has recovered its usual speed"
+		line := d.logger.WithFields(logrus.Fields{"server": c.Server, "factor": math.Round(c.Factor*100) / 100})
 		if c.Slow {
-			message = "A server is slower than the others of its service"
+			line.Info("A server is slower than the others of its service")
+			continue
 		}
-		d.logger.WithFields(logrus.Fields{"server": c.Server, "factor": math.Round(c.Factor*100) / 100}).Info(message)
+		line.Info("A server has recovered its usual speed")
 	}
 }
 
--- a/internal/operatorapi/types.go
+++ b/internal/operatorapi/types.go
@@ -169,6 +169,11 @@
 	Waiting int `json:"waiting"`
 	// ReportAgeMillis is the age of the last report, in milliseconds.
 	ReportAgeMillis int64 `json:"report_age_ms"`
+	// Slowdown is how long the server takes, as a multiple of what is usual in its service; 0 if it
+	// doesn't differ enough to matter.
+	Slowdown float64 `json:"slowdown,omitempty"`
+	// Limit is the most requests that the server gets since it slows down with more; 0 for no such limit.
+	Limit int `json:"limit,omitempty"`
 }
 
 // CopyState is the state of one copy of a model.
--- a/internal/peers/digest/digest_test.go
+++ b/internal/peers/digest/digest_test.go
@@ -6,9 +6,12 @@
 	"reflect"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"limpethub/internal/modelref"
 	"limpethub/internal/peers"
 	"limpethub/internal/scheduling"
+	"limpethub/internal/scheduling/pace"
 )
 
 func TestSplitKeepsEverythingWithinDatagrams(t *testing.T) {
@@ -72,3 +75,58 @@
 		}
 	}
 }
+
+// TestSpeedIsSentInFewBytes checks that the speed of servers comes through, that a peer of a version without it reads
+// the rest, and how many bytes it adds.
+func TestSpeedIsSentInFewBytes(t *testing.T) {
+	var with, without []scheduling.ServerDigest
+	for i := range 160 {
+		d := scheduling.ServerDigest{Instance: "a", Server: fmt.Sprintf("server-%04d", i), Outstanding: 3, Classes: []int{1, 2}, Sequence: 9}
+		without = append(without, d)
+		if i%4 == 0 {
+			d.Speed.Light = pace.Part{Factor: 2.18, Weight: 1.5, Load: 0.25}
+		}
+		if i%16 == 0 {
+			d.Speed.Crowded = pace.Part{Factor: 3, Weight: 2, Load: 0.75}
+		}
+		with = append(with, d)
+	}
+	var loads []ServerLoad
+	sizeOf := func(digests []scheduling.ServerDigest) (bytes int) {
+		datagrams, err := FromServerDigests("a", 9, digests).Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		loads = nil
+		for _, data := range datagrams {
+			bytes += len(data)
+			part, err := Decode(data)
+			if err != nil {
+				t.Fatal(err)
+			}
+			loads = append(loads, part.Loads...)
+			var old struct {
+				Loads []struct {
+					Server      string `cbor:"1,keyasint"`
+					Outstanding int    `cbor:"2,keyasint"`
+				} `cbor:"4,keyasint"`
+			}
+			if err := cbor.Unmarshal(data, &old); err != nil || old.Loads[0].Outstanding != 3 {
+				t.Errorf("a peer of an old version read %+v, %v", old, err)
+			}
+		}
+		return bytes
+	}
+	plain, speed := sizeOf(without), sizeOf(with)
+	t.Logf("%d bytes for 160 servers, %d with the speed of 40 of them, 10 of these crowded too", plain, speed)
+	if speed-plain > 50*12+100 {
+		t.Errorf("the speed adds %d bytes, want at most 12 for each of 50 samples", speed-plain)
+	}
+	if got := (Digest{Instance: "a", Sequence: 9, Loads: loads}).ServerDigests(); !reflect.DeepEqual(got, with) {
+		t.Error("the speed differs after a round trip")
+	}
+	bad := Digest{Instance: "a", Loads: []ServerLoad{{Server: "s", Light: &SpeedSample{Percent: -3, Tenths: 5}, Crowded: &SpeedSample{Percent: 100, Tenths: 1 << 30}}}}
+	if speed := bad.ServerDigests()[0].Speed; !speed.Empty() {
+		t.Errorf("speed from malformed samples = %+v, want none", speed)
+	}
+}
--- a/internal/scheduling/candidate.go
+++ b/internal/scheduling/candidate.go
@@ -157,6 +157,7 @@
 		c.query.Affinity = in.shared.Key
 		c.query.MaxBacklog = backlogLimit(in.request)
 	}
+	c.probeCredit = min(maxSlowProbeCredit, c.probeCredit+slowProbeShare)
 	if c.differs(now) {
 		c.query.Spread = true
 		if i := c.slowProbe(now, in); i >= 0 {
--- a/internal/scheduling/paceprobe.go
+++ b/internal/scheduling/paceprobe.go
@@ -23,8 +23,7 @@
 // slowProbe returns the position of a candidate that gets the request only to see whether its server is still
 // slow; -1 if none does. The policy's filters apply, so that the request isn't predicted to be late.
 func (c *core) slowProbe(now time.Time, in *routingInput) int {
-	c.probeCredit = min(maxSlowProbeCredit, c.probeCredit+slowProbeShare)
-	if c.probeCredit < 1 || in.shared != nil {
+	if c.probeCredit < 1 {
 		return -1
 	}
 	for i := range c.candidates {
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -113,6 +113,7 @@
 		aggregate:        predict.NewTarget(nil),
 		budgets:          map[string]*retry.Budget{},
 		prefixes:         prefix.New(),
+		probeCredit:      maxSlowProbeCredit,
 	}
 	c.applyDocument(options.Document)
 	return c, nil
--- a/internal/scheduling/serverpace.go
+++ b/internal/scheduling/serverpace.go
@@ -74,6 +74,32 @@
 	Limit int
 }
 
+// SpeedSummary summarizes the speed of all servers.
+type SpeedSummary struct {
+	// Slow and Fast are how many servers take longer and less than usual, and Limited how many have a limit
+	// of their own.
+	Slow, Fast, Limited int
+	// Min and Max are the lowest and the highest factor; 1 if no server differs.
+	Min, Max float64
+}
+
+func SummarizeSpeeds(speeds []ServerSpeed) SpeedSummary {
+	out := SpeedSummary{Min: 1, Max: 1}
+	for _, s := range speeds {
+		out.Min, out.Max = min(out.Min, s.Factor), max(out.Max, s.Factor)
+		switch {
+		case s.Factor > 1:
+			out.Slow++
+		case s.Factor < 1:
+			out.Fast++
+		}
+		if s.Limit > 0 {
+			out.Limited++
+		}
+	}
+	return out
+}
+
 // slowdown returns what predictions for the server are multiplied by.
 func (s *server) slowdown(now time.Time) float64 {
 	return s.pace.factor * s.pace.momentarySlowdown(now)
