--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -275,11 +275,14 @@
 	d.scheduler.ForgetPeer(instance)
 }
 
-// Digest returns this instance's outstanding work per server, to send to peers.
+// Digest returns this instance's outstanding work and samples per server, to send to peers. It also logs
+// which servers were found slow or have recovered since the last call.
 func (d *Dispatcher) Digest() []scheduling.ServerDigest {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.scheduler.Digest()
+	digests, changes := d.scheduler.Digest(), d.scheduler.TakeSpeedChanges()
+	d.mu.Unlock()
+	d.logSpeedChanges(changes)
+	return digests
 }
 
 // DigestOf returns this instance's outstanding work on some servers, to send to peers without delay.
@@ -394,12 +397,10 @@
 	if d.onUrgentUpdates != nil {
 		changedServers = d.scheduler.TakeUrgentUpdates()
 	}
-	speedChanges := d.scheduler.TakeSpeedChanges()
 	d.mu.Unlock()
 	if len(changedServers) > 0 {
 		d.onUrgentUpdates(changedServers)
 	}
-	d.logSpeedChanges(speedChanges)
 	for _, l := range logs {
 		d.logDecision(l.request, l.decision, l.waited)
 	}
