--- a/internal/scheduling/serverpace.go
+++ b/internal/scheduling/serverpace.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// paceRefreshPeriod is how often the factors of the servers are computed, and usualRefreshPeriod how
-	// often what is usual in a service.
-	paceRefreshPeriod, usualRefreshPeriod = 100 * time.Millisecond, 500 * time.Millisecond
+	// paceRefreshPeriod is how often the factors of the servers are computed. It is longer with many servers, by
+	// refreshPeriodPerServer each, so that its share of the processor time doesn't grow with them.
+	paceRefreshPeriod, refreshPeriodPerServer = 100 * time.Millisecond, 50 * time.Microsecond
+	// refreshesPerUsual is how often factors are computed for each time that what is usual is.
+	refreshesPerUsual = 5
 	// spreadHold is how long requests are spread over several servers after the servers of a service
 	// have differed. A server that has recovered is emptier than all others for a while.
 	spreadHold = 5 * time.Second
@@ -239,12 +241,13 @@
 
 // refreshPaces computes the factors and limits of the servers anew if that is due.
 func (c *core) refreshPaces(now time.Time) {
-	if !c.learnsPaces || now.Sub(c.pacesAt) < paceRefreshPeriod {
+	period := max(paceRefreshPeriod, time.Duration(len(c.servers))*refreshPeriodPerServer)
+	if !c.learnsPaces || now.Sub(c.pacesAt) < period {
 		return
 	}
 	c.changeCredit = min(maxChanges, c.changeCredit+changesPerSecond*now.Sub(c.pacesAt).Seconds())
 	c.pacesAt = now
-	if now.Sub(c.usualAt) >= usualRefreshPeriod {
+	if now.Sub(c.usualAt) >= refreshesPerUsual*period {
 		c.usualAt = now
 		c.refreshUsual(now)
 	}
