--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -274,11 +275,35 @@
 	d.scheduler.ForgetPeer(instance)
 }
 
-// Digest returns this instance's outstanding work per server, to send to peers.
+// Digest returns this instance's outstanding work and samples per server, to send to peers. It also logs
+// which servers were found slow or have recovered since the last call.
 func (d *Dispatcher) Digest() []scheduling.ServerDigest {
+	d.mu.Lock()
+	digests, changes := d.scheduler.Digest(), d.scheduler.TakeSpeedChanges()
+	d.mu.Unlock()
+	d.logSpeedChanges(changes)
+	return digests
+}
+
+// DigestOf returns this instance's outstanding work on some servers, to send to peers without delay.
+func (d *Dispatcher) DigestOf(servers []string) []scheduling.ServerDigest {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.DigestOf(servers)
+}
+
+// ServerSpeeds returns what the scheduler assumes of the speed of each server.
+func (d *Dispatcher) ServerSpeeds() []scheduling.ServerSpeed {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.scheduler.Digest()
+	return d.scheduler.ServerSpeeds(d.now())
+}
+
+// SlowProbes returns how many requests were sent to slow servers to see whether they still are.
+func (d *Dispatcher) SlowProbes() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.SlowProbes()
 }
 
 // Preview returns what the scheduler would decide now about a request, without admitting it.
@@ -457,5 +482,17 @@
 	}).Info(ActionName(decision.Action))
 }
 
+// logSpeedChanges logs which servers were found slow or have recovered.
+func (d *Dispatcher) logSpeedChanges(changes []scheduling.SpeedChange) {
+	for _, c := range changes {
+		line := d.logger.WithFields(logrus.Fields{"server": c.Server, "factor": math.Round(c.Factor*100) / 100})
+		if c.Slow {
+			line.Info("A server is slower than the others of its service")
+			continue
+		}
+		line.Info("A server has recovered its usual speed")
+	}
+}
+
 // ActionName returns the name of an action in logs and in answers to operators.
 func ActionName(a scheduling.Action) string { return actionNames[a] }
