Servers' speed is learned only where servers state how long work takes at the moment

Cause: on services whose servers are alike, differences between servers come mostly from what they were sent (prompts that are cached, memory that is full). The measure took them for differences of speed and spread requests away from servers that held their prompts.

Change: a service's servers are measured once one of them states the momentary figure, which servers do that share their machines; the setting server_speed chooses always or never instead. Progress is again reported every 16 events.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -65,6 +65,17 @@
 	streamArchivePrefix = "limpethub/streams/"
 )
 
+// speedLearning converts settings.Settings.ServerSpeed.
+func speedLearning(setting string) scheduling.SpeedLearning {
+	switch setting {
+	case "always":
+		return scheduling.SpeedsAlways
+	case "never":
+		return scheduling.SpeedsNever
+	}
+	return scheduling.SpeedsWhereStated
+}
+
 // claimDelay returns how long an instance of the given capacity waits before it claims a
 // vacant lease. 0 cores mean unlimited capacity.
 func claimDelay(cores float64) time.Duration {
@@ -122,6 +133,7 @@
 	scheduler, err := scheduling.New(scheduling.Options{
 		Instance: d.settings.Instance, FailureDomain: d.settings.FailureDomain,
 		Seed: d.seed, Policy: d.settings.Plugins.Routing.Name, Document: initialDocument(),
+		Speeds: speedLearning(d.settings.ServerSpeed),
 	})
 	if err != nil {
 		return fmt.Errorf("daemon: create the scheduler: %w", err)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -24,9 +24,8 @@
 	minTimeLeft = 30 * time.Millisecond
 	// noEventID is the lastEventID of a caller that has no event.
 	noEventID = -1
-	// progressBatchEvents is the number of events per progress report to the dispatcher. It is so small that a
-	// server that slows down shows it within about a second.
-	progressBatchEvents = 8
+	// progressBatchEvents is the number of events per progress report to the dispatcher.
+	progressBatchEvents = 16
 )
 
 // AnswerSink receives a server's answer unchanged, on its way to the caller.
--- a/internal/scheduling/options.go
+++ b/internal/scheduling/options.go
@@ -22,6 +22,22 @@
 	// Admission is the name under which the admission policy is registered, such as
 	// "admission.deadline"; empty means the one that goes with the routing policy.
 	Admission string
+	// Speeds says for which servers the speed is learned.
+	Speeds SpeedLearning
 	// Document is the configuration in force.
 	Document *site.Document
 }
+
+// SpeedLearning says for which servers the speed is learned.
+type SpeedLearning uint8
+
+const (
+	// SpeedsWhereStated learns the speed of servers of services in which some server states how long work takes at
+	// the moment. Such servers share their machines with others. Elsewhere, differences between servers mostly come from
+	// what they were sent, such as prompts that are cached.
+	SpeedsWhereStated SpeedLearning = iota
+	// SpeedsAlways learns the speed of all servers.
+	SpeedsAlways
+	// SpeedsNever learns none.
+	SpeedsNever
+)
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -51,6 +51,10 @@
 	// digests in which it still appears once it is idle.
 	digestsLeft    map[*server]int
 	digestSequence uint64
+	// speeds says for which servers the speed is learned, and statesSpeed has the services in which a server has stated
+	// how long work takes at the moment.
+	speeds      SpeedLearning
+	statesSpeed map[string]bool
 	// learnsPaces is true once a sample of a server's speed was taken or heard of. pacesAt is when the
 	// factors of the servers were last computed, and usualAt when what is usual was.
 	learnsPaces      bool
@@ -103,6 +107,8 @@
 		instance:         options.Instance,
 		random:           rand.New(rand.NewPCG(options.Seed, 0)),
 		policy:           policy,
+		speeds:           options.Speeds,
+		statesSpeed:      map[string]bool{},
 		skipsFullServers: policy.SkipsFullServers(),
 		admission:        admissionPolicy,
 		servers:          map[string]*server{},
--- a/internal/scheduling/server.go
+++ b/internal/scheduling/server.go
@@ -176,7 +176,7 @@
 		return nil
 	}
 	s.limit.ObserveBatch(reported.Slots)
-	s.pace.observeMomentary(now, reported)
+	c.observeMomentary(now, s, reported)
 	c.updateRoom(s)
 	s.load.ObserveReport(now, load.Report{Taken: now, Total: reported.Running + reported.Waiting})
 	return c.expireAndDispatch(now, s)
--- a/internal/scheduling/serverpace.go
+++ b/internal/scheduling/serverpace.go
@@ -124,11 +124,24 @@
 	return time.Duration(float64(d) * factor)
 }
 
+// learnsSpeedOf reports whether the speed of a server is learned.
+func (c *core) learnsSpeedOf(s *server) bool {
+	switch c.speeds {
+	case SpeedsAlways:
+		return true
+	case SpeedsNever:
+		return false
+	}
+	return c.statesSpeed[s.service()]
+}
+
 // observeMomentary records a server's statement of its momentary speed.
-func (p *serverPace) observeMomentary(now time.Time, load engine.StatedLoad) {
-	if load.MomentaryPercent > 0 {
-		p.momentary, p.statedAt = float64(load.MomentaryPercent)/100, now
+func (c *core) observeMomentary(now time.Time, s *server, load engine.StatedLoad) {
+	if load.MomentaryPercent <= 0 || c.speeds == SpeedsNever {
+		return
 	}
+	c.statesSpeed[s.service()] = true
+	s.pace.momentary, s.pace.statedAt = float64(load.MomentaryPercent)/100, now
 }
 
 // correction returns by what the time from start to now is divided, since the server's machine was slower or
@@ -162,7 +175,7 @@
 func (c *core) learnPace(now time.Time, d *dispatchedRequest, w work) {
 	s := d.targetCopy.server
 	actual := w.end.Sub(w.start) / time.Duration(w.units)
-	if actual <= 0 || d.resumed || s.prediction.ReportsStep() {
+	if actual <= 0 || d.resumed || s.prediction.ReportsStep() || !c.learnsSpeedOf(s) {
 		return
 	}
 	momentary, weight := s.pace.correction(w.start, w.end)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,6 +51,9 @@
 	// milliseconds, also by an instance that doesn't reach the key-value store. 0 means that an instance
 	// goes by the configuration that it has.
 	RevocationMillis int64 `json:"revocation_ms,omitempty" validate:"gte=0"`
+	// ServerSpeed says for which backend servers the speed is learned: "always", "never", or, if empty, those of
+	// services whose servers state how long work takes at the moment.
+	ServerSpeed string `json:"server_speed,omitempty" validate:"omitempty,oneof=always never"`
 }
 
 // Processor is the processor capacity of an instance. Instances with little of it
