Members, settings and peer messages that workspace quotas need

A limiter gives out only the part of the limit that belongs to the instances alive, of all that may still run. Members now say whether the platform's list has them. Seeds from the settings may have ended long ago, so the list marks them as unconfirmed and they don't count as listed. Cluster tells whether the list has been read: before, an instance that starts would hold itself for the only one.

SendUrgent sends to one peer regardless of the byte budget, as BroadcastUrgent does to all; a report that the budget drops would cost refused requests.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -78,6 +79,8 @@
 	byteBudget *rate.Limiter
 	stats      stats
 	facts      facts
+	// listRead is true once the platform's list has been read.
+	listRead atomic.Bool
 
 	mu      sync.Mutex
 	machine *membership.Machine
@@ -193,9 +196,13 @@
 		foundNew = m.SetListed(now, instancesInMembership(list))
 		return nil
 	})
+	c.listRead.Store(true)
 	return foundNew
 }
 
+// ListRead reports whether the platform's list has been read, so that Members has all listed instances.
+func (c *Cluster) ListRead() bool { return c.listRead.Load() }
+
 // instancesInMembership returns the listed instances that have a peer address, and so take
 // part in membership.
 func instancesInMembership(list []instancelist.Instance) []membership.Listed {
@@ -211,7 +218,8 @@
 				PeerAddress:   instance.PeerAddress,
 				FailureDomain: instance.FailureDomain,
 			},
-			Leaving: instance.Leaving,
+			Leaving:     instance.Leaving,
+			Unconfirmed: instance.Unconfirmed,
 		})
 	}
 	return out
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -148,6 +148,19 @@
 	}
 }
 
+// SendUrgent sends a datagram to one peer if the peer isn't dead, regardless of the byte budget. It reduces the
+// budget left for other datagrams.
+func (c *Cluster) SendUrgent(name string, kind peers.Kind, payload []byte) {
+	target, ok := c.Member(name)
+	if !ok || !target.Reachable() || name == c.options.Self.Name {
+		return
+	}
+	size := len(payload) + datagramOverheadBytes
+	c.byteBudget.ReserveN(c.options.Now(), size)
+	c.stats.digestBytes.Add(uint64(size))
+	c.options.Transport.Datagram(target.PeerAddress, kind, payload)
+}
+
 // Send sends a datagram to one peer if the peer isn't dead and the byte budget allows it.
 // It reports whether the datagram was sent.
 func (c *Cluster) Send(name string, kind peers.Kind, payload []byte) bool {
--- a/internal/instancelist/instancelist.go
+++ b/internal/instancelist/instancelist.go
@@ -22,6 +22,9 @@
 	FailureDomain string `json:"failure_domain"`
 	// Leaving is true once the platform is about to stop the instance.
 	Leaving bool `json:"leaving"`
+	// Unconfirmed is true for an instance that is only known from elsewhere than the platform's list, and may
+	// have ended long ago.
+	Unconfirmed bool `json:"-"`
 }
 
 // Lister reads the list. The list lags behind the platform's state and may be wrong.
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -30,6 +30,8 @@
 	Identity
 	// Leaving is true once the platform is about to remove the instance.
 	Leaving bool
+	// Unconfirmed is true if the entry may be of an instance that ended long ago.
+	Unconfirmed bool
 }
 
 // Machine is the membership state of one instance. It isn't safe for concurrent use.
@@ -121,7 +123,7 @@
 }
 
 func (m *Machine) toMember(other *member) Member {
-	return Member{Identity: other.Identity, State: other.state(), Incarnation: other.incarnation}
+	return Member{Identity: other.Identity, State: other.state(), Incarnation: other.incarnation, Listed: other.listed && !other.unconfirmed}
 }
 
 // TakeTransitions returns the state changes since the last call.
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -52,6 +52,9 @@
 	// Incarnation increases when a member restarts, starts to leave or refutes a claim about
 	// itself.
 	Incarnation uint64 `json:"incarnation"`
+	// Listed reports whether the last platform list that was read contains the member, other than as one that
+	// may have ended long ago.
+	Listed bool `json:"-"`
 }
 
 // Reachable reports whether messages are sent to the member, that is, whether it isn't dead.
@@ -69,6 +72,8 @@
 	// the member has disappeared from the list.
 	listed        bool
 	listedLeaving bool
+	// unconfirmed is Listed.Unconfirmed of the last list that contained it.
+	unconfirmed bool
 	// suspicionEndNanos is the Unix time at which a suspect becomes dead.
 	suspicionEndNanos int64
 	// changedAtNanos is the Unix time of the last change of status.
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -10,6 +10,7 @@
 // long as it answers heartbeats. A listed member counts as dead until it is heard from.
 // SetListed reports whether the list contains a member that wasn't known.
 func (m *Machine) SetListed(now time.Time, list []Listed) (foundNew bool) {
+	m.version++
 	for _, other := range m.memberList {
 		other.listed = false
 	}
@@ -22,7 +23,7 @@
 			other = m.add(now, entry.Identity)
 			foundNew = true
 		}
-		other.listed = true
+		other.listed, other.unconfirmed = true, entry.Unconfirmed
 		m.changeMember(other, func() {
 			other.listedLeaving = entry.Leaving
 			if other.status == StatusDead {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -36,6 +36,8 @@
 	KindStreams
 	// KindRelay is for callers' requests that an instance passes on; see package peerrelay.
 	KindRelay
+	// KindQuota is for what workspaces use of their limits; see package workspacequota.
+	KindQuota
 )
 
 // Handler receives messages from authenticated peers.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,6 +51,19 @@
 	// milliseconds, also by an instance that doesn't reach the key-value store. 0 means that an instance
 	// goes by the configuration that it has.
 	RevocationMillis int64 `json:"revocation_ms,omitempty" validate:"gte=0"`
+	// WorkspaceQuota says how exactly the limits of workspaces have to be kept.
+	WorkspaceQuota WorkspaceQuota `json:"workspace_quota,omitzero"`
+}
+
+// WorkspaceQuota says how exactly the limits of workspaces have to be kept: within any window, all instances
+// together may use (rate * window + burst) * (1 + Over) + Slack. The zero value means the defaults of package
+// workspacequota.
+type WorkspaceQuota struct {
+	// WindowSeconds is the window, in seconds.
+	WindowSeconds float64 `json:"window_s" validate:"gte=0"`
+	Over          float64 `json:"over" validate:"gte=0"`
+	// Slack is in tokens.
+	Slack float64 `json:"slack" validate:"gte=0"`
 }
 
 // Processor is the processor capacity of an instance. Instances with little of it
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, value := range []any{Settings{}, Listeners{}, Listener{}, Files{}, Bounds{}, Operators{}, Upstream{}, Plugins{}, Plugin{}, OptionalPlugin{}, MetricsListener{}, Log{}} {
+	for _, value := range []any{Settings{}, Listeners{}, Listener{}, Files{}, Bounds{}, Operators{}, Upstream{}, Plugins{}, Plugin{}, OptionalPlugin{}, MetricsListener{}, Log{}, WorkspaceQuota{}} {
 		structType := reflect.TypeOf(value)
 		for i := range structType.NumField() {
 			name, _, _ := strings.Cut(structType.Field(i).Tag.Get("json"), ",")
