Workspace quotas in the daemon and the front

Quotas is the shell around the decisions: one lock, the boot clock, datagrams of a kind of their own, and a loop that only waits while no workspace has a limit. The front asks it after the request is known and before the relay, and answers 429 with Retry-After; a request that no server got is returned. The relay counts a further attempt before it is sent.

Until the authorization sets the workspace and the cost of requests, no request gets to the quotas.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -39,6 +39,7 @@
 	"limpethub/internal/site"
 	"limpethub/internal/storecall"
 	"limpethub/internal/streamversion"
+	"limpethub/internal/workspacequota"
 )
 
 const (
@@ -88,7 +89,10 @@
 	watcher    *discovery.Watcher
 	manager    *residency.Manager
 	extension  *residencyExtension
-	inForce    atomic.Pointer[front.ConfigurationInForce]
+	quotas     *workspacequota.Quotas
+	// bootClock is the result of the function of the same name.
+	bootClock func() time.Time
+	inForce   atomic.Pointer[front.ConfigurationInForce]
 }
 
 // buildHosted builds the parts that replace those of buildRequests and buildPlacement on an
@@ -99,7 +103,7 @@
 	if err != nil {
 		return err
 	}
-	h := &hosted{extension: newResidencyExtension()}
+	h := &hosted{extension: newResidencyExtension(), bootClock: bootClock(d.log(logging.Placement))}
 	if h.front, err = plugin.Load[front.Front](d.settings.Plugins.Front.Plugin(), environment); err != nil {
 		return err
 	}
@@ -145,14 +149,16 @@
 	}
 	d.buildIdentities(h)
 	d.buildGuard(h)
+	d.buildQuotas(h)
 	h.relay = forward.NewRelay(forward.RelayOptions{
 		Dispatcher: d.dispatcher, Plane: d.plugins.relayer, Directory: h.watcher, Crashes: h.crashes, Guard: h.guard,
 		Streams: h.streams, Reach: h.reach, Peers: h.passedOn,
-		Logger: d.log(logging.Routing), Now: time.Now,
+		Quota: quotaAdmitter{h.quotas}, Logger: d.log(logging.Routing), Now: time.Now,
 	})
 	d.directory = &callerDirectory{cluster: d.cluster, configuration: d.confsync, failureDomain: d.settings.FailureDomain, seed: d.seed, reaches: h.peersReach.Reaches}
 	h.front.SetServices(front.Services{
 		Relay:         h.relay,
+		Admitter:      quotaAdmitter{h.quotas},
 		Configuration: h.inForce.Load,
 		Entries:       d.hostedEntries,
 		Identities:    h.identities.Hasher,
@@ -307,7 +313,7 @@
 			ReadPeriod: candidateReadPeriodTTLs * ttl, TrustUnchanged: true,
 			ClaimDelay: claimDelay(d.settings.Processor.Cores()),
 		},
-		Now:    bootClock(d.log(logging.Placement)),
+		Now:    h.bootClock,
 		Seed:   d.seed,
 		Logger: d.log(logging.Placement),
 	})
@@ -389,6 +395,7 @@
 	inForce := &front.ConfigurationInForce{Accepted: accepted}
 	inForce.Routes = site.NewRouteTable(&inForce.Document)
 	h.inForce.Store(inForce)
+	h.quotas.SetDocument(&inForce.Document)
 	h.watcher.Refresh()
 	h.manager.Wake()
 }
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -268,6 +268,7 @@
 		d.run(d.hosted.watcher.Run)
 		d.run(d.watchReach)
 		d.run(d.hosted.manager.Run)
+		d.run(d.hosted.quotas.Run)
 		return nil
 	}
 	d.run(d.monitor.Run)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -14,6 +14,7 @@
 	"limpethub/internal/crashwatch"
 	"limpethub/internal/dispatch"
 	"limpethub/internal/engine"
+	"limpethub/internal/request"
 	"limpethub/internal/scheduling"
 	"limpethub/internal/verdict"
 )
@@ -49,8 +50,10 @@
 	Streams StreamVersions
 	// Reach says whether this instance reaches the servers, and Peers passes requests on if it doesn't. Both
 	// are nil or none.
-	Reach  Reach
-	Peers  Peers
+	Reach Reach
+	Peers Peers
+	// Quota counts further attempts against the limits of workspaces; nil means none.
+	Quota  Quota
 	Logger *logrus.Entry
 	Now    func() time.Time
 }
@@ -73,6 +76,14 @@
 	return &Relay{options: options, errorMapper: &Forwarder{now: options.Now}}
 }
 
+// Quota counts what requests use of the limits of workspaces. The first attempt of a request is counted before
+// the request gets here.
+type Quota interface {
+	// Charge counts a request that is sent to another server, and Return takes that back.
+	Charge(r *request.Request)
+	Return(r *request.Request)
+}
+
 // RelayResult describes how a relayed request ended.
 type RelayResult struct {
 	// Status is the HTTP status of the delivered answer; 0 if none was delivered.
@@ -266,8 +277,12 @@
 // send sends the request and relays the answer. It sets outcome.Verdict only if the answer
 // shows the verdict; otherwise the verdict is that of the error.
 func (r *Relay) send(ctx context.Context, relayed *relayedRequest, server engine.Server, run *crashwatch.Run, outcome *scheduling.Outcome) error {
+	uncharge := r.chargeAgain(relayed)
 	answer, err := r.options.Plane.Open(ctx, server, relayed.call, relayed.lastEventID)
 	outcome.Unsent = engine.IsUnsent(err)
+	if outcome.Unsent {
+		uncharge()
+	}
 	if !outcome.Unsent {
 		relayed.result.Attempts++
 		r.attempts.Add(1)
@@ -292,6 +307,16 @@
 	return r.relayWhole(relayed, answer, run, outcome)
 }
 
+// chargeAgain counts a request that was sent to a server before. uncharge takes that back.
+func (r *Relay) chargeAgain(relayed *relayedRequest) (uncharge func()) {
+	request := &relayed.call.Request
+	if r.options.Quota == nil || request.Workspace == "" || relayed.result.Attempts == 0 {
+		return func() {}
+	}
+	r.options.Quota.Charge(request)
+	return func() { r.options.Quota.Return(request) }
+}
+
 // handleRefusal handles an answer that states that the server didn't run the request.
 func (r *Relay) handleRefusal(relayed *relayedRequest, answer engine.Answer, outcome *scheduling.Outcome) error {
 	head := answer.Head()
--- a/internal/forward/relay_peer.go
+++ b/internal/forward/relay_peer.go
@@ -196,6 +196,7 @@
 	head := answer.Head()
 	relayed.server = head.Server
 	relayed.result.Server, relayed.result.SoftwareVersion = head.Server.Name, head.Server.SoftwareVersion
+	r.chargeAgain(relayed)
 	relayed.result.Attempts++
 	relayed.attemptStart = r.options.Now()
 	outcome := scheduling.Outcome{ID: relayed.call.Request.ID, Server: head.Server.Name}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -31,9 +31,20 @@
 	Routes *site.RouteTable
 }
 
+// Admitter keeps the limits of workspaces.
+type Admitter interface {
+	// Admit counts a request against the limit of its workspace. The error is a *verdict.Error if the limit
+	// doesn't allow it.
+	Admit(r *request.Request) error
+	// Return takes back a request that was admitted and not sent to a server.
+	Return(r *request.Request)
+}
+
 // Services is what a daemon provides to its front.
 type Services struct {
 	Relay Relay
+	// Admitter is nil if workspaces have no limits.
+	Admitter Admitter
 	// Configuration returns the configuration in force, or nil while there is none.
 	Configuration func() *ConfigurationInForce
 	// Entries returns the instances that callers in a failure domain should use, best
--- a/internal/workspacequota/node.go
+++ b/internal/workspacequota/node.go
@@ -251,10 +251,11 @@
 	}
 }
 
-// Admit decides about a request of a workspace. A workspace without a limit may send all.
+// Admit decides about a request of a workspace. A workspace without a limit may send all, and so may a request
+// that costs nothing.
 func (n *Node) Admit(now time.Time, name string, cost int) Verdict {
 	w := n.workspaces[name]
-	if w == nil {
+	if w == nil || cost <= 0 {
 		return Verdict{Admitted: true}
 	}
 	n.resumeAfterStandstill(now)
