--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -40,6 +40,7 @@
 	"limpethub/internal/storecall"
 	"limpethub/internal/streamversion"
 	"limpethub/internal/workspace"
+	"limpethub/internal/workspacequota"
 )
 
 const (
@@ -106,6 +107,7 @@
 	watcher      *discovery.Watcher
 	manager      *residency.Manager
 	extension    *residencyExtension
+	quotas       *workspacequota.Quotas
 	inForce      atomic.Pointer[front.ConfigurationInForce]
 }
 
@@ -168,14 +170,17 @@
 	d.buildIdentities(h)
 	d.buildGuard(h)
 	d.buildAuthorizer(h)
+	d.buildQuotas(h)
 	h.relay = forward.NewRelay(forward.RelayOptions{
 		Dispatcher: d.dispatcher, Plane: d.plugins.relayer, Directory: h.watcher, Crashes: h.crashes, Guard: h.guard,
 		Streams: h.streams, Reach: h.reach, Peers: h.passedOn, Recheck: h.authorizer.Recheck,
+		Quota:  quotaAdmitter{h.quotas},
 		Logger: d.log(logging.Routing), Now: time.Now,
 	})
 	d.directory = &callerDirectory{cluster: d.cluster, configuration: d.confsync, failureDomain: d.settings.FailureDomain, seed: d.seed, conditions: []func(string) bool{h.peersReach.Reaches, h.peersInTouch.Reaches}}
 	h.front.SetServices(front.Services{
 		Relay:         h.relay,
+		Admitter:      quotaAdmitter{h.quotas},
 		Configuration: h.inForce.Load,
 		Entries:       d.hostedEntries,
 		Identities:    h.identities.Hasher,
@@ -432,6 +437,7 @@
 	inForce.Workspaces = workspace.NewTable(&inForce.Accepted)
 	h.inForce.Store(inForce)
 	h.streams.ObserveRoutes(inForce.Document.Routes)
+	h.quotas.SetDocument(&inForce.Document)
 	h.watcher.Refresh()
 	h.manager.Wake()
 }
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -272,6 +272,7 @@
 		d.run(d.watchProof)
 		d.run(d.hosted.manager.Run)
 		d.run(d.hosted.streams.Run)
+		d.run(d.hosted.quotas.Run)
 		return nil
 	}
 	d.run(d.monitor.Run)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -39,6 +39,8 @@
 	// KindArchive is for the software versions of streams that are to be written to the store; see package
 	// streamversion.
 	KindArchive
+	// KindQuota is for what workspaces use of their limits; see package workspacequota.
+	KindQuota
 )
 
 // Handler receives messages from authenticated peers.
