Scheduling: fair sharing between workspaces within a class

Waiting requests of a class were ordered by deadline alone, so a workspace at many times its usual demand made all others wait behind it, filled the queue of its class, and had others refused for the wait that it caused.

Within a class, requests that are in time still go first. Then comes the workspace with the least service (start-time fair queueing, cost in tokens), then the deadline. Virtual time belongs to a class, so that service counts in all lanes. Each lane also has a time at which workspaces join it: with that of the class alone, a workspace that joins a slow lane waits until the one that has filled the lane catches up with the fast lanes.

The predicted wait of a request counts only the work that goes before it by its workspace's share. If the queue of a class is full, the last request of the workspace with the most waiting ones gives way. Deficit round robin was considered: it needs a quantum, and its order can't be compared across lanes.

--- a/internal/scheduling/decide.go
+++ b/internal/scheduling/decide.go
@@ -51,6 +51,8 @@
 	mayHaveRun bool
 	// avoid is the server that must not get the request; empty if there is none.
 	avoid string
+	// waited is true if the request has waited in the queue.
+	waited bool
 }
 
 // Arrive implements Scheduler. A request with the ID of a running or waiting one is refused
@@ -75,7 +77,7 @@
 	t := c.target(keyOf(r))
 	t.decisions++
 	if r.SoftwareVersion != "" {
-		return append(out, c.decideResumed(now, t, &a))
+		return append(out, c.decideResumed(now, t, &a)...)
 	}
 	out = c.dispatchWaitingFor(now, t, out)
 	in := c.routingInput(now, t, r, a.avoid)
@@ -87,19 +89,37 @@
 			ID: r.ID, Action: PassOn, Peers: owners, Reason: "this instance has none of the slots of the servers, which are brittle",
 		})
 	}
-	return append(out, c.enqueue(now, t, &a))
+	return append(out, c.enqueue(now, t, &a)...)
 }
 
-// enqueue queues a request for which there is no server now, or refuses it.
-func (c *core) enqueue(now time.Time, t *target, a *attempt) Decision {
+// enqueue queues a request for which there is no server now, or refuses it. If the queue of its
+// class is full, a request of the workspace with the most waiting ones may be refused instead.
+func (c *core) enqueue(now time.Time, t *target, a *attempt) []Decision {
+	item, refusal := c.admit(now, t, a)
+	if item == nil {
+		return []Decision{refusal}
+	}
+	var out []Decision
+	if last := c.queue.GivesWay(item); last != nil {
+		out = append(out, c.refuseDisplaced(now, last))
+	}
+	c.queue.Push(t.lane, item)
+	if len(t.copies) == 0 {
+		return append(out, Decision{ID: item.Request.ID, Action: Queue, Reason: "no server holds what it needs yet"})
+	}
+	return append(out, Decision{ID: item.Request.ID, Action: Queue, Reason: "no server has room"})
+}
+
+// admit returns the item of a request that may wait, or else nil and the refusal.
+func (c *core) admit(now time.Time, t *target, a *attempt) (*flowcontrol.Item, Decision) {
 	r := &a.request
 	serviceTime := c.predictServiceTime(now, t, r)
 	prefill := c.predictPrefill(t, r)
 	latest := latestStart(r, serviceTime, prefill)
 	if wait, limited := c.waitForServers(now, t, t.lane.Len()); wait > 0 && !latest.After(now.Add(wait)) {
-		return c.refuseForNow(a, wait, limited)
+		return nil, c.refuseForNow(a, wait, limited)
 	}
-	wait := c.predictQueueWait(now, t, r.Class) + c.predictLoadWait(t) + c.predictPrefillWait(now, t, r.Class)
+	wait := c.predictWait(now, t, r)
 	answer := c.admission.Admit(admission.Query{
 		Now: now, Deadline: r.Deadline, Wait: wait, ServiceTime: serviceTime,
 		FirstEventBy: r.FirstEventBy, FirstEventTime: prefill,
@@ -107,21 +127,23 @@
 	if !answer.Admit {
 		t.recentRefusals.add(now)
 		t.refusedPrefill = prefill
-		return refuse(a, verdict.CodeDeadlineCannotBeMet, c.retryAfter(answer.RetryAfter),
+		return nil, refuse(a, verdict.CodeDeadlineCannotBeMet, c.retryAfter(answer.RetryAfter),
 			fmt.Sprintf("predicted wait %v and run %v exceed the time left", wait.Round(time.Millisecond), serviceTime.Round(time.Millisecond)))
 	}
 	item := &flowcontrol.Item{
 		Request: *r, MayHaveRun: a.mayHaveRun, Work: serviceTime, PrefillTime: prefill,
-		LateAt: c.lateAt(now, t, r, serviceTime, prefill),
+		LateAt: c.lateAt(now, t, r, serviceTime, prefill), Cost: c.fairCost(r),
 	}
 	item.CheckAt = nextCheck(now, item, latest)
-	if !c.queue.Push(t.lane, item) {
-		return refuse(a, verdict.CodeQueueFull, c.retryAfter(wait), "the queue of the class is full")
+	if c.queue.Full(r.Class) && c.queue.GivesWay(item) == nil {
+		return nil, refuse(a, verdict.CodeQueueFull, c.retryAfter(wait), "the queue of the class is full")
 	}
-	if len(t.copies) == 0 {
-		return Decision{ID: r.ID, Action: Queue, Reason: "no server holds what it needs yet"}
-	}
-	return Decision{ID: r.ID, Action: Queue, Reason: "no server has room"}
+	return item, Decision{}
+}
+
+// predictWait predicts how long a request would wait until a server can start it.
+func (c *core) predictWait(now time.Time, t *target, r *request.Request) time.Duration {
+	return c.predictQueueWait(now, t, r) + c.predictLoadWait(t) + c.predictPrefillWait(now, t, r)
 }
 
 // dispatch records that a request goes to the chosen copy.
@@ -156,6 +178,7 @@
 		priority = 0
 	}
 	c.floor.Dispatched(a.request.Class, c.queue)
+	c.recordService(tc.target, a)
 	c.prefixes.RecordRun(now, a.request.PrefixKey, s.Name)
 	c.recordSentPrompt(now, &a.request, s, chosen.PrefillTokens)
 	return Decision{
--- a/internal/scheduling/document.go
+++ b/internal/scheduling/document.go
@@ -36,6 +36,7 @@
 	}
 	for _, item := range waiting {
 		item.Request.Class = sameClass(old, document, item.Request.Class)
+		item.Cost = c.fairCost(&item.Request)
 		c.queue.Restore(c.target(keyOf(&item.Request)).lane, item)
 	}
 	c.applyAdapters(document)
--- a/internal/scheduling/flowcontrol/heap.go
+++ b/internal/scheduling/flowcontrol/heap.go
@@ -3,7 +3,7 @@
 import "container/heap"
 
 // itemHeap is a heap of waiting items. index returns where an item stores its position in
-// this heap: an item is in two heaps at once and has a position in each.
+// this heap: an item is in several heaps at once and has a position in each.
 type itemHeap struct {
 	list  []*Item
 	less  func(a, b *Item) bool
@@ -16,6 +16,14 @@
 	return itemHeap{less: goesBefore, index: func(i *Item) *int { return &i.laneIndex }}
 }
 
+// lastFirst is the reverse of inOrder.
+func lastFirst() itemHeap {
+	return itemHeap{
+		less:  func(a, b *Item) bool { return goesBefore(b, a) },
+		index: func(i *Item) *int { return &i.holdingIndex },
+	}
+}
+
 func byCheckAt() itemHeap {
 	return itemHeap{
 		less:  func(a, b *Item) bool { return a.CheckAt.Before(b.CheckAt) },
@@ -23,7 +31,7 @@
 	}
 }
 
-// goesBefore orders the items of one class: those that aren't late first, then by deadline, then
+// goesBefore orders the items of one workspace and class: those that aren't late first, then by deadline, then
 // by the order in which they were pushed.
 func goesBefore(a, b *Item) bool {
 	if a.Late != b.Late {
--- a/internal/scheduling/flowcontrol/queue.go
+++ b/internal/scheduling/flowcontrol/queue.go
@@ -1,7 +1,8 @@
 // Package flowcontrol holds the requests that wait on one instance for room on a server.
 // Requests are ordered by class, then those that can still meet their latency objective come
-// first, then by deadline. The queue of each class is bounded,
-// and a floor guarantees less urgent classes a minimum share of the dispatches.
+// first, then by the service of their workspace (package fairshare), then by deadline. The queue of
+// each class is bounded, and a floor guarantees less urgent classes a minimum share of the
+// dispatches.
 package flowcontrol
 
 import (
@@ -9,6 +10,7 @@
 	"time"
 
 	"limpethub/internal/request"
+	"limpethub/internal/scheduling/fairshare"
 )
 
 // Item is a waiting request.
@@ -20,6 +22,9 @@
 	Work time.Duration
 	// PrefillTime is the predicted time to prefill the request's prompt.
 	PrefillTime time.Duration
+	// Cost is what the request counts as service to its workspace, in tokens; 0 in a deployment
+	// without workspaces.
+	Cost float64
 	// CheckAt is when the request must be checked again because it may no longer be able
 	// to meet its deadline. The check may move it to a later time.
 	CheckAt time.Time
@@ -28,18 +33,25 @@
 	LateAt time.Time
 	Late   bool
 
-	lane       *Lane
-	sequence   uint64
-	laneIndex  int
-	checkIndex int
+	lane         *Lane
+	group        *group
+	holding      *holding
+	sequence     uint64
+	laneIndex    int
+	checkIndex   int
+	holdingIndex int
 }
 
+// Start returns the virtual time at which the request starts if it is the next one of its
+// workspace; see fairshare.Share.Start. The item must be waiting.
+func (i *Item) Start() float64 { return i.group.share.Start() }
+
 // Lane returns the lane that the item was pushed to.
 func (i *Item) Lane() *Lane { return i.lane }
 
-// Lane holds the waiting requests for one target in a heap per class.
+// Lane holds the waiting requests for one target in a line per class.
 type Lane struct {
-	heaps       []itemHeap
+	lines       []*line
 	work        []time.Duration
 	prefillTime []time.Duration
 	// lateWork and latePrefillTime are the parts of work and prefillTime of late items.
@@ -52,14 +64,23 @@
 func (l *Lane) Len() int { return l.length }
 
 // First returns the waiting request of a class that goes first, or nil.
-func (l *Lane) First(class int) *Item { return l.heaps[class].first() }
+func (l *Lane) First(class int) *Item { return l.lines[class].first() }
+
+// Waiting returns the number of requests of a class that wait in the lane.
+func (l *Lane) Waiting(class int) int { return l.lines[class].waiting }
+
+// Fair returns how the lane divides the service of a class among workspaces.
+func (l *Lane) Fair(class int) *fairshare.Line { return l.lines[class].fair }
 
 // WorkUpTo returns the sum of the predicted durations of the requests in the lane that go before
 // a new one of the class: those of more urgent classes and those of the class that aren't late.
-func (l *Lane) WorkUpTo(class int) time.Duration {
-	return sumUpTo(l.work, class) - l.lateWork[class]
+// share is the share of the latter that counts; see fairshare.Line.ShareAhead.
+func (l *Lane) WorkUpTo(class int, share float64) time.Duration {
+	return sumUpTo(l.work, class-1) + scale(l.work[class]-l.lateWork[class], share)
 }
 
+func scale(d time.Duration, share float64) time.Duration { return time.Duration(float64(d) * share) }
+
 func sumUpTo(times []time.Duration, class int) time.Duration {
 	var sum time.Duration
 	for c := 0; c <= class; c++ {
@@ -70,8 +91,8 @@
 
 // PrefillTimeUpTo returns the sum of the predicted prefill times of the requests that WorkUpTo
 // counts.
-func (l *Lane) PrefillTimeUpTo(class int) time.Duration {
-	return sumUpTo(l.prefillTime, class) - l.latePrefillTime[class]
+func (l *Lane) PrefillTimeUpTo(class int, share float64) time.Duration {
+	return sumUpTo(l.prefillTime, class-1) + scale(l.prefillTime[class]-l.latePrefillTime[class], share)
 }
 
 // PrefillTime returns the sum of the predicted prefill times of all requests in the lane.
@@ -84,6 +105,8 @@
 type Queue struct {
 	limits   []int
 	lengths  []int
+	clocks   []*fairshare.Clock
+	holdings []map[string]*holding
 	byID     map[request.ID]*Item
 	checks   itemHeap
 	sequence uint64
@@ -92,22 +115,27 @@
 // New returns an empty queue; limits holds the maximum number of waiting requests of each
 // class.
 func New(limits []int) *Queue {
-	return &Queue{
+	q := &Queue{
 		limits:  limits,
 		lengths: make([]int, len(limits)),
 		byID:    map[request.ID]*Item{},
 		checks:  byCheckAt(),
 	}
+	for range limits {
+		q.clocks = append(q.clocks, fairshare.NewClock())
+		q.holdings = append(q.holdings, map[string]*holding{})
+	}
+	return q
 }
 
 func (q *Queue) NewLane() *Lane {
 	classes := len(q.limits)
 	l := &Lane{
-		heaps: make([]itemHeap, classes), work: make([]time.Duration, classes), prefillTime: make([]time.Duration, classes),
+		lines: make([]*line, classes), work: make([]time.Duration, classes), prefillTime: make([]time.Duration, classes),
 		lateWork: make([]time.Duration, classes), latePrefillTime: make([]time.Duration, classes),
 	}
-	for c := range l.heaps {
-		l.heaps[c] = inOrder()
+	for c := range l.lines {
+		l.lines[c] = newLine(q.clocks[c])
 	}
 	return l
 }
@@ -147,7 +175,8 @@
 	if item.Late {
 		lane.countLate(item, 1)
 	}
-	heap.Push(&lane.heaps[class], item)
+	lane.lines[class].add(item)
+	q.hold(item)
 	heap.Push(&q.checks, item)
 }
 
@@ -163,7 +192,8 @@
 	if item.Late {
 		lane.countLate(item, -1)
 	}
-	heap.Remove(&lane.heaps[class], item.laneIndex)
+	lane.lines[class].remove(item)
+	q.release(item)
 	heap.Remove(&q.checks, item.checkIndex)
 }
 
@@ -178,7 +208,8 @@
 	}
 	item.Late = true
 	item.lane.countLate(item, 1)
-	heap.Fix(&item.lane.heaps[item.Request.Class], item.laneIndex)
+	item.lane.lines[item.Request.Class].markLate(item)
+	heap.Fix(&item.holding.items, item.holdingIndex)
 }
 
 // countLate adds an item to the sums over late items, or with sign -1 removes it.
@@ -214,11 +245,17 @@
 
 // CheckLane makes all items of a lane due for a check.
 func (q *Queue) CheckLane(lane *Lane, now time.Time) {
-	for class := range lane.heaps {
-		for _, item := range lane.heaps[class].list {
-			if item.CheckAt.After(now) {
-				q.SetCheckAt(item, now)
-			}
+	for _, line := range lane.lines {
+		for _, g := range line.order {
+			q.checkAll(g.items.list, now)
+		}
+	}
+}
+
+func (q *Queue) checkAll(items []*Item, now time.Time) {
+	for _, item := range items {
+		if item.CheckAt.After(now) {
+			q.SetCheckAt(item, now)
 		}
 	}
 }
--- a/internal/scheduling/flowcontrol/queue_test.go
+++ b/internal/scheduling/flowcontrol/queue_test.go
@@ -29,8 +29,8 @@
 	if q.Push(lane, item("early", 1, 1)) {
 		t.Fatal("an item of class 1 with the ID of a waiting item of class 0 was accepted, want it refused")
 	}
-	if lane.First(0) != early || lane.WorkUpTo(1) != 2*time.Second {
-		t.Fatalf("first item = %v, work = %v, want the item \"early\" and 2s", lane.First(0), lane.WorkUpTo(1))
+	if lane.First(0) != early || lane.WorkUpTo(1, 1) != 2*time.Second {
+		t.Fatalf("first item = %v, work = %v, want the item \"early\" and 2s", lane.First(0), lane.WorkUpTo(1, 1))
 	}
 	if q.DueForCheck(epoch) != nil || q.DueForCheck(epoch.Add(time.Second)) != early {
 		t.Fatal("want no item due for a check at first, and the item \"early\" after 1 s")
@@ -102,12 +102,12 @@
 	if first := lane.First(0).Request.ID; first != "newer" {
 		t.Errorf("first is %s, want newer", first)
 	}
-	if lane.WorkUpTo(0) != time.Second || lane.PrefillTimeUpTo(0) != 10*time.Millisecond || lane.WorkUpTo(1) != 2*time.Second {
-		t.Errorf("work before a new request: %v, %v of prefill, %v for the next class; want that of newer, and of both", lane.WorkUpTo(0), lane.PrefillTimeUpTo(0), lane.WorkUpTo(1))
+	if lane.WorkUpTo(0, 1) != time.Second || lane.PrefillTimeUpTo(0, 1) != 10*time.Millisecond || lane.WorkUpTo(1, 1) != 2*time.Second {
+		t.Errorf("work before a new request: %v, %v of prefill, %v for the next class; want that of newer, and of both", lane.WorkUpTo(0, 1), lane.PrefillTimeUpTo(0, 1), lane.WorkUpTo(1, 1))
 	}
 	q.Remove(lane.First(0))
 	q.Remove(lane.First(0))
-	if lane.WorkUpTo(1) != 0 || lane.PrefillTimeUpTo(0) != 0 || lane.Len() != 0 {
-		t.Errorf("after the removal of all: work %v, prefill %v, %d items, want none", lane.WorkUpTo(1), lane.PrefillTimeUpTo(0), lane.Len())
+	if lane.WorkUpTo(1, 1) != 0 || lane.PrefillTimeUpTo(0, 1) != 0 || lane.Len() != 0 {
+		t.Errorf("after the removal of all: work %v, prefill %v, %d items, want none", lane.WorkUpTo(1, 1), lane.PrefillTimeUpTo(0, 1), lane.Len())
 	}
 }
--- a/internal/scheduling/flowcontrol/rebuild.go
+++ b/internal/scheduling/flowcontrol/rebuild.go
@@ -1,9 +1,6 @@
 package flowcontrol
 
-import (
-	"container/heap"
-	"sort"
-)
+import "sort"
 
 // All returns the waiting items in the order in which they were pushed.
 func (q *Queue) All() []*Item {
@@ -18,12 +15,12 @@
 // Hide hides an item from its lane until Unhide. The item still counts as waiting. It must
 // be made visible again with Unhide before it can be removed or canceled.
 func (q *Queue) Hide(item *Item) {
-	heap.Remove(&item.lane.heaps[item.Request.Class], item.laneIndex)
+	item.lane.lines[item.Request.Class].hide(item)
 }
 
 // Unhide makes a hidden item visible in its lane again.
 func (q *Queue) Unhide(item *Item) {
-	heap.Push(&item.lane.heaps[item.Request.Class], item)
+	item.lane.lines[item.Request.Class].show(item)
 }
 
 // Restore adds an item of an earlier queue even if its class is full: a request that was
--- a/internal/scheduling/prefill.go
+++ b/internal/scheduling/prefill.go
@@ -147,8 +147,9 @@
 //
 // If no such prompt waits on this instance, the result is 0: the routing policy already
 // compares the servers' backlog with the deadline and the objective.
-func (c *core) predictPrefillWait(now time.Time, t *target, class int) time.Duration {
-	waitingPrefill := t.lane.PrefillTimeUpTo(class)
+func (c *core) predictPrefillWait(now time.Time, t *target, r *request.Request) time.Duration {
+	shares := c.sharesAhead(t, r)
+	waitingPrefill := t.lane.PrefillTimeUpTo(r.Class, shares.of(t))
 	if waitingPrefill == 0 || len(t.copies) == 0 {
 		return 0
 	}
--- a/internal/scheduling/preview.go
+++ b/internal/scheduling/preview.go
@@ -53,7 +53,7 @@
 		out.Reason = reason(now, r.Deadline, &candidate)
 		return out
 	}
-	d := c.simulateEnqueue(now, t, r)
+	d := c.simulateEnqueue(now, t, &r)
 	out.Action, out.Reason = d.Action, d.Reason
 	if d.Err != nil {
 		out.Code = d.Err.Code
@@ -61,13 +61,13 @@
 	return out
 }
 
-// simulateEnqueue queues the request and removes it again.
-func (c *core) simulateEnqueue(now time.Time, t *target, r request.Request) Decision {
-	d := c.enqueue(now, t, &attempt{request: r})
-	if d.Action == Queue {
-		c.queue.Cancel(r.ID)
+// simulateEnqueue returns what enqueue would decide about the request.
+func (c *core) simulateEnqueue(now time.Time, t *target, r *request.Request) Decision {
+	item, refusal := c.admit(now, t, &attempt{request: *r})
+	if item == nil {
+		return refusal
 	}
-	return d
+	return Decision{Action: Queue, Reason: "no server has room"}
 }
 
 func (c *core) previewCandidates(now time.Time, t *target, in *routingInput) []PreviewCandidate {
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -66,6 +66,8 @@
 	// skipped holds the waiting requests that the current call of dispatchWaiting has hidden
 	// from their lanes; see skip.
 	skipped []*flowcontrol.Item
+	// shareBuffer is the buffer of sharesAhead.
+	shareBuffer map[*target]float64
 }
 
 var _ Scheduler = (*core)(nil)
@@ -103,6 +105,7 @@
 		aggregate:        predict.NewTarget(nil),
 		budgets:          map[string]*retry.Budget{},
 		prefixes:         prefix.New(),
+		shareBuffer:      map[*target]float64{},
 	}
 	c.applyDocument(options.Document)
 	return c, nil
--- a/internal/scheduling/version.go
+++ b/internal/scheduling/version.go
@@ -31,18 +31,18 @@
 // new ones wait don't apply to it, up to maxResumedShare. It doesn't wait for room either: its caller can
 // begin anew. It waits for a copy of its model like a new one, if all servers have the version: else the next
 // copy may be at another version.
-func (c *core) decideResumed(now time.Time, t *target, a *attempt) Decision {
+func (c *core) decideResumed(now time.Time, t *target, a *attempt) []Decision {
 	in := c.routingInput(now, t, &a.request, a.avoid)
 	if chosen, candidate := c.choose(now, t, &in); chosen != nil {
-		return c.dispatch(now, a, chosen, &candidate)
+		return []Decision{c.dispatch(now, a, chosen, &candidate)}
 	}
 	if chosen, candidate := c.leastLoadedCopy(now, t, &in); chosen != nil {
-		return c.dispatch(now, a, chosen, &candidate)
+		return []Decision{c.dispatch(now, a, chosen, &candidate)}
 	}
 	if c.backsOff(now, t, &a.request) || c.lacksCopies(now, t) && c.onlyVersionServes(now, &a.request) {
 		return c.enqueue(now, t, a)
 	}
-	return c.refuseVersion(a)
+	return []Decision{c.refuseVersion(a)}
 }
 
 func (c *core) refuseVersion(a *attempt) Decision {
--- a/internal/scheduling/waiting.go
+++ b/internal/scheduling/waiting.go
@@ -196,7 +196,7 @@
 			continue
 		}
 		c.queue.Remove(item)
-		a := attempt{request: item.Request, mayHaveRun: item.MayHaveRun}
+		a := attempt{request: item.Request, mayHaveRun: item.MayHaveRun, waited: true}
 		out = append(out, c.dispatch(now, &a, tc, &candidate))
 		// The dispatch may have made the floor of a blocked class due.
 		c.pass++
@@ -272,7 +272,8 @@
 }
 
 // goesBefore reports whether a is dispatched before b: first a class whose floor is due, then
-// the more urgent class, then one that can still meet its objective, then the earlier deadline.
+// the more urgent class, then one that can still meet its objective, then the workspace with less
+// service, then the earlier deadline. Without workspaces all starts are equal.
 func (c *core) goesBefore(a, b *flowcontrol.Item) bool {
 	classA, classB := a.Request.Class, b.Request.Class
 	if classA != classB {
@@ -285,6 +286,9 @@
 	if a.Late != b.Late {
 		return b.Late
 	}
+	if startA, startB := a.Start(), b.Start(); startA != startB {
+		return startA < startB
+	}
 	return a.Request.Deadline.Before(b.Request.Deadline)
 }
 
@@ -297,15 +301,16 @@
 	return c.candidates[0], chosen != nil
 }
 
-// predictQueueWait predicts how long a request of a class would wait on this instance. It
-// divides the work of the waiting requests that are at least as urgent and can use the same
-// servers by the number of requests that this instance has on those servers. The work of each
-// target is split evenly over its copies. The share of the dispatches that a floor guarantees
-// bounds the predicted wait of its class.
-func (c *core) predictQueueWait(now time.Time, t *target, class int) time.Duration {
+// predictQueueWait predicts how long a request would wait on this instance. It divides the work of
+// the waiting requests that go before it and can use the same servers by the number of requests that
+// this instance has on those servers. The work of each target is split evenly over its copies. The
+// share of the dispatches that a floor guarantees bounds the predicted wait of its class.
+func (c *core) predictQueueWait(now time.Time, t *target, r *request.Request) time.Duration {
 	if c.queue.Len() == 0 || len(t.copies) == 0 {
 		return 0
 	}
+	class := r.Class
+	shares := c.sharesAhead(t, r)
 	var ahead, ownClass float64
 	concurrency := 0
 	for _, tc := range t.copies {
@@ -315,7 +320,7 @@
 		concurrency += max(1, tc.server.load.Own())
 		for _, other := range tc.server.copies {
 			copyCount := float64(len(other.target.copies))
-			ahead += float64(other.target.lane.WorkUpTo(class)) / copyCount
+			ahead += float64(other.target.lane.WorkUpTo(class, shares.of(other.target))) / copyCount
 			ownClass += float64(other.target.lane.Work(class)) / copyCount
 		}
 	}
