Retry budget: less urgent classes give way

In an overload the retries of less urgent requests could use up the budget of a service, so that more urgent ones got none. A budget for each class was considered: the spare retries of each would add up to more than the platform allows.

--- a/internal/scheduling/retry/budget.go
+++ b/internal/scheduling/retry/budget.go
@@ -31,6 +31,9 @@
 	share        float64
 	spareRetries float64
 	slots        [slotCount]slot
+	// deniedClass is the most urgent class for which no retry was left, and deniedAt when that was.
+	deniedClass int
+	deniedAt    time.Time
 }
 
 // NewBudget returns a budget that allows the given number of retries per success, from 0 to 1.
@@ -62,6 +65,25 @@
 	return true
 }
 
+// TakeFor is Take for a request of a class, 0 being the most urgent. A class gets no retry while a
+// more urgent one lacks them.
+//
+// The load is an overload in which servers refuse less urgent requests: their retries would use up
+// the budget that requests of the same service and of more urgent classes need.
+func (b *Budget) TakeFor(now time.Time, class int) bool {
+	lacking := now.Sub(b.deniedAt) < window
+	if lacking && class > b.deniedClass {
+		return false
+	}
+	if b.Take(now) {
+		return true
+	}
+	if !lacking || class <= b.deniedClass {
+		b.deniedClass, b.deniedAt = class, now
+	}
+	return false
+}
+
 func (b *Budget) slotAt(now time.Time) *slot {
 	number := now.UnixNano() / int64(window/slotCount)
 	s := &b.slots[((number%slotCount)+slotCount)%slotCount]
--- a/internal/scheduling/retry/budget_test.go
+++ b/internal/scheduling/retry/budget_test.go
@@ -50,3 +50,25 @@
 		}
 	}
 }
+
+// TestLessUrgentRetriesGiveWay guards against retries of less urgent requests that use up what more
+// urgent ones of the service need.
+func TestLessUrgentRetriesGiveWay(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	b := NewBudget(0.1)
+	for b.TakeFor(now, 1) {
+	}
+	if b.TakeFor(now, 0) {
+		t.Fatal("a retry beyond the budget was allowed")
+	}
+	later := now.Add(window - time.Millisecond)
+	for range 100 {
+		b.Success(later)
+	}
+	if b.TakeFor(later, 1) || !b.TakeFor(later, 0) {
+		t.Error("want a retry for the class that lacked one, and none for a less urgent class")
+	}
+	if !b.TakeFor(now.Add(2*window), 1) {
+		t.Error("want retries for the less urgent class once the more urgent one lacks none")
+	}
+}
