Scheduling: urgent prompts find servers with a short backlog in overload

A server may get a request while its backlog of prompts is at most half of the request's objective, so long prompts of less urgent kinds fill all servers beyond what urgent ones accept.

With workspaces, a request goes to a server only if the backlog, with its own prompt, stays within what more urgent streams of the service allow, or if there is none. Peers learn at once that a long prompt was read. Waiting requests under this rule take turns at a server by instance, and a class has fewer turns while a more urgent one waits, since an instance doesn't know what waits on others. Retries of less urgent classes give way.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -194,9 +194,11 @@
 // Progress tells the scheduler how many tokens of the answer to a dispatched request have
 // arrived so far, in total.
 func (d *Dispatcher) Progress(id request.ID, tokens int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.scheduler.Progress(d.now(), id, tokens)
+	d.withLock(func() {
+		if decisions := d.scheduler.Progress(d.now(), id, tokens); len(decisions) > 0 {
+			d.apply(decisions)
+		}
+	})
 }
 
 // SetServers gives the scheduler the set of known servers, which replaces the previous set.
@@ -309,6 +311,13 @@
 	return d.scheduler.ClassLoads()
 }
 
+// WorkspacesWaiting returns the number of waiting requests of each workspace that has any.
+func (d *Dispatcher) WorkspacesWaiting() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.WorkspacesWaiting()
+}
+
 // RefuseWaiting refuses all waiting requests, and from now on every request that the
 // scheduler would queue, because the instance stops before they can be dispatched.
 func (d *Dispatcher) RefuseWaiting() {
@@ -441,12 +450,17 @@
 // actionNames holds the names of actions in logs and in answers to operators.
 var actionNames = [...]string{scheduling.Dispatch: "dispatch", scheduling.Queue: "queue", scheduling.Refuse: "refuse", scheduling.PassOn: "pass on"}
 
-// logDecision logs a decision. The field "class" is the index of the class.
+// logDecision logs a decision. The field "class" is the index of the class. The workspace is named
+// where it matters: for requests that wait or are refused.
 func (d *Dispatcher) logDecision(r request.Request, decision scheduling.Decision, waited time.Duration) {
 	if !d.logger.Logger.IsLevelEnabled(logrus.InfoLevel) {
 		return
 	}
-	d.logger.WithFields(logrus.Fields{
+	entry := d.logger
+	if r.Workspace != "" && decision.Action != scheduling.Dispatch {
+		entry = entry.WithField("workspace", r.Workspace)
+	}
+	entry.WithFields(logrus.Fields{
 		"request":   r.ID,
 		"model":     r.Model,
 		"service":   r.Service,
--- a/internal/scheduling/candidate.go
+++ b/internal/scheduling/candidate.go
@@ -155,6 +155,7 @@
 	if in.shared != nil {
 		c.query.Affinity = in.shared.Key
 		c.query.MaxBacklog = backlogLimit(in.request)
+		c.query.UrgentBacklog = c.urgentBacklog(now, in.request)
 	}
 	i := c.policy.Choose(&c.query, c.candidates)
 	if i < 0 {
--- a/internal/scheduling/core.go
+++ b/internal/scheduling/core.go
@@ -166,8 +166,9 @@
 	// MayRetry is Retry without a decision: it reports whether another attempt is allowed, which another
 	// instance then makes, and takes it from the retry budget.
 	MayRetry(now time.Time, r request.Request, last Outcome) bool
-	// Progress records how many tokens of a dispatched request's answer have arrived.
-	Progress(now time.Time, id request.ID, tokens int)
+	// Progress records how many tokens of a dispatched request's answer have arrived. The first ones
+	// show that the server has read the prompt, which may make room for waiting requests.
+	Progress(now time.Time, id request.ID, tokens int) []Decision
 	// Cancel drops a waiting request whose caller has gone away.
 	Cancel(now time.Time, id request.ID) []Decision
 	// Tick refuses the waiting requests that can no longer meet their deadline, and
@@ -180,6 +181,8 @@
 	Preview(now time.Time, r request.Request) Preview
 	// ClassLoads counts this instance's requests by class, in the document's order.
 	ClassLoads() []ClassLoad
+	// WorkspacesWaiting counts the waiting requests of each workspace that has any.
+	WorkspacesWaiting() map[string]int
 	// RefLoads counts this instance's requests by model or adapter version.
 	RefLoads(now time.Time) map[modelref.Ref]RefLoad
 	// ServerLoads estimates the number of requests on each server, from all instances.
--- a/internal/scheduling/decide.go
+++ b/internal/scheduling/decide.go
@@ -63,6 +63,7 @@
 			"a request with this ID is in progress")}
 	}
 	r.Class = min(max(r.Class, 0), len(c.document.Classes)-1)
+	c.observeDemand(now, &r)
 	return c.decide(now, attempt{request: r})
 }
 
@@ -104,6 +105,7 @@
 		out = append(out, c.refuseDisplaced(now, last))
 	}
 	c.queue.Push(t.lane, item)
+	c.observeWaiting(now, &item.Request)
 	if len(t.copies) == 0 {
 		return append(out, Decision{ID: item.Request.ID, Action: Queue, Reason: "no server holds what it needs yet"})
 	}
--- a/internal/scheduling/document.go
+++ b/internal/scheduling/document.go
@@ -30,6 +30,7 @@
 		waiting = c.queue.All()
 	}
 	c.queue, c.floor = newQueue(document.Classes)
+	clear(c.urgencies)
 	for _, t := range c.targets {
 		t.lane = c.queue.NewLane()
 		t.blockedInPass = make([]uint64, len(document.Classes))
--- a/internal/scheduling/fair.go
+++ b/internal/scheduling/fair.go
@@ -60,3 +60,10 @@
 	wait := c.predictWait(now, c.target(keyOf(&item.Request)), &item.Request)
 	return refuse(&a, verdict.CodeQueueFull, c.retryAfter(wait), "the queue of the class is full, and its workspace has the most requests in it")
 }
+
+// WorkspacesWaiting implements Scheduler. Requests without a workspace aren't counted.
+func (c *core) WorkspacesWaiting() map[string]int {
+	out := c.queue.Workspaces()
+	delete(out, "")
+	return out
+}
--- a/internal/scheduling/finish.go
+++ b/internal/scheduling/finish.go
@@ -21,7 +21,7 @@
 	d.target.dispatched--
 	s := d.targetCopy.server
 	s.load.Finished(now, d.class)
-	d.clearPendingPrefill()
+	c.clearPendingPrefill(now, d)
 	d.clearSuspicion()
 	if o.Unsent && s.quota != nil {
 		s.quota.Return(now)
@@ -97,12 +97,19 @@
 	return true
 }
 
-func (c *core) Progress(_ time.Time, id request.ID, tokens int) {
-	if d := c.dispatched[id]; d != nil {
-		d.answerTokens = tokens
-		d.clearPendingPrefill()
-		d.clearSuspicion()
+func (c *core) Progress(now time.Time, id request.ID, tokens int) []Decision {
+	d := c.dispatched[id]
+	if d == nil {
+		return nil
+	}
+	readLongPrompt := d.pendingPrefillTokens >= urgentPrefillTokens
+	d.answerTokens = tokens
+	c.clearPendingPrefill(now, d)
+	d.clearSuspicion()
+	if !readLongPrompt || !c.document.RequireKeys {
+		return nil
 	}
+	return c.expireAndDispatch(now, d.targetCopy.server)
 }
 
 // clearSuspicion records that the request no longer may crash its server.
@@ -124,7 +131,7 @@
 	if !retry.MayRetry(last.Verdict, r.Idempotent) {
 		return []Decision{c.refuseRetry(now, &a, last, "the request may have run and must not repeat")}
 	}
-	if !c.retryIsFree(&last) && !c.budgetOf(c.target(keyOf(&r))).Take(now) {
+	if !c.retryIsFree(&last) && !c.takeRetry(now, &r) {
 		return []Decision{c.refuseRetry(now, &a, last, "the retry budget is used up")}
 	}
 	a.avoid = c.serverToAvoid(now, &r, last.Server)
@@ -136,7 +143,16 @@
 	if !retry.MayRetry(last.Verdict, r.Idempotent) {
 		return false
 	}
-	return c.retryIsFree(&last) || c.budgetOf(c.target(keyOf(&r))).Take(now)
+	return c.retryIsFree(&last) || c.takeRetry(now, &r)
+}
+
+// takeRetry takes a retry from the budget and reports whether there was one.
+func (c *core) takeRetry(now time.Time, r *request.Request) bool {
+	b := c.budgetOf(c.target(keyOf(r)))
+	if c.document.RequireKeys {
+		return b.TakeFor(now, r.Class)
+	}
+	return b.Take(now)
 }
 
 // retryIsFree reports whether another attempt doesn't use up the retry budget. That is so if
--- a/internal/scheduling/fuzz_test.go
+++ b/internal/scheduling/fuzz_test.go
@@ -147,6 +147,9 @@
 	if r.Model == "" {
 		r.Service, r.PromptTokens, r.MaxTokens = "forms", 0, 0
 	}
+	if f.document.RequireKeys {
+		r.Workspace = fmt.Sprint(f.requestCount % 3)
+	}
 	f.requests[r.ID] = r
 	f.order = append(f.order, r)
 	return f.s.Arrive(f.now, r.Request)
@@ -295,6 +298,18 @@
 	})
 }
 
+// TestFuzzWorkspaces checks that the guarantees hold with workspaces, which have requests displaced
+// from a full queue.
+func TestFuzzWorkspaces(t *testing.T) {
+	for seed := range uint64(20) {
+		document := fuzzDocument()
+		document.RequireKeys = true
+		if err := newFuzzDriver(fuzzScheduler(document, DefaultPolicy), document, seeded(seed)).run(fuzzSteps); err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+	}
+}
+
 // seeded returns a draw that doesn't depend on rapid.
 func seeded(seed uint64) draw {
 	random := rand.New(rand.NewPCG(seed, 0))
--- a/internal/scheduling/prefill.go
+++ b/internal/scheduling/prefill.go
@@ -51,6 +51,7 @@
 		c.prefixes.RecordRun(now, part.Key, s.Name)
 	}
 	c.dispatched[r.ID].pendingPrefillTokens = prefillTokens
+	s.longPrompt.observe(now, 0, prefillTokens, true)
 	s.pendingPrefillTokens += prefillTokens
 	if prefillTokens >= urgentPrefillTokens {
 		c.urgentUpdates = append(c.urgentUpdates, s.Name)
@@ -68,8 +69,16 @@
 }
 
 // clearPendingPrefill records that the server has prefilled the prompt or will never do so.
-func (d *dispatchedRequest) clearPendingPrefill() {
-	d.targetCopy.server.pendingPrefillTokens -= d.pendingPrefillTokens
+//
+// In deployments with workspaces, peers learn without delay that a long prompt was read: their long
+// prompts wait for that; see urgentBacklog.
+func (c *core) clearPendingPrefill(now time.Time, d *dispatchedRequest) {
+	s := d.targetCopy.server
+	s.longPrompt.observe(now, d.pendingPrefillTokens, 0, true)
+	if c.document.RequireKeys && d.pendingPrefillTokens >= urgentPrefillTokens {
+		c.urgentUpdates = append(c.urgentUpdates, s.Name)
+	}
+	s.pendingPrefillTokens -= d.pendingPrefillTokens
 	d.pendingPrefillTokens = 0
 }
 
@@ -81,6 +90,7 @@
 	if s.pendingPrefillByPeer == nil {
 		s.pendingPrefillByPeer = map[string]peerPendingPrefill{}
 	}
+	s.longPrompt.observe(now, s.pendingPrefillByPeer[instance].tokens, tokens, false)
 	s.pendingPrefillByPeer[instance] = peerPendingPrefill{tokens: tokens, receivedAt: now}
 }
 
--- a/internal/scheduling/routing/policies.go
+++ b/internal/scheduling/routing/policies.go
@@ -38,7 +38,7 @@
 
 func newDeadline() *Policy {
 	return &Policy{
-		Filters:   []Filter{room{}, backlog{}, inTime{}},
+		Filters:   []Filter{room{}, backlog{}, urgentBacklog{}, inTime{}},
 		Scorer:    finish{},
 		Picker:    nearEqual{},
 		Admission: admissionDeadline,
--- a/internal/scheduling/routing/routing.go
+++ b/internal/scheduling/routing/routing.go
@@ -31,6 +31,9 @@
 	// MaxBacklog is the highest backlog of a server that may get the request; 0 means no
 	// limit.
 	MaxBacklog time.Duration
+	// UrgentBacklog is the highest backlog, with the request's own prompt, of a server that has a
+	// backlog, so that more urgent requests can use it; 0 means no limit.
+	UrgentBacklog time.Duration
 	// DecisionCount counts the decisions about the same target. It drives round-robin picking.
 	DecisionCount uint64
 }
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -42,6 +42,8 @@
 	// budgets holds the retry budgets by service; see budgetOf.
 	budgets  map[string]*retry.Budget
 	prefixes *prefix.Index
+	// urgencies is empty in deployments without workspaces; see urgencyOf.
+	urgencies map[string]*urgency
 
 	// instances are the names of the instances that share the limits of servers.
 	instances []string
@@ -105,6 +107,7 @@
 		aggregate:        predict.NewTarget(nil),
 		budgets:          map[string]*retry.Budget{},
 		prefixes:         prefix.New(),
+		urgencies:        map[string]*urgency{},
 		shareBuffer:      map[*target]float64{},
 	}
 	c.applyDocument(options.Document)
--- a/internal/scheduling/server.go
+++ b/internal/scheduling/server.go
@@ -57,6 +57,7 @@
 	// this instance's requests. pendingPrefillByPeer holds the same for each peer.
 	pendingPrefillTokens int
 	pendingPrefillByPeer map[string]peerPendingPrefill
+	longPrompt           longPrompt
 	// quota is this instance's part of the limit that the server has named; nil if it has named none.
 	quota *quota.Quota
 	// saysBrittle is true while the server's answers say that it falls over if it must turn requests away. room is
--- a/internal/scheduling/version.go
+++ b/internal/scheduling/version.go
@@ -74,7 +74,7 @@
 		return false
 	}
 	if in.request.SoftwareVersion == "" {
-		return !c.full(now, s, in.class, s.limitFor(in.request))
+		return !c.full(now, s, in.class, s.limitFor(in.request)) && (!c.waitsBehind(tc.target, in.request) || c.hasTurn(now, s, in.request))
 	}
 	room := max(s.limit.Batch(), s.limit.Value())
 	return !s.atLimit(now) && float64(s.load.Total(now)) < maxResumedShare*float64(room)
--- a/internal/scheduling/waiting.go
+++ b/internal/scheduling/waiting.go
@@ -190,6 +190,11 @@
 			c.hide(item)
 			continue
 		}
+		if !c.hasTurn(now, s, &item.Request) {
+			// The others of the class have no turn either.
+			tc.target.blockedInPass[item.Request.Class] = c.pass
+			continue
+		}
 		candidate, ok := c.policyAccepts(now, tc, item)
 		if !ok {
 			c.skip(tc.target, item, &candidate)
