--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -36,6 +36,7 @@
 			Name: "limpethub_attempts_total", Help: "Attempts sent to backend servers, including retries.",
 		}, func() float64 { return float64(d.attempts()) }),
 	)
+	d.registry.MustRegister(newWaitingCollector(d.dispatcher.WorkspacesWaiting))
 	d.registerLogAndHostedMetrics()
 	if c, ok := d.plugins.peers.(collectorProvider); ok {
 		d.registry.MustRegister(c.Collectors()...)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -24,6 +24,8 @@
 	durations  *prometheus.HistogramVec
 	// firstEvent measures the time to the first event of an answer.
 	firstEvent *prometheus.HistogramVec
+	// refusals counts refused requests by workspace.
+	refusals *prometheus.CounterVec
 
 	mu      sync.Mutex
 	classes map[string]*ClassCounts
@@ -89,11 +91,14 @@
 		durations: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "request_seconds", Help: "Time from a request's arrival to the end of its answer, in seconds, by class.", Buckets: secondsBuckets,
 		}, []string{"class"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "workspace_refusals_total", Help: "Requests that scheduling refused, by workspace.",
+		}, []string{"workspace"}),
 		firstEvent: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "first_token_seconds", Help: "Time from a request's arrival to the first event of its answer, in seconds, by class.", Buckets: secondsBuckets,
 		}, []string{"class"}),
 	}
-	registry.MustRegister(r.decisions, r.queueWaits, r.requests, r.durations, r.firstEvent)
+	registry.MustRegister(r.decisions, r.queueWaits, r.requests, r.durations, r.firstEvent, r.refusals)
 	return r
 }
 
@@ -104,12 +109,15 @@
 }
 
 // ObserveDecision implements dispatch.Observer.
-func (r *Requests) ObserveDecision(_ request.Request, d scheduling.Decision, waited time.Duration) {
+func (r *Requests) ObserveDecision(decided request.Request, d scheduling.Decision, waited time.Duration) {
 	code := ""
 	if d.Err != nil {
 		code = string(d.Err.Code)
 	}
 	r.decisions.WithLabelValues(actionLabels[d.Action], code).Inc()
+	if d.Action == scheduling.Refuse && decided.Workspace != "" {
+		r.refusals.WithLabelValues(decided.Workspace).Inc()
+	}
 	if d.Action == scheduling.Dispatch {
 		r.queueWaits.Observe(waited.Seconds())
 	}
