--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -38,6 +38,7 @@
 		}, func() float64 { return float64(d.attempts()) }),
 	)
 	d.registerSpeedMetrics()
+	d.registry.MustRegister(newWaitingCollector(d.dispatcher.WorkspacesWaiting))
 	d.registerLogAndHostedMetrics()
 	if c, ok := d.plugins.peers.(collectorProvider); ok {
 		d.registry.MustRegister(c.Collectors()...)
--- a/internal/scheduling/candidate.go
+++ b/internal/scheduling/candidate.go
@@ -156,6 +156,7 @@
 	if in.shared != nil {
 		c.query.Affinity = in.shared.Key
 		c.query.MaxBacklog = backlogLimit(in.request)
+		c.query.UrgentBacklog = c.urgentBacklog(now, in.request)
 	}
 	c.probeCredit = min(maxSlowProbeCredit, c.probeCredit+slowProbeShare)
 	if c.differs(now) {
--- a/internal/scheduling/document.go
+++ b/internal/scheduling/document.go
@@ -30,12 +30,14 @@
 		waiting = c.queue.All()
 	}
 	c.queue, c.floor = newQueue(document.Classes)
+	clear(c.urgencies)
 	for _, t := range c.targets {
 		t.lane = c.queue.NewLane()
 		t.blockedInPass = make([]uint64, len(document.Classes))
 	}
 	for _, item := range waiting {
 		item.Request.Class = sameClass(old, document, item.Request.Class)
+		item.Cost = c.fairCost(&item.Request)
 		c.queue.Restore(c.target(keyOf(&item.Request)).lane, item)
 	}
 	c.applyAdapters(document)
--- a/internal/scheduling/routing/routing.go
+++ b/internal/scheduling/routing/routing.go
@@ -34,6 +34,9 @@
 	// Spread is true if the servers differ in speed, or did a short time ago. Then no server may get all
 	// requests that are decided on the same information, however much better it is than the others.
 	Spread bool
+	// UrgentBacklog is the highest backlog, with the request's own prompt, of a server that has a
+	// backlog, so that more urgent requests can use it; 0 means no limit.
+	UrgentBacklog time.Duration
 	// DecisionCount counts the decisions about the same target. It drives round-robin picking.
 	DecisionCount uint64
 }
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -42,6 +42,8 @@
 	// budgets holds the retry budgets by service; see budgetOf.
 	budgets  map[string]*retry.Budget
 	prefixes *prefix.Index
+	// urgencies is empty in deployments without workspaces; see urgencyOf.
+	urgencies map[string]*urgency
 
 	// instances are the names of the instances that share the limits of servers.
 	instances []string
@@ -80,6 +82,8 @@
 	// skipped holds the waiting requests that the current call of dispatchWaiting has hidden
 	// from their lanes; see skip.
 	skipped []*flowcontrol.Item
+	// shareBuffer is the buffer of sharesAhead.
+	shareBuffer map[*target]float64
 }
 
 var _ Scheduler = (*core)(nil)
@@ -120,6 +124,8 @@
 		budgets:          map[string]*retry.Budget{},
 		prefixes:         prefix.New(),
 		probeCredit:      maxSlowProbeCredit,
+		urgencies:        map[string]*urgency{},
+		shareBuffer:      map[*target]float64{},
 	}
 	c.applyDocument(options.Document)
 	return c, nil
