Comments of the new packages in terms of the field; clocks of peers may drift by 0.1 %

One fault came up: the delay of a peer's quota messages is estimated against a clock that may drift by 0.01 %; with more drift the estimate grows for as long as the peer runs, and its states count as old after hours. 0.1 % is twice what a clock that is adjusted over a network may be off. Not shown by a test of hours; the tests of the package pass.

--- a/internal/scheduling/candidate.go
+++ b/internal/scheduling/candidate.go
@@ -197,7 +197,8 @@
 )
 
 // limitFor returns how many requests that are at least as urgent the server may have when it gets
-// the request. A server that slows down with more has a lower limit. For a stream it is so low that its first event can meet the objective.
+// the request. A server that slows down under load has a lower limit. For streams, the limit is low enough that the
+// first event can meet the objective.
 //
 // The load is an overload of streams with a short objective: a limit that only keeps the server
 // busy lets each of them wait in the server for longer than its objective, where it can't go to
--- a/internal/scheduling/fairshare/fairshare.go
+++ b/internal/scheduling/fairshare/fairshare.go
@@ -23,11 +23,9 @@
 // NewClock returns a clock at virtual time 0.
 func NewClock() *Clock { return &Clock{served: map[string]*account{}} }
 
-// Line holds the workspaces whose requests wait for the same servers.
-//
-// A line has a virtual time of its own, since lines are served at different speeds: a workspace
-// that joins a slow line at the time of a fast one would wait for as long as the difference lasts,
-// behind a workspace that has filled the slow line.
+// Line holds the workspaces whose requests wait for the same servers. Each line has its own virtual time, because lines
+// are served at different rates: with a shared time, a workspace joining a slow line would start far behind those already
+// waiting in it.
 type Line struct {
 	clock *Clock
 	now   float64
--- a/internal/scheduling/pace/pace.go
+++ b/internal/scheduling/pace/pace.go
@@ -174,9 +174,9 @@
 	return min(max((math.Abs(difference)-deadBand)/deadBand, 0), 1)
 }
 
-// Limit returns how many requests the server should have at most; 0 if it needs no limit of its own. The server
-// gets one if it slows down more than usual when it is crowded: the load at which it was measured, divided by
-// how much it slowed down. That is where a server whose speed falls in proportion to its load begins to.
+// Limit returns the maximum number of concurrent requests for the server; 0 if it needs no limit of its own. A server
+// gets one if it slows down under load more than is usual: the load at which it was measured, divided by the excess
+// slowdown.
 func (p *Pace) Limit(now time.Time, slots int) int {
 	p.decay(now)
 	growth, known := p.growth()
--- a/internal/scheduling/predict/reference.go
+++ b/internal/scheduling/predict/reference.go
@@ -33,12 +33,13 @@
 	return r.first.get(promptTokens)
 }
 
-// ObservePerToken learns from the time of a decoded token, ObserveWhole from that of a whole answer, and
-// ObserveFirst from that to the first token.
+// ObservePerToken records the time of one decoded token on a server of usual speed.
 func (r *Reference) ObservePerToken(sample time.Duration) { r.perToken.add(float64(sample)) }
 
+// ObserveWhole records the time of a whole answer on a server of usual speed.
 func (r *Reference) ObserveWhole(sample time.Duration) { r.whole.add(float64(sample)) }
 
+// ObserveFirst records the time to the first token of a prompt on a server of usual speed.
 func (r *Reference) ObserveFirst(promptTokens int, sample time.Duration) {
 	r.first.add(float64(promptTokens), float64(sample))
 }
--- a/internal/scheduling/serverpace.go
+++ b/internal/scheduling/serverpace.go
@@ -85,6 +85,7 @@
 	Min, Max float64
 }
 
+// SummarizeSpeeds returns the summary of the given speeds.
 func SummarizeSpeeds(speeds []ServerSpeed) SpeedSummary {
 	out := SpeedSummary{Min: 1, Max: 1}
 	for _, s := range speeds {
--- a/internal/scheduling/urgency.go
+++ b/internal/scheduling/urgency.go
@@ -114,12 +114,9 @@
 	}
 }
 
-// urgentBacklog returns the backlog that a server may have with the prompt of a request, so that
-// more urgent requests can use it; 0 means any.
-//
-// The load is an overload of long prompts of less urgent classes, whose objectives allow a longer
-// backlog than those of short urgent ones. They fill each server up to the backlog that they allow,
-// and the urgent ones then find none that they may go to.
+// urgentBacklog returns the maximum backlog that a server may have, including the prompt of the request, so that more
+// urgent requests can still use the server; 0 means no limit. Without it, long prompts of less urgent classes fill every
+// server beyond the backlog that urgent requests tolerate.
 func (c *core) urgentBacklog(now time.Time, r *request.Request) time.Duration {
 	u := c.urgencyOf(r)
 	if u == nil {
@@ -128,15 +125,9 @@
 	return u.allowedBacklog(now, r.Class)
 }
 
-// hasTurn reports whether a waiting request may go to a server now. If urgentBacklog bounds its
-// choice to servers that are about to be free, the instances take turns at such a server: the one
-// whose long prompt the server has read goes on, and for the others the turns become more frequent
-// the longer the server is free. A less urgent class has fewer turns while a more urgent one waits,
-// which is likely to wait on other instances too.
-//
-// The load is an overload of which each of many instances has a part waiting: all learn at the same
-// moment that a server is free, and send it so many long prompts that callers leave before they are
-// read. An instance whose queue holds less urgent requests only takes servers from the others.
+// hasTurn reports whether a waiting request may go to the server now. When urgentBacklog limits the choice, instances
+// take pseudo-random turns at a server, so that they don't all send a long prompt when it becomes free. Turns become more
+// frequent the longer the server is free, and rarer for a class while a more urgent one waits.
 func (c *core) hasTurn(now time.Time, s *server, r *request.Request) bool {
 	if c.urgentBacklog(now, r) == 0 || len(c.peers) == 0 {
 		return true
--- a/internal/streamversion/archive.go
+++ b/internal/streamversion/archive.go
@@ -56,8 +56,9 @@
 	lookupUnused lookupOutcome = "unused"
 )
 
-// archive keeps the origins of streams in the platform's key-value store while several versions serve, so that they
-// are known after all instances have ended. A nil archive keeps none. It is safe for concurrent use.
+// archive persists the origins of streams in the platform's key-value store while several versions serve, so that they
+// survive a restart of all instances. Few instances, the archivists, write to the store, which bounds the rate of
+// writes; every other instance sends its streams to them. A nil archive persists nothing. It is safe for concurrent use.
 type archive struct {
 	options Options
 	reader  store.PrefixReader
@@ -180,7 +181,7 @@
 	}
 }
 
-func (a *archive) due(now time.Time) []*news {
+func (a *archive) due(now time.Time) []*batchToSend {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.outbox.due(now, func() []string { return a.archivists(now) }, a.hasSeveral)
@@ -194,7 +195,7 @@
 	return a.chosen
 }
 
-func (a *archive) send(n *news) bool {
+func (a *archive) send(n *batchToSend) bool {
 	payload, err := n.batch.encode()
 	if err != nil {
 		a.options.Logger.WithField("archivist", n.archivist).WithError(err).Error("The software versions of streams can't be told to their archivist: encoding failed")
@@ -289,8 +290,9 @@
 	a.failing = err != nil
 }
 
-// lookUp begins to look up what began a stream, once the peers take long or the returned function is called, which
-// waits for the result until ctx ends. If ctx ends first, nothing is read.
+// lookUp starts an archive lookup of a stream's origin in the background. The store is read after settledAfter, or as
+// soon as wait is called. wait returns the result, and must be called exactly once. If ctx ends first, the outcome is
+// lookupUnavailable.
 func (a *archive) lookUp(ctx context.Context, id request.ID) (wait func() (request.Origin, lookupOutcome)) {
 	if a == nil {
 		return func() (request.Origin, lookupOutcome) { return request.Origin{}, lookupUnused }
--- a/internal/streamversion/outbox.go
+++ b/internal/streamversion/outbox.go
@@ -109,8 +109,8 @@
 	}
 }
 
-// news is what an archivist has to be told.
-type news struct {
+// batchToSend is a batch of streams to be sent to one archivist.
+type batchToSend struct {
 	archivist string
 	streams   []*ownStream
 	batch     batch
@@ -119,7 +119,7 @@
 // due returns what is to be told now. hasSeveral reports whether the servers of a service have had several versions within
 // a time; the streams of other services needn't be archived. choose returns the archivists; it is called only if
 // there are services with several versions.
-func (o *outbox) due(now time.Time, choose func() []string, hasSeveral func(service string, life time.Duration) bool) []*news {
+func (o *outbox) due(now time.Time, choose func() []string, hasSeveral func(service string, life time.Duration) bool) []*batchToSend {
 	o.forget(now)
 	several := o.withSeveral(hasSeveral)
 	if len(several) == 0 {
@@ -127,8 +127,8 @@
 	}
 	archivists := choose()
 	o.reassign(archivists)
-	last := map[string]*news{}
-	var out []*news
+	last := map[string]*batchToSend{}
+	var out []*batchToSend
 	count := 0
 	for _, s := range o.streams {
 		if s.archivist != "" || !several[s.origin.Service] || count == maxToldPerRound {
@@ -138,7 +138,7 @@
 		name := archivistOf(s.hash, archivists)
 		n := last[name]
 		if n == nil || !n.add(now, s) {
-			n = &news{archivist: name}
+			n = &batchToSend{archivist: name}
 			n.add(now, s)
 			last[name] = n
 			out = append(out, n)
@@ -175,7 +175,7 @@
 	}
 }
 
-func (n *news) add(now time.Time, s *ownStream) bool {
+func (n *batchToSend) add(now time.Time, s *ownStream) bool {
 	if !n.batch.add(s.hash, s.origin, maxBatchBytes) {
 		return false
 	}
@@ -185,7 +185,7 @@
 }
 
 // told records that the archivist was told.
-func (n *news) told() {
+func (n *batchToSend) told() {
 	for _, s := range n.streams {
 		s.archivist = n.archivist
 	}
--- a/internal/workspace/authorizer.go
+++ b/internal/workspace/authorizer.go
@@ -18,15 +18,13 @@
 }
 
 const (
-	// marginDivisor gives the part of the bound of a revocation that is kept as a margin. Proofs are passed on between
-	// machines as ages, and the margin covers clocks whose rates differ: those that are adjusted over a network run up
-	// to 0.05 % fast or slow, and those of virtual machines at times by several percent. Transit times need no margin,
-	// since a proof is never taken for younger than it is.
+	// marginDivisor gives the safety margin as a fraction of the revocation bound: proofs older than the bound less the
+	// margin are rejected. It covers differences in clock rate between machines, since proofs are passed on as ages.
 	marginDivisor = 20
 	// inTouchDivisor gives the age of a proof from which callers are sent elsewhere, as a part of the bound.
 	inTouchDivisor = 2
-	// staleRetryAfter is when a request may come again that was refused for want of a proof: instances get the proofs
-	// of others with their heartbeats, a few times a second.
+	// staleRetryAfter is the RetryAfter of requests refused because no recent proof is known. Proofs arrive with heartbeats,
+	// several times a second.
 	staleRetryAfter = 250 * time.Millisecond
 )
 
@@ -54,8 +52,9 @@
 // NewAuthorizer returns an Authorizer.
 func NewAuthorizer(options Options) *Authorizer { return &Authorizer{options: options} }
 
-// Authorize returns the workspace of a request that arrives from a caller; nil if it has none, as on a public route.
-// Errors are *verdict.Error with NotRun. With an error, the workspace is that of the key, if it is known.
+// Authorize returns the workspace of a request that arrives from a caller. It is nil if the configuration requires no
+// keys, or if the route is public and no key was sent. Errors are *verdict.Error with NotRun; the workspace is
+// returned with an error too if the key is known.
 func (a *Authorizer) Authorize(credential Credential, route *site.Route) (*site.Workspace, error) {
 	t := a.options.Table()
 	switch {
--- a/internal/workspace/table.go
+++ b/internal/workspace/table.go
@@ -1,5 +1,8 @@
 // Package workspace decides which workspace a request belongs to, and whether it may run: by the keys of the
 // configuration in force, and only while that is known to be the newest one. It knows keys by their hashes only.
+//
+// A proof is the time of a store read or watch answer showing that no newer configuration existed then. The revocation
+// bound is the maximum time for which a removed key may still be accepted.
 package workspace
 
 import (
--- a/internal/workspacequota/delay.go
+++ b/internal/workspacequota/delay.go
@@ -2,12 +2,14 @@
 
 import "time"
 
-// delayDrift is by how much two machines' clocks may drift apart.
-const delayDrift = 1e-4
+// delayDrift is the assumed maximum relative drift between the clocks of two machines: twice what a clock that is
+// adjusted over a network may run fast or slow. With a lower one, the estimated delay would grow for as long as a peer
+// runs, until its states count as old.
+const delayDrift = 1e-3
 
-// delays tells how much longer than usual the messages of a peer took, from the difference of the two
-// machines' clocks. So an old message is known as such that waited in a queue or for a process that stood
-// still. The first message of a process gives the usual delay.
+// delays estimates how much longer than the minimum the messages of one peer process took, from the difference between
+// the receiver's and the sender's clock. This detects messages that were queued or delayed by a suspended process. The
+// first message of a process sets the baseline.
 type delays struct {
 	process uint64
 	// usual is the least difference between arrival and departure.
--- a/internal/workspacequota/limit.go
+++ b/internal/workspacequota/limit.go
@@ -26,21 +26,17 @@
 func DefaultRules() Rules { return Rules{Window: 8 * time.Second, Over: 0.1, Slack: 110_000} }
 
 const (
-	// debtShare is the part of what may be used beyond the rate that is kept for what instances admit before
-	// they learn that the limit is reached. The rest is the capacity of the bucket.
-	//
-	// A surge to 6 times the usual demand, 3.3 times the rate, takes 2.3 seconds of rate a second beyond it.
-	// With the least slack for its rate (640,000 tokens a second) debtShare is 1 second of rate, which
-	// covers 0.4 seconds until all instances know.
+	// debtShare is the share of the allowance beyond the rate that is reserved for requests admitted before all
+	// instances learn that the limit is reached. The remainder is the capacity of the bucket.
 	debtShare = 0.5
 	// lowShare is the part of the capacity below which the demand decides which share is admitted. Above it,
 	// all is admitted, so that a few large requests at usual demand cause no refusal.
 	lowShare = 0.35
-	// restShare is the part of the capacity at which the balance rests in overload.
+	// restShare is the set point of the balance in overload, as a share of the capacity.
 	restShare = lowShare / 2
-	// minCorrection is the least time in which the admitted share corrects the balance. Instances act on a state
-	// up to some 0.4 s after it was made; with a much shorter time the balance would swing. Where the debt is many
-	// seconds of the rate, a request may be as large as that, and the time is correctionOfDebt of it.
+	// minCorrection is the minimum time constant with which the admitted share steers the balance to its set point. It
+	// must exceed the propagation delay of states (about 0.4 s), or the balance oscillates. correctionOfDebt is the same
+	// bound as a share of the time in which the rate refills the debt, for limits whose debt is large.
 	minCorrection    = 800 * time.Millisecond
 	correctionOfDebt = 0.8
 )
@@ -68,7 +64,7 @@
 	return Limit{PerSecond: share * l.PerSecond, Capacity: share * l.Capacity, Debt: share * l.Debt}
 }
 
-// correction returns the seconds in which the admitted share brings the balance to its rest.
+// correction returns the time constant, in seconds, with which the admitted share steers the balance to its set point.
 func (l Limit) correction() float64 {
 	if l.PerSecond <= 0 {
 		return minCorrection.Seconds()
--- a/internal/workspacequota/limiter.go
+++ b/internal/workspacequota/limiter.go
@@ -35,8 +35,8 @@
 	balance   float64
 	countedAt time.Time
 	startedAt time.Time
-	// gap is for how long before the start nobody gave out the limit, and owed is the part of the limit of that
-	// time which hasn't been counted. The instances went by an older state then.
+	// gap is the time between the last state of the previous limiter and the start of this one. owed is what the limit
+	// granted in that time and no report has claimed yet; the first reports of instances are charged to it.
 	gap  time.Duration
 	owed float64
 	// usedAt is when a report last brought demand.
@@ -58,8 +58,8 @@
 	demand     rate
 }
 
-// NewLimiter returns a limiter that starts now. It doesn't have the burst, since it doesn't know what was used
-// just before, but the balance at which a bucket rests in overload.
+// NewLimiter returns a limiter that starts now. Its balance starts at the set point instead of the full capacity,
+// because the usage just before the start is unknown.
 func NewLimiter(now time.Time, limit Limit, covered float64) *Limiter {
 	return &Limiter{
 		limit: limit, covered: covered, balance: restShare * covered * limit.Capacity,
@@ -125,7 +125,7 @@
 	return Ack{Used: r.used, Demanded: r.demanded, Weight: l.weight(now, r)}, true
 }
 
-// learn takes over from the limiter before this one what an instance knows of it.
+// learn initializes the balance and the demand from the state of the previous limiter that an instance reports.
 func (l *Limiter) learn(now time.Time, report Report) {
 	gap := report.StateAge - now.Sub(l.startedAt)
 	if gap <= l.gap || report.StateAge >= usableFor {
@@ -188,8 +188,8 @@
 	}
 	switch {
 	case l.balance >= lowShare*part.Capacity:
-		// Lasting overload is known, so that the balance is left to a limiter which fails: instances then go by the
-		// last state for some time.
+		// While the balance is high, admit all unless the demand over weightMemory exceeds the rate by lastingFactor. In
+		// lasting overload the remaining balance is a reserve: if the limiter fails, instances act on its last state for a while.
 		lasting := l.weighed.perSecond(now)
 		share = max(share, min(1, lastingFactor*part.PerSecond/max(lasting, 1e-9)))
 	case l.balance < 0:
--- a/internal/workspacequota/share.go
+++ b/internal/workspacequota/share.go
@@ -6,16 +6,14 @@
 )
 
 const (
-	// freshFor is how long a state counts in full after it was made, and usableFor how long it counts at all.
-	// In between less and less is admitted. States pass from instance to instance; with 295 of them, one in some
-	// thousand is older than freshFor. A limiter that fails is replaced 2 to 3 s later; until then, its last
-	// state lets requests through that the rate allows.
+	// freshFor is the age up to which a state is fully trusted, and usableFor the age at which it is discarded. In between,
+	// the admitted share falls linearly to 0. freshFor exceeds the usual propagation delay of states.
 	freshFor  = 1250 * time.Millisecond
 	usableFor = 2500 * time.Millisecond
-	// spentAfter is from which age of a state on the balance in it counts as used.
+	// spentAfter is the age of a state from which its balance above the set point is assumed to be consumed gradually.
 	spentAfter = 750 * time.Millisecond
-	// partAfter is how long after the last state an instance uses its own part of the limit. Until then the
-	// limiter may not know that it doesn't reach this instance, and give out the part.
+	// partAfter is the time after the last state from which an instance without one uses a fixed, equal part of the limit.
+	// Before, the limiter may still count the instance as alive and give that part to others.
 	partAfter = 3 * time.Second
 	// partCapacity is how much of its own part an instance saves.
 	partCapacity = 2 * time.Second
@@ -155,8 +153,8 @@
 	return max(0, (usableFor-age).Seconds()/(usableFor-freshFor).Seconds())
 }
 
-// unspent returns which part of the admitted share still holds: a state gives out what the balance is above its
-// rest in the time of a correction, and a newer state would say that it is used up.
+// unspent returns the factor that reduces the admitted share of an aging state: it allows for the balance above the set
+// point being consumed meanwhile.
 func (s *Share) unspent(age time.Duration) float64 {
 	part := s.limit.times(s.state.Covered)
 	above := s.state.Balance - restShare*part.Capacity
@@ -171,9 +169,9 @@
 // Unreported returns what was admitted here and isn't counted by the limiter yet.
 func (s *Share) Unreported() int64 { return s.used - s.countedUsed }
 
-// mayHoldBack returns how much this instance may admit before the limiter counts it: its part of what all
-// instances may use beyond the balance. It bounds the sum of all instances if demand jumps or no message gets
-// through. One request is always allowed, however large it is.
+// mayHoldBack returns the bound of Unreported: at or above it, requests are refused with ReasonUnreported. It is this
+// instance's share of the available amount, which bounds the overshoot of all instances when demand jumps or messages
+// are lost. A single request may exceed it.
 func (s *Share) mayHoldBack(age time.Duration) float64 {
 	perSecond := s.state.Covered * s.limit.PerSecond
 	available := s.available() + perSecond*age.Seconds()
