Logs and metrics tell how old an instance's view of the servers is

Now each line "Server is leaving" and "Server is gone" has the origin (list, watch, peer, server, expiry), the revision that was read and the age of the view before; each dispatch has the age of the view it was made by, and the end of a request the time of its last attempt. Metrics: the age of the view, the time between two reads, and servers that left by origin. No logic is changed.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -145,6 +145,7 @@
 		Scheduler: scheduler, Observer: &hostedObserver{Requests: d.requestMetrics, onQueued: d.requestQueued},
 		Logger: d.log(logging.Routing), Now: time.Now,
 		OnUrgentUpdates: func(servers []string) { d.exchange.TriggerLoadSend(servers) },
+		ViewAge:         func() time.Duration { return h.watcher.ViewAge() },
 	})
 	h.streams = streamversion.New(streamversion.Options{
 		Cluster: d.cluster, Transport: d.plugins.peers, Logger: d.log(logging.Routing), Now: d.bootNow,
--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -336,21 +336,21 @@
 	synctest.Test(t, func(t *testing.T) {
 		sink := &fakeSink{}
 		w := New(Options{Sink: sink, Pooled: func(string) bool { return false }, Logger: logging.Discard()})
-		w.update(func(r *Registry) { r.Announced(time.Now(), server("a", 5, 1)) })
+		w.update(cause{}, func(r *Registry) { r.Announced(time.Now(), server("a", 5, 1)) })
 		w.ServerPaused(engine.Server{Name: "a", StartMillis: 4}, time.Second)
 		w.ServerPaused(engine.Server{Name: "unknown", StartMillis: 4}, time.Second)
 		if len(sink.paused) != 0 {
 			t.Errorf("pauses of %v were reported, want none for an earlier process or an unknown server", sink.paused)
 		}
 		w.ServerPaused(engine.Server{Name: "a", StartMillis: 5}, time.Second)
-		w.update(func(r *Registry) { r.Announced(time.Now(), server("a", 5, 2)) })
+		w.update(cause{}, func(r *Registry) { r.Announced(time.Now(), server("a", 5, 2)) })
 		if got := sink.servers[0].PausedUntil; fmt.Sprint(sink.paused) != "[a]" || !got.Equal(time.Now().Add(time.Second)) {
 			t.Errorf("paused %v until %v, want [a] for a second, also after its next announcement", sink.paused, got)
 		}
 		if !w.Paused(engine.Server{Name: "a", StartMillis: 5}) || w.Paused(engine.Server{Name: "a", StartMillis: 4}) {
 			t.Error("the process that asked for the pause doesn't count as paused, or an earlier one does")
 		}
-		w.update(func(r *Registry) { r.Announced(time.Now(), server("a", 6, 1)) })
+		w.update(cause{}, func(r *Registry) { r.Announced(time.Now(), server("a", 6, 1)) })
 		if got := sink.servers[0].PausedUntil; !got.IsZero() {
 			t.Errorf("after a restart: paused until %v, want no pause", got)
 		}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -101,6 +102,10 @@
 // concurrent use.
 type Watcher struct {
 	options Options
+	metrics *metrics
+	// readAt is when the last successful call of the store began; nil before the first one. What
+	// the store had acknowledged by then is known here.
+	readAt atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
 	registry *Registry
@@ -126,7 +131,7 @@
 	if options.OnRead == nil {
 		options.OnRead = func() func() { return func() {} }
 	}
-	return &Watcher{options: options, registry: NewRegistry(), lastLogged: map[string]loggedServer{}}
+	return &Watcher{options: options, registry: NewRegistry(), lastLogged: map[string]loggedServer{}, metrics: newMetrics()}
 }
 
 // Run reads announcements until ctx ends.
@@ -175,12 +180,13 @@
 
 func (w *Watcher) list(ctx context.Context) (store.Revision, error) {
 	succeeded := w.options.OnRead()
+	began := time.Now()
 	update, err := w.options.Source.List(ctx)
 	if err != nil {
 		return 0, err
 	}
 	now := time.Now()
-	w.update(func(r *Registry) {
+	w.update(cause{origin: originList, revision: update.Revision}, func(r *Registry) {
 		// In an older copy, servers that announced themselves lately are missing until they do
 		// so again, as after an outage.
 		mayBeMissing := w.recordAnswer(now) || w.restored
@@ -191,18 +197,20 @@
 		}
 		r.Confirmed(now)
 	})
+	w.recordRead(began)
 	succeeded()
 	return update.Revision, nil
 }
 
 func (w *Watcher) watch(ctx context.Context, after store.Revision) (store.Revision, error) {
 	succeeded := w.options.OnRead()
+	began := time.Now()
 	update, err := w.options.Source.Watch(ctx, after)
 	if err != nil {
 		return after, err
 	}
 	now := time.Now()
-	w.update(func(r *Registry) {
+	w.update(cause{origin: originWatch, revision: update.Revision}, func(r *Registry) {
 		w.recordAnswer(now)
 		for _, id := range update.Removed {
 			r.Removed(now, id)
@@ -215,6 +223,7 @@
 		}
 		r.Confirmed(now)
 	})
+	w.recordRead(began)
 	if w.options.OnAnnounced != nil {
 		w.options.OnAnnounced(slices.Concat(update.Announced, update.Withdrawn))
 	}
@@ -253,7 +262,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			w.update(func(r *Registry) { r.Tick(now) })
+			w.update(cause{origin: originExpiry}, func(r *Registry) { r.Tick(now) })
 		}
 	}
 }
@@ -262,17 +271,19 @@
 // has ceased to be.
 func (w *Watcher) ResidencyChanged(server string, startMillis int64, ref modelref.Ref, present bool) {
 	now := time.Now()
-	w.update(func(r *Registry) { r.ResidencyChanged(now, server, startMillis, ref, present) })
+	w.update(cause{origin: originPeer}, func(r *Registry) { r.ResidencyChanged(now, server, startMillis, ref, present) })
 }
 
 // Leaving records a peer's message that a server is leaving.
 func (w *Watcher) Leaving(server string, startMillis int64) {
-	w.update(func(r *Registry) { r.Leaving(server, startMillis) })
+	w.update(cause{origin: originPeer}, func(r *Registry) { r.Leaving(server, startMillis) })
 }
 
 // ServerLeaving implements engine.AnswerObserver. It records what a server said in an answer,
 // often before its announcement says so.
-func (w *Watcher) ServerLeaving(server engine.Server) { w.Leaving(server.Name, server.StartMillis) }
+func (w *Watcher) ServerLeaving(server engine.Server) {
+	w.update(cause{origin: originServer}, func(r *Registry) { r.Leaving(server.Name, server.StartMillis) })
+}
 
 // ServerPaused implements engine.AnswerObserver.
 func (w *Watcher) ServerPaused(server engine.Server, wait time.Duration) {
@@ -292,8 +303,28 @@
 	w.options.Sink.ObservePaused(server.Name, until)
 }
 
+// origin says where a change of the servers was learned.
+type origin string
+
+const (
+	originList  origin = "list"
+	originWatch origin = "watch"
+	originPeer  origin = "peer"
+	// originServer is an answer of the server itself.
+	originServer origin = "server"
+	// originExpiry is the end of the time for which a missing server is kept.
+	originExpiry origin = "expiry"
+)
+
+// cause is why the registry is updated.
+type cause struct {
+	origin origin
+	// revision is the store's revision that was read; 0 if the store wasn't.
+	revision store.Revision
+}
+
 // update applies f to the registry and publishes the servers if anything changed.
-func (w *Watcher) update(f func(r *Registry)) {
+func (w *Watcher) update(because cause, f func(r *Registry)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	f(w.registry)
@@ -301,7 +332,7 @@
 		return
 	}
 	known := w.registry.Servers()
-	w.recordChanges(known)
+	w.recordChanges(known, because)
 	w.publish(known)
 }
 
@@ -350,7 +381,10 @@
 
 // recordChanges logs servers that are new, leaving or gone, and calls OnLeaving for those that
 // are newly found to be leaving. The caller holds the lock.
-func (w *Watcher) recordChanges(known []KnownServer) {
+func (w *Watcher) recordChanges(known []KnownServer, because cause) {
+	// view_ms is the age of this instance's view before the change: the store has acknowledged what
+	// it read no longer ago than that.
+	learned := logrus.Fields{"origin": because.origin, "revision": because.revision.Count(), "view_ms": w.ViewAge().Milliseconds()}
 	present := make(map[string]bool, len(known))
 	for _, s := range known {
 		present[s.ID] = true
@@ -363,16 +397,21 @@
 		}
 		if s.Leaving && !last.leaving {
 			// gone_in_ms is how long the server will still run; 0 if it doesn't say.
-			log.WithField("gone_in_ms", s.StopsIn.Milliseconds()).Info("Server is leaving")
+			log.WithFields(learned).WithField("gone_in_ms", s.StopsIn.Milliseconds()).Info("Server is leaving")
+			w.metrics.left.WithLabelValues(string(because.origin)).Inc()
 			if w.options.OnLeaving != nil {
 				w.options.OnLeaving(s)
 			}
 		}
 	}
-	for id := range w.lastLogged {
-		if !present[id] {
-			delete(w.lastLogged, id)
-			w.options.Logger.WithField("server", id).Info("Server is gone")
+	for id, last := range w.lastLogged {
+		if present[id] {
+			continue
+		}
+		delete(w.lastLogged, id)
+		w.options.Logger.WithFields(learned).WithField("server", id).Info("Server is gone")
+		if !last.leaving {
+			w.metrics.left.WithLabelValues(string(because.origin)).Inc()
 		}
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -37,6 +37,9 @@
 	// scheduling.Scheduler.TakeUrgentUpdates. It must not block; nil means that peers needn't
 	// be told.
 	OnUrgentUpdates func(servers []string)
+	// ViewAge returns how old the view of the servers is by which requests are dispatched, for
+	// logs. It must not call the Dispatcher; nil means that it isn't known.
+	ViewAge func() time.Duration
 }
 
 // Dispatcher passes requests to a Scheduler and waits for its decisions. It is safe for
@@ -47,6 +50,7 @@
 	logger          *logrus.Entry
 	now             func() time.Time
 	onUrgentUpdates func(servers []string)
+	viewAge         func() time.Duration
 
 	mu sync.Mutex
 	// pendingLogs are decisions to log once the lock is released, so that a slow log
@@ -83,6 +87,7 @@
 		logger:          options.Logger,
 		now:             options.Now,
 		onUrgentUpdates: options.OnUrgentUpdates,
+		viewAge:         options.ViewAge,
 		waiters:         make(map[request.ID]*waiter),
 	}
 }
@@ -485,6 +490,9 @@
 	if r.Workspace != "" && decision.Action != scheduling.Dispatch {
 		entry = entry.WithField("workspace", r.Workspace)
 	}
+	if d.viewAge != nil && decision.Action == scheduling.Dispatch {
+		entry = entry.WithField("view_ms", d.viewAge().Milliseconds())
+	}
 	entry.WithFields(logrus.Fields{
 		"request":   r.ID,
 		"model":     r.Model,
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -100,6 +100,9 @@
 	Attempts int
 	// Waited is the time from the call of Relay to the first dispatch.
 	Waited time.Duration
+	// SentAfter is the time from the call of Relay to the last attempt, when its server's address was
+	// looked up.
+	SentAfter time.Duration
 	// FirstEvent is the time from the call of Relay to the first delivered event of a stream,
 	// and Events is the number of delivered events.
 	FirstEvent time.Duration
@@ -264,6 +267,7 @@
 	relayed.call.OpenConnectionsOnly = r.openConnectionsOnly(relayed)
 	start := r.options.Now()
 	relayed.attemptStart = start
+	relayed.result.SentAfter = start.Sub(relayed.relayStart)
 	run := r.startRun(server, &relayed.call.Request)
 	attemptCtx, release := r.whileAnswered(ctx, relayed)
 	err = r.send(attemptCtx, relayed, server, run, &outcome)
