--- /dev/null
+++ b/internal/discovery/leaving_test.go
@@ -0,0 +1,226 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"limpethub/internal/logging"
+	"limpethub/internal/pause"
+	"limpethub/internal/scheduling"
+	"limpethub/internal/store"
+)
+
+// busyFleet is many instances with little processor time each, which follow many servers.
+const (
+	fleetInstances = 86
+	fleetServers   = 145
+	// leavingBound is how long after the store has acknowledged that a server leaves a request may still
+	// reach it.
+	leavingBound = 3 * time.Second
+	// announcePeriod is how often each server announces itself.
+	announcePeriod = 1200 * time.Millisecond
+	// fleetWatchWait is how long the store lets a watch wait for a change.
+	fleetWatchWait = 1500 * time.Millisecond
+	// maxProcessorWait is how long an instance may wait for the processor before it handles what it has
+	// received.
+	maxProcessorWait = 150 * time.Millisecond
+	// noticeLoss is the share of peers' notices that get lost.
+	noticeLoss = 0.02
+)
+
+// logEntry is one change in announcementLog: an announcement, or a removal if server is nil.
+type logEntry struct {
+	id     string
+	server *Server
+}
+
+// announcementLog is a store of announcements with its whole history.
+type announcementLog struct {
+	mu      sync.Mutex
+	entries []logEntry
+	changed chan struct{}
+}
+
+func newAnnouncementLog() *announcementLog { return &announcementLog{changed: make(chan struct{})} }
+
+func (l *announcementLog) write(e logEntry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries = append(l.entries, e)
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// after returns the changes after a revision as an update, and a channel that the next change closes.
+func (l *announcementLog) after(revision store.Revision) (Update, chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	update := Update{Revision: store.Revision(len(l.entries))}
+	last := map[string]logEntry{}
+	for _, e := range l.entries[revision:] {
+		last[e.id] = e
+	}
+	for id, e := range last {
+		if e.server == nil {
+			update.Removed = append(update.Removed, id)
+			continue
+		}
+		update.Announced = append(update.Announced, *e.server)
+	}
+	return update, l.changed
+}
+
+// slowSource is how one instance sees the log: it handles each answer only when it gets the processor.
+type slowSource struct {
+	log    *announcementLog
+	random *rand.Rand
+}
+
+func (s *slowSource) waitForProcessor(ctx context.Context) {
+	pause.For(ctx, time.Duration(s.random.Int64N(int64(maxProcessorWait))))
+}
+
+func (s *slowSource) List(ctx context.Context) (Update, error) {
+	update, _ := s.log.after(0)
+	s.waitForProcessor(ctx)
+	return update, nil
+}
+
+func (s *slowSource) Watch(ctx context.Context, after store.Revision) (Update, error) {
+	update, changed := s.log.after(after)
+	if update.Revision == after {
+		select {
+		case <-ctx.Done():
+			return Update{}, ctx.Err()
+		case <-changed:
+		case <-time.After(fleetWatchWait):
+		}
+		update, _ = s.log.after(after)
+	}
+	s.waitForProcessor(ctx)
+	return update, nil
+}
+
+// fleet is instances that watch one log and tell each other what they learn.
+type fleet struct {
+	log       *announcementLog
+	instances []*Watcher
+	sinks     []*fakeSink
+	// random decides which notices get lost; mu guards it.
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+func startFleet(ctx context.Context, seed uint64) *fleet {
+	f := &fleet{log: newAnnouncementLog(), random: rand.New(rand.NewPCG(seed, 0))}
+	for n := range fleetServers {
+		delay := time.Duration(f.random.Int64N(int64(announcePeriod)))
+		go func() {
+			pause.For(ctx, delay)
+			f.announce(ctx, fmt.Sprint("s", n))
+		}()
+	}
+	for n := range fleetInstances {
+		sink := &fakeSink{}
+		w := New(Options{
+			Source: &slowSource{log: f.log, random: rand.New(rand.NewPCG(seed, uint64(n)+1))}, Sink: sink,
+			Pooled: func(string) bool { return false }, Instances: func() int { return fleetInstances },
+			OnLeaving: func(s KnownServer) { f.tellPeers(n, s) }, Logger: logging.Discard(),
+		})
+		f.instances, f.sinks = append(f.instances, w), append(f.sinks, sink)
+	}
+	for _, w := range f.instances {
+		go w.Run(ctx)
+	}
+	return f
+}
+
+// announce announces a server until ctx ends.
+func (f *fleet) announce(ctx context.Context, id string) {
+	for sequence := int64(1); ctx.Err() == nil && !f.hasLeft(id); sequence++ {
+		s := server(id, 0, sequence)
+		f.log.write(logEntry{id: id, server: &s})
+		pause.For(ctx, announcePeriod)
+	}
+}
+
+// hasLeft reports whether the last change of a server says that it leaves.
+func (f *fleet) hasLeft(id string) bool {
+	f.log.mu.Lock()
+	defer f.log.mu.Unlock()
+	for _, e := range slices.Backward(f.log.entries) {
+		if e.id == id {
+			return e.server == nil || e.server.Leaving
+		}
+	}
+	return false
+}
+
+// tellPeers carries the notice of one instance to the others.
+func (f *fleet) tellPeers(from int, s KnownServer) {
+	for to, w := range f.instances {
+		f.mu.Lock()
+		lost, delay := f.random.Float64() < noticeLoss, time.Duration(f.random.Int64N(int64(maxProcessorWait)))
+		f.mu.Unlock()
+		if to != from && !lost {
+			time.AfterFunc(delay, func() { w.Leaving(s.ID, s.StartMillis) })
+		}
+	}
+}
+
+// choosing returns how many instances would still choose a server.
+func (f *fleet) choosing(id string) (count int) {
+	for _, sink := range f.sinks {
+		sink.mu.Lock()
+		if slices.ContainsFunc(sink.servers, func(s scheduling.Server) bool { return !s.Leaving && s.Name == id }) {
+			count++
+		}
+		sink.mu.Unlock()
+	}
+	return count
+}
+
+// TestNoInstanceChoosesAServerLongAfterItLeft guards against requests that reach a server longer after the store has
+// acknowledged its leaving than servers bear. Many instances with little processor time each learn of a burst of
+// leavings late.
+func TestNoInstanceChoosesAServerLongAfterItLeft(t *testing.T) {
+	draining := func(id string) logEntry {
+		s := server(id, 0, 1000)
+		s.Leaving = true
+		return logEntry{id: id, server: &s}
+	}
+	withdrawn := func(id string) logEntry { return logEntry{id: id} }
+	for name, leave := range map[string]func(id string) logEntry{"announced": draining, "withdrawn without a word": withdrawn} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testLeavings(t, leave) })
+		})
+	}
+}
+
+// testLeavings lets servers leave in a burst that lasts as long as the bound, so that some leave right after the
+// instances have read.
+func testLeavings(t *testing.T, leave func(id string) logEntry) {
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	f := startFleet(ctx, 1)
+	time.Sleep(10 * time.Second)
+	var checks sync.WaitGroup
+	for n := range 40 {
+		id := fmt.Sprint("s", n)
+		f.log.write(leave(id))
+		checks.Go(func() {
+			time.Sleep(leavingBound)
+			if n := f.choosing(id); n != 0 {
+				t.Errorf("%v after the store has acknowledged that %s leaves, %d of %d instances still choose it", leavingBound, id, n, fleetInstances)
+			}
+		})
+		time.Sleep(leavingBound / 40)
+	}
+	checks.Wait()
+}
