Peers are told of servers whose announcement was removed

Cause: a server that leaves without a word, by the removal of its entry, was known to an instance only by its own read; notices to peers covered only those that announce it.

A notice of a removal names its revision, and a peer applies it only to an announcement that is older, so that a server which announces itself again isn't lost; what an instance reads late from before the removal is ignored. Instances of earlier builds skip the field.

--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -212,7 +212,7 @@
 	e.sequence++
 	d := digest.Digest{Instance: e.cluster.Self(), Sequence: e.sequence}
 	e.extension.AddForAll(&d)
-	if len(d.Residencies) == 0 && len(d.Leaving) == 0 && d.Lease == nil {
+	if len(d.Residencies) == 0 && len(d.Leaving) == 0 && len(d.Removed) == 0 && d.Lease == nil {
 		return
 	}
 	for _, payload := range e.encode(d) {
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -158,7 +158,7 @@
 		Pooled:           h.isPool,
 		Instances:        func() int { return len(d.cluster.Members()) },
 		DecidesPlacement: func() bool { return h.manager.Holding() },
-		OnLeaving:        h.extension.AddLeavingNotice,
+		OnDeparture:      h.extension.AddDepartureNotice,
 		OnServers:        h.observeVersions,
 		OnAnnounced:      h.observeAnnouncements,
 		OnRead:           d.confirmVersions,
@@ -496,5 +496,5 @@
 	// counts holds the request counts that peers sent, by instance.
 	counts           map[string]peerCounts
 	residencyNotices []residencyNotice
-	leavingNotices   []leavingNotice
+	departureNotices []departureNotice
 }
--- a/internal/daemon/residency_feed.go
+++ b/internal/daemon/residency_feed.go
@@ -32,10 +32,10 @@
 	until time.Time
 }
 
-// leavingNotice is repeated in digests until it expires.
-type leavingNotice struct {
-	entry digest.ServerLeaving
-	until time.Time
+// departureNotice is repeated in digests until it expires.
+type departureNotice struct {
+	departure discovery.Departure
+	until     time.Time
 }
 
 var _ digestExtension = (*residencyExtension)(nil)
@@ -74,14 +74,22 @@
 		}
 	}
 	x.residencyNotices = kept
-	keptLeaving := x.leavingNotices[:0]
-	for _, n := range x.leavingNotices {
+	keptDepartures := x.departureNotices[:0]
+	for _, n := range x.departureNotices {
 		if now.Before(n.until) {
-			keptLeaving = append(keptLeaving, n)
-			d.Leaving = append(d.Leaving, n.entry)
+			keptDepartures = append(keptDepartures, n)
+			addDeparture(d, n.departure)
 		}
 	}
-	x.leavingNotices = keptLeaving
+	x.departureNotices = keptDepartures
+}
+
+func addDeparture(d *digest.Digest, departure discovery.Departure) {
+	if departure.RemovedAt != 0 {
+		d.Removed = append(d.Removed, digest.ServerRemoved{Server: departure.Server, Revision: int64(departure.RemovedAt)})
+		return
+	}
+	d.Leaving = append(d.Leaving, digest.ServerLeaving{Server: departure.Server, StartMillis: departure.StartMillis})
 }
 
 // PublishChanges publishes changes that this instance observed as the placement holder: it
@@ -110,14 +118,11 @@
 	x.residencyNotices = append(x.residencyNotices, notice)
 }
 
-// AddLeavingNotice adds a notice of a server that this instance found to be leaving.
-func (x *residencyExtension) AddLeavingNotice(s discovery.KnownServer) {
+// AddDepartureNotice adds a notice of a server that this instance found to be leaving or gone.
+func (x *residencyExtension) AddDepartureNotice(departure discovery.Departure) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.leavingNotices = append(x.leavingNotices, leavingNotice{
-		entry: digest.ServerLeaving{Server: s.ID, StartMillis: s.StartMillis},
-		until: time.Now().Add(noticeLifetime),
-	})
+	x.departureNotices = append(x.departureNotices, departureNotice{departure: departure, until: time.Now().Add(noticeLifetime)})
 }
 
 func (x *residencyExtension) Observe(d digest.Digest) {
@@ -125,7 +130,10 @@
 		x.watcher.ResidencyChanged(r.Server, r.StartMillis, r.Ref, r.Present)
 	}
 	for _, l := range d.Leaving {
-		x.watcher.Leaving(l.Server, l.StartMillis)
+		x.watcher.Departed(discovery.Departure{Server: l.Server, StartMillis: l.StartMillis})
+	}
+	for _, r := range d.Removed {
+		x.watcher.Departed(discovery.Departure{Server: r.Server, RemovedAt: store.Revision(r.Revision)})
 	}
 	if d.Lease != nil {
 		x.manager.HolderReported(lease.Record{
--- a/internal/discovery/leaving_test.go
+++ b/internal/discovery/leaving_test.go
@@ -30,8 +30,6 @@
 	// maxProcessorWait is how long an instance may wait for the processor before it handles what it has
 	// received.
 	maxProcessorWait = 150 * time.Millisecond
-	// noticeLoss is the share of peers' notices that get lost.
-	noticeLoss = 0.02
 )
 
 // logEntry is one change in announcementLog: an announcement, or a removal if server is nil.
@@ -62,16 +60,19 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	update := Update{Revision: store.Revision(len(l.entries))}
-	last := map[string]logEntry{}
-	for _, e := range l.entries[revision:] {
-		last[e.id] = e
+	last := map[string]int{}
+	for i := int(revision); i < len(l.entries); i++ {
+		last[l.entries[i].id] = i
 	}
-	for id, e := range last {
-		if e.server == nil {
-			update.Removed = append(update.Removed, id)
+	for id, i := range last {
+		writtenAt := store.Revision(i + 1)
+		if l.entries[i].server == nil {
+			update.Removed = append(update.Removed, Removal{ID: id, Revision: writtenAt})
 			continue
 		}
-		update.Announced = append(update.Announced, *e.server)
+		announced := *l.entries[i].server
+		announced.Revision = writtenAt
+		update.Announced = append(update.Announced, announced)
 	}
 	return update, l.changed
 }
@@ -112,13 +113,14 @@
 	log       *announcementLog
 	instances []*Watcher
 	sinks     []*fakeSink
-	// random decides which notices get lost; mu guards it.
-	mu     sync.Mutex
-	random *rand.Rand
+	// noticeLoss is the share of the notices that get lost. random decides which; mu guards it.
+	noticeLoss float64
+	mu         sync.Mutex
+	random     *rand.Rand
 }
 
-func startFleet(ctx context.Context, seed uint64) *fleet {
-	f := &fleet{log: newAnnouncementLog(), random: rand.New(rand.NewPCG(seed, 0))}
+func startFleet(ctx context.Context, seed uint64, noticeLoss float64) *fleet {
+	f := &fleet{log: newAnnouncementLog(), noticeLoss: noticeLoss, random: rand.New(rand.NewPCG(seed, 0))}
 	for n := range fleetServers {
 		delay := time.Duration(f.random.Int64N(int64(announcePeriod)))
 		go func() {
@@ -131,7 +133,7 @@
 		w := New(Options{
 			Source: &slowSource{log: f.log, random: rand.New(rand.NewPCG(seed, uint64(n)+1))}, Sink: sink,
 			Pooled: func(string) bool { return false }, Instances: func() int { return fleetInstances },
-			OnLeaving: func(s KnownServer) { f.tellPeers(n, s) }, Logger: logging.Discard(),
+			OnDeparture: func(d Departure) { f.tellPeers(n, d) }, Logger: logging.Discard(),
 		})
 		f.instances, f.sinks = append(f.instances, w), append(f.sinks, sink)
 	}
@@ -163,13 +165,13 @@
 }
 
 // tellPeers carries the notice of one instance to the others.
-func (f *fleet) tellPeers(from int, s KnownServer) {
+func (f *fleet) tellPeers(from int, d Departure) {
 	for to, w := range f.instances {
 		f.mu.Lock()
-		lost, delay := f.random.Float64() < noticeLoss, time.Duration(f.random.Int64N(int64(maxProcessorWait)))
+		lost, delay := f.random.Float64() < f.noticeLoss, time.Duration(f.random.Int64N(int64(maxProcessorWait)))
 		f.mu.Unlock()
 		if to != from && !lost {
-			time.AfterFunc(delay, func() { w.Leaving(s.ID, s.StartMillis) })
+			time.AfterFunc(delay, func() { w.Departed(d) })
 		}
 	}
 }
@@ -197,18 +199,20 @@
 	}
 	withdrawn := func(id string) logEntry { return logEntry{id: id} }
 	for name, leave := range map[string]func(id string) logEntry{"announced": draining, "withdrawn without a word": withdrawn} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { testLeavings(t, leave) })
-		})
+		for _, noticeLoss := range []float64{0.02, 1} {
+			t.Run(fmt.Sprintf("%s, %.0f %% of notices lost", name, 100*noticeLoss), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { testLeavings(t, leave, noticeLoss) })
+			})
+		}
 	}
 }
 
 // testLeavings lets servers leave in a burst that lasts as long as the bound, so that some leave right after the
 // instances have read.
-func testLeavings(t *testing.T, leave func(id string) logEntry) {
+func testLeavings(t *testing.T, leave func(id string) logEntry, noticeLoss float64) {
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	f := startFleet(ctx, 1)
+	f := startFleet(ctx, 1, noticeLoss)
 	time.Sleep(10 * time.Second)
 	var checks sync.WaitGroup
 	for n := range 40 {
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"limpethub/internal/modelref"
+	"limpethub/internal/store"
 )
 
 const (
@@ -46,6 +47,8 @@
 	// StartMillis is when the server's process started, in milliseconds since the epoch; 0 if it
 	// doesn't say. Sequence numbers the announcements of one process in ascending order.
 	StartMillis, Sequence int64
+	// Revision is the store's revision of the announcement.
+	Revision store.Revision
 	// Resident lists the models and adapters that the server can run now.
 	Resident []modelref.Ref
 	// InMemory and OnDisk list the models whose weights the server has in memory or on disk.
@@ -88,10 +91,13 @@
 	changed bool
 }
 
-// removedServer is what is remembered of a server that was removed.
+// removedServer is what is remembered of a server that was removed. last is its zero value if the server
+// wasn't known.
 type removedServer struct {
 	last Server
 	at   time.Time
+	// revision is the store's revision of the removal; 0 if it isn't known.
+	revision store.Revision
 }
 
 func NewRegistry() *Registry {
@@ -119,7 +125,7 @@
 			continue
 		}
 		if !afterOutage {
-			r.Removed(now, id)
+			r.Removed(now, id, 0)
 			continue
 		}
 		if entry.missingSince.IsZero() {
@@ -135,7 +141,7 @@
 	if entry == nil {
 		entry = &registryEntry{overrides: map[modelref.Ref]residencyOverride{}}
 		if gone, ok := r.removed[s.ID]; ok {
-			if s.StartMillis != 0 && isOlder(s, gone.last) {
+			if isBefore(s.Revision, gone.revision) || s.StartMillis != 0 && isOlder(s, gone.last) {
 				return
 			}
 			entry.known.Server = gone.last
@@ -171,16 +177,35 @@
 	return s.StartMillis == last.StartMillis && s.Sequence < last.Sequence
 }
 
+// isBefore reports whether an announcement was written before a removal, as far as both revisions are known.
+func isBefore(announced, removed store.Revision) bool { return announced != 0 && announced < removed }
+
 // Unusable removes a server because its announcement can't be parsed. The server gets no work until
 // a valid one is received.
-func (r *Registry) Unusable(now time.Time, id string) { r.Removed(now, id) }
+func (r *Registry) Unusable(now time.Time, id string) { r.Removed(now, id, 0) }
 
-// Removed records that a server's announcement was removed: the server is leaving or gone.
-func (r *Registry) Removed(now time.Time, id string) {
-	if entry, ok := r.servers[id]; ok {
-		r.removed[id] = removedServer{last: entry.known.Server, at: now}
-		delete(r.servers, id)
-		r.changed = true
+// Removed records that a server's announcement was removed: the server is leaving or gone. revision is that of the
+// removal, 0 if it isn't known. It reports whether the server was known.
+func (r *Registry) Removed(now time.Time, id string, revision store.Revision) bool {
+	entry, ok := r.servers[id]
+	if !ok {
+		return false
+	}
+	r.removed[id] = removedServer{last: entry.known.Server, at: now, revision: revision}
+	delete(r.servers, id)
+	r.changed = true
+	return true
+}
+
+// RemovedElsewhere records a peer's message that a server's announcement was removed at a revision. A server that
+// has announced itself later stays.
+func (r *Registry) RemovedElsewhere(now time.Time, id string, revision store.Revision) {
+	entry, ok := r.servers[id]
+	switch {
+	case ok && entry.known.Revision < revision:
+		r.Removed(now, id, revision)
+	case !ok && r.removed[id].revision < revision:
+		r.removed[id] = removedServer{last: r.removed[id].last, at: now, revision: revision}
 	}
 }
 
@@ -232,7 +257,7 @@
 	}
 	for id, entry := range r.servers {
 		if !entry.missingSince.IsZero() && now.Sub(entry.missingSince) > outageGracePeriod {
-			r.Removed(now, id)
+			r.Removed(now, id, 0)
 		}
 	}
 }
--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -298,7 +298,7 @@
 	if !leaving() {
 		t.Error("not leaving after a further announcement of the same process")
 	}
-	r.Removed(now, "a")
+	r.Removed(now, "a", 0)
 	r.Announced(now, server("a", 5, 5))
 	if !leaving() {
 		t.Error("not leaving after its announcement was removed and came back")
@@ -315,7 +315,7 @@
 	now := time.Now()
 	r := NewRegistry()
 	r.Announced(now, server("a", 5, 3))
-	r.Removed(now, "a")
+	r.Removed(now, "a", 0)
 	r.Announced(now, server("a", 5, 2))
 	if ids(r) != "[]" {
 		t.Errorf("after an older announcement: got %s, want []", ids(r))
@@ -324,7 +324,7 @@
 	if ids(r) != "[a]" {
 		t.Errorf("after its last announcement, written again: got %s, want [a]", ids(r))
 	}
-	r.Removed(now, "a")
+	r.Removed(now, "a", 0)
 	r.Tick(now.Add(removedMemory + time.Millisecond))
 	r.Announced(now, server("a", 5, 1))
 	if ids(r) != "[a]" {
@@ -395,3 +395,34 @@
 		}
 	})
 }
+
+// TestRemovalFromPeersAppliesOnlyToOlderAnnouncements guards against a server that is lost for good because a peer's word
+// of a removal arrives after the server has announced itself again, and against one that comes back because an
+// instance reads late what was written before the removal.
+func TestRemovalFromPeersAppliesOnlyToOlderAnnouncements(t *testing.T) {
+	now := time.Now()
+	r := NewRegistry()
+	announce := func(id string, revision store.Revision) {
+		s := server(id, 0, int64(revision))
+		s.Revision = revision
+		r.Announced(now, s)
+	}
+	announce("a", 5)
+	announce("b", 9)
+	for _, id := range []string{"a", "b", "unknown"} {
+		r.RemovedElsewhere(now, id, 7)
+	}
+	if ids(r) != "[b]" {
+		t.Fatalf("after a removal at revision 7: got %s, want [b], which was announced at 9", ids(r))
+	}
+	announce("a", 6)
+	announce("unknown", 4)
+	if ids(r) != "[b]" {
+		t.Errorf("after announcements from before the removal: got %s, want [b]", ids(r))
+	}
+	announce("a", 8)
+	announce("unknown", 8)
+	if ids(r) != "[a b unknown]" {
+		t.Errorf("after announcements from after the removal: got %s, want [a b unknown]", ids(r))
+	}
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -45,13 +45,31 @@
 	// Withdrawn lists those that are followed by a removal. The server may have got requests of other instances
 	// in between.
 	Withdrawn []Server
-	// Unusable lists servers whose announcement can't be parsed; Removed lists servers whose
-	// announcement is gone.
-	Unusable, Removed []string
+	// Unusable lists servers whose announcement can't be parsed.
+	Unusable []string
+	// Removed lists servers whose announcement is gone.
+	Removed []Removal
 	// Revision is the revision to watch from next.
 	Revision store.Revision
 }
 
+// Removal says that the announcement of a server was removed.
+type Removal struct {
+	// ID identifies the server, and Revision is the store's revision of the removal.
+	ID       string
+	Revision store.Revision
+}
+
+// Departure says that a server takes no new requests.
+type Departure struct {
+	// Server identifies the server, and StartMillis its process.
+	Server      string
+	StartMillis int64
+	// RemovedAt is the store's revision at which its announcement was removed; 0 if the server has said that
+	// it is leaving.
+	RemovedAt store.Revision
+}
+
 // Source reads announcements.
 type Source interface {
 	// List reads all announcements.
@@ -92,10 +110,10 @@
 	// OnRead is called before each call of the store; what it returns is called once the servers are those that
 	// the call has read. Neither may call the Watcher. nil means no call.
 	OnRead func() (succeeded func())
-	// OnLeaving, if set, is called for each server that is found to be leaving. It must not
-	// block.
-	OnLeaving func(server KnownServer)
-	Logger    *logrus.Entry
+	// OnDeparture is called for each server that is found to be leaving, and for each that this instance has read to
+	// be gone. It must neither block nor call the Watcher; nil means no call.
+	OnDeparture func(Departure)
+	Logger      *logrus.Entry
 }
 
 // Watcher keeps a Registry up to date and passes its servers to a Sink. It is safe for
@@ -128,6 +146,9 @@
 
 // New makes a Watcher, which does nothing until Run is called.
 func New(options Options) *Watcher {
+	if options.OnDeparture == nil {
+		options.OnDeparture = func(Departure) {}
+	}
 	if options.OnRead == nil {
 		options.OnRead = func() func() { return func() {} }
 	}
@@ -212,8 +233,11 @@
 	now := time.Now()
 	w.update(cause{origin: originWatch, revision: update.Revision}, func(r *Registry) {
 		w.recordAnswer(now)
-		for _, id := range update.Removed {
-			r.Removed(now, id)
+		for _, removal := range update.Removed {
+			known, _ := r.Server(removal.ID)
+			if r.Removed(now, removal.ID, removal.Revision) {
+				w.options.OnDeparture(Departure{Server: removal.ID, StartMillis: known.StartMillis, RemovedAt: removal.Revision})
+			}
 		}
 		for _, id := range update.Unusable {
 			r.Unusable(now, id)
@@ -274,9 +298,16 @@
 	w.update(cause{origin: originPeer}, func(r *Registry) { r.ResidencyChanged(now, server, startMillis, ref, present) })
 }
 
-// Leaving records a peer's message that a server is leaving.
-func (w *Watcher) Leaving(server string, startMillis int64) {
-	w.update(cause{origin: originPeer}, func(r *Registry) { r.Leaving(server, startMillis) })
+// Departed records a peer's message that a server is leaving or gone.
+func (w *Watcher) Departed(d Departure) {
+	now := time.Now()
+	w.update(cause{origin: originPeer, revision: d.RemovedAt}, func(r *Registry) {
+		if d.RemovedAt != 0 {
+			r.RemovedElsewhere(now, d.Server, d.RemovedAt)
+			return
+		}
+		r.Leaving(d.Server, d.StartMillis)
+	})
 }
 
 // ServerLeaving implements engine.AnswerObserver. It records what a server said in an answer,
@@ -379,8 +410,8 @@
 	return out
 }
 
-// recordChanges logs servers that are new, leaving or gone, and calls OnLeaving for those that
-// are newly found to be leaving. The caller holds the lock.
+// recordChanges logs servers that are new, leaving or gone, and calls OnDeparture for those
+// that are newly found to be leaving. The caller holds the lock.
 func (w *Watcher) recordChanges(known []KnownServer, because cause) {
 	// view_ms is the age of this instance's view before the change: the store has acknowledged what
 	// it read no longer ago than that.
@@ -399,9 +430,7 @@
 			// gone_in_ms is how long the server will still run; 0 if it doesn't say.
 			log.WithFields(learned).WithField("gone_in_ms", s.StopsIn.Milliseconds()).Info("Server is leaving")
 			w.metrics.left.WithLabelValues(string(because.origin)).Inc()
-			if w.options.OnLeaving != nil {
-				w.options.OnLeaving(s)
-			}
+			w.options.OnDeparture(Departure{Server: s.ID, StartMillis: s.StartMillis})
 		}
 	}
 	for id, last := range w.lastLogged {
--- a/internal/peers/digest/digest.go
+++ b/internal/peers/digest/digest.go
@@ -81,6 +81,13 @@
 	StartMillis int64 `cbor:"2,keyasint,omitempty"`
 }
 
+// ServerRemoved says that the announcement of a server was removed from the store.
+type ServerRemoved struct {
+	Server string `cbor:"1,keyasint"`
+	// Revision is the store's revision of the removal.
+	Revision int64 `cbor:"2,keyasint"`
+}
+
 // RefLoad is the sender's load on one model or adapter version, in requests. scheduling.RefLoad
 // says exactly which requests count.
 type RefLoad struct {
@@ -143,6 +150,8 @@
 	// Lease is only in the first datagram of a digest, and only if the sender holds the
 	// placement lease.
 	Lease *Lease `cbor:"10,keyasint,omitempty"`
+	// Removed isn't read by instances of earlier versions.
+	Removed []ServerRemoved `cbor:"11,keyasint,omitempty"`
 }
 
 // Sizes for splitting a digest into datagrams.
@@ -192,6 +201,10 @@
 		s.reserve(len(leaving.Server))
 		s.current.Leaving = append(s.current.Leaving, leaving)
 	}
+	for _, removed := range d.Removed {
+		s.reserve(len(removed.Server))
+		s.current.Removed = append(s.current.Removed, removed)
+	}
 	for _, load := range d.RefLoads {
 		s.reserve(len(load.Ref))
 		s.current.RefLoads = append(s.current.RefLoads, load)
