The pause between two reads of the servers leaves room for the read within the bound

Now the settings name the bound (leaving_bound_ms, from the platform's drain_ms), and the pause is at most the bound less 1 s for the read itself: 2 s at a bound of 3 s, 1 s at 2 s and 3 s at 4 s as before. An instance warns at its start of a bound below 1.25 s. The first pause is drawn at random.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -157,6 +157,7 @@
 		Sink:             d.dispatcher,
 		Pooled:           h.isPool,
 		Instances:        func() int { return len(d.cluster.Members()) },
+		LeavingBound:     d.leavingBound(),
 		DecidesPlacement: func() bool { return h.manager.Holding() },
 		OnDeparture:      h.extension.AddDepartureNotice,
 		OnServers:        h.observeVersions,
@@ -198,6 +199,17 @@
 	return nil
 }
 
+// leavingBound returns the bound of the settings, and warns of one that instances can't keep.
+func (d *Daemon) leavingBound() time.Duration {
+	bound := time.Duration(d.settings.LeavingBoundMillis) * time.Millisecond
+	if bound > 0 && bound < discovery.MinLeavingBound {
+		d.log(logging.Routing).WithFields(logrus.Fields{
+			"bound_ms": bound.Milliseconds(), "least_ms": discovery.MinLeavingBound.Milliseconds(),
+		}).Warn("Requests may reach leaving servers for longer than the settings allow")
+	}
+	return bound
+}
+
 // buildLimits builds the parts that keep the limits that servers name.
 func (d *Daemon) buildLimits(h *hosted) {
 	h.brittle = serverlimits.New(serverlimits.Options{
--- a/internal/discovery/leaving_test.go
+++ b/internal/discovery/leaving_test.go
@@ -132,7 +132,7 @@
 		sink := &fakeSink{}
 		w := New(Options{
 			Source: &slowSource{log: f.log, random: rand.New(rand.NewPCG(seed, uint64(n)+1))}, Sink: sink,
-			Pooled: func(string) bool { return false }, Instances: func() int { return fleetInstances },
+			Pooled: func(string) bool { return false }, Instances: func() int { return fleetInstances }, LeavingBound: leavingBound,
 			OnDeparture: func(d Departure) { f.tellPeers(n, d) }, Logger: logging.Discard(),
 		})
 		f.instances, f.sinks = append(f.instances, w), append(f.sinks, sink)
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -36,8 +37,16 @@
 	// which limits how much later an instance learns of a new server.
 	batchPausePerInstance = 40 * time.Millisecond
 	maxBatchPause         = 3 * time.Second
+	// readTime is what a read may take, from the end of the pause until its servers count: the store's answer, an
+	// attempt that the store cuts and its repetition, and waits for the processor.
+	readTime = time.Second
+	// minBatchPause is the shortest pause, also if Options.LeavingBound is too short for it.
+	minBatchPause = 250 * time.Millisecond
 )
 
+// MinLeavingBound is the shortest Options.LeavingBound that an instance can keep.
+const MinLeavingBound = minBatchPause + readTime
+
 // Update is a set of changes to announcements.
 type Update struct {
 	// Announced lists announcements, the oldest first. There may be several of a server.
@@ -98,6 +107,9 @@
 	Pooled func(service string) bool
 	// Instances returns the number of instances that watch; nil means one.
 	Instances func() int
+	// LeavingBound is how long after the store has acknowledged that a server leaves a request may still reach
+	// it; 0 if nobody says.
+	LeavingBound time.Duration
 	// DecidesPlacement reports whether this instance decides on placement, for which it must
 	// learn of servers early; nil means never.
 	DecidesPlacement func() bool
@@ -171,8 +183,14 @@
 			revision, err = w.list(ctx)
 		}
 		switch {
-		case err == nil:
+		case err == nil && !listed:
 			retryDelay, listed = minRetryDelay, true
+			// Instances that start or recover together mustn't go on reading together: a change right after
+			// their read would stay unknown to all of them.
+			pause.For(ctx, rand.N(w.batchPause()))
+			continue
+		case err == nil:
+			retryDelay = minRetryDelay
 			pause.For(ctx, w.batchPause())
 			continue
 		case errors.Is(err, store.ErrCompacted):
@@ -192,11 +210,21 @@
 	w.restored = restored
 }
 
+// batchPause returns the pause before the next watch.
 func (w *Watcher) batchPause() time.Duration {
+	longest := w.longestBatchPause()
 	if w.options.Instances == nil || (w.options.DecidesPlacement != nil && w.options.DecidesPlacement()) {
-		return batchPause
+		return min(batchPause, longest)
+	}
+	return min(pause.SharedInterval(batchPause, batchPausePerInstance, w.options.Instances(), maxBatchPause), longest)
+}
+
+// longestBatchPause returns the longest pause after which a read is still in time for LeavingBound.
+func (w *Watcher) longestBatchPause() time.Duration {
+	if w.options.LeavingBound == 0 {
+		return maxBatchPause
 	}
-	return pause.SharedInterval(batchPause, batchPausePerInstance, w.options.Instances(), maxBatchPause)
+	return min(max(w.options.LeavingBound-readTime, minBatchPause), maxBatchPause)
 }
 
 func (w *Watcher) list(ctx context.Context) (store.Revision, error) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,6 +51,10 @@
 	// milliseconds, also by an instance that doesn't reach the key-value store. 0 means that an instance
 	// goes by the configuration that it has.
 	RevocationMillis int64 `json:"revocation_ms,omitempty" validate:"gte=0"`
+	// LeavingBoundMillis is how long after the key-value store has acknowledged that a backend server leaves a
+	// request may still reach the server, in milliseconds. 0 means that nobody says, and that an instance
+	// takes up to some 3 s.
+	LeavingBoundMillis int64 `json:"leaving_bound_ms,omitempty" validate:"gte=0"`
 	// ServerSpeed says for which backend servers the speed is learned: "always", "never", or, if empty, those of
 	// services whose servers state how long work takes at the moment.
 	ServerSpeed string `json:"server_speed,omitempty" validate:"omitempty,oneof=always never"`
