Only an instance that learned of a leaving server first tells the others

Cause of cost: each instance that learned of a leaving server from a peer told all others again, three times: 3 n² datagrams for each server, 22,000 at 86 instances, computed. Now only those tell that learned from their own watch or from the server itself, and they tell at once instead of with the next round of digests.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -159,11 +159,14 @@
 		Instances:        func() int { return len(d.cluster.Members()) },
 		LeavingBound:     d.leavingBound(),
 		DecidesPlacement: func() bool { return h.manager.Holding() },
-		OnDeparture:      h.extension.AddDepartureNotice,
-		OnServers:        h.observeVersions,
-		OnAnnounced:      h.observeAnnouncements,
-		OnRead:           d.confirmVersions,
-		Logger:           d.log(logging.Routing),
+		OnDeparture: func(departure discovery.Departure) {
+			h.extension.AddDepartureNotice(departure)
+			d.exchange.TriggerSend()
+		},
+		OnServers:   h.observeVersions,
+		OnAnnounced: h.observeAnnouncements,
+		OnRead:      d.confirmVersions,
+		Logger:      d.log(logging.Routing),
 	})
 	d.buildLimits(h)
 	if err := d.buildReach(h); err != nil {
--- a/internal/discovery/leaving_test.go
+++ b/internal/discovery/leaving_test.go
@@ -117,10 +117,12 @@
 	noticeLoss float64
 	mu         sync.Mutex
 	random     *rand.Rand
+	// tellers counts, for each server, the instances that have told the others of it.
+	tellers map[string]int
 }
 
 func startFleet(ctx context.Context, seed uint64, noticeLoss float64) *fleet {
-	f := &fleet{log: newAnnouncementLog(), noticeLoss: noticeLoss, random: rand.New(rand.NewPCG(seed, 0))}
+	f := &fleet{log: newAnnouncementLog(), noticeLoss: noticeLoss, tellers: map[string]int{}, random: rand.New(rand.NewPCG(seed, 0))}
 	for n := range fleetServers {
 		delay := time.Duration(f.random.Int64N(int64(announcePeriod)))
 		go func() {
@@ -166,6 +168,9 @@
 
 // tellPeers carries the notice of one instance to the others.
 func (f *fleet) tellPeers(from int, d Departure) {
+	f.mu.Lock()
+	f.tellers[d.Server]++
+	f.mu.Unlock()
 	for to, w := range f.instances {
 		f.mu.Lock()
 		lost, delay := f.random.Float64() < f.noticeLoss, time.Duration(f.random.Int64N(int64(maxProcessorWait)))
@@ -228,3 +233,25 @@
 	}
 	checks.Wait()
 }
+
+// TestFewInstancesTellOfAServerThatLeft guards against notices whose number grows with the square of the instances,
+// because each instance tells all others what one of them has told it.
+func TestFewInstancesTellOfAServerThatLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		f := startFleet(ctx, 1, 0)
+		time.Sleep(10 * time.Second)
+		s := server("s1", 0, 1000)
+		s.Leaving = true
+		f.log.write(logEntry{id: s.ID, server: &s})
+		time.Sleep(leavingBound)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		// Those tell that read before the first notice arrives.
+		const most = 2 * fleetInstances * int(maxProcessorWait) / int(leavingBound-readTime)
+		if n := f.tellers[s.ID]; n == 0 || n > most {
+			t.Errorf("%d of %d instances told the others, want 1 to %d", n, fleetInstances, most)
+		}
+	})
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -122,8 +122,9 @@
 	// OnRead is called before each call of the store; what it returns is called once the servers are those that
 	// the call has read. Neither may call the Watcher. nil means no call.
 	OnRead func() (succeeded func())
-	// OnDeparture is called for each server that is found to be leaving, and for each that this instance has read to
-	// be gone. It must neither block nor call the Watcher; nil means no call.
+	// OnDeparture is called for each server of which a watch or the server itself tells this instance that it is
+	// leaving or gone, but not if a peer has told it before. It must neither block nor call the Watcher; nil means
+	// no call.
 	OnDeparture func(Departure)
 	Logger      *logrus.Entry
 }
@@ -382,6 +383,9 @@
 	revision store.Revision
 }
 
+// isFirstHand reports whether peers may not know of the change yet. What a listing shows is older.
+func (c cause) isFirstHand() bool { return c.origin == originWatch || c.origin == originServer }
+
 // update applies f to the registry and publishes the servers if anything changed.
 func (w *Watcher) update(because cause, f func(r *Registry)) {
 	w.mu.Lock()
@@ -458,7 +462,9 @@
 			// gone_in_ms is how long the server will still run; 0 if it doesn't say.
 			log.WithFields(learned).WithField("gone_in_ms", s.StopsIn.Milliseconds()).Info("Server is leaving")
 			w.metrics.left.WithLabelValues(string(because.origin)).Inc()
-			w.options.OnDeparture(Departure{Server: s.ID, StartMillis: s.StartMillis})
+			if because.isFirstHand() {
+				w.options.OnDeparture(Departure{Server: s.ID, StartMillis: s.StartMillis})
+			}
 		}
 	}
 	for id, last := range w.lastLogged {
