A server is checked again right before the first byte is sent to it

Between the choice of a server and the first byte lie up to 0.8 s for a new connection; what was learned of the server meanwhile didn't count. Now the request is held back then, the connection is kept, and the scheduler chooses again; it doesn't count as an attempt. That takes this part out of the sum of the longest way.

TestRequestIsHeldBackOnceItsConnectionIsOpen (there was nothing to hold a request back).

--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -16,6 +16,7 @@
 	"limpethub/internal/pause"
 	"limpethub/internal/scheduling"
 	"limpethub/internal/store"
+	"limpethub/internal/verdict"
 )
 
 const (
@@ -487,6 +488,20 @@
 	return engine.Server{Name: s.ID, Address: s.Address, StartMillis: s.StartMillis, SoftwareVersion: s.SoftwareVersion}, ok
 }
 
+// MaySend returns an error if a process of a server takes no new requests any more.
+func (w *Watcher) MaySend(server engine.Server) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	known, ok := w.registry.Server(server.Name)
+	switch {
+	case !ok || known.StartMillis != server.StartMillis:
+		return verdict.Refused(verdict.CodeNoServer, "server %s is gone", server.Name)
+	case known.Leaving:
+		return verdict.Refused(verdict.CodeNoServer, "server %s is leaving", server.Name)
+	}
+	return nil
+}
+
 // Paused reports whether a process of a server wants nothing from this instance now.
 func (w *Watcher) Paused(server engine.Server) bool {
 	w.mu.Lock()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -172,6 +172,9 @@
 	// OpenConnectionsOnly is true if no connection may be opened for the request. Without an open one that is
 	// idle, it isn't sent.
 	OpenConnectionsOnly bool
+	// MaySend is called right before the first byte is sent, which may be long after the server was chosen. Its error
+	// has the verdict not-run; nothing is sent then. nil means that the request may be sent.
+	MaySend func() error
 }
 
 // Event is one event of a streamed answer, decoded. RawEvent is the same in undecoded form.
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -55,6 +55,9 @@
 	// Recheck reports, right before each send to a server, whether the request may still run: it may have waited
 	// since it was authorized. Its error is a *verdict.Error with NotRun. nil means that all may.
 	Recheck func(*request.Request) error
+	// MaySend reports, right before the first byte is sent, whether a server still takes requests. Its error is a
+	// *verdict.Error with NotRun. nil means that all do.
+	MaySend func(engine.Server) error
 	// Quota counts further attempts against the limits of workspaces; nil means none.
 	Quota  Quota
 	Logger *logrus.Entry
@@ -265,6 +268,9 @@
 	relayed.server, relayed.result.SoftwareVersion = server, server.SoftwareVersion
 	relayed.call.Priority = decision.Priority
 	relayed.call.OpenConnectionsOnly = r.openConnectionsOnly(relayed)
+	if r.options.MaySend != nil {
+		relayed.call.MaySend = func() error { return r.options.MaySend(server) }
+	}
 	start := r.options.Now()
 	relayed.attemptStart = start
 	relayed.result.SentAfter = start.Sub(relayed.relayStart)
--- a/internal/rawhttp/client.go
+++ b/internal/rawhttp/client.go
@@ -88,6 +88,9 @@
 	ID string
 	// Connections says on which connections the request may be sent.
 	Connections Connections
+	// MaySend is called once there is a connection, right before the first byte is written to it. If it returns an
+	// error, nothing is sent and the cause of the Error is a HeldBackError. nil means that the request may be sent.
+	MaySend func() error
 }
 
 // Connections says which connections may carry a request.
@@ -112,6 +115,13 @@
 
 func (e *DialError) Unwrap() error { return e.Err }
 
+// HeldBackError is the cause of an Error if Request.MaySend has returned an error.
+type HeldBackError struct{ Err error }
+
+func (e *HeldBackError) Error() string { return e.Err.Error() }
+
+func (e *HeldBackError) Unwrap() error { return e.Err }
+
 // Error reports why a request got no complete answer.
 type Error struct {
 	// Sent is false only if no byte of the request was written to a connection, so that the
@@ -214,6 +224,10 @@
 		if err != nil {
 			return nil, &Error{Err: err}
 		}
+		if err := request.maySend(); err != nil {
+			c.putBack(connection)
+			return nil, &Error{Err: &HeldBackError{Err: err}}
+		}
 		response, err := c.exchange(ctx, connection, request)
 		if sendErr, ok := err.(*Error); ok && reused && !sendErr.Sent && ctx.Err() == nil {
 			continue
@@ -242,9 +256,22 @@
 		return nil, false, &DialError{Err: err}
 	}
 	bounded := &boundedReader{source: raw, left: noBound}
-	return &conn{Conn: raw, server: server, bounded: bounded, reader: bufio.NewReaderSize(bounded, readerBytes)}, false, nil
+	return &conn{
+		Conn: raw, server: server, bounded: bounded, reader: bufio.NewReaderSize(bounded, readerBytes),
+		expires: time.Now().Add(c.options.IdleTimeout),
+	}, false, nil
 }
 
+func (r *Request) maySend() error {
+	if r.MaySend == nil {
+		return nil
+	}
+	return r.MaySend()
+}
+
+// putBack keeps a connection on which nothing was sent.
+func (c *Client) putBack(connection *conn) { c.putIdle(connection, time.Until(connection.expires)) }
+
 // noBound is a bound that is never reached.
 const noBound = math.MaxInt64
 
--- a/internal/rawhttp/client_test.go
+++ b/internal/rawhttp/client_test.go
@@ -272,3 +272,29 @@
 		t.Errorf("kept for %v without a Keep-Alive header, want the default", keep)
 	}
 }
+
+// TestRequestIsHeldBackOnceItsConnectionIsOpen guards against a request that reaches a server which was found to be leaving
+// while the connection to it was being opened.
+func TestRequestIsHeldBackOnceItsConnectionIsOpen(t *testing.T) {
+	var arrived atomic.Int64
+	s := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		arrived.Add(1)
+		_, _ = io.WriteString(conn, answer(r.Header.Get("Request-Id"), "body"))
+		return true
+	})
+	c := newTestClient(t)
+	leaving := errors.New("the server is leaving")
+	for _, connection := range []string{"a new connection", "an idle connection"} {
+		request := getRequest("held")
+		request.MaySend = func() error { return leaving }
+		_, err := c.Do(t.Context(), s.server(), request)
+		var failed *Error
+		var heldBack *HeldBackError
+		if !errors.As(err, &failed) || failed.Sent || !errors.As(err, &heldBack) || !errors.Is(err, leaving) || arrived.Load() != 0 {
+			t.Errorf("%s: got %v and %d requests at the server, want a HeldBackError and none", connection, err, arrived.Load())
+		}
+	}
+	if _, _, _, err := c.Call(t.Context(), s.server(), getRequest("sent"), time.Second, 100); err != nil || s.connections.Load() != 1 {
+		t.Errorf("a request that may be sent: got %v and %d connections, want an answer on the one that was kept", err, s.connections.Load())
+	}
+}
