Odd entries among those of the servers are ignored, one by one

Cause: the decoder took an address with any colon for one that can be connected to (port 0, 65536, none, a name, several colons, a line break) and any number for slots and sequence; the failed attempts at these made the instance believe that it reaches no server. Deep nesting and numbers out of range did no harm.

--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -55,8 +55,8 @@
 	// Withdrawn lists those that are followed by a removal. The server may have got requests of other instances
 	// in between.
 	Withdrawn []Server
-	// Unusable lists servers whose announcement can't be parsed.
-	Unusable []string
+	// Unusable lists servers whose announcement can't be used.
+	Unusable []UnusableEntry
 	// Removed lists servers whose announcement is gone.
 	Removed []Removal
 	// Revision is the revision to watch from next.
@@ -70,6 +70,12 @@
 	Revision store.Revision
 }
 
+// UnusableEntry says why the announcement of a server can't be used.
+type UnusableEntry struct {
+	ID  string
+	Err error
+}
+
 // Departure says that a server takes no new requests.
 type Departure struct {
 	// Server identifies the server, and StartMillis its process.
@@ -147,6 +153,8 @@
 	// call, also one that fails with store.ErrCompacted, until the next success.
 	lastAnswerAt time.Time
 	failing      bool
+	// unusable holds the servers whose unusable announcement has been logged.
+	unusable map[string]bool
 	// restored is true after the store came back from an older copy, until the
 	// next listing.
 	restored bool
@@ -166,7 +174,7 @@
 	if options.OnRead == nil {
 		options.OnRead = func() func() { return func() {} }
 	}
-	return &Watcher{options: options, registry: NewRegistry(), lastLogged: map[string]loggedServer{}, metrics: newMetrics()}
+	return &Watcher{options: options, registry: NewRegistry(), lastLogged: map[string]loggedServer{}, unusable: map[string]bool{}, metrics: newMetrics()}
 }
 
 // Run reads announcements until ctx ends.
@@ -243,9 +251,7 @@
 		mayBeMissing := w.recordAnswer(now) || w.restored
 		w.restored = false
 		r.Listed(now, update.Announced, mayBeMissing)
-		for _, id := range update.Unusable {
-			r.Unusable(now, id)
-		}
+		w.markUnusable(now, update)
 		r.Confirmed(now)
 	})
 	w.recordRead(began)
@@ -269,9 +275,7 @@
 				w.options.OnDeparture(Departure{Server: removal.ID, StartMillis: known.StartMillis, RemovedAt: removal.Revision})
 			}
 		}
-		for _, id := range update.Unusable {
-			r.Unusable(now, id)
-		}
+		w.markUnusable(now, update)
 		for _, s := range update.Announced {
 			r.Announced(now, s)
 		}
@@ -285,6 +289,28 @@
 	return max(update.Revision, after), nil
 }
 
+// maxLoggedUnusable limits how many servers are remembered whose announcements can't be used.
+const maxLoggedUnusable = 1000
+
+// markUnusable removes the servers whose announcements can't be used, and logs each once until it announces
+// itself properly or is removed. The caller holds the lock.
+func (w *Watcher) markUnusable(now time.Time, update Update) {
+	for _, s := range update.Announced {
+		delete(w.unusable, s.ID)
+	}
+	for _, removal := range update.Removed {
+		delete(w.unusable, removal.ID)
+	}
+	for _, entry := range update.Unusable {
+		w.registry.Unusable(now, entry.ID)
+		if w.unusable[entry.ID] || len(w.unusable) >= maxLoggedUnusable {
+			continue
+		}
+		w.unusable[entry.ID] = true
+		w.options.Logger.WithError(entry.Err).WithField("server", entry.ID).Warn("Ignored the announcement of a server: it can't be used")
+	}
+}
+
 // recordAnswer records a successful call of the store, and reports whether calls had been failing
 // and none had succeeded for longer than minOutage. It logs the end of a failure, with the time
 // since the last success before it. The caller holds the lock.
