An earlier answer on a kept connection is never the answer to the next call

Found, each by a test through real sockets that fails on the code before: - a second attempt of a request, with the id of the first, on the connection that carried the first: the earlier refusal counted. Now a connection remembers which requests got no success on it, and doesn't carry them again. - the first part of an earlier answer, then the answer: cut in the status line or in a header, both together read as one head with the earlier status and the new id.

TestEarlierRefusalOfTheSameRequestIsNotItsAnswer, TestEarlierAnswerOnAKeptConnectionIsNeverTheNextOne, TestEarlierAnswerToAnOrderOrReportIsNotTheNextOne.

--- a/internal/rawhttp/client.go
+++ b/internal/rawhttp/client.go
@@ -14,6 +14,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -84,7 +85,7 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// ID is the expected value of IDHeader in the answer; if empty, it isn't checked.
+	// ID is the expected value of IDHeader in the answer; if empty, the answer must have none.
 	ID string
 	// Connections says on which connections the request may be sent.
 	Connections Connections
@@ -212,6 +213,24 @@
 	bounded *boundedReader
 	// expires is the time from which an idle connection must not be reused.
 	expires time.Time
+	// failed holds the IDs of the last requests that got no success on the connection.
+	failed []string
+}
+
+// maxFailedIDs is how many IDs a connection remembers. It isn't used for any request after more failures.
+const maxFailedIDs = 64
+
+// rememberFailed records that a request got no success. Another attempt of it, with the same ID, mustn't be sent on the
+// connection: a faulty server may write the earlier answer once more, and the ID wouldn't tell them apart.
+func (c *conn) rememberFailed(id string) {
+	if id != "" {
+		c.failed = append(c.failed, id)
+	}
+}
+
+// mayCarry reports whether no earlier answer on the connection can be taken for that to a request with the ID.
+func (c *conn) mayCarry(id string) bool {
+	return len(c.failed) <= maxFailedIDs && !slices.Contains(c.failed, id)
 }
 
 // Do sends a request and waits for the head of its answer. If ctx ends, also while the
@@ -220,7 +239,7 @@
 // This isn't a second sending of the request, since no byte of it was sent before.
 func (c *Client) Do(ctx context.Context, server Server, request *Request) (*Response, error) {
 	for {
-		connection, reused, err := c.getConn(ctx, server, request.Connections)
+		connection, reused, err := c.getConn(ctx, server, request)
 		if err != nil {
 			return nil, &Error{Err: err}
 		}
@@ -237,18 +256,18 @@
 }
 
 // getConn returns a reusable idle connection, or opens a new one.
-func (c *Client) getConn(ctx context.Context, server Server, allowed Connections) (connection *conn, reused bool, err error) {
-	for allowed != OnlyNew {
+func (c *Client) getConn(ctx context.Context, server Server, request *Request) (connection *conn, reused bool, err error) {
+	for request.Connections != OnlyNew {
 		kept := c.takeIdle(server)
 		if kept == nil {
 			break
 		}
-		if time.Now().Before(kept.expires) && kept.reusable() {
+		if time.Now().Before(kept.expires) && kept.mayCarry(request.ID) && kept.reusable() {
 			return kept, true, nil
 		}
 		_ = kept.Close()
 	}
-	if allowed == OnlyIdle {
+	if request.Connections == OnlyIdle {
 		return nil, false, ErrNoIdle
 	}
 	raw, err := c.dialer.DialContext(ctx, "tcp", server.Address)
--- a/internal/rawhttp/exchange.go
+++ b/internal/rawhttp/exchange.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -29,6 +30,7 @@
 var (
 	errForeign       = errors.New("the answer belongs to another request")
 	errInformational = errors.New("too many informational answers")
+	errJoined        = errors.New("the answer begins with a part of another one")
 )
 
 // exchange sends the request on a connection and reads the head of its answer.
@@ -126,6 +128,9 @@
 		if err != nil {
 			return err
 		}
+		if r.isJoined(answer) {
+			return errJoined
+		}
 		if r.matchesRequest(answer) {
 			r.Status, r.Header, r.body = answer.StatusCode, answer.Header, answer.Body
 			r.closeAfter = answer.Close || request.Connections == OnlyNew
@@ -145,10 +150,30 @@
 	return errForeign
 }
 
-// matchesRequest reports whether an answer has the request's ID, or IDs aren't checked.
+// matchesRequest reports whether an answer has the request's ID, or none if the request has none. Without
+// Options.IDHeader, any answer matches.
 func (r *Response) matchesRequest(answer *http.Response) bool {
 	header := r.client.options.IDHeader
-	return header == "" || r.id == "" || answer.Header.Get(header) == r.id
+	return header == "" || answer.Header.Get(header) == r.id
+}
+
+// statusLinePrefix begins each answer, and is part of no valid reason or header.
+const statusLinePrefix = "HTTP/1."
+
+// isJoined reports whether the head of an answer consists of the first part of one answer and of another answer: the
+// status line of the second is then the end of a line of the first, or the id occurs twice.
+func (r *Response) isJoined(answer *http.Response) bool {
+	if strings.Contains(answer.Status, statusLinePrefix) || len(answer.Header.Values(r.client.options.IDHeader)) > 1 {
+		return true
+	}
+	for _, values := range answer.Header {
+		for _, value := range values {
+			if strings.Contains(value, statusLinePrefix) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // readFinalHead reads response heads and skips informational (1xx) ones.
@@ -233,6 +258,9 @@
 	}
 	notCanceled := r.stopCloseOnCancel()
 	keep := r.client.keepAliveDuration(r.Header)
+	if r.Status >= http.StatusMultipleChoices {
+		r.conn.rememberFailed(r.id)
+	}
 	if notCanceled && r.bodyComplete && written && !r.closeAfter && keep > 0 && r.conn.reader.Buffered() == 0 {
 		r.client.putIdle(r.conn, keep)
 		return
