--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -397,8 +397,13 @@
 
 // relayStream delivers the events of a stream as they arrive. Each event counts as one token.
 func (r *Relay) relayStream(relayed *relayedRequest, answer engine.Answer, run *crashwatch.Run, outcome *scheduling.Outcome) error {
+	deliveredBefore := relayed.result.Events
 	for {
 		piece, err := answer.Next()
+		if errors.Is(err, io.EOF) && relayed.endsTooEarly(deliveredBefore) {
+			cut := verdict.Unclear(verdict.CodeStreamCut, nil, "the server ended the resumed stream without a further event")
+			return &brokenAnswerError{err: cut}
+		}
 		if errors.Is(err, io.EOF) {
 			outcome.Verdict = verdict.Ran
 			return r.deliverHead(relayed, answer.Head())
@@ -431,6 +436,15 @@
 	}
 }
 
+// endsTooEarly reports whether the end of an answer that resumed a stream, and brought no event, may not be that of the
+// stream: the server that broke off may not have sent its last event. Only a stream of the longest
+// length that the request allows is known to be complete, as each event has a token at least.
+func (relayed *relayedRequest) endsTooEarly(deliveredBefore int) bool {
+	q := &relayed.call.Request
+	isLongest := q.MaxTokens > 0 && relayed.lastEventID+1 >= int64(q.MaxTokens)
+	return deliveredBefore > 0 && relayed.result.Events == deliveredBefore && !isLongest
+}
+
 // checkSequence checks that an event is the next one after lastEventID. An event that the
 // caller already has is skipped. A gap is an error. Events without ids aren't checked, and
 // if the caller has no event yet, the first one isn't checked.
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -215,6 +215,9 @@
 		"gap in the event ids is an error": {true, -1, []serverReply{{status: 200, events: []int64{0, 1}, endErr: cut}, {status: 200, events: []int64{3}}}, "[-1 1]", "e0 e1 ", false},
 		"not idempotent, not resumed":      {false, -1, []serverReply{{status: 200, events: []int64{0}, endErr: cut}, {status: 200, events: []int64{1}}}, "[-1]", "e0 ", false},
 		"broken before the first event":    {true, -1, []serverReply{{status: 200, events: []int64{}, endErr: cut}, {status: 200, events: []int64{0}}}, "[-1 -1]", "e0 ", true},
+		"end without an event":             {true, -1, []serverReply{{status: 200, events: []int64{0, 1}, endErr: cut}, {status: 200, events: []int64{}}}, "[-1 1]", "e0 e1 ", false},
+		"end after repeated events only":   {true, -1, []serverReply{{status: 200, events: []int64{0, 1}, endErr: cut}, {status: 200, events: []int64{0, 1}}}, "[-1 1]", "e0 e1 ", false},
+		"caller's resume, nothing follows": {true, 4, []serverReply{{status: 200, events: []int64{}}}, "[4]", "", true},
 		"resume requested by the caller":   {true, 4, []serverReply{{status: 200, events: []int64{5}, endErr: cut}, {status: 200, events: []int64{6}}}, "[4 5]", "e5 e6 ", true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -234,6 +237,18 @@
 	}
 }
 
+// TestResumedStreamEndsWithoutAnEventAtItsLongest guards against a complete stream that counts as broken: its connection broke
+// after its last event, which the length that the request allows shows.
+func TestResumedStreamEndsWithoutAnEventAtItsLongest(t *testing.T) {
+	r, _ := newTestRelay(t, serverReply{status: 200, events: []int64{0, 1}, endErr: io.ErrUnexpectedEOF}, serverReply{status: 200, events: []int64{}})
+	call := relayCall(true, 2)
+	call.Request.MaxTokens = 2
+	var got recordingCaller
+	if _, err := r.Relay(t.Context(), call, -1, &got); err != nil || got.text.String() != "e0 e1 " {
+		t.Errorf("delivered %q, %v, want both events and the end", got.text.String(), err)
+	}
+}
+
 // TestRelayRefusalsUseRetryBudget guards against retries without a limit when servers refuse
 // everything: retries of refused requests must use up the retry budget of the service, so
 // that they don't multiply the load.
