Servers that are gone don't make an instance give up those that are left

Cause: it judged its own reach by three entries drawn at random: two rounds without an answer turned it away from new connections though a server had been heard 0 ms before, and it took rounds in which most answer to come back. And each dead server cost callers an attempt of up to 0.8 s every 3 s.

Now a round asks servers that were heard lately, and the others in turn; a round without an answer says something of the instance only if a server heard lately was among those asked, or if 24 (or all) were; one answered new connection in two rounds leads back. A server that takes no connection, and sent nothing for a second, gets no requests until a probe is answered.

--- a/internal/daemon/reach.go
+++ b/internal/daemon/reach.go
@@ -24,6 +24,7 @@
 	d.cluster.OnFact(gossip.TopicReach, h.peersReach.HandleFact)
 	h.reach = reachability.New(reachability.Options{
 		Prober: d.plugins.relayer, Servers: h.probeableServers, OnChange: d.reachChanged,
+		OnSilent: d.serverIsSilent, OnHeard: d.serverIsHeard,
 		PeersReaching: func() int { return len(d.peersThatReach()) },
 		Logger:        d.log(logging.Routing), Now: time.Now,
 	})
@@ -43,6 +44,18 @@
 	return nil
 }
 
+// serverIsSilent keeps requests away from a server that takes no connection and sends nothing.
+func (d *Daemon) serverIsSilent(name string) {
+	d.log(logging.Routing).WithField("server", name).Info("Server takes no connections, it gets no requests until it answers")
+	d.dispatcher.ObserveUnreachable(name)
+}
+
+// serverIsHeard ends what serverIsSilent began.
+func (d *Daemon) serverIsHeard(name string) {
+	d.log(logging.Routing).WithField("server", name).Info("Server gets requests again")
+	d.dispatcher.ObserveReachable(name)
+}
+
 // helpers returns the instances to which requests may be passed on.
 func (d *Daemon) helpers() []peerrelay.Peer {
 	var out []peerrelay.Peer
@@ -119,6 +132,9 @@
 		gauge("limpethub_servers_reach", "How this instance reaches the backend servers: 0 with new connections, 1 with open connections only, 2 not at all.", func() float64 {
 			return float64(d.hosted.reach.State())
 		}),
+		gauge("limpethub_servers_silent", "Announced backend servers that take no connection of this instance and send nothing; they get no requests until they answer.", func() float64 {
+			return float64(d.hosted.reach.Silent())
+		}),
 		gauge("limpethub_peers_reaching_servers", "Other instances that are alive and haven't said that they don't reach the backend servers.", func() float64 {
 			return float64(len(d.peersThatReach()))
 		}),
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -269,6 +269,11 @@
 	d.handleEvent(func(now time.Time) []scheduling.Decision { return d.scheduler.ObserveUnreachable(now, server) })
 }
 
+// ObserveReachable tells the scheduler that a server that did not answer does so again.
+func (d *Dispatcher) ObserveReachable(server string) {
+	d.handleEvent(func(now time.Time) []scheduling.Decision { return d.scheduler.ObserveReachable(now, server) })
+}
+
 // ObserveDigest gives the scheduler a peer's digest of its load on a server.
 func (d *Dispatcher) ObserveDigest(digest scheduling.ServerDigest) {
 	d.handleEvent(func(now time.Time) []scheduling.Decision { return d.scheduler.ObserveDigest(now, digest) })
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -24,8 +24,14 @@
 func (s State) String() string { return stateNames[s] }
 
 const (
-	// ProbesPerRound is how many servers a round of probes asks. An instance with fewer servers asks all.
+	// ProbesPerRound is how many servers a round of probes asks, if any of them was heard lately. An instance with
+	// fewer servers asks all.
 	ProbesPerRound = 3
+	// BlindProbesPerRound is the same while no server was heard lately: each may be gone.
+	BlindProbesPerRound = 8
+	// enoughUnanswered is how many servers, none of which was heard lately, must have been asked in a row without an
+	// answer before that says anything of this instance. With fewer servers, all must have been asked.
+	enoughUnanswered = 24
 	// ProbeTimeout limits one probe. All probes of a round run at the same time.
 	ProbeTimeout = 300 * time.Millisecond
 	// quietAfter is how long no server may have been heard, while calls wait for an answer, before a round.
@@ -52,6 +58,8 @@
 	BeganAt time.Time
 	// Tried is how many servers were asked, and Answered how many of them answered.
 	Tried, Answered int
+	// HeardLately is how many of those asked had been heard lately, and Known how many servers there are.
+	HeardLately, Known int
 }
 
 // Tracker decides on the State. It isn't safe for concurrent use.
@@ -65,8 +73,10 @@
 	connectFailed bool
 	probing       bool
 	roundEndedAt  time.Time
-	// failedRounds and goodRounds are the rounds in a row without an answer, and with answers of most.
+	// failedRounds and goodRounds are the rounds in a row without an answer, and with one.
 	failedRounds, goodRounds int
+	// unanswered is how many servers were asked since the last answer to a probe.
+	unanswered int
 }
 
 // State returns the present state.
@@ -121,20 +131,27 @@
 		return false
 	}
 	if r.Answered > 0 {
-		t.failedRounds = 0
-	} else {
-		t.failedRounds++
-	}
-	if 2*r.Answered > r.Tried {
+		t.failedRounds, t.unanswered = 0, 0
 		t.goodRounds++
 	} else {
 		t.goodRounds = 0
+		t.unanswered += r.Tried
+		if !t.speaksOfInstance(r) {
+			return false
+		}
+		t.failedRounds++
 	}
 	before := t.state
 	t.state = t.next(now, r)
 	return t.state != before
 }
 
+// speaksOfInstance reports whether a round without an answer shows something of this instance, and not only that
+// some servers are gone while their announcements are still there.
+func (t *Tracker) speaksOfInstance(r Round) bool {
+	return r.HeardLately > 0 || t.unanswered >= min(enoughUnanswered, r.Known)
+}
+
 func (t *Tracker) next(now time.Time, r Round) State {
 	switch {
 	case t.state != Direct && t.goodRounds >= goodRoundsForDirect:
--- a/internal/scheduling/core.go
+++ b/internal/scheduling/core.go
@@ -130,6 +130,8 @@
 	ObserveResident(now time.Time, server string, refs []modelref.Ref) []Decision
 	// ObserveUnreachable records that a server didn't answer a request for its report in time.
 	ObserveUnreachable(now time.Time, server string) []Decision
+	// ObserveReachable records that a server that didn't answer does so again.
+	ObserveReachable(now time.Time, server string) []Decision
 	// ObservePaused records that a server wants no requests of this instance until the given
 	// time. It refuses the waiting requests that no other server can take in time.
 	ObservePaused(now time.Time, server string, until time.Time) []Decision
--- a/internal/scheduling/server.go
+++ b/internal/scheduling/server.go
@@ -194,7 +194,8 @@
 	return c.expireAndDispatch(now, s)
 }
 
-// ObserveUnreachable implements Scheduler. The server is usable again after its next report.
+// ObserveUnreachable implements Scheduler. The server is usable again after its next
+// report, or after ObserveReachable.
 func (c *core) ObserveUnreachable(now time.Time, name string) []Decision {
 	if s := c.servers[name]; s != nil {
 		s.unreachable = true
@@ -202,6 +203,16 @@
 	return c.expire(now, nil)
 }
 
+// ObserveReachable implements Scheduler.
+func (c *core) ObserveReachable(now time.Time, name string) []Decision {
+	s := c.servers[name]
+	if s == nil || !s.unreachable {
+		return nil
+	}
+	s.unreachable = false
+	return c.expireAndDispatch(now, s)
+}
+
 // index rebuilds the server's copies from the models it holds and the services it offers. A
 // server of a pool also takes requests to the pool that name no model. An adapter counts only
 // while its base model is resident too.
