Discovery, reachability and the relay: one file for each job

Files that had grown: the watcher's reading, changes and interfaces, the monitor's probing, and the relay's streams go into files of their own; nothing else changes. An instance of an earlier build reads a digest with the new field (TestDigestWithRemovalsIsReadByEarlierVersions).

--- a/internal/peers/digest/digest_test.go
+++ b/internal/peers/digest/digest_test.go
@@ -130,3 +130,23 @@
 		t.Errorf("speed from malformed samples = %+v, want none", speed)
 	}
 }
+
+// TestDigestWithRemovalsIsReadByEarlierVersions guards against instances of an earlier build, which run beside those of this one
+// during an upgrade, that refuse a whole digest for a field that they don't know.
+func TestDigestWithRemovalsIsReadByEarlierVersions(t *testing.T) {
+	d := Digest{Instance: "i", Sequence: 3, Leaving: []ServerLeaving{{Server: "a"}}, Removed: []ServerRemoved{{Server: "b", Revision: 1 << 40}}}
+	datagrams, err := d.Encode()
+	if err != nil || len(datagrams) != 1 {
+		t.Fatalf("got %d datagrams, %v", len(datagrams), err)
+	}
+	var earlier struct {
+		Instance string          `cbor:"1,keyasint"`
+		Leaving  []ServerLeaving `cbor:"7,keyasint,omitempty"`
+	}
+	if err := cbor.Unmarshal(datagrams[0], &earlier); err != nil || earlier.Instance != "i" || len(earlier.Leaving) != 1 {
+		t.Errorf("an earlier version reads %+v, %v", earlier, err)
+	}
+	if got, err := Decode(datagrams[0]); err != nil || len(got.Removed) != 1 || got.Removed[0] != d.Removed[0] {
+		t.Errorf("got %+v, %v, want the removal", got.Removed, err)
+	}
+}
--- /dev/null
+++ b/internal/reachability/probing.go
@@ -0,0 +1,143 @@
+package reachability
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"limpethub/internal/engine"
+)
+
+// Prober asks a server for a sign of life on a connection of its own.
+type Prober interface {
+	ProbeAnew(ctx context.Context, server engine.Server) error
+}
+
+// lately is how long ago a server may have been heard for its silence to say something of this instance.
+const lately = 10 * time.Second
+
+// manySilent is how many silent servers show that others may be gone as well.
+const manySilent = 3
+
+func (m *Monitor) beginRound() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.BeginRound(m.options.Now())
+}
+
+// round probes some servers at the same time.
+func (m *Monitor) round(ctx context.Context) {
+	servers, r := m.pickServers(m.options.Servers())
+	answers := make(chan error, len(servers))
+	for _, s := range servers {
+		go func() { answers <- m.probe(ctx, s) }()
+	}
+	for range servers {
+		if <-answers == nil {
+			r.Answered++
+		}
+	}
+	if ctx.Err() == nil {
+		m.roundEnded(r, servers)
+	}
+}
+
+func (m *Monitor) probe(ctx context.Context, server engine.Server) error {
+	probeCtx, cancel := context.WithTimeout(ctx, ProbeTimeout)
+	defer cancel()
+	err := m.options.Prober.ProbeAnew(probeCtx, server)
+	if ctx.Err() == nil {
+		m.probed(server, err)
+	}
+	return err
+}
+
+// probed records the outcome of the probe of a server.
+func (m *Monitor) probed(server engine.Server, err error) {
+	notify := func(string) {}
+	m.mu.Lock()
+	switch {
+	case err != nil && m.connectFailed(server):
+		notify = m.options.OnSilent
+	case err == nil && m.silent.heard(server.Name):
+		notify = m.options.OnHeard
+	}
+	if err == nil {
+		m.heardAt[server.Name] = m.options.Now()
+	}
+	m.mu.Unlock()
+	notify(server.Name)
+}
+
+// silentToProbe returns the silent servers whose probe is due. Those that may not be probed any more get requests again.
+func (m *Monitor) silentToProbe() (probes []engine.Server) {
+	m.mu.Lock()
+	due := m.silent.due(m.options.Now())
+	m.mu.Unlock()
+	if len(due) == 0 {
+		return nil
+	}
+	probeable := map[engine.Server]bool{}
+	for _, s := range m.options.Servers() {
+		probeable[s] = true
+	}
+	for _, s := range due {
+		if probeable[s] {
+			probes = append(probes, s)
+			continue
+		}
+		m.release(s.Name)
+	}
+	return probes
+}
+
+// release makes servers that were silent count as others do.
+func (m *Monitor) release(names ...string) {
+	for _, name := range names {
+		m.mu.Lock()
+		m.silent.heard(name)
+		m.mu.Unlock()
+		m.options.OnHeard(name)
+	}
+}
+
+// pickServers returns the servers of a round that begins now: those that were heard lately, but for one, and others in
+// turn, so that each is asked at some time. While none was heard lately, or many are silent, there are more of them.
+func (m *Monitor) pickServers(servers []engine.Server) ([]engine.Server, Round) {
+	now := m.options.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.forgetOthers(servers)
+	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+	var heard, others []engine.Server
+	for _, s := range servers {
+		if now.Sub(m.heardAt[s.Name]) <= lately && len(heard) < ProbesPerRound-1 {
+			heard = append(heard, s)
+			continue
+		}
+		others = append(others, s)
+	}
+	slices.SortStableFunc(others, func(a, b engine.Server) int { return m.askedAt[a.Name].Compare(m.askedAt[b.Name]) })
+	most := ProbesPerRound - len(heard)
+	if len(heard) == 0 || len(m.silent) >= manySilent {
+		most = BlindProbesPerRound
+	}
+	picked := slices.Concat(heard, others[:min(most, len(others))])
+	for _, s := range picked {
+		m.askedAt[s.Name] = now
+	}
+	return picked, Round{BeganAt: now, Tried: len(picked), HeardLately: len(heard), Known: len(servers)}
+}
+
+// forgetOthers drops what is remembered of servers that aren't known any more. The lock is held.
+func (m *Monitor) forgetOthers(known []engine.Server) {
+	names := make(map[string]bool, len(known))
+	for _, s := range known {
+		names[s.Name] = true
+	}
+	isOther := func(name string, _ time.Time) bool { return !names[name] }
+	maps.DeleteFunc(m.heardAt, isOther)
+	maps.DeleteFunc(m.askedAt, isOther)
+}
