Silent servers: their changes reach the scheduler in order

Found by reading: the scheduler was told of a silent server, and of its answer, outside the lock, so that the two could come the other way round and keep a sound server out for good. Now both come under the lock. Times of servers that are gone are forgotten each minute instead of in rounds of probes only.

--- a/internal/reachability/monitor.go
+++ b/internal/reachability/monitor.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -22,8 +20,8 @@
 	Servers func() []engine.Server
 	// OnChange is called after each change of the state; nil means no call.
 	OnChange func(State)
-	// OnSilent is called when a server takes no connection and sends nothing, and OnHeard when it does again. They
-	// must not call the Monitor; nil means no call.
+	// OnSilent is called when a server takes no connection and sends nothing, and OnHeard when it does again. The calls
+	// come one after the other. They must neither block nor call the Monitor; nil means no call.
 	OnSilent, OnHeard func(server string)
 	// PeersReaching returns how many other instances reach servers, for the log.
 	PeersReaching func() int
@@ -44,6 +42,8 @@
 	// heardAt and askedAt are when each server was heard and probed last. They hold known servers only.
 	heardAt, askedAt map[string]time.Time
 	silent           silentServers
+	// forgotAt is when heardAt and askedAt were last rid of servers that aren't known any more.
+	forgotAt time.Time
 }
 
 var _ engine.ContactObserver = (*Monitor)(nil)
@@ -121,32 +121,36 @@
 // Heard implements engine.ContactObserver.
 func (m *Monitor) Heard(server engine.Server) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	now := m.options.Now()
 	m.tracker.Heard(now)
-	m.heardFrom, m.heardAt[server.Name] = server.Name, now
-	wasSilent := m.silent.heard(server.Name)
-	m.mu.Unlock()
-	if wasSilent {
-		m.options.OnHeard(server.Name)
+	m.heardFrom = server.Name
+	m.heard(now, server.Name)
+}
+
+// heard records that something arrived from a server. The lock is held.
+func (m *Monitor) heard(now time.Time, name string) {
+	m.heardAt[name] = now
+	if m.silent.heard(name) {
+		m.options.OnHeard(name)
 	}
 }
 
 // ConnectFailed implements engine.ContactObserver.
 func (m *Monitor) ConnectFailed(server engine.Server) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.tracker.ConnectFailed()
 	m.failedTo = server.Name
-	isSilent := m.connectFailed(server)
-	m.mu.Unlock()
-	if isSilent {
-		m.options.OnSilent(server.Name)
-	}
+	m.connectFailed(server)
 }
 
-// connectFailed reports whether a server counts as silent from now on. While the instance is cut off, no server does:
-// nothing is known of any of them. The lock is held.
-func (m *Monitor) connectFailed(server engine.Server) bool {
-	return m.tracker.State() == Direct && m.silent.connectFailed(m.options.Now(), server, m.heardAt[server.Name])
+// connectFailed records that a server couldn't be connected to. While the instance is cut off, that says nothing of the
+// server. The lock is held.
+func (m *Monitor) connectFailed(server engine.Server) {
+	if m.tracker.State() == Direct && m.silent.connectFailed(m.options.Now(), server, m.heardAt[server.Name]) {
+		m.options.OnSilent(server.Name)
+	}
 }
 
 // Silent returns how many servers take no connection and send nothing.
@@ -167,6 +171,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			m.forgetGone()
 			if m.beginRound() {
 				rounds.Go(func() { m.round(ctx) })
 			}
@@ -187,13 +192,14 @@
 		m.direct.update(state == Direct)
 		m.answered.update(state != CutOff)
 	}
-	silent := slices.Collect(maps.Keys(m.silent))
+	if changed {
+		// What was learned on the way into a cut or out of it says nothing of single servers.
+		m.releaseAll()
+	}
 	m.mu.Unlock()
 	if !changed {
 		return
 	}
-	// What was learned on the way into a cut or out of it says nothing of single servers.
-	m.release(silent...)
 	names := make([]string, 0, len(servers))
 	for _, s := range servers {
 		names = append(names, s.Name)
--- a/internal/reachability/probing.go
+++ b/internal/reachability/probing.go
@@ -56,19 +56,13 @@
 
 // probed records the outcome of the probe of a server.
 func (m *Monitor) probed(server engine.Server, err error) {
-	notify := func(string) {}
 	m.mu.Lock()
-	switch {
-	case err != nil && m.connectFailed(server):
-		notify = m.options.OnSilent
-	case err == nil && m.silent.heard(server.Name):
-		notify = m.options.OnHeard
-	}
-	if err == nil {
-		m.heardAt[server.Name] = m.options.Now()
+	defer m.mu.Unlock()
+	if err != nil {
+		m.connectFailed(server)
+		return
 	}
-	m.mu.Unlock()
-	notify(server.Name)
+	m.heard(m.options.Now(), server.Name)
 }
 
 // silentToProbe returns the silent servers whose probe is due. Those that may not be probed any more get requests again.
@@ -83,6 +77,8 @@
 	for _, s := range m.options.Servers() {
 		probeable[s] = true
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	for _, s := range due {
 		if probeable[s] {
 			probes = append(probes, s)
@@ -93,23 +89,26 @@
 	return probes
 }
 
-// release makes servers that were silent count as others do.
-func (m *Monitor) release(names ...string) {
-	for _, name := range names {
-		m.mu.Lock()
-		m.silent.heard(name)
-		m.mu.Unlock()
+// release makes a server that was silent count as others do. The lock is held.
+func (m *Monitor) release(name string) {
+	if m.silent.heard(name) {
 		m.options.OnHeard(name)
 	}
 }
 
+// releaseAll is release for all servers. The lock is held.
+func (m *Monitor) releaseAll() {
+	for name := range m.silent {
+		m.release(name)
+	}
+}
+
 // pickServers returns the servers of a round that begins now: those that were heard lately, but for one, and others in
 // turn, so that each is asked at some time. While none was heard lately, or many are silent, there are more of them.
 func (m *Monitor) pickServers(servers []engine.Server) ([]engine.Server, Round) {
 	now := m.options.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.forgetOthers(servers)
 	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
 	var heard, others []engine.Server
 	for _, s := range servers {
@@ -131,13 +130,23 @@
 	return picked, Round{BeganAt: now, Tried: len(picked), HeardLately: len(heard), Known: len(servers)}
 }
 
-// forgetOthers drops what is remembered of servers that aren't known any more. The lock is held.
-func (m *Monitor) forgetOthers(known []engine.Server) {
-	names := make(map[string]bool, len(known))
-	for _, s := range known {
-		names[s.Name] = true
+// forgetPeriod is how often servers that aren't known any more are forgotten.
+const forgetPeriod = time.Minute
+
+// forgetGone drops what is remembered of servers that aren't known any more, once in forgetPeriod.
+func (m *Monitor) forgetGone() {
+	now := m.options.Now()
+	if now.Sub(m.forgotAt) < forgetPeriod {
+		return
 	}
-	isOther := func(name string, _ time.Time) bool { return !names[name] }
-	maps.DeleteFunc(m.heardAt, isOther)
-	maps.DeleteFunc(m.askedAt, isOther)
+	m.forgotAt = now
+	known := map[string]bool{}
+	for _, s := range m.options.Servers() {
+		known[s.Name] = true
+	}
+	isGone := func(name string, _ time.Time) bool { return !known[name] }
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.DeleteFunc(m.heardAt, isGone)
+	maps.DeleteFunc(m.askedAt, isGone)
 }
