--- a/cmd/limpethubd/main.go
+++ b/cmd/limpethubd/main.go
@@ -92,8 +92,9 @@
 	// limit is soft and covers only memory that the Go runtime manages, so it is set below
 	// memory_mb to keep the whole process below it.
 	memoryLimitShare = 0.6
-	// heapGrowthPercent is how much the heap may grow between two collections.
-	heapGrowthPercent = 100
+	// heapGrowthPercent is how much the heap may grow between two collections. The live heap is a small part of the
+	// memory that an instance has, and collections take processor time.
+	heapGrowthPercent = 200
 	mib               = 1 << 20
 )
 
