Load digests of many instances are sent less often

The other part of the cost: a profile of 60 idle instances (go test -bench IdleInstances -cpuprofile) shows the transport between instances first, apart from the handshakes of the start, and load digests are most of its datagrams: 340 a second sent and received by each of 86 instances. With more than 62 instances they are now sent in each second round (0.5 s at 86), each third and so on, each fourth at most; a change that peers should know at once is still sent at once, and a digest counts for 3 s.

--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -21,6 +21,11 @@
 	// digests open the connections to all peers before load arrives. Otherwise, hundreds of
 	// handshakes in the first second under load delay requests on a small instance.
 	roundsPerEmptyDigest = 8
+	// loadPeriodPerInstance limits the load digests of all instances together, which grow with the square of their
+	// number: with more than exchangePeriod / loadPeriodPerInstance instances, a digest is sent in each second, third
+	// and so on round, but in each maxRoundsPerLoad at least.
+	loadPeriodPerInstance = 4 * time.Millisecond
+	maxRoundsPerLoad      = 4
 	// earlyLoadPause is the least time between a load digest that was sent early and the
 	// next digest.
 	earlyLoadPause = 30 * time.Millisecond
@@ -141,18 +146,26 @@
 
 func (e *exchange) sendRound() {
 	e.rounds++
-	e.sendLoad()
+	if perLoad := roundsPerLoad(len(e.cluster.Members())); e.rounds%perLoad == 0 {
+		e.sendLoad(e.rounds%roundsPerEmptyDigest < perLoad)
+	}
 	e.sendNotices()
 	if e.rounds%e.roundsPerHolderDigest == 0 {
 		e.sendToHolder()
 	}
 }
 
+// roundsPerLoad returns the number of rounds per load digest.
+func roundsPerLoad(instances int) int {
+	period := time.Duration(instances) * loadPeriodPerInstance
+	return min(max(1, int((period+exchangePeriod-1)/exchangePeriod)), maxRoundsPerLoad)
+}
+
 // sendLoad sends the load to all peers. Instances that don't know each other's load would
-// all choose the same server.
-func (e *exchange) sendLoad() {
+// all choose the same server. alsoEmpty sends it also if there is no load.
+func (e *exchange) sendLoad(alsoEmpty bool) {
 	d := e.loadDigest()
-	if len(d.Loads) == 0 && e.rounds%roundsPerEmptyDigest != 0 {
+	if len(d.Loads) == 0 && !alsoEmpty {
 		return // Peers need no digest to learn that load has ended: they discard load that isn't sent again.
 	}
 	e.broadcast(d)
