A server that left without a word stays gone in an older copy of the store

Found by reading, for the second half of the rule (an instance that has read a leaving is bound by it also while the store is in disruption): a store that comes back from an older copy gives the announcement of a removed server again, with a higher revision. For servers that don't say when they started, nothing held it back; now the sequence does. TestRemovedServerStaysGoneInAnOlderCopyOfTheStore failed before: got [a], want none.

--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -141,7 +141,7 @@
 	if entry == nil {
 		entry = &registryEntry{overrides: map[modelref.Ref]residencyOverride{}}
 		if gone, ok := r.removed[s.ID]; ok {
-			if isBefore(s.Revision, gone.revision) || s.StartMillis != 0 && isOlder(s, gone.last) {
+			if gone.isAfter(s) || s.StartMillis != 0 && isOlder(s, gone.last) {
 				return
 			}
 			entry.known.Server = gone.last
@@ -177,8 +177,17 @@
 	return s.StartMillis == last.StartMillis && s.Sequence < last.Sequence
 }
 
-// isBefore reports whether an announcement was written before a removal, as far as both revisions are known.
-func isBefore(announced, removed store.Revision) bool { return announced != 0 && announced < removed }
+// isAfter reports whether an announcement was written before the removal, as far as both revisions are known. A store
+// that came back from an older copy gives old announcements new revisions: there, the sequence tells.
+func (gone removedServer) isAfter(s Server) bool {
+	if gone.revision == 0 || s.Revision == 0 {
+		return false
+	}
+	if s.Revision.Epoch() > gone.revision.Epoch() {
+		return s.Sequence <= gone.last.Sequence
+	}
+	return s.Revision < gone.revision
+}
 
 // Unusable removes a server because its announcement can't be parsed. The server gets no work until
 // a valid one is received.
--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -426,3 +426,26 @@
 		t.Errorf("after announcements from after the removal: got %s, want [a b unknown]", ids(r))
 	}
 }
+
+// TestRemovedServerStaysGoneInAnOlderCopyOfTheStore guards against requests to a server that left without a word, when the store
+// comes back from a copy that still has its announcement.
+func TestRemovedServerStaysGoneInAnOlderCopyOfTheStore(t *testing.T) {
+	now := time.Now()
+	r := NewRegistry()
+	announce := func(epoch store.Epoch, revision, sequence int64) {
+		s := server("a", 0, sequence)
+		s.Revision = store.NewRevision(epoch, revision)
+		r.Announced(now, s)
+	}
+	announce(1, 50, 9)
+	r.Removed(now, "a", store.NewRevision(1, 60))
+	announce(2, 40, 8)
+	announce(2, 41, 9)
+	if ids(r) != "[]" {
+		t.Errorf("with the announcements of an older copy: got %s, want none", ids(r))
+	}
+	announce(2, 70, 10)
+	if ids(r) != "[a]" {
+		t.Errorf("after a new announcement: got %s, want [a]", ids(r))
+	}
+}
