--- a/internal/discovery/leaving_test.go
+++ b/internal/discovery/leaving_test.go
@@ -117,12 +117,12 @@
 	noticeLoss float64
 	mu         sync.Mutex
 	random     *rand.Rand
-	// tellers counts, for each server, the instances that have told the others of it.
-	tellers map[string]int
+	// senders counts, for each server, the instances that have told the others of it.
+	senders map[string]int
 }
 
 func startFleet(ctx context.Context, seed uint64, noticeLoss float64) *fleet {
-	f := &fleet{log: newAnnouncementLog(), noticeLoss: noticeLoss, tellers: map[string]int{}, random: rand.New(rand.NewPCG(seed, 0))}
+	f := &fleet{log: newAnnouncementLog(), noticeLoss: noticeLoss, senders: map[string]int{}, random: rand.New(rand.NewPCG(seed, 0))}
 	for n := range fleetServers {
 		delay := time.Duration(f.random.Int64N(int64(announcePeriod)))
 		go func() {
@@ -169,7 +169,7 @@
 // tellPeers carries the notice of one instance to the others.
 func (f *fleet) tellPeers(from int, d Departure) {
 	f.mu.Lock()
-	f.tellers[d.Server]++
+	f.senders[d.Server]++
 	f.mu.Unlock()
 	for to, w := range f.instances {
 		f.mu.Lock()
@@ -203,7 +203,7 @@
 		return logEntry{id: id, server: &s}
 	}
 	withdrawn := func(id string) logEntry { return logEntry{id: id} }
-	for name, leave := range map[string]func(id string) logEntry{"announced": draining, "withdrawn without a word": withdrawn} {
+	for name, leave := range map[string]func(id string) logEntry{"announced": draining, "withdrawn without notice": withdrawn} {
 		for _, noticeLoss := range []float64{0.02, 1} {
 			t.Run(fmt.Sprintf("%s, %.0f %% of notices lost", name, 100*noticeLoss), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) { testLeavings(t, leave, noticeLoss) })
@@ -250,7 +250,7 @@
 		defer f.mu.Unlock()
 		// Those tell that read before the first notice arrives.
 		const most = 2 * fleetInstances * int(maxProcessorWait) / int(leavingBound-readTime)
-		if n := f.tellers[s.ID]; n == 0 || n > most {
+		if n := f.senders[s.ID]; n == 0 || n > most {
 			t.Errorf("%d of %d instances told the others, want 1 to %d", n, fleetInstances, most)
 		}
 	})
--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -427,7 +427,7 @@
 	}
 }
 
-// TestRemovedServerStaysGoneInAnOlderCopyOfTheStore guards against requests to a server that left without a word, when the store
+// TestRemovedServerStaysGoneInAnOlderCopyOfTheStore guards against requests to a server that left without notice, when the store
 // comes back from a copy that still has its announcement.
 func TestRemovedServerStaysGoneInAnOlderCopyOfTheStore(t *testing.T) {
 	now := time.Now()
--- a/internal/reachability/monitor_test.go
+++ b/internal/reachability/monitor_test.go
@@ -99,7 +99,7 @@
 	prober.sound["s0"] = true
 	prober.mu.Unlock()
 	// A cut-off instance probes all servers in turn.
-	call(4*time.Second + time.Duration(servers/BlindProbesPerRound)*(ProbeTimeout+2*roundPeriod))
+	call(4*time.Second + time.Duration(servers/UnheardProbesPerRound)*(ProbeTimeout+2*roundPeriod))
 	if m.State() != Direct {
 		t.Errorf("one server came back: state %q, want direct", m.State())
 	}
--- a/internal/reachability/probing.go
+++ b/internal/reachability/probing.go
@@ -121,7 +121,7 @@
 	slices.SortStableFunc(others, func(a, b engine.Server) int { return m.askedAt[a.Name].Compare(m.askedAt[b.Name]) })
 	most := ProbesPerRound - len(heard)
 	if len(heard) == 0 || len(m.silent) >= manySilent {
-		most = BlindProbesPerRound
+		most = UnheardProbesPerRound
 	}
 	picked := slices.Concat(heard, others[:min(most, len(others))])
 	for _, s := range picked {
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -27,8 +27,8 @@
 	// ProbesPerRound is how many servers a round of probes asks, if any of them was heard lately. An instance with
 	// fewer servers asks all.
 	ProbesPerRound = 3
-	// BlindProbesPerRound is the same while no server was heard lately: each may be gone.
-	BlindProbesPerRound = 8
+	// UnheardProbesPerRound is the same while no server was heard lately: each may be gone.
+	UnheardProbesPerRound = 8
 	// enoughUnanswered is how many servers, none of which was heard lately, must have been asked in a row without an
 	// answer before that says anything of this instance. With fewer servers, all must have been asked.
 	enoughUnanswered = 24
