--- a/review/cmd/cut-off/main.go
+++ b/review/cmd/cut-off/main.go
@@ -121,12 +121,10 @@
 	return broken > 0, nil
 }
 
-// beat writes the servers' heartbeats.
+// beat writes the servers' heartbeats, one after the other.
 func beat(ctx context.Context, all []*platform.Server) {
-	for lab.Sleep(ctx, heartbeat) {
-		for _, s := range all {
-			s.AnnounceIfRunning()
-		}
+	for n := 0; lab.Sleep(ctx, heartbeat/servers); n++ {
+		all[n%servers].AnnounceIfRunning()
 	}
 }
 
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -373,3 +373,6 @@
 	m.c.Log("machine %s: the cut has healed", m.ip)
 	return err
 }
+
+// SilencePeers makes the open connections of other machines to this one go silent. New ones work.
+func (m *Machine) SilencePeers() { m.peersLink.silenceOpen() }
--- a/review/lab/udp.go
+++ b/review/lab/udp.go
@@ -16,6 +16,8 @@
 
 	mu    sync.Mutex
 	backs map[string]*net.UDPConn
+	// silent holds the senders whose open connections have gone silent.
+	silent map[string]bool
 }
 
 func newUDPLink(target string, dropped func(other string) bool) (*udpLink, error) {
@@ -27,7 +29,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("lab: listen: %w", err)
 	}
-	l := &udpLink{target: address, front: front, dropped: dropped, backs: map[string]*net.UDPConn{}}
+	l := &udpLink{target: address, front: front, dropped: dropped, backs: map[string]*net.UDPConn{}, silent: map[string]bool{}}
 	go l.serve()
 	return l, nil
 }
@@ -50,7 +52,7 @@
 		if err != nil {
 			return
 		}
-		if l.dropped(from.IP.String()) {
+		if l.drops(from) {
 			continue
 		}
 		if back := l.back(from); back != nil {
@@ -59,6 +61,22 @@
 	}
 }
 
+// silenceOpen makes the open connections go silent. New ones, from other ports, work.
+func (l *udpLink) silenceOpen() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for from := range l.backs {
+		l.silent[from] = true
+	}
+}
+
+func (l *udpLink) drops(from *net.UDPAddr) bool {
+	l.mu.Lock()
+	silent := l.silent[from.String()]
+	l.mu.Unlock()
+	return silent || l.dropped(from.IP.String())
+}
+
 // back returns the socket that stands for a sender before the target.
 func (l *udpLink) back(from *net.UDPAddr) *net.UDPConn {
 	l.mu.Lock()
@@ -82,7 +100,7 @@
 				_ = back.Close()
 				return
 			}
-			if !l.dropped(from.IP.String()) {
+			if !l.drops(from) {
 				_, _ = l.front.WriteToUDP(buffer[:n], from)
 			}
 		}
