--- a/review/cmd/late-order/main.go
+++ b/review/cmd/late-order/main.go
@@ -31,6 +31,8 @@
 	lateBy = 10 * time.Second
 	// restartAfter is the time from that order to the restart of its server.
 	restartAfter = 3500 * time.Millisecond
+	// usedBefore is how long before the restart the server's models are used last.
+	usedBefore = 1300 * time.Millisecond
 	// adapterMemory is for how long an adapter that was asked for gets a place again.
 	adapterMemory = 11 * time.Second
 	// eventPause is the time between two events of a stream, which has five.
@@ -114,9 +116,11 @@
 		case <-time.After(15 * time.Second):
 			return false, fmt.Errorf("no order to load %s came", late)
 		}
-		if !lab.Sleep(ctx, restartAfter) {
-			return false, ctx.Err()
-		}
+		lab.Sleep(ctx, restartAfter-usedBefore)
+		// Both models are in use, so that neither gives way to another one.
+		go d.ask(ctx, fleet[1], old)
+		go d.ask(ctx, fleet[1], late)
+		lab.Sleep(ctx, usedBefore)
 		c.Log("server %s crashes and starts again under the same id, empty", d.last.ID())
 		if err := d.last.Restart(); err != nil {
 			return false, err
--- a/review/cmd/silent/main.go
+++ b/review/cmd/silent/main.go
@@ -14,12 +14,12 @@
 
 const (
 	machines = 3
-	servers  = 24
+	servers  = 48
 	// heartbeat is how often servers write to the store.
 	heartbeat = 1200 * time.Millisecond
 	// leavesAfter is how long after the connections have gone silent the server leaves.
 	leavesAfter  = 300 * time.Millisecond
-	requestPause = 8 * time.Millisecond
+	requestPause = 4 * time.Millisecond
 	limit        = 60 * time.Second
 )
 
