--- a/review/cmd/release/main.go
+++ b/review/cmd/release/main.go
@@ -160,11 +160,14 @@
 			if err != nil {
 				return
 			}
+			r.Body = io.NopCloser(bytes.NewReader(body))
 			var order platform.Order
-			if json.Unmarshal(body, &order) == nil {
-				d.ordered(id, order)
+			if json.Unmarshal(body, &order) == nil && d.ordered(id, order) {
+				noted := &notedStatus{ResponseWriter: w}
+				pass.ServeHTTP(noted, r)
+				d.c.Log("server %s answers the order of holder %s with fence %d: %d", id, order.Holder, order.Fence, noted.status)
+				return
 			}
-			r.Body = io.NopCloser(bytes.NewReader(body))
 		}
 		pass.ServeHTTP(w, r)
 	}))
@@ -176,19 +179,33 @@
 	return nil
 }
 
-// ordered judges the rule ONE for servers that don't check fencing numbers: none is lower than one before.
-func (d *deployment) ordered(server string, o platform.Order) {
+// notedStatus notes the status of an answer.
+type notedStatus struct {
+	http.ResponseWriter
+	status int
+}
+
+func (n *notedStatus) WriteHeader(status int) {
+	n.status = status
+	n.ResponseWriter.WriteHeader(status)
+}
+
+// ordered judges the rule ONE for servers that don't check fencing numbers: none is lower than one before. It reports
+// whether that is broken.
+func (d *deployment) ordered(server string, o platform.Order) (broken bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.holder = o.Holder
 	verdict := ""
 	if highest := d.highest[server]; o.Fence < highest.Fence {
+		broken = true
 		d.broken++
 		verdict = fmt.Sprintf("; ONE: after one of holder %s with fence %d", highest.Holder, highest.Fence)
 	} else {
 		d.highest[server] = o
 	}
 	d.c.Log("server %s gets an order: %s %s, expected %d, holder %s, fence %d%s", server, o.Operation, o.Ref(), o.Expected, o.Holder, o.Fence, verdict)
+	return broken
 }
 
 // serveStore passes a call on to the store, and loses one answer.
