--- a/review/cmd/release/main.go
+++ b/review/cmd/release/main.go
@@ -35,7 +35,9 @@
 	requestPause = 20 * time.Millisecond
 	// silentAfter is how long after the SIGTERM the connections go silent.
 	silentAfter = 100 * time.Millisecond
-	limit       = 60 * time.Second
+	// lossWindow is the time over which the share of lost answers counts.
+	lossWindow = 4500 * time.Millisecond
+	limit      = 60 * time.Second
 )
 
 func main() { lab.Main(limit, run) }
@@ -50,6 +52,9 @@
 	// highest is the highest fencing number of an order to each server, and its holder.
 	highest map[string]platform.Order
 	broken  int
+	// writes are the times of the calls that write to the store, and lostAt is that of the one whose answer was lost.
+	writes []time.Duration
+	lostAt time.Duration
 	// losesRelease is true while the answer to the release of the lease is to be lost.
 	losesRelease bool
 }
@@ -113,6 +118,15 @@
 	lab.Sleep(ctx, 8*time.Second)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if c.Trouble {
+		began, n := d.lostAt-lossWindow/2, 0
+		for _, at := range d.writes {
+			if at >= began && at < began+lossWindow {
+				n++
+			}
+		}
+		c.Log("the answer to 1 of %d writes in %s was lost", n, lossWindow)
+	}
 	c.Log("%d orders reached a server with a lower fencing number than one before", d.broken)
 	return d.broken > 0, nil
 }
@@ -215,6 +229,11 @@
 		return
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
+	if r.URL.Path == "/kv-txn" {
+		d.mu.Lock()
+		d.writes = append(d.writes, d.c.Now())
+		d.mu.Unlock()
+	}
 	if r.URL.Path != "/kv-txn" || !d.loses(body) {
 		d.store.ServeHTTP(w, r)
 		return
@@ -246,6 +265,9 @@
 	defer d.mu.Unlock()
 	loses := d.losesRelease
 	d.losesRelease = false
+	if loses {
+		d.lostAt = d.c.Now()
+	}
 	d.c.Log("the store carries out: machine %s releases the placement lease; answer lost: %t", record.Holder, loses)
 	return loses
 }
