Fix: a holder that releases the lease gives no more orders

The answer to the release of the placement lease was lost, and the old holder gave 30 further orders, the last under a lower fencing number than one of its successor.

Cause: Machine.Holds asked for the time of the last renewal only, so an unclear release counted as holding; and an order was checked before its connection was opened.

Ruled out: orders that were on their way already (each late one was decided after the release), and two claims of one record (the terms differ).

Change: Holds is false from the decision to release until a later write proves that no release is in force; a conflict ends the holding; a release waits for the calls of all orders; the lease is checked with the order's connection open, right before its first byte. The margin, the takeover delay and the transit of an order are one sum that residency.New checks. The simulation of cores answers a lost order once, not twice.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -127,8 +127,7 @@
 	if err := d.buildHostedRequests(h, source); err != nil {
 		return err
 	}
-	d.buildResidency(h)
-	return nil
+	return d.buildResidency(h)
 }
 
 func (d *Daemon) buildHostedRequests(h *hosted, source discovery.Source) error {
@@ -341,12 +340,22 @@
 
 // buildResidency builds the manager of package residency, which does the placement on an
 // instance with a front. Its lease is the placement lease.
-func (d *Daemon) buildResidency(h *hosted) {
+func (d *Daemon) buildResidency(h *hosted) error {
 	ttl := d.settings.PlacementLease()
 	if ttl == 0 {
 		ttl = defaultPlacementLease
 	}
-	h.manager = residency.New(residency.Options{
+	// TrustUnchanged suits the long ReadPeriod, in which a candidate may learn nothing of
+	// the lease for longer than the TTL. Without it, such a candidate would start its wait
+	// of one TTL anew with the next read. With it, the time before that read counts if the
+	// revision is still the same, because each renewal changes the revision.
+	leaseConfig := lease.Config{
+		TTL: ttl, Margin: ttl / placementMarginDivisor, Jitter: ttl / placementJitterDivisor,
+		ReadPeriod: candidateReadPeriodTTLs * ttl, TrustUnchanged: true,
+		ClaimDelay: claimDelay(d.settings.Processor.Cores()),
+	}
+	var err error
+	h.manager, err = residency.New(residency.Options{
 		Instance:       d.settings.Instance,
 		Key:            "/limpethub/" + d.settings.Site + "/residency-lease",
 		Store:          d.plugins.storeFor(purposePlacer),
@@ -359,25 +368,22 @@
 			h.extension.PublishChanges(changes)
 			d.exchange.TriggerSend()
 		},
-		// TrustUnchanged suits the long ReadPeriod, in which a candidate may learn nothing of
-		// the lease for longer than the TTL. Without it, such a candidate would start its wait
-		// of one TTL anew with the next read. With it, the time before that read counts if the
-		// revision is still the same, because each renewal changes the revision.
-		Lease: lease.Config{
-			TTL: ttl, Margin: ttl / placementMarginDivisor, Jitter: ttl / placementJitterDivisor,
-			ReadPeriod: candidateReadPeriodTTLs * ttl, TrustUnchanged: true,
-			ClaimDelay: claimDelay(d.settings.Processor.Cores()),
-		},
-		Now:    d.bootNow,
-		Seed:   d.seed,
-		Logger: d.log(logging.Placement),
+		Lease:         leaseConfig,
+		TakeoverDelay: residency.TakeoverDelayFor(leaseConfig),
+		Now:           d.bootNow,
+		Seed:          d.seed,
+		Logger:        d.log(logging.Placement),
 	})
+	if err != nil {
+		return fmt.Errorf("daemon: %w", err)
+	}
 	h.extension.refLoads, h.extension.manager = d.dispatcher.RefLoads, h.manager
 	d.cluster.OnChange(func(t membership.Transition) {
 		if t.Member.State != membership.Alive && t.Member.Name == h.manager.Holder() {
 			h.manager.HolderGone()
 		}
 	})
+	return nil
 }
 
 // minEntries is the least number of instances that callers should know, so that they have
--- a/internal/engine/passthrough.go
+++ b/internal/engine/passthrough.go
@@ -121,9 +121,10 @@
 // SequencedControl sends orders to servers that count them. It is what ControlPlane is for
 // servers with inventories.
 type SequencedControl interface {
-	// SubmitSequenced sends an order, as ControlPlane.Submit does. After an error the
-	// server may still carry it out later.
-	SubmitSequenced(ctx context.Context, server Server, order SequencedOrder) (OrderAnswer, error)
+	// SubmitSequenced sends an order, as ControlPlane.Submit does. maySend is called once there is a
+	// connection, right before the first byte is written to it; if it returns an error, nothing is
+	// sent. After any other error the server may still carry the order out later.
+	SubmitSequenced(ctx context.Context, server Server, order SequencedOrder, maySend func() error) (OrderAnswer, error)
 	// SequencedInventory reads the server's state, as ControlPlane.Inventory does.
 	SequencedInventory(ctx context.Context, server Server) (SequencedState, error)
 }
--- a/internal/lease/epoch_test.go
+++ b/internal/lease/epoch_test.go
@@ -145,7 +145,7 @@
 				run(time.Duration(rapid.IntRange(0, 20).Draw(t, "handover")) * 50 * time.Millisecond)
 				key.restore(rapid.IntRange(1, 3).Draw(t, "lost"))
 				for j, c := range candidates {
-					if c.machine.Released() || c.machine.releasing {
+					if c.machine.Released() || c.machine.stopping {
 						candidates[j] = start()
 					}
 				}
--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -115,7 +115,13 @@
 	lowReachSince time.Time
 	// steppedDown is true after a release because of low reach, until the reach recovers.
 	steppedDown bool
-	releasing   bool
+	// stopping is true once Release was called.
+	stopping bool
+	// handingOver is true from the decision to release the lease until it is certain that no
+	// release is in force: others may claim the lease as soon as the release reaches the store.
+	handingOver bool
+	// busy is true while something done under the lease may still take effect.
+	busy bool
 }
 
 // New makes a candidate. random is used for jitter and write ids.
@@ -123,14 +129,25 @@
 	return &Machine{config: config, random: random, reachShare: 1}
 }
 
-// Holds reports whether the lease is held and not within Margin of its expiry.
+// Holds reports whether this candidate may act on the lease: it holds the lease, is not within
+// Margin of its expiry, and hasn't begun to release it.
 func (m *Machine) Holds(now time.Time) bool {
-	return m.holding && now.Before(m.expiresAt.Add(-m.config.Margin))
+	return m.holding && !m.releasing() && now.Before(m.expiresAt.Add(-m.config.Margin))
 }
 
 // Lapsed reports whether this candidate held the lease last as far as it knows, but may no
-// longer act on it because the lease has expired or is within Margin of its expiry.
-func (m *Machine) Lapsed(now time.Time) bool { return m.holding && !m.Holds(now) }
+// longer act on it because the lease has expired or is within Margin of its expiry. A lease
+// that is being released isn't lapsed.
+func (m *Machine) Lapsed(now time.Time) bool {
+	return m.holding && !m.releasing() && !m.Holds(now)
+}
+
+// releasing reports whether this candidate gives the lease up, or may have done so.
+func (m *Machine) releasing() bool { return m.stopping || m.handingOver }
+
+// SetBusy tells whether something that was done under the lease, such as an order, may still
+// take effect. A release waits for it to end.
+func (m *Machine) SetBusy(busy bool) { m.busy = busy }
 
 // Term returns the highest term known to this candidate: its own while it holds the lease.
 func (m *Machine) Term() uint64 { return m.record.Term }
@@ -161,7 +178,7 @@
 // Observed takes it from a read. Reports save reads of the key. A claim based on a report is
 // still made by compare-and-swap.
 func (m *Machine) HolderReported(now time.Time, record Record, revision store.Revision) {
-	if m.holding || m.callInFlight || m.writeUnclear || m.releasing || (m.known && revision < m.revision) {
+	if m.holding || m.callInFlight || m.writeUnclear || m.stopping || (m.known && revision < m.revision) {
 		return
 	}
 	if !m.known || revision != m.revision {
@@ -205,11 +222,11 @@
 	}
 }
 
-// Release releases the lease permanently, as on a planned stop.
-func (m *Machine) Release() { m.releasing = true }
+// Release releases the lease permanently, as on a planned stop. Holds is false from now on.
+func (m *Machine) Release() { m.stopping = true }
 
 // Released reports whether Release was called and the lease is known to be released.
-func (m *Machine) Released() bool { return m.releasing && !m.holding && !m.writeUnclear }
+func (m *Machine) Released() bool { return m.stopping && !m.holding && !m.writeUnclear }
 
 // Next returns the operation that is due. After Read or Write it returns Wait until the
 // outcome is reported by ReadEnded, WriteEnded or one of the methods that these call.
@@ -231,10 +248,9 @@
 	switch {
 	case !m.known || m.writeUnclear:
 		return Operation{Step: Read}
-	case m.holding && (m.releasing || m.shouldStepDown(now)):
-		m.steppedDown = !m.releasing
-		return m.write(Record{Term: m.record.Term, Holder: m.config.Instance, Released: true})
-	case m.releasing:
+	case m.holding && (m.stopping || m.shouldStepDown(now)):
+		return m.release()
+	case m.stopping:
 		return Operation{}
 	case m.holding:
 		return m.write(Record{Term: m.record.Term, Holder: m.config.Instance})
@@ -245,6 +261,16 @@
 	}
 }
 
+// release returns the write that releases the lease. While the candidate is busy, it returns Wait.
+func (m *Machine) release() Operation {
+	m.handingOver = true
+	if m.busy {
+		return Operation{}
+	}
+	m.steppedDown = !m.stopping
+	return m.write(Record{Term: m.record.Term, Holder: m.config.Instance, Released: true})
+}
+
 // epochTermBits is how many bits of a term hold the store's count if the store has epochs.
 const epochTermBits = 38
 
@@ -341,9 +367,10 @@
 	m.writeUnclear = false
 }
 
-// confirmWrite records that the last write took effect. The TTL counts from its start.
+// confirmWrite records that the last write took effect. The TTL counts from its start. An earlier
+// release can't take effect any more, because it expected the revision that this write replaced.
 func (m *Machine) confirmWrite(record Record) {
-	m.holding = !record.Released
+	m.holding, m.handingOver = !record.Released, false
 	m.expiresAt = m.lastWriteAt.Add(m.config.TTL)
 }
 
@@ -352,8 +379,8 @@
 // instance's, or may have replaced another instance's by mistake.
 func (m *Machine) adopt(record Record, revision store.Revision) {
 	lost := revision < m.revision || m.revision != 0 && revision.Epoch() != m.revision.Epoch()
-	if record.WriteID != m.lastWrite.WriteID || lost {
-		m.holding = false
+	if record.WriteID != m.lastWrite.WriteID || lost || record.Released {
+		m.holding, m.handingOver = false, false
 	}
 	m.restored = lost || record.writtenBefore(revision)
 	// An absent key keeps the highest known term, so that terms never decrease.
@@ -370,11 +397,13 @@
 	m.schedule(now)
 }
 
-// Conflicted reports that the last write had no effect because the revision differed. The
-// cause can't be an earlier attempt of the same write, since no write is sent twice: after an
-// unclear write the key is read, and the next write has a new id.
+// Conflicted reports that the last write had no effect because the revision differed. Another
+// candidate may hold the lease. The cause may also be an earlier write of this candidate that took
+// effect late, even a release, or a copy of the last one that arrived twice. Neither proves that
+// the lease is held, so the holding ends.
 func (m *Machine) Conflicted(now time.Time) {
 	m.callInFlight, m.writeUnclear, m.known = false, false, false
+	m.holding = false
 	m.lastUpdateAt = now
 	m.nextCallAt = now
 }
@@ -406,7 +435,7 @@
 		period = m.config.ReadPeriod
 	}
 	m.nextCallAt = now.Add(period/2 + time.Duration(m.random.Int64N(int64(period)+1)))
-	if claimAt := m.claimableAt(); m.known && !m.releasing && claimAt.After(now) {
+	if claimAt := m.claimableAt(); m.known && !m.stopping && claimAt.After(now) {
 		m.nextCallAt = earlier(m.nextCallAt, claimAt)
 	}
 	if m.isVacant(now) {
@@ -420,5 +449,5 @@
 // isVacant reports whether the lease is known to be without a holder, so that this candidate
 // may claim it after its own delay. It is false for a candidate that has released the lease.
 func (m *Machine) isVacant(now time.Time) bool {
-	return m.known && (m.record.Holder == "" || m.record.Released) && !m.releasing && !m.restored
+	return m.known && (m.record.Holder == "" || m.record.Released) && !m.stopping && !m.restored
 }
--- a/internal/residency/core.go
+++ b/internal/residency/core.go
@@ -84,6 +84,8 @@
 	holdsLease    bool
 	// leaseChangedAt is when this instance last gained or lost the lease.
 	leaseChangedAt time.Time
+	// ordersInProgress is how many orders were asked for whose calls haven't ended.
+	ordersInProgress int
 
 	// document is the configuration in use; models and adapters are its entries by version.
 	document *site.Document
@@ -177,12 +179,16 @@
 }
 
 func (c *core) stepLease(now time.Time) {
-	if operation := c.lease.Next(now); operation.Step != lease.Wait {
-		kind := effectReadLease
-		if operation.Step == lease.Write {
-			kind = effectWriteLease
+	c.lease.SetBusy(c.ordersInProgress > 0)
+	operation := c.lease.Next(now)
+	switch operation.Step {
+	case lease.Read:
+		c.effects = append(c.effects, effect{kind: effectReadLease, operation: operation})
+	case lease.Write:
+		if operation.Record.Released {
+			c.log("Lease is being released", map[string]any{"term": operation.Record.Term}, false)
 		}
-		c.effects = append(c.effects, effect{kind: kind, operation: operation})
+		c.effects = append(c.effects, effect{kind: effectWriteLease, operation: operation})
 	}
 }
 
--- a/internal/residency/core_orders.go
+++ b/internal/residency/core_orders.go
@@ -121,5 +121,6 @@
 		"server": m.Server, "ref": m.Ref, "action": m.Action, "from_store": m.FromWeightStore,
 		"expected": order.ExpectedOrders, "fence": order.Fence, "reason": m.Reason,
 	}, false)
+	c.ordersInProgress++
 	c.emit(srv, effect{kind: effectOrder, order: order, fromWeightStore: m.FromWeightStore})
 }
--- a/internal/residency/manager.go
+++ b/internal/residency/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -29,9 +30,12 @@
 	orderTimeout    = 1200 * time.Millisecond
 	stateTimeout    = 800 * time.Millisecond
 	leaseTimeout    = 800 * time.Millisecond
+	// orderTransit is how long after the last check of the lease an order may reach its server. Its
+	// connection is open by then: what is left is the write and the way through the network.
+	orderTransit = 200 * time.Millisecond
 	// releaseTimeout is how long Run waits for the release of the lease when it stops. It
-	// covers all calls and retries of the release.
-	releaseTimeout = time.Second
+	// covers the orders that the release waits for, and all calls and retries of the release.
+	releaseTimeout = orderTimeout + time.Second
 	// After each step the manager pauses for pauseFactor times the length of the step, but
 	// for maxStepPause at most. Where a step takes long, as on a small instance with many
 	// servers, frequent events would otherwise take all processor time from requests, peers
@@ -40,7 +44,11 @@
 	maxStepPause = 100 * time.Millisecond
 )
 
-var errLeaseExpired = errors.New("residency: lease expired before the order was sent")
+// Errors of the package.
+var (
+	errLeaseNotHeld     = errors.New("residency: the lease isn't held any more, so the order isn't sent")
+	errTakeoverTooEarly = errors.New("residency: a new holder may give orders before those of its predecessor have arrived")
+)
 
 // Options configures a Manager.
 type Options struct {
@@ -63,8 +71,7 @@
 	// servers. It must not block.
 	OnResidencyChange func(changes []ResidencyChange)
 	Lease             lease.Config
-	// TakeoverDelay is how long a new holder waits before its first order. It must be long
-	// enough for orders of the previous holder to have arrived.
+	// TakeoverDelay is how long a new holder waits before its first order; see TakeoverDelayFor.
 	TakeoverDelay time.Duration
 	// Now is a clock that keeps running while the machine is suspended.
 	Now func() time.Time
@@ -85,8 +92,22 @@
 	core *core
 }
 
-// New makes a Manager, which does nothing until Run is called.
-func New(options Options) *Manager {
+// TakeoverDelayFor returns the shortest delay of a new holder that is long enough for a lease.
+//
+// A holder whose lease runs out sends its last order a margin before the expiry, and it arrives
+// orderTransit later. A successor claims the lease after the expiry and sends its first order one
+// TakeoverDelay after that. So margin + TakeoverDelay must be at least orderTransit. A lease that is
+// released needs no delay: the release waits for the answers to all orders.
+func TakeoverDelayFor(config lease.Config) time.Duration {
+	return max(0, orderTransit-config.Margin)
+}
+
+// New makes a Manager, which does nothing until Run is called. It returns an error if
+// Options.TakeoverDelay is too short for the lease.
+func New(options Options) (*Manager, error) {
+	if shortest := TakeoverDelayFor(options.Lease); options.TakeoverDelay < shortest {
+		return nil, fmt.Errorf("%w: the delay is %v, want %v at least", errTakeoverTooEarly, options.TakeoverDelay, shortest)
+	}
 	options.Lease.Instance = options.Instance
 	// Either all servers count as reached or none, so any share between does.
 	options.Lease.StepDownReach, options.Lease.ReachDelay = 0.5, options.Lease.TTL
@@ -98,7 +119,7 @@
 		results: make(chan result),
 		wake:    make(chan struct{}, 1),
 		core:    newCore(options.Instance, machine, options.TakeoverDelay),
-	}
+	}, nil
 }
 
 // Holder names the instance that holds the lease, as far as this instance knows; empty if
@@ -313,20 +334,22 @@
 		defer cancel()
 		r.state, r.err = m.options.Control.SequencedInventory(ctx, e.server)
 	case effectOrder:
-		m.sendOrder(ctx, &r)
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		maySend := func() error { return m.mayOrder(e.term) }
+		r.answer, r.err = m.options.Control.SubmitSequenced(ctx, e.server, e.order, maySend)
 	}
 	return r
 }
 
-// sendOrder sends an order, unless the lease has expired since the order was decided on.
-func (m *Manager) sendOrder(ctx context.Context, r *result) {
-	var holds bool
-	m.withCore(func(c *core) { holds = c.lease.Holds(m.options.Now()) && c.lease.Term() == r.effect.term })
-	if !holds {
-		r.err = errLeaseExpired
-		return
+// mayOrder returns an error unless this instance holds the lease in the term in which an order was
+// decided on. It is called when the order is about to be sent: until then, the lease may have
+// been released, have run out or have passed to another instance.
+func (m *Manager) mayOrder(term uint64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.core.lease.Holds(m.options.Now()) || m.core.lease.Term() != term {
+		return errLeaseNotHeld
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	r.answer, r.err = m.options.Control.SubmitSequenced(ctx, r.effect.server, r.effect.order)
+	return nil
 }
--- a/internal/residency/manager_test.go
+++ b/internal/residency/manager_test.go
@@ -33,7 +33,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const stepTime = 5 * time.Millisecond
 		var busyNanos atomic.Int64
-		m := New(Options{
+		m, err := New(Options{
 			Instance: "i", Key: "k", Store: emptyStore{},
 			Document:     func() *site.Document { return nil },
 			KnownServers: func() []discovery.KnownServer { return nil },
@@ -45,6 +45,9 @@
 			Lease: lease.Config{TTL: 3 * time.Second, Margin: 500 * time.Millisecond, Jitter: 300 * time.Millisecond},
 			Now:   time.Now, Logger: logging.Discard().WithField("part", "test"),
 		})
+		if err != nil {
+			t.Fatal(err)
+		}
 		ctx, cancel := context.WithCancel(t.Context())
 		go m.Run(ctx)
 		const length = 2 * time.Second
--- a/internal/residency/reach_test.go
+++ b/internal/residency/reach_test.go
@@ -52,7 +52,8 @@
 		var managers [2]*Manager
 		ctx, cancel := context.WithCancel(t.Context())
 		for n, name := range []string{"a", "b"} {
-			managers[n] = New(Options{
+			var err error
+			managers[n], err = New(Options{
 				Instance: name, Key: "k", Store: shared,
 				Document:       func() *site.Document { return nil },
 				KnownServers:   func() []discovery.KnownServer { return nil },
@@ -61,6 +62,9 @@
 				Lease:          lease.Config{TTL: ttl, Margin: ttl / 6, Jitter: ttl / 10},
 				Now:            time.Now, Seed: uint64(n), Logger: logging.Discard().WithField("part", "test"),
 			})
+			if err != nil {
+				t.Fatal(err)
+			}
 			go managers[n].Run(ctx)
 			time.Sleep(ttl)
 		}
--- a/internal/residency/results.go
+++ b/internal/residency/results.go
@@ -17,6 +17,7 @@
 	case effectReadState:
 		c.handleStateRead(now, r)
 	case effectOrder:
+		c.ordersInProgress--
 		c.handleOrderAnswer(now, r)
 	}
 }
--- a/internal/residency/world_test.go
+++ b/internal/residency/world_test.go
@@ -253,7 +253,7 @@
 		sim.handleServerCall(call, &r)
 	}
 	if call.answerLost {
-		r.err = fmt.Errorf("no answer")
+		return // The call has ended without an answer; see send.
 	}
 	sim.answers = append(sim.answers, inFlightAnswer{at: sim.now.Add(2 * time.Millisecond), core: call.core, result: r})
 }
