Fix: a server that left during an instance's own cut is gone at once

After a cut and a 410 the complete listing lacks the server, and the instance kept it for outageGracePeriod: 17 requests later than the bound.

Cause: an instance took any time without an answer for an outage of the store, in which the server's entry might have expired. Two related paths: a 410 itself counted as a failed call, so that an instance which pauses for 1.5 s or longer between reads took each loss of the store's history for an outage; and it waited for the back-off of earlier failures before it listed.

Ruled out: a listing that comes late (it came within 2 s of the end of the cut; "Server is gone" had the origin expiry).

Change: after an absence with missing servers, up to three other instances are asked since when they have read the store without a gap (package storecontact). One that covers the absence proves that the store was in service; without one, servers are kept as before.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -38,6 +38,7 @@
 	"limpethub/internal/serverlimits"
 	"limpethub/internal/site"
 	"limpethub/internal/storecall"
+	"limpethub/internal/storecontact"
 	"limpethub/internal/streamversion"
 	"limpethub/internal/workspace"
 	"limpethub/internal/workspacequota"
@@ -165,7 +166,11 @@
 		OnServers:   h.observeVersions,
 		OnAnnounced: h.observeAnnouncements,
 		OnRead:      d.confirmVersions,
-		Logger:      d.log(logging.Routing),
+		PeerContacts: storecontact.New(storecontact.Options{
+			Members: d.cluster.Members, Self: d.cluster.Self(), Transport: d.plugins.peers,
+			Own: func() discovery.Contact { return h.watcher.Contact() }, Logger: d.log(logging.Peers),
+		}).Ask,
+		Logger: d.log(logging.Routing),
 	})
 	d.buildLimits(h)
 	if err := d.buildReach(h); err != nil {
--- a/internal/discovery/changes.go
+++ b/internal/discovery/changes.go
@@ -24,6 +24,8 @@
 	originServer origin = "server"
 	// originExpiry is the end of the time for which a missing server is kept.
 	originExpiry origin = "expiry"
+	// originAbsence is a peer's word that the store was in service while this instance didn't reach it.
+	originAbsence origin = "absence"
 )
 
 // cause is why the registry is updated.
--- a/internal/discovery/metrics.go
+++ b/internal/discovery/metrics.go
@@ -21,7 +21,7 @@
 			Buckets: []float64{0.25, 0.5, 1, 1.5, 2, 2.5, 3, 4, 6, 10},
 		}),
 		left: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "limpethub_servers_left_total", Help: "Backend servers that were found to be leaving or gone, by where this instance learned it first (list, watch, peer, server, expiry).",
+			Name: "limpethub_servers_left_total", Help: "Backend servers that were found to be leaving or gone, by where this instance learned it first (list, watch, peer, server, expiry, absence).",
 		}, []string{"origin"}),
 	}
 }
--- a/internal/discovery/reading.go
+++ b/internal/discovery/reading.go
@@ -45,6 +45,7 @@
 func (w *Watcher) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	loops.Go(func() { w.tickLoop(ctx) })
+	loops.Go(func() { w.absenceLoop(ctx) })
 	defer loops.Wait()
 	retryDelay := minRetryDelay
 	var revision store.Revision
@@ -69,10 +70,12 @@
 			continue
 		case errors.Is(err, store.ErrCompacted):
 			w.options.Logger.WithField("revision", revision).Info("History of announcements is gone, listing again")
-			listed = false
+			// The store is in service: earlier failures are no reason to wait before the listing.
+			listed, retryDelay = false, minRetryDelay
 			w.setRestored(errors.Is(err, store.ErrRestored))
+		default:
+			w.recordFailure(ctx, err)
 		}
-		w.recordFailure(ctx, err)
 		pause.For(ctx, retryDelay)
 		retryDelay = min(2*retryDelay, maxRetryDelay)
 	}
@@ -110,11 +113,15 @@
 	}
 	now := time.Now()
 	w.update(cause{origin: originList, revision: update.Revision}, func(r *Registry) {
+		lastAnswerAt, restored := w.lastAnswerAt, w.restored
+		outage := w.recordAnswer(now)
+		w.restored = false
 		// In an older copy, servers that announced themselves lately are missing until they do
 		// so again, as after an outage.
-		mayBeMissing := w.recordAnswer(now) || w.restored
-		w.restored = false
-		r.Listed(now, update.Announced, mayBeMissing)
+		r.Listed(now, update.Announced, outage || restored)
+		if outage && !restored {
+			w.noteAbsence(lastAnswerAt, now)
+		}
 		w.markUnusable(now, update)
 		r.Confirmed(now)
 	})
@@ -175,14 +182,19 @@
 	}
 }
 
-// recordAnswer records a successful call of the store, and reports whether calls had been failing
-// and none had succeeded for longer than minOutage. It logs the end of a failure, with the time
+// recordAnswer records a successful call of the store, and reports whether the store may have been away
+// before it: calls had been failing and none had succeeded for longer than minOutage, or this instance hadn't
+// called it for longer than maxContactGap, as a process that stood still. It logs the end of a failure, with the time
 // since the last success before it. The caller holds the lock.
 func (w *Watcher) recordAnswer(now time.Time) bool {
-	outage := w.failing && now.Sub(w.lastAnswerAt) > minOutage
+	gap := now.Sub(w.lastAnswerAt)
+	outage := w.failing && gap > minOutage || gap > maxContactGap
+	if outage {
+		w.contactSince = now
+	}
 	if w.failing {
 		// away_ms is the time since the last successful call.
-		w.options.Logger.WithField("away_ms", now.Sub(w.lastAnswerAt).Milliseconds()).Info("Announcements can be read again")
+		w.options.Logger.WithField("away_ms", gap.Milliseconds()).Info("Announcements can be read again")
 	}
 	w.lastAnswerAt, w.failing = now, false
 	return outage
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -134,6 +134,27 @@
 	}
 }
 
+// Missing returns how many servers were first found missing at the given time, by Listed.
+func (r *Registry) Missing(since time.Time) int {
+	n := 0
+	for _, entry := range r.servers {
+		if entry.missingSince.Equal(since) {
+			n++
+		}
+	}
+	return n
+}
+
+// DropMissing removes the servers that were first found missing at the given time and haven't announced
+// themselves since. There was no outage of the store in which their announcements could have expired.
+func (r *Registry) DropMissing(now, since time.Time) {
+	for id, entry := range r.servers {
+		if entry.missingSince.Equal(since) {
+			r.Removed(now, id, 0)
+		}
+	}
+}
+
 // Announced applies one announcement. It ignores one that is older than the last, also if the
 // server was removed since.
 func (r *Registry) Announced(now time.Time, s Server) {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,7 +43,10 @@
 	// leaving or gone, but not if a peer has told it before. It must neither block nor call the Watcher; nil means
 	// no call.
 	OnDeparture func(Departure)
-	Logger      *logrus.Entry
+	// PeerContacts asks some other instances for their contact with the store, and returns what they have answered
+	// within a part of a second, in times of this instance. nil means that there are none.
+	PeerContacts func(ctx context.Context) []Contact
+	Logger       *logrus.Entry
 }
 
 // Watcher keeps a Registry up to date and passes its servers to a Sink. It is safe for
@@ -59,9 +63,12 @@
 	// lastLogged holds, for each known server, what the last update has logged of it.
 	lastLogged map[string]loggedServer
 	// lastAnswerAt is when a call of the store last succeeded. failing is true from a failed
-	// call, also one that fails with store.ErrCompacted, until the next success.
-	lastAnswerAt time.Time
-	failing      bool
+	// call until the next success. One that fails with store.ErrCompacted doesn't count: the store has answered.
+	// contactSince is when the first of the calls succeeded between which there was no outage.
+	lastAnswerAt, contactSince time.Time
+	failing                    bool
+	// absences are those about which peers are to be asked.
+	absences chan absence
 	// unusable holds the servers whose unusable announcement has been logged.
 	unusable map[string]bool
 	// restored is true after the store came back from an older copy, until the
@@ -77,7 +84,7 @@
 	if options.OnRead == nil {
 		options.OnRead = func() func() { return func() {} }
 	}
-	return &Watcher{options: options, registry: NewRegistry(), lastLogged: map[string]loggedServer{}, unusable: map[string]bool{}, metrics: newMetrics()}
+	return &Watcher{options: options, registry: NewRegistry(), lastLogged: map[string]loggedServer{}, unusable: map[string]bool{}, absences: make(chan absence, 1), metrics: newMetrics()}
 }
 
 // ResidencyChanged records a peer's message that a version has become usable on a server or
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -41,6 +41,8 @@
 	KindArchive
 	// KindQuota is for what workspaces use of their limits; see package workspacequota.
 	KindQuota
+	// KindContact is for questions about an instance's contact with the store; see package storecontact.
+	KindContact
 )
 
 // Handler receives messages from authenticated peers.
