Fix: a planned stop answers a request that came with another one

Cause: drain.Conns took a connection for idle whenever http.Server reported an answer as ended, also if the server had read the next request already.

Change: a connection is idle once the server reads on after an answer; it is closed there. TestRequestReadBeforeEndIsAnswered drove the hooks in an order that no server gives (idle without a further read); it now reads, and expects EOF and a closed connection.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -66,27 +66,24 @@
 	return n
 }
 
-// onStateChange is the ConnState hook of the server. A connection becomes idle after an
-// answer, and is then closed if End was called.
+// onStateChange is the ConnState hook of the server. After an answer the server reports the
+// connection as idle, also if it has read the next request already. It then begins with that
+// one, and without one it reads on.
 func (c *Conns) onStateChange(raw net.Conn, state http.ConnState) {
 	connection, ok := raw.(*conn)
 	if !ok {
 		return
 	}
 	c.mu.Lock()
-	closeNow := false
+	defer c.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		connection.busy = false
-		connection.closed = c.ending
-		closeNow = c.ending
+		connection.answered = true
+	case http.StateActive:
+		connection.answered, connection.readAhead = false, false
 	case http.StateClosed, http.StateHijacked:
 		delete(c.open, connection)
 	}
-	c.mu.Unlock()
-	if closeNow {
-		_ = connection.Conn.Close()
-	}
 }
 
 type trackedListener struct {
@@ -116,19 +113,28 @@
 	return connection, nil
 }
 
-// conn is a tracked connection. The mutex of its Conns guards busy and closed.
+// conn is a tracked connection. The mutex of its Conns guards all fields but Conn and conns.
 type conn struct {
 	net.Conn
 	conns *Conns
-	// busy is true from the first byte of a request to the end of its answer. Once closed
-	// is true, no more bytes are passed to the server.
+	// busy is true from the first byte of a request until the server reads on after its answer.
+	// Once closed is true, no more bytes are passed to the server.
 	busy, closed bool
+	// answered is true from the end of an answer until the next request is known to have begun.
+	answered bool
+	// readAhead is true if the server has read the first byte of the next request during the
+	// present one, as it does to notice that the client has gone.
+	readAhead bool
 }
 
 // Read implements net.Conn. It is atomic with respect to End: either the server gets the
 // bytes and the connection counts as busy, or End has closed the connection and the server
 // gets no bytes.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.endsBeforeRead() {
+		_ = c.Conn.Close()
+		return 0, io.EOF
+	}
 	n, err := c.Conn.Read(b)
 	if n == 0 {
 		return n, err
@@ -138,6 +144,22 @@
 	if c.closed {
 		return 0, io.EOF
 	}
-	c.busy = true
+	if c.busy && !c.answered && len(b) == 1 {
+		c.readAhead = true
+	}
+	c.busy, c.answered = true, false
 	return n, err
 }
+
+// endsBeforeRead records that the server reads on. After an answer it does so only if it has
+// nothing of another request, and the connection is then idle: it is closed if End was
+// called. It reports whether the connection is closed.
+func (c *conn) endsBeforeRead() bool {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	if c.answered && !c.readAhead {
+		c.busy = false
+		c.closed = c.closed || c.conns.ending
+	}
+	return c.closed
+}
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -52,11 +52,69 @@
 		t.Errorf("the answer can't be written after End: %v", err)
 	}
 	server.ConnState(serverConn, http.StateIdle)
+	// The server has nothing of another request, so that it reads on.
+	if _, err := serverConn.Read(make([]byte, 10)); err != io.EOF {
+		t.Errorf("a read after the answer gives error %v, want EOF", err)
+	}
 	if _, err := serverConn.Write([]byte("more")); err == nil {
 		t.Error("the connection is still open after its answer, want it closed")
 	}
 }
 
+// TestPipelinedRequestIsAnswered guards against closing a connection while its second request is in progress: both came in
+// one read, or the first byte of the second one came while the first was in progress.
+func TestPipelinedRequestIsAnswered(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	for _, parts := range [][]string{{request + request}, {request, request}, {request, "G", request[1:]}} {
+		var c Conns
+		begun := make(chan struct{}, 2)
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			begun <- struct{}{}
+			time.Sleep(100 * time.Millisecond)
+			_, _ = io.WriteString(w, "done")
+		})}
+		raw, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listener := c.Attach(server, raw)
+		go func() { _ = server.Serve(listener) }()
+		connection, err := net.Dial("tcp", raw.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, part := range parts {
+			if _, err := io.WriteString(connection, part); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		<-begun
+		<-begun
+		c.End()
+		if c.BusyCount() != 1 {
+			t.Errorf("%q: %d busy connections during the second request, want 1", parts, c.BusyCount())
+		}
+		reader := bufio.NewReader(connection)
+		for n := range 2 {
+			answer, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Errorf("%q: answer %d: %v", parts, n+1, err)
+				break
+			}
+			if body, err := io.ReadAll(answer.Body); err != nil || string(body) != "done" {
+				t.Errorf("%q: answer %d has body %q, error %v", parts, n+1, body, err)
+			}
+		}
+		_ = connection.SetReadDeadline(time.Now().Add(time.Second))
+		if _, err := reader.ReadByte(); err != io.EOF {
+			t.Errorf("%q: after both answers the connection gives %v, want EOF", parts, err)
+		}
+		_ = connection.Close()
+		_ = server.Close()
+	}
+}
+
 func TestListenerMayBeClosedTwice(t *testing.T) {
 	var c Conns
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
