Fix: a stopping instance sends on no request that must run once and may not end in time

Shown by TestRequestsLateInTheGraceAreAnsweredOrRefused: before, six requests that aren't idempotent ended with 502 at the end of a drain of 4 s, sent 0 to 2.1 s after its begin; their callers can't know whether they ran.

Cause: for 2.5 s all requests were accepted, whatever their deadline; and a request that had waited since before the drain was sent whenever a server was free.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -182,7 +182,8 @@
 	d.buildQuotas(h)
 	h.relay = forward.NewRelay(forward.RelayOptions{
 		Dispatcher: d.dispatcher, Plane: d.plugins.relayer, Directory: h.watcher, Crashes: h.crashes, Guard: h.guard,
-		Streams: h.streams, Reach: h.reach, Peers: h.passedOn, Recheck: h.authorizer.Recheck, MaySend: h.watcher.MaySend,
+		Streams: h.streams, Reach: h.reach, Peers: h.passedOn, Recheck: h.authorizer.Recheck,
+		MayStart: h.front.MayStart, MaySend: h.watcher.MaySend,
 		Quota:  quotaAdmitter{h.quotas},
 		Logger: d.log(logging.Routing), Now: time.Now,
 	})
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -54,6 +54,9 @@
 	// Recheck reports, right before each send to a server, whether the request may still run: it may have waited
 	// since it was authorized. Its error is a *verdict.Error with NotRun. nil means that all may.
 	Recheck func(*request.Request) error
+	// MayStart reports, right before each send to a server or a peer, whether the request may still begin to run
+	// while this instance stops. Its error is a *verdict.Error with NotRun. nil means that all may.
+	MayStart func(*request.Request) error
 	// MaySend reports, right before the first byte is sent, whether a server still takes requests. Its error is a
 	// *verdict.Error with NotRun. nil means that all do.
 	MaySend func(engine.Server) error
@@ -210,7 +213,7 @@
 	switch {
 	case ctx.Err() != nil || failure.Code == verdict.CodeCanceled:
 		return "nobody waits any more"
-	case failure.Code == verdict.CodeUnauthorized || failure.Code == verdict.CodeStaleConfiguration:
+	case failure.Code == verdict.CodeUnauthorized || failure.Code == verdict.CodeStaleConfiguration || failure.Code == verdict.CodeStopping:
 		return "not sent to a server"
 	case request.Deadline.Sub(r.options.Now()) < minTimeLeft:
 		return "no time left"
@@ -291,8 +294,19 @@
 	return outcome, err
 }
 
-// recheck reports whether the request may still run.
+// mayStart reports whether the request may still begin to run.
+func (r *Relay) mayStart(q *request.Request) error {
+	if r.options.MayStart == nil {
+		return nil
+	}
+	return r.options.MayStart(q)
+}
+
+// recheck reports whether the request may still run at a server.
 func (r *Relay) recheck(q *request.Request) error {
+	if err := r.mayStart(q); err != nil {
+		return err
+	}
 	if r.options.Recheck == nil {
 		return nil
 	}
--- a/internal/forward/relay_peer.go
+++ b/internal/forward/relay_peer.go
@@ -168,6 +168,9 @@
 	var tried []string
 	var lastErr error
 	for range maxPeersTried {
+		if err := r.mayStart(&relayed.call.Request); err != nil {
+			return r.refuseCutOff(relayed, earlier, failure, err)
+		}
 		answer, peer, again, err := r.options.Peers.PassOn(ctx, PassedOn{
 			Call: relayed.call, LastEventID: relayed.lastEventID, Attempts: relayed.result.Attempts, Began: relayed.began,
 			Helpers: relayed.helpers,
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -73,6 +73,9 @@
 	// stops at end. Requests that still arrive are served for a time that the
 	// implementation sets; after that, only if their deadline is before end.
 	StartDrain(end time.Time)
+	// MayStart reports whether a request may still begin to run at a server. Its error is a *verdict.Error
+	// with NotRun: while this instance stops, one that isn't idempotent may not if it may end after the stop.
+	MayStart(r *request.Request) error
 	RequestsInProgress() int64
 	// RunForPeer runs a request that another instance has passed on to this one.
 	peerrelay.Runner
