Fix: memory is kept for late orders over a restart of their server

Cause: the holder forgot an order without an answer with the next state that it read or order that was accepted, though the next process of the server, which counts its orders anew, may execute it.

Change: such orders are kept until they can't arrive any more; after a restart memory and adapter slots are kept for them, by number. An announced unload is dropped at a restart.

--- a/internal/residency/core.go
+++ b/internal/residency/core.go
@@ -251,7 +251,10 @@
 		}
 		present[s.ID] = true
 		if srv := c.servers[s.ID]; srv != nil {
-			srv.updateAnnouncement(s)
+			if srv.updateAnnouncement(s) {
+				// The unload was for a model in the memory of the process before.
+				delete(c.pendingUnloads, s.ID)
+			}
 			continue
 		}
 		c.servers[s.ID] = newTrackedServer(s)
--- a/internal/residency/core_orders.go
+++ b/internal/residency/core_orders.go
@@ -85,15 +85,16 @@
 	if m.Action != engine.ActionLoad {
 		return nil
 	}
+	reserved := c.reservedOn(now, srv)
 	if adapter, ok := c.adapters[m.Ref]; ok {
 		if srv.models[adapter.Base] != engine.StateResident {
 			return fmt.Errorf("base %s is not resident", adapter.Base)
 		}
-		if len(srv.adapters) >= pool.AdapterSlots {
-			return fmt.Errorf("all %d adapter slots are in use", pool.AdapterSlots)
+		if len(srv.adapters)+reserved.slots >= pool.AdapterSlots {
+			return fmt.Errorf("all %d adapter slots are in use, %d of them by late orders", pool.AdapterSlots, reserved.slots)
 		}
 	}
-	committedMB := srv.reservedMB(now, c.sizeMB)
+	committedMB := reserved.memoryMB
 	for ref := range srv.models {
 		committedMB += c.sizeMB(ref)
 	}
--- a/internal/residency/core_view.go
+++ b/internal/residency/core_view.go
@@ -44,11 +44,12 @@
 
 func (c *core) serverView(now time.Time, pool site.Pool, srv *trackedServer) ServerView {
 	_, unloadPending := c.pendingUnloads[srv.server.ID]
+	reserved := c.reservedOn(now, srv)
 	view := ServerView{
 		ID: srv.server.ID, FailureDomain: srv.server.FailureDomain,
 		Ready:    srv.acceptsOrders(now) && !unloadPending,
-		MemoryMB: pool.MemoryMB, ReservedMB: srv.reservedMB(now, c.sizeMB),
-		AdapterSlots: pool.AdapterSlots,
+		MemoryMB: pool.MemoryMB, ReservedMB: reserved.memoryMB,
+		AdapterSlots: pool.AdapterSlots - reserved.slots,
 		Models:       srv.models, Adapters: srv.adapters,
 		InMemory: srv.inMemory, OnDisk: srv.onDisk,
 		Requests: c.requestsByServer[srv.server.ID],
@@ -67,6 +68,14 @@
 	return view
 }
 
+// reservedOn returns what late orders may still take on a server.
+func (c *core) reservedOn(now time.Time, srv *trackedServer) reservation {
+	return srv.reserved(now, c.sizeMB, func(ref modelref.Ref) bool {
+		_, isAdapter := c.adapters[ref]
+		return isAdapter
+	})
+}
+
 // announcedModels returns the models among the versions that a server announced.
 func (c *core) announcedModels(refs []modelref.Ref) map[modelref.Ref]engine.HoldingState {
 	out := map[modelref.Ref]engine.HoldingState{}
--- a/internal/residency/results.go
+++ b/internal/residency/results.go
@@ -98,10 +98,13 @@
 	}
 	// This comes before the check of the result, as in handleStateRead.
 	srv.sendingOrder = false
+	order := r.effect.order
 	if c.serverOf(r) == nil {
+		if c.holdsLease && r.err != nil && r.effect.serverStartMillis != srv.server.StartMillis {
+			srv.recordUnansweredEarlier(now, order)
+		}
 		return
 	}
-	order := r.effect.order
 	_, isAdapter := c.adapters[order.Ref]
 	switch {
 	case r.err != nil:
--- a/internal/residency/tracked_server.go
+++ b/internal/residency/tracked_server.go
@@ -78,7 +78,9 @@
 	nextLoad      modelref.Ref
 	nextLoadUntil time.Time
 	// unanswered holds the unanswered orders to the running process of the server,
-	// earlierUnanswered those to its earlier processes.
+	// earlierUnanswered those to its earlier processes. Both are kept until they can no longer be
+	// executed: what the running process shows says nothing of the next one, whose sequence
+	// numbers begin anew.
 	unanswered        []unansweredOrder
 	earlierUnanswered []unansweredOrder
 }
@@ -102,17 +104,19 @@
 	s.nextReadAt = time.Time{}
 }
 
-// updateAnnouncement stores the server's latest announcement.
-func (s *trackedServer) updateAnnouncement(server discovery.KnownServer) {
-	restarted := server.StartMillis != s.server.StartMillis
+// updateAnnouncement stores the server's latest announcement, and reports whether it is that of another
+// process than the one before.
+func (s *trackedServer) updateAnnouncement(server discovery.KnownServer) (restarted bool) {
+	restarted = server.StartMillis != s.server.StartMillis
 	s.server = server
 	if restarted {
 		s.resetForRestart()
-		return
+		return true
 	}
 	if s.openOrder != nil && server.LastAnnouncedAt.After(s.openOrder.acceptedAt) && s.provesOpenOrder(server.Resident) {
 		s.completeOpenOrder()
 	}
+	return false
 }
 
 // provesOpenOrder reports whether the announced versions prove that the open order, a load,
@@ -134,8 +138,7 @@
 }
 
 // updateState applies a state that the server returned. It ignores a state that is older
-// than an accepted order, and returns true for it. A newer state makes it forget the
-// unanswered orders, so reservedMB doesn't count them if the server restarts later.
+// than an accepted order, and returns true for it.
 func (s *trackedServer) updateState(now time.Time, state engine.SequencedState) (stale bool) {
 	s.readFailures = 0
 	if state.Sequence < s.sequence {
@@ -143,7 +146,6 @@
 		return true
 	}
 	s.stateKnown, s.sequence = true, state.Sequence
-	s.unanswered = nil
 	s.models = residentStates(state.Models)
 	s.inMemory, s.onDisk = setOf(state.InMemory), setOf(state.OnDisk)
 	s.updateAdapters(now, state)
@@ -194,7 +196,6 @@
 // next state read for when the order should be done, expectedDuration from now.
 func (s *trackedServer) recordAccepted(now time.Time, order engine.SequencedOrder, isAdapter bool, expectedDuration time.Duration) {
 	s.sequence = order.ExpectedOrders + 1
-	s.unanswered = nil
 	if isAdapter {
 		s.recordAcceptedAdapter(now, order)
 		return
@@ -232,32 +233,62 @@
 // recordUnanswered records an order without an answer. The server's state must be read
 // before the next order.
 func (s *trackedServer) recordUnanswered(now time.Time, order engine.SequencedOrder) {
-	s.unanswered = append(s.unanswered, unansweredOrder{order: order, until: now.Add(lateOrderWindow)})
+	s.unanswered = append(unexpired(now, s.unanswered), unansweredOrder{order: order, until: now.Add(lateOrderWindow)})
 	s.requireStateRead(now)
 }
 
+// recordUnansweredEarlier records an order without an answer to an earlier process of the server.
+func (s *trackedServer) recordUnansweredEarlier(now time.Time, order engine.SequencedOrder) {
+	s.earlierUnanswered = append(unexpired(now, s.earlierUnanswered), unansweredOrder{order: order, until: now.Add(lateOrderWindow)})
+}
+
+// unexpired returns the orders that may still be executed.
+func unexpired(now time.Time, orders []unansweredOrder) []unansweredOrder {
+	return slices.DeleteFunc(orders, func(o unansweredOrder) bool { return now.After(o.until) })
+}
+
 // requireStateRead requires a state read before the next order.
 func (s *trackedServer) requireStateRead(now time.Time) {
 	s.stateKnown = false
 	s.nextReadAt = now.Add(stateReadDelay)
 }
 
-// reservedMB returns the memory that unanswered orders to earlier processes of the server may
-// still take. It also drops the orders that can no longer arrive.
-func (s *trackedServer) reservedMB(now time.Time, sizeMB func(modelref.Ref) int64) int64 {
-	var totalMB int64
-	kept := s.earlierUnanswered[:0]
+// reservation is what late orders may still take on a server.
+type reservation struct {
+	memoryMB int64
+	slots    int
+}
+
+// reserved returns what unanswered orders to earlier processes of the server may still take from the
+// running one. Of the orders with the same number at most one is executed, and none with a number
+// that the process has passed.
+func (s *trackedServer) reserved(now time.Time, sizeMB func(modelref.Ref) int64, isAdapter func(modelref.Ref) bool) reservation {
+	s.earlierUnanswered = unexpired(now, s.earlierUnanswered)
+	byNumber := map[uint64]reservation{}
 	for _, o := range s.earlierUnanswered {
-		if now.After(o.until) {
+		if o.order.Action != engine.ActionLoad || o.order.ExpectedOrders < s.sequence || s.holds(o.order.Ref) {
 			continue
 		}
-		kept = append(kept, o)
-		if o.order.Action == engine.ActionLoad {
-			totalMB += sizeMB(o.order.Ref)
+		r := byNumber[o.order.ExpectedOrders]
+		r.memoryMB = max(r.memoryMB, sizeMB(o.order.Ref))
+		if isAdapter(o.order.Ref) {
+			r.slots = 1
 		}
+		byNumber[o.order.ExpectedOrders] = r
 	}
-	s.earlierUnanswered = kept
-	return totalMB
+	var total reservation
+	for _, r := range byNumber {
+		total.memoryMB += r.memoryMB
+		total.slots += r.slots
+	}
+	return total
+}
+
+// holds reports whether a version is on the server, in any state.
+func (s *trackedServer) holds(ref modelref.Ref) bool {
+	_, isModel := s.models[ref]
+	_, isAdapter := s.adapters[ref]
+	return isModel || isAdapter
 }
 
 func residentStates(refs []modelref.Ref) map[modelref.Ref]engine.HoldingState {
