Fix: the loads of classes don't panic with fewer classes than before

Only the operators' status asks for these loads.

Before: TestClassLoadsWithFewerClassesThanBefore panicked (index out of range). After: it passes.

--- a/internal/scheduling/preview.go
+++ b/internal/scheduling/preview.go
@@ -107,7 +107,10 @@
 		out[class].Waiting = c.queue.Length(class)
 	}
 	for _, d := range c.dispatched {
-		out[d.class].Running++
+		// A request keeps the class that it had when it was sent. The document may have fewer now.
+		if d.class < len(out) {
+			out[d.class].Running++
+		}
 	}
 	return out
 }
--- a/internal/scheduling/preview_test.go
+++ b/internal/scheduling/preview_test.go
@@ -42,3 +42,19 @@
 		t.Fatalf("loads after a preview = %+v, want nothing waiting", loads)
 	}
 }
+
+// TestClassLoadsWithFewerClassesThanBefore guards against a panic if a configuration removes classes while requests of them run.
+func TestClassLoadsWithFewerClassesThanBefore(t *testing.T) {
+	s := newScheduler(t, "s1")
+	s.ObserveReport(epoch, "s1", report("m@1"))
+	document := *testDocument()
+	last := len(document.Classes) - 1
+	r := testRequest("r")
+	r.Class = last
+	requireOne(t, s.Arrive(epoch, r), Dispatch)
+	document.Classes = document.Classes[:last]
+	s.SetDocument(epoch, &document)
+	if loads := s.ClassLoads(); len(loads) != last {
+		t.Fatalf("loads of %d classes, want %d", len(loads), last)
+	}
+}
