--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -274,6 +274,10 @@
 	case ServerChangesVersion:
 		s.changeVersion(server, waitForEnd)
 		return
+	case EngineJoins:
+		server.Withdraw()
+		s.changeVersion(server, waitForEnd)
+		return
 	case RequestCrashes:
 		s.crashOnRequest(waitForEnd)
 		return
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -79,6 +79,9 @@
 	// ServerChangesVersion ends an engine and starts it again under its id with another version of its
 	// software.
 	ServerChangesVersion FaultKind = "server-changes-version"
+	// EngineJoins takes an engine and its announcement away, and lets it join after the event's duration with another
+	// version of its software. It isn't in the schedules of seeds.
+	EngineJoins FaultKind = "engine-joins"
 	// RequestCrashes makes a request that some callers repeat end each server that begins to run it.
 	RequestCrashes FaultKind = "request-crashes-servers"
 	// InstancesCutOff cuts one instance, or all but one, off from all servers. The target says which and in which
@@ -139,8 +142,11 @@
 // cutFaultKinds has the kind that cuts instances off from the servers, with a random sequence of its own.
 var cutFaultKinds = []scopedKind{{InstancesCutOff, onServerLinks}}
 
+// ownFaultKinds lists the kinds that only schedules of tests have.
+var ownFaultKinds = []scopedKind{{EngineJoins, onServer}}
+
 func scopeOf(kind FaultKind) scope {
-	for _, k := range slices.Concat(faultKinds, laterFaultKinds, fleetFaultKinds, longFaultKinds, longestFaultKinds, versionFaultKinds, cutFaultKinds) {
+	for _, k := range slices.Concat(ownFaultKinds, faultKinds, laterFaultKinds, fleetFaultKinds, longFaultKinds, longestFaultKinds, versionFaultKinds, cutFaultKinds) {
 		if k.kind == kind {
 			return k.scope
 		}
