--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -15,7 +15,9 @@
 const (
 	storeDelay  = 700 * time.Millisecond
 	serverDelay = 60 * time.Millisecond
-	peersDelay  = 150 * time.Millisecond
+	// holdTime is how long a server is silent that goes on afterwards.
+	holdTime   = 1500 * time.Millisecond
+	peersDelay = 150 * time.Millisecond
 	// serverPauseSeconds is the time to come back of a server that refuses requests.
 	serverPauseSeconds = "0.7"
 	// serverLimit is the limit that a server names, in requests a second. Callers would send each
@@ -295,6 +297,8 @@
 		faults.ResetToClient = 0 // Reset at the first byte of an answer.
 	case ServerSlow:
 		faults.Delay = serverDelay
+	case ServerHolds:
+		faults.Delay = holdTime
 	case ServerOneWay:
 		faults.DropToClient = true
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -79,6 +79,9 @@
 	// ServerChangesVersion ends an engine and starts it again under its id with another version of its
 	// software.
 	ServerChangesVersion FaultKind = "server-changes-version"
+	// ServerHolds makes a server fall silent for holdTime, after which it goes on: what it sends during the event comes
+	// so much later. It isn't in the schedules of seeds.
+	ServerHolds FaultKind = "server-holds"
 	// EngineJoins takes an engine and its announcement away, and lets it join after the event's duration with another
 	// version of its software. It isn't in the schedules of seeds.
 	EngineJoins FaultKind = "engine-joins"
@@ -143,7 +146,7 @@
 var cutFaultKinds = []scopedKind{{InstancesCutOff, onServerLinks}}
 
 // ownFaultKinds lists the kinds that only schedules of tests have.
-var ownFaultKinds = []scopedKind{{EngineJoins, onServer}}
+var ownFaultKinds = []scopedKind{{EngineJoins, onServer}, {ServerHolds, onServer}}
 
 func scopeOf(kind FaultKind) scope {
 	for _, k := range slices.Concat(ownFaultKinds, faultKinds, laterFaultKinds, fleetFaultKinds, longFaultKinds, longestFaultKinds, versionFaultKinds, cutFaultKinds) {
