Fix: a holder that has released the lease still tells of its loads

Before: TestReleasedLeaseStillTellsItsLoads told of 0 loads a second after the release, want 3. After: it passes.

--- a/internal/residency/ceiling_test.go
+++ b/internal/residency/ceiling_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"limpethub/internal/lease"
 	"limpethub/internal/modelref"
 )
 
@@ -44,3 +45,24 @@
 		}
 	})
 }
+
+// TestReleasedLeaseStillTellsItsLoads guards against a successor that orders a full burst of loads from the weight store right
+// after its predecessor's, because a holder that has released the lease tells of none.
+func TestReleasedLeaseStillTellsItsLoads(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newCore("i", lease.New(lease.Config{}, nil), 0)
+	limiter := newLoadLimiter(now, 1, recentLoads{})
+	for range loadBurst {
+		limiter.ordered(now)
+	}
+	c.holdsLease, c.weightLoads["svc"] = true, limiter
+	if c.updateHolding(now) {
+		t.Fatal("the core holds a lease that it never claimed")
+	}
+	if got := c.loadsForSuccessor(now.Add(time.Second)); got != loadBurst {
+		t.Errorf("a second after the release: tells of %d loads, want %d", got, loadBurst)
+	}
+	if got := c.loadsForSuccessor(now.Add(loadWindow)); got != 0 {
+		t.Errorf("%v after the release: tells of %d loads, want none", loadWindow, got)
+	}
+}
--- a/internal/residency/core.go
+++ b/internal/residency/core.go
@@ -233,7 +233,7 @@
 	return srv != nil && srv.server.StartMillis == u.startMillis && srv.sequence > u.expectedOrders
 }
 
-// recentWeightLoads counts the loads from the weight store for a possible successor.
+// recentWeightLoads counts the loads from the weight store in the present window.
 func (c *core) recentWeightLoads() int {
 	count := 0
 	for _, limiter := range c.weightLoads {
@@ -242,6 +242,18 @@
 	return count
 }
 
+// loadsForSuccessor returns how many loads from the weight store a successor counts as its own: while this
+// instance holds the lease those of its window, and afterwards those that it told or was told last.
+func (c *core) loadsForSuccessor(now time.Time) int {
+	switch {
+	case c.holdsLease:
+		return c.recentWeightLoads()
+	case now.Sub(c.reportedLoads.at) < loadWindow:
+		return c.reportedLoads.count
+	}
+	return 0
+}
+
 // syncServers adds new servers, updates known ones and drops those that are gone.
 func (c *core) syncServers(servers []discovery.KnownServer) {
 	present := make(map[string]bool, len(servers))
--- a/internal/residency/manager.go
+++ b/internal/residency/manager.go
@@ -153,9 +153,10 @@
 }
 
 // RecentLoads returns how many loads from the weight store this instance ordered in the last
-// seconds or may still take effect. Its successor counts them as its own.
+// seconds or may still take effect, also right after it has released the lease. Its successor
+// counts them as its own.
 func (m *Manager) RecentLoads() (n int) {
-	m.withCore(func(c *core) { n = c.recentWeightLoads() })
+	m.withCore(func(c *core) { n = c.loadsForSuccessor(m.options.Now()) })
 	return n
 }
 
