--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -10,7 +10,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 
 	"limpethub/internal/crashguard"
 	"limpethub/internal/crashwatch"
@@ -22,7 +21,6 @@
 	"limpethub/internal/gateway"
 	"limpethub/internal/gossip"
 	"limpethub/internal/identitykey"
-	"limpethub/internal/lease"
 	"limpethub/internal/logging"
 	"limpethub/internal/membership"
 	"limpethub/internal/metrics"
@@ -44,28 +42,9 @@
 	"limpethub/internal/workspacequota"
 )
 
-const (
-	// defaultPlacementLease is the TTL of the placement lease if the settings give none.
-	defaultPlacementLease = 3 * time.Second
-	// placementMarginDivisor gives the lease's margin as TTL / placementMarginDivisor. The
-	// margin is how long before the expiry a holder stops acting. placementJitterDivisor gives
-	// the longest random delay before a candidate's claim as TTL / placementJitterDivisor.
-	placementMarginDivisor = 6
-	placementJitterDivisor = 10
-	// candidateReadPeriodTTLs is the mean time between two reads of the lease by a
-	// candidate, in TTLs. It can be long because a candidate reads at once when the holder
-	// seems to be gone.
-	candidateReadPeriodTTLs = 2
-	// fullHolderCores is the processor capacity, in reference cores (see settings.Processor),
-	// that suffices for the holder's work for some hundred servers in addition to the
-	// instance's own requests. A smaller instance delays its claim by up to maxClaimDelay, so
-	// that a larger one gets the lease if there is one.
-	fullHolderCores = 0.4
-	maxClaimDelay   = 400 * time.Millisecond
-	// streamArchivePrefix is the prefix of the keys that hold the software versions of streams. Instances of
-	// all versions read them, so it may not change.
-	streamArchivePrefix = "limpethub/streams/"
-)
+// streamArchivePrefix is the prefix of the keys that hold the software versions of streams. Instances of
+// all versions read them, so it may not change.
+const streamArchivePrefix = "limpethub/streams/"
 
 // speedLearning converts settings.Settings.ServerSpeed.
 func speedLearning(setting string) scheduling.SpeedLearning {
@@ -78,15 +57,6 @@
 	return scheduling.SpeedsWhereStated
 }
 
-// claimDelay returns how long an instance of the given capacity waits before it claims a
-// vacant lease. 0 cores mean unlimited capacity.
-func claimDelay(cores float64) time.Duration {
-	if cores <= 0 || cores >= fullHolderCores {
-		return 0
-	}
-	return time.Duration((1 - cores/fullHolderCores) * float64(maxClaimDelay))
-}
-
 // hosted holds the parts that only an instance with a front has. Its servers are discovered
 // by their announcements, and its requests are forwarded unchanged.
 type hosted struct {
@@ -344,54 +314,6 @@
 	return best == d.settings.Instance
 }
 
-// buildResidency builds the manager of package residency, which does the placement on an
-// instance with a front. Its lease is the placement lease.
-func (d *Daemon) buildResidency(h *hosted) error {
-	ttl := d.settings.PlacementLease()
-	if ttl == 0 {
-		ttl = defaultPlacementLease
-	}
-	// TrustUnchanged suits the long ReadPeriod, in which a candidate may learn nothing of
-	// the lease for longer than the TTL. Without it, such a candidate would start its wait
-	// of one TTL anew with the next read. With it, the time before that read counts if the
-	// revision is still the same, because each renewal changes the revision.
-	leaseConfig := lease.Config{
-		TTL: ttl, Margin: ttl / placementMarginDivisor, Jitter: ttl / placementJitterDivisor,
-		ReadPeriod: candidateReadPeriodTTLs * ttl, TrustUnchanged: true,
-		ClaimDelay: claimDelay(d.settings.Processor.Cores()),
-	}
-	var err error
-	h.manager, err = residency.New(residency.Options{
-		Instance:       d.settings.Instance,
-		Key:            "/limpethub/" + d.settings.Site + "/residency-lease",
-		Store:          d.plugins.storeFor(purposePlacer),
-		Control:        d.plugins.relayer,
-		Document:       h.document,
-		KnownServers:   h.watcher.Servers,
-		RequestCounts:  d.requestCounts,
-		ReachesServers: func() bool { return h.reach.State() == reachability.Direct },
-		OnResidencyChange: func(changes []residency.ResidencyChange) {
-			h.extension.PublishChanges(changes)
-			d.exchange.TriggerSend()
-		},
-		Lease:         leaseConfig,
-		TakeoverDelay: residency.TakeoverDelayFor(leaseConfig),
-		Now:           d.bootNow,
-		Seed:          d.seed,
-		Logger:        d.log(logging.Placement),
-	})
-	if err != nil {
-		return fmt.Errorf("daemon: %w", err)
-	}
-	h.extension.refLoads, h.extension.manager = d.dispatcher.RefLoads, h.manager
-	d.cluster.OnChange(func(t membership.Transition) {
-		if t.Member.State != membership.Alive && t.Member.Name == h.manager.Holder() {
-			h.manager.HolderGone()
-		}
-	})
-	return nil
-}
-
 // minEntries is the least number of instances that callers should know, so that they have
 // another one when one fails.
 const minEntries = 2
@@ -419,45 +341,6 @@
 	return ok && member.State == membership.Alive
 }
 
-// requestQueued is called when a request for a model has to wait, possibly because no server
-// has a copy. The placement holder plans at once; another instance tells the holder at once.
-func (d *Daemon) requestQueued() {
-	if d.hosted.manager.Holding() {
-		d.hosted.manager.Wake()
-		return
-	}
-	d.exchange.TriggerSend()
-}
-
-// requestCounts returns the requests of all instances, first by version and then by server.
-func (d *Daemon) requestCounts() (map[modelref.Ref]residency.RequestCounts, map[string]int) {
-	return d.hosted.extension.RequestCounts(time.Now()), d.dispatcher.ServerLoads()
-}
-
-// bootClock returns a clock that keeps running while the machine is suspended. If there is
-// none, it returns the usual clock, which stops during a suspension. After a suspension longer
-// than the lease's margin, a holder with that clock may act on an expired lease until it
-// learns that another instance holds it, and an instance may take the proof of its configuration
-// for younger than it is.
-func bootClock(logger *logrus.Entry) func() time.Time {
-	read := func() (time.Time, error) {
-		var now unix.Timespec
-		err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now)
-		return time.Unix(now.Unix()), err
-	}
-	if _, err := read(); err != nil {
-		logger.WithError(err).Warn("CLOCK_BOOTTIME can't be read; the clock in use stops while the machine is suspended, so after a long suspension this instance may act on an expired lease, or accept a revoked key, until it hears from others")
-		return time.Now
-	}
-	return func() time.Time {
-		now, err := read()
-		if err != nil { // The first read succeeded, so an error here is a defect.
-			panic(fmt.Errorf("daemon: read the boot clock: %w", err))
-		}
-		return now
-	}
-}
-
 // putInForce applies a new configuration to the front, the watcher and the manager.
 func (h *hosted) putInForce(accepted site.Accepted) {
 	inForce := &front.ConfigurationInForce{Accepted: accepted}
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -30,6 +30,18 @@
 	return serverConn, clientConn
 }
 
+// serveTracked serves on a free port with tracked connections, and returns the listener below.
+func serveTracked(t *testing.T, c *Conns, server *http.Server) net.Listener {
+	t.Helper()
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := c.Attach(server, raw)
+	go func() { _ = server.Serve(listener) }()
+	return raw
+}
+
 // TestRequestReadBeforeEndIsAnswered guards against losing a request if the server stops
 // after the request's first byte was read, but before http.Server counts the connection as
 // active.
@@ -73,12 +85,7 @@
 			time.Sleep(100 * time.Millisecond)
 			_, _ = io.WriteString(w, "done")
 		})}
-		raw, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		listener := c.Attach(server, raw)
-		go func() { _ = server.Serve(listener) }()
+		raw := serveTracked(t, &c, server)
 		connection, err := net.Dial("tcp", raw.Addr().String())
 		if err != nil {
 			t.Fatal(err)
@@ -158,12 +165,7 @@
 		started.Add(1)
 		_, _ = io.WriteString(w, "done")
 	})}
-	raw, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	listener := c.Attach(server, raw)
-	go func() { _ = server.Serve(listener) }()
+	raw := serveTracked(t, &c, server)
 	var callers sync.WaitGroup
 	for range 8 {
 		callers.Go(func() { requestUntilClosed(raw.Addr().String(), &answered) })
