Fix of the stand-ins: a proxy that refuses connections keeps its port

Proxies now take ports below those that the system gives to outgoing connections, as the instances of the tests do.

--- a/internal/lab/faultproxy/faultproxy.go
+++ b/internal/lab/faultproxy/faultproxy.go
@@ -3,9 +3,12 @@
 package faultproxy
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -53,10 +56,25 @@
 	followers []*Proxy
 }
 
+// Ports of proxies are from firstPort on, below those that the system gives to outgoing connections: one of these
+// could otherwise take the port of a proxy while that refuses connections.
+const (
+	firstPort = 30_000
+	ports     = 2_700
+)
+
 // Listen relays a free loopback port to the target.
 func Listen(target string) (*Proxy, error) {
-	p := &Proxy{target: target, address: "127.0.0.1:0", faults: NoFaults(), links: map[*link]bool{}}
-	if err := p.Accept(); err != nil {
+	p := &Proxy{target: target, faults: NoFaults(), links: map[*link]bool{}}
+	err := errors.New("faultproxy: no port is left")
+	begin := rand.IntN(ports)
+	for n := range ports {
+		p.address = fmt.Sprintf("127.0.0.1:%d", firstPort+(begin+n)%ports)
+		if err = p.Accept(); !errors.Is(err, syscall.EADDRINUSE) {
+			break
+		}
+	}
+	if err != nil {
 		return nil, err
 	}
 	return p, nil
