Fix of the stand-ins: a proxy holds its port while it refuses connections

Now a proxy keeps its port with a socket that is bound and doesn't listen, and takes any free port again. Before: an outgoing connection took the port in TestRefusingProxyKeepsItsPort. After: it passes.

--- a/internal/lab/faultproxy/faultproxy.go
+++ b/internal/lab/faultproxy/faultproxy.go
@@ -3,12 +3,9 @@
 package faultproxy
 
 import (
-	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -44,6 +41,8 @@
 	mu       sync.Mutex
 	address  string
 	listener net.Listener
+	// held keeps the port while nothing is listened on.
+	held *heldPort
 	// hang keeps new connections from being opened; nil while they are accepted or refused.
 	hang     *hang
 	faults   Faults
@@ -56,25 +55,10 @@
 	followers []*Proxy
 }
 
-// Ports of proxies are from firstPort on, below those that the system gives to outgoing connections: one of these
-// could otherwise take the port of a proxy while that refuses connections.
-const (
-	firstPort = 30_000
-	ports     = 2_700
-)
-
 // Listen relays a free loopback port to the target.
 func Listen(target string) (*Proxy, error) {
-	p := &Proxy{target: target, faults: NoFaults(), links: map[*link]bool{}}
-	err := errors.New("faultproxy: no port is left")
-	begin := rand.IntN(ports)
-	for n := range ports {
-		p.address = fmt.Sprintf("127.0.0.1:%d", firstPort+(begin+n)%ports)
-		if err = p.Accept(); !errors.Is(err, syscall.EADDRINUSE) {
-			break
-		}
-	}
-	if err != nil {
+	p := &Proxy{target: target, address: "127.0.0.1:0", faults: NoFaults(), links: map[*link]bool{}}
+	if err := p.Accept(); err != nil {
 		return nil, err
 	}
 	return p, nil
@@ -141,6 +125,10 @@
 		if p.listener != nil {
 			_ = p.listener.Close()
 			p.listener = nil
+			var err error
+			if p.held, err = holdPort(p.address); err != nil {
+				return err
+			}
 		}
 		return nil
 	}
@@ -152,6 +140,8 @@
 		return fmt.Errorf("faultproxy: listen: %w", err)
 	}
 	p.listener = listener
+	p.held.end()
+	p.held = nil
 	p.address = listener.Addr().String()
 	go p.serve(listener)
 	return nil
@@ -180,10 +170,14 @@
 	return err
 }
 
-// Close refuses new connections and resets the open ones.
+// Close refuses new connections, resets the open ones and frees the port.
 func (p *Proxy) Close() {
 	p.Refuse()
 	p.ResetOpen()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held.end()
+	p.held = nil
 }
 
 // SetFaults replaces the faults, for open and new connections.
--- a/internal/lab/faultproxy/faultproxy_test.go
+++ b/internal/lab/faultproxy/faultproxy_test.go
@@ -160,3 +160,37 @@
 		t.Fatal("a dropped datagram came back")
 	}
 }
+
+// TestRefusingProxyKeepsItsPort guards against an outgoing connection that takes the port of a proxy while that refuses
+// connections, so that it can't listen again.
+func TestRefusingProxyKeepsItsPort(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = target.Close() })
+	p, err := Listen(target.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	address := p.Address()
+	for range 50 {
+		p.Refuse()
+		from, err := net.ResolveTCPAddr("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if conn, err := net.Dial("tcp", address); err == nil {
+			_ = conn.Close()
+			t.Fatal("a dial of a proxy that refuses connections succeeded")
+		}
+		if conn, err := (&net.Dialer{LocalAddr: from}).Dial("tcp", target.Addr().String()); err == nil {
+			_ = conn.Close()
+			t.Fatal("an outgoing connection has taken the port of a proxy that refuses connections")
+		}
+		if err := p.Accept(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/lab/faultproxy/hang.go
+++ b/internal/lab/faultproxy/hang.go
@@ -24,25 +24,14 @@
 )
 
 func newHang(address string) (*hang, error) {
-	tcp, err := net.ResolveTCPAddr("tcp4", address)
+	socket, err := boundSocket(address)
 	if err != nil {
-		return nil, fmt.Errorf("faultproxy: hang: %w", err)
-	}
-	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return nil, fmt.Errorf("faultproxy: hang: %w", err)
+		return nil, err
 	}
 	h := &hang{socket: socket}
-	bound := &unix.SockaddrInet4{Port: tcp.Port, Addr: [4]byte(tcp.IP.To4())}
-	for _, step := range []func() error{
-		func() error { return unix.SetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1) },
-		func() error { return unix.Bind(socket, bound) },
-		func() error { return unix.Listen(socket, 0) },
-	} {
-		if err := step(); err != nil {
-			h.end()
-			return nil, fmt.Errorf("faultproxy: hang: %w", err)
-		}
+	if err := unix.Listen(socket, 0); err != nil {
+		h.end()
+		return nil, fmt.Errorf("faultproxy: hang: %w", err)
 	}
 	for range queueFillers {
 		if conn, err := net.DialTimeout("tcp4", address, fillTimeout); err == nil {
