--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -118,7 +118,7 @@
 	// stopping is true once Release was called.
 	stopping bool
 	// handingOver is true from the decision to release the lease until it is certain that no
-	// release is in force: others may claim the lease as soon as the release reaches the store.
+	// release has taken effect or still can: others may claim the lease as soon as one has.
 	handingOver bool
 	// busy is true while something done under the lease may still take effect.
 	busy bool
