Test: the fake store's watch looks once more at its end

A change in that time was learned a pause later, which a real store, whose watch answers as soon as there is a change, doesn't do.

Change: the fake looks after its last pause. Test and bounds are as they were.

--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -131,7 +131,11 @@
 }
 
 func (s *fakeSource) Watch(ctx context.Context, after store.Revision) (Update, error) {
-	for range 10 {
+	const looks = 10
+	for look := range looks + 1 {
+		if look > 0 {
+			pause.For(ctx, 100*time.Millisecond)
+		}
 		s.mu.Lock()
 		unreachable, compacted, revision, missesChanges := s.unreachable, s.compacted, s.revision, s.missesChanges
 		servers := append([]Server(nil), s.servers...)
@@ -144,7 +148,6 @@
 		case revision > after && !missesChanges:
 			return Update{Announced: servers, Withdrawn: s.withdrawn, Revision: revision}, nil
 		}
-		pause.For(ctx, 100*time.Millisecond)
 	}
 	return Update{Revision: after}, ctx.Err()
 }
