--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -277,8 +277,7 @@
 		s.changeVersion(server, waitForEnd)
 		return
 	case EngineJoins:
-		server.Withdraw()
-		s.changeVersion(server, waitForEnd)
+		s.joinAgain(server, waitForEnd)
 		return
 	case RequestCrashes:
 		s.crashOnRequest(waitForEnd)
@@ -339,6 +338,26 @@
 	}
 }
 
+// joinedModels is how many models an engine has that joins. They fit into its memory.
+const joinedModels = 2
+
+// joinAgain takes an engine and its announcement away, and lets it join with the other version of its software and with
+// models that serve at once.
+func (s *site) joinAgain(engine *server, waitForEnd func()) {
+	version := softwareVersions[0]
+	if engine.Version() == version {
+		version = softwareVersions[1]
+	}
+	engine.Withdraw()
+	engine.Close()
+	waitForEnd()
+	s.judge.ServerRestarting(engine.ID())
+	s.judge.LimitEnded(engine.ID())
+	if err := engine.Join(version, s.models[:joinedModels]); err != nil {
+		s.judge.RecordViolation(StaysUp, s.now(), "the stand-in %s can't join: %v", engine.ID(), err)
+	}
+}
+
 // restartServer starts a server again. A failed restart is recorded as a violation, so that the
 // run counts as failed.
 func (s *site) restartServer(server *server) {
