Simulations of the scheduler share one virtual clock

Three simulations had the same heap of calls, after, every and loop. simClock has them once; order, random numbers and end of a run are as before, and so are all checks and bounds. go test ./internal/scheduling: passes (33 s).

--- a/internal/scheduling/kinds_sim_test.go
+++ b/internal/scheduling/kinds_sim_test.go
@@ -1,9 +1,7 @@
 package scheduling
 
 import (
-	"container/heap"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"limpethub/internal/engine"
@@ -80,13 +78,10 @@
 
 // kindsSim runs the instances of a fleet against such servers in virtual time.
 type kindsSim struct {
-	kinds      []kind
-	load       float64
-	length     time.Duration
-	now        time.Time
-	events     simEvents
-	sequence   int
-	random     *rand.Rand
+	kinds  []kind
+	load   float64
+	length time.Duration
+	simClock
 	schedulers []Scheduler
 	servers    map[string]*kindsServer
 	requests   map[request.ID]*kindRequest
@@ -98,7 +93,7 @@
 
 func newKindsSim(document *site.Document, kinds []kind, load float64, length time.Duration) *kindsSim {
 	s := &kindsSim{
-		kinds: kinds, load: load, length: length, now: epoch, random: rand.New(rand.NewPCG(7, 1)),
+		kinds: kinds, load: load, length: length, simClock: newSimClock(7, 1),
 		servers: map[string]*kindsServer{}, requests: map[request.ID]*kindRequest{}, results: make([]kindResult, len(kinds)),
 	}
 	var list []Server
@@ -121,20 +116,6 @@
 	return s
 }
 
-func (s *kindsSim) after(d time.Duration, do func()) {
-	s.sequence++
-	heap.Push(&s.events, simEvent{at: s.now.Add(d), sequence: s.sequence, do: do})
-}
-
-func (s *kindsSim) every(period time.Duration, do func()) {
-	var again func()
-	again = func() {
-		do()
-		s.after(period, again)
-	}
-	s.after(time.Duration(s.random.Int64N(int64(period))), again)
-}
-
 func (s *kindsSim) run() []kindResult {
 	for i := range s.schedulers {
 		s.every(250*time.Millisecond, func() { s.digest(i, nil) })
@@ -143,12 +124,7 @@
 	for k := range s.kinds {
 		s.after(s.gap(k), func() { s.arrive(k) })
 	}
-	end := epoch.Add(s.length + 10*time.Second)
-	for len(s.events) > 0 && s.now.Before(end) {
-		e := heap.Pop(&s.events).(simEvent)
-		s.now = e.at
-		e.do()
-	}
+	s.runUntil(epoch.Add(s.length + 10*time.Second))
 	return s.results
 }
 
--- a/internal/scheduling/pace_sim_test.go
+++ b/internal/scheduling/pace_sim_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -69,10 +68,7 @@
 // paceSim runs schedulers in virtual time.
 type paceSim struct {
 	paceOptions
-	now        time.Time
-	events     simEvents
-	sequence   int
-	random     *rand.Rand
+	simClock
 	schedulers []*core
 	servers    []*paceServer
 	byName     map[string]*paceServer
@@ -84,7 +80,7 @@
 }
 
 func runPace(o paceOptions) *paceSim {
-	s := &paceSim{paceOptions: o, now: epoch, random: rand.New(rand.NewPCG(o.seed, 2)), byName: map[string]*paceServer{}, requests: map[request.ID]*paceRequest{}}
+	s := &paceSim{paceOptions: o, simClock: newSimClock(o.seed, 2), byName: map[string]*paceServer{}, requests: map[request.ID]*paceRequest{}}
 	document := simDocument()
 	var list []Server
 	resident := map[string][]modelref.Ref{}
@@ -117,21 +113,12 @@
 	}
 	s.after(0, s.arrive)
 	s.after(0, s.tenth)
-	for len(s.events) > 0 && s.at() < o.length {
-		e := heap.Pop(&s.events).(simEvent)
-		s.now = e.at
-		e.do()
-	}
+	s.runUntil(epoch.Add(o.length))
 	return s
 }
 
 func (s *paceSim) at() time.Duration { return s.now.Sub(epoch) }
 
-func (s *paceSim) after(d time.Duration, do func()) {
-	s.sequence++
-	heap.Push(&s.events, simEvent{at: s.now.Add(d), sequence: s.sequence, do: do})
-}
-
 func (s *paceSim) tenth() {
 	if s.eachTenth != nil {
 		s.eachTenth(s, s.at())
--- a/internal/scheduling/sim_test.go
+++ b/internal/scheduling/sim_test.go
@@ -1,9 +1,7 @@
 package scheduling
 
 import (
-	"container/heap"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -65,36 +63,9 @@
 	attempts     int
 }
 
-type simEvent struct {
-	at       time.Time
-	sequence int
-	do       func()
-}
-
-type simEvents []simEvent
-
-func (e simEvents) Len() int { return len(e) }
-func (e simEvents) Less(i, j int) bool {
-	if e[i].at.Equal(e[j].at) {
-		return e[i].sequence < e[j].sequence
-	}
-	return e[i].at.Before(e[j].at)
-}
-func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *simEvents) Push(x any)   { *e = append(*e, x.(simEvent)) }
-func (e *simEvents) Pop() any {
-	last := len(*e) - 1
-	x := (*e)[last]
-	*e = (*e)[:last]
-	return x
-}
-
 type sim struct {
 	simOptions
-	now        time.Time
-	events     simEvents
-	sequence   int
-	random     *rand.Rand
+	simClock
 	schedulers []Scheduler
 	servers    []*simServer
 	requests   map[request.ID]*simRequest
@@ -127,7 +98,7 @@
 		o.lag = simLag
 	}
 	s := &sim{
-		simOptions: o, now: epoch, random: rand.New(rand.NewPCG(o.seed, 1)), requests: map[request.ID]*simRequest{},
+		simOptions: o, simClock: newSimClock(o.seed, 1), requests: map[request.ID]*simRequest{},
 		arrived: make([]int, n), inTime: make([]int, n), refused: make([]int, n),
 	}
 	var list []Server
@@ -157,22 +128,6 @@
 	return s
 }
 
-// after schedules a call of do in virtual time.
-func (s *sim) after(d time.Duration, do func()) {
-	s.sequence++
-	heap.Push(&s.events, simEvent{at: s.now.Add(d), sequence: s.sequence, do: do})
-}
-
-// every schedules a call of do once per period, starting at a random time in the first one.
-func (s *sim) every(period time.Duration, do func()) {
-	var again func()
-	again = func() {
-		do()
-		s.after(period, again)
-	}
-	s.after(time.Duration(s.random.Int64N(int64(period))), again)
-}
-
 // capacity returns how many requests per second all servers together can complete.
 func capacity() float64 {
 	steps := float64(simMinTokens+simMaxTokens)/2 + simPrefill
@@ -191,12 +146,7 @@
 		s.after(s.length/3, func() { s.kill(s.servers[simServers-1]) })
 	}
 	s.after(s.lag+time.Second, s.arrive)
-	end := epoch.Add(s.length + time.Minute)
-	for len(s.events) > 0 && s.now.Before(end) {
-		e := heap.Pop(&s.events).(simEvent)
-		s.now = e.at
-		e.do()
-	}
+	s.runUntil(epoch.Add(s.length + time.Minute))
 }
 
 // report sends a server's report to all instances after the lag. If the server is dead, the
