Digests: counts by content of what is sent and of what finds no room in the byte budget

Instances drop load digests and counts for the placement holder when the byte budget is used up, and nothing told so: Stats.DigestsSkipped is read by tests only.

Change: limpethub_digests_total and limpethub_digest_bytes_total by content, and a line at most once in 5 s while digests are dropped, with what was sent of each content, of membership and of the rest, and the room left.

Evidence: TestDroppedDigestsAreCountedAndLogged.

--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -140,28 +140,33 @@
 }
 
 // Broadcast sends a datagram to all peers that aren't dead, as far as the byte budget
-// allows, and returns the number of peers that it was sent to. It starts at a random peer,
-// so that an exhausted budget doesn't always affect the same peers.
-func (c *Cluster) Broadcast(kind peers.Kind, payload []byte) int {
+// allows, and returns to how many peers it was sent and how many were skipped. It starts at a
+// random peer, so that an exhausted budget doesn't always affect the same peers.
+func (c *Cluster) Broadcast(kind peers.Kind, payload []byte) (sent, skipped int) {
 	targets := c.reachablePeers()
 	for sent, target := range targets {
 		if !c.sendWithinBudget(target.PeerAddress, kind, payload) {
 			// sendWithinBudget has counted this target; the ones after it are skipped, too.
 			c.stats.digestsSkipped.Add(uint64(len(targets) - sent - 1))
-			return sent
+			return sent, len(targets) - sent
 		}
 	}
-	return len(targets)
+	return len(targets), 0
 }
 
 // BroadcastUrgent sends a datagram to all peers that aren't dead, regardless of the byte
-// budget. It reduces the budget left for other datagrams.
-func (c *Cluster) BroadcastUrgent(kind peers.Kind, payload []byte) {
-	for _, target := range c.reachablePeers() {
+// budget, and returns the number of these peers. It reduces the budget left for other datagrams.
+func (c *Cluster) BroadcastUrgent(kind peers.Kind, payload []byte) int {
+	targets := c.reachablePeers()
+	for _, target := range targets {
 		c.sendUrgentTo(target, kind, payload)
 	}
+	return len(targets)
 }
 
+// Room returns how many bytes are left of the byte budget now; it is negative while more was sent.
+func (c *Cluster) Room() int { return int(c.byteBudget.TokensAt(c.options.Now())) }
+
 // DatagramBytes returns what a datagram takes of the byte budget.
 func DatagramBytes(payload []byte) int { return len(payload) + datagramOverheadBytes }
 
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -93,6 +93,8 @@
 	passOnPending chan struct{}
 	// versionNotices limits the bytes of notices of versions, and departureNotices those of servers that leave.
 	versionNotices, departureNotices *notices.Limiter
+	// traffic counts the digests.
+	traffic digestTraffic
 }
 
 var _ peers.Handler = (*exchange)(nil)
@@ -188,6 +190,7 @@
 	if e.rounds%e.roundsPerHolderDigest == 0 {
 		e.sendToHolder()
 	}
+	e.traffic.log(time.Now(), e.cluster.Stats(), e.cluster.Room(), e.logger)
 }
 
 // roundsPerLoad returns the number of rounds per load digest.
@@ -212,11 +215,12 @@
 	return digest.FromServerDigests(e.cluster.Self(), e.sequence, e.dispatcher.Digest())
 }
 
-// broadcast sends a digest to all peers as far as the cluster's byte budget allows. What
+// broadcast sends load to all peers as far as the cluster's byte budget allows. What
 // exceeds the budget is dropped.
 func (e *exchange) broadcast(d digest.Digest) {
 	for _, payload := range e.encode(d) {
-		e.cluster.Broadcast(peers.KindDigest, payload)
+		sent, dropped := e.cluster.Broadcast(peers.KindDigest, payload)
+		e.traffic.record(contentLoad, sent, dropped, cluster.DatagramBytes(payload))
 	}
 }
 
@@ -236,7 +240,11 @@
 	}
 	d.Instance, d.Process, d.Sequence = e.cluster.Self(), e.process, e.sequence
 	for _, payload := range e.encode(d) {
-		e.cluster.Send(holder, peers.KindDigest, payload)
+		sent, dropped := 1, 0
+		if !e.cluster.Send(holder, peers.KindDigest, payload) {
+			sent, dropped = 0, 1
+		}
+		e.traffic.record(contentCounts, sent, dropped, cluster.DatagramBytes(payload))
 	}
 }
 
@@ -272,20 +280,21 @@
 	}
 	departures, versions := header, header
 	departures.Leaving, departures.Removed, versions.Residencies = d.Leaving, d.Removed, d.Residencies
-	e.sendWithin(e.departureNotices, departures, neighbors)
-	e.sendWithin(e.versionNotices, versions, neighbors)
+	e.sendWithin(e.departureNotices, contentDepartures, departures, neighbors)
+	e.sendWithin(e.versionNotices, contentVersions, versions, neighbors)
 }
 
 func (e *exchange) sendLease(d digest.Digest, lease *digest.Lease) {
 	d.Lease = lease
 	for _, payload := range e.encode(d) {
-		e.cluster.BroadcastUrgent(peers.KindDigest, payload)
+		sent := e.cluster.BroadcastUrgent(peers.KindDigest, payload)
+		e.traffic.record(contentLease, sent, 0, cluster.DatagramBytes(payload))
 	}
 }
 
 // sendWithin sends notices to the neighbors, and what this instance itself found out also to as many others as the limit has
 // room for.
-func (e *exchange) sendWithin(limit *notices.Limiter, d digest.Digest, neighbors []membership.Member) {
+func (e *exchange) sendWithin(limit *notices.Limiter, content digestContent, d digest.Digest, neighbors []membership.Member) {
 	if len(d.Leaving)+len(d.Removed)+len(d.Residencies) == 0 {
 		return
 	}
@@ -303,6 +312,7 @@
 		for _, payload := range payloads {
 			limit.Charge(now, cluster.DatagramBytes(payload))
 			e.cluster.SendUrgent(target.Name, peers.KindDigest, payload)
+			e.traffic.record(content, 1, 0, cluster.DatagramBytes(payload))
 		}
 	}
 }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -45,6 +45,7 @@
 	for _, part := range []collectorProvider{d.dispatcher, d.confsync, d.cluster} {
 		d.registry.MustRegister(part.Collectors()...)
 	}
+	d.registry.MustRegister(d.exchange.traffic.Collectors()...)
 	d.registerSpeedMetrics()
 	d.registry.MustRegister(newWaitingCollector(d.dispatcher.WorkspacesWaiting))
 	d.registerLogAndHostedMetrics()
