Load digests that find too little room go to all peers in turn

What callers saw: instances choose servers without the load of some of their peers for seconds, while others hear of it four times a second, and servers turn arrivals away.

Cause: Cluster.Broadcast begins with a random peer, and ends where the byte budget does. With room for an eighth of the peers each time a peer is left out for 3 s, digestLifetime, one time in five.

Change: it begins with the peer after the one to which the last one of the same kind came. Early digests have a rotation of their own.

Evidence: TestBroadcastsBeyondTheByteBudgetReachAllPeersInTurn, 9 instances in virtual time: with random beginnings 66 pauses over the 2.3 s in which all could be reached, up to 5.75 s; none now.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -21,6 +21,8 @@
 	endpoints map[string]*endpoint
 	isCut     map[string]bool
 	bytes     int
+	// digestsAt is when digests were sent to each address.
+	digestsAt map[string][]time.Time
 }
 
 type endpoint struct {
@@ -31,7 +33,7 @@
 }
 
 func newNetwork() *network {
-	return &network{endpoints: map[string]*endpoint{}, isCut: map[string]bool{}}
+	return &network{endpoints: map[string]*endpoint{}, isCut: map[string]bool{}, digestsAt: map[string][]time.Time{}}
 }
 
 func (n *network) endpoint(id membership.Identity) *endpoint {
@@ -56,6 +58,9 @@
 	to := e.net.endpoints[address]
 	lost := e.net.isCut[address] || e.net.isCut[e.address]
 	e.net.bytes += len(payload)
+	if kind == peers.KindDigest {
+		e.net.digestsAt[address] = append(e.net.digestsAt[address], time.Now())
+	}
 	e.net.mu.Unlock()
 	if to == nil || lost || to.handlers[kind] == nil {
 		return
@@ -204,7 +209,7 @@
 		before := f.clusters[0].Stats()
 		const seconds = 30
 		for range seconds * 10 {
-			f.clusters[0].Broadcast(peers.KindDigest, make([]byte, 1000))
+			f.clusters[0].Broadcast(peers.KindDigest, make([]byte, 1000), &Rotation{})
 			time.Sleep(100 * time.Millisecond)
 		}
 		after := f.clusters[0].Stats()
@@ -222,6 +227,31 @@
 	})
 }
 
+// TestBroadcastsBeyondTheByteBudgetReachAllPeersInTurn guards against peers that are left out for long, since each broadcast reaches
+// some that are drawn anew.
+func TestBroadcastsBeyondTheByteBudgetReachAllPeersInTurn(t *testing.T) {
+	withFleet(t, 9, func(t *testing.T, f *fleet) {
+		const digestBytes, seconds, membershipBytesPerSecond = 4000, 60, 6000
+		// All peers get one in this time, with a fifth to spare.
+		const bound = 8 * (digestBytes + datagramOverheadBytes) * time.Second / (DefaultBytesPerSecond - membershipBytesPerSecond) * 6 / 5
+		time.Sleep(5 * time.Second)
+		start, rotation := time.Now(), &Rotation{}
+		for range seconds * 4 {
+			f.clusters[0].Broadcast(peers.KindDigest, make([]byte, digestBytes), rotation)
+			time.Sleep(250 * time.Millisecond)
+		}
+		for i := range 8 {
+			address, last := identity(i+1).PeerAddress, start.Add(time.Second)
+			for _, at := range append(f.net.digestsAt[address], time.Now()) {
+				if pause := at.Sub(last); pause > bound {
+					t.Errorf("%s got no digest for %v, want one each %v", address, pause, bound)
+				}
+				last = at
+			}
+		}
+	})
+}
+
 func TestSendReportsWhetherPeerIsLive(t *testing.T) {
 	net := newNetwork()
 	c := New(Options{Self: identity(0), Transport: net.endpoint(identity(0)), Lister: &fakeLister{}})
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -139,17 +139,22 @@
 	return ctx.Err()
 }
 
+// Rotation remembers to which peer a Broadcast came. The zero Rotation begins with any peer.
+type Rotation struct{ last string }
+
 // Broadcast sends a datagram to all peers that aren't dead, as far as the byte budget
-// allows, and returns to how many peers it was sent and how many were skipped. It starts at a
-// random peer, so that an exhausted budget doesn't always affect the same peers.
-func (c *Cluster) Broadcast(kind peers.Kind, payload []byte) (sent, skipped int) {
-	targets := c.reachablePeers()
+// allows, and returns to how many peers it was sent and how many were skipped. It begins with
+// the peer after the one to which the last Broadcast with the same rotation came, so that an exhausted
+// budget affects all peers alike, and each one is reached again as soon as it can be.
+func (c *Cluster) Broadcast(kind peers.Kind, payload []byte, rotation *Rotation) (sent, skipped int) {
+	targets := c.reachablePeersAfter(rotation.last)
 	for sent, target := range targets {
 		if !c.sendWithinBudget(target.PeerAddress, kind, payload) {
 			// sendWithinBudget has counted this target; the ones after it are skipped, too.
 			c.stats.digestsSkipped.Add(uint64(len(targets) - sent - 1))
 			return sent, len(targets) - sent
 		}
+		rotation.last = target.Name
 	}
 	return len(targets), 0
 }
@@ -229,7 +234,36 @@
 	return others[:min(n, len(others))]
 }
 
+// reachablePeers returns the peers that aren't dead, beginning with a random one.
 func (c *Cluster) reachablePeers() []membership.Member {
+	out := c.reachablePeersByName()
+	if len(out) == 0 {
+		return nil
+	}
+	c.mu.Lock()
+	start := c.rand.IntN(len(out))
+	c.mu.Unlock()
+	return rotated(out, start)
+}
+
+// reachablePeersAfter returns the same, beginning with the one whose name comes after the given one; empty means a random one.
+func (c *Cluster) reachablePeersAfter(name string) []membership.Member {
+	if name == "" {
+		return c.reachablePeers()
+	}
+	out := c.reachablePeersByName()
+	start := slices.IndexFunc(out, func(m membership.Member) bool { return m.Name > name })
+	return rotated(out, max(0, start))
+}
+
+// rotated returns the members from start on, followed by those before it.
+func rotated(members []membership.Member, start int) []membership.Member {
+	// The limited capacity makes append copy, so that it doesn't overwrite the start of members.
+	return append(members[start:len(members):len(members)], members[:start]...)
+}
+
+// reachablePeersByName returns the peers that aren't dead, sorted by name.
+func (c *Cluster) reachablePeersByName() []membership.Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	members := c.currentMembers()
@@ -239,10 +273,5 @@
 			out = append(out, m)
 		}
 	}
-	if len(out) == 0 {
-		return nil
-	}
-	start := c.rand.IntN(len(out))
-	// The limited capacity makes append copy, so that it doesn't overwrite the start of out.
-	return append(out[start:len(out):len(out)], out[:start]...)
+	return out
 }
--- a/internal/cluster/wire_bench_test.go
+++ b/internal/cluster/wire_bench_test.go
@@ -117,7 +117,7 @@
 func (f *wireFleet) broadcast(digests int) {
 	for _, c := range f.clusters {
 		for range digests {
-			c.Broadcast(peers.KindDigest, make([]byte, bytesPerDigest))
+			c.Broadcast(peers.KindDigest, make([]byte, bytesPerDigest), &Rotation{})
 		}
 	}
 }
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -93,6 +93,8 @@
 	passOnPending chan struct{}
 	// versionNotices limits the bytes of notices of versions, and departureNotices those of servers that leave.
 	versionNotices, departureNotices *notices.Limiter
+	// loadRotation and earlyLoadRotation say to which peer the last load digest, and the last early one, came.
+	loadRotation, earlyLoadRotation cluster.Rotation
 	// traffic counts the digests.
 	traffic digestTraffic
 }
@@ -206,7 +208,7 @@
 	if len(d.Loads) == 0 && !alsoEmpty {
 		return // Peers need no digest to learn that load has ended: they discard load that isn't sent again.
 	}
-	e.broadcast(d)
+	e.broadcast(d, &e.loadRotation)
 }
 
 // loadDigest returns a digest of this instance's load on all servers.
@@ -217,9 +219,9 @@
 
 // broadcast sends load to all peers as far as the cluster's byte budget allows. What
 // exceeds the budget is dropped.
-func (e *exchange) broadcast(d digest.Digest) {
+func (e *exchange) broadcast(d digest.Digest, rotation *cluster.Rotation) {
 	for _, payload := range e.encode(d) {
-		sent, dropped := e.cluster.Broadcast(peers.KindDigest, payload)
+		sent, dropped := e.cluster.Broadcast(peers.KindDigest, payload, rotation)
 		e.traffic.record(contentLoad, sent, dropped, cluster.DatagramBytes(payload))
 	}
 }
@@ -266,7 +268,7 @@
 // sendServerLoads sends the load of only some servers to all peers.
 func (e *exchange) sendServerLoads(servers []string) {
 	e.sequence++
-	e.broadcast(digest.FromServerDigests(e.cluster.Self(), e.sequence, e.dispatcher.DigestOf(servers)))
+	e.broadcast(digest.FromServerDigests(e.cluster.Self(), e.sequence, e.dispatcher.DigestOf(servers)), &e.earlyLoadRotation)
 }
 
 // sendNotices sends the notices of the extension ahead of other digests, because they can't wait: the lease to all peers,
