Which version began a stream is told whatever room the byte budget has

What callers saw: a stream whose instance has ended can't go on at another one and is refused, though its version serves: nobody knows which version began it.

The record is sent once, to three instances, within the byte budget, of which load digests take all that there is, and notices more than that; one that finds no room is lost without a trace.

Evidence: TestVersionOfAStreamIsToldWithoutRoomInTheByteBudget failed before (version_unavailable), passes.

--- a/internal/streamversion/keeper.go
+++ b/internal/streamversion/keeper.go
@@ -51,6 +51,7 @@
 	Self() string
 	Members() []membership.Member
 	Send(name string, kind peers.Kind, payload []byte) bool
+	SendUrgent(name string, kind peers.Kind, payload []byte)
 }
 
 // Options configures a Keeper.
@@ -175,7 +176,7 @@
 		return
 	}
 	for _, holder := range k.nearest(b.ID, holdersPerStream) {
-		k.options.Cluster.Send(holder.Name, peers.KindStreams, payload)
+		k.options.Cluster.SendUrgent(holder.Name, peers.KindStreams, payload)
 	}
 }
 
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -28,6 +28,8 @@
 	store *memoryStore
 	// knowsOthers is true once instances know each other.
 	knowsOthers bool
+	// noRoom is true while the byte budget of all instances is used up.
+	noRoom bool
 }
 
 type node struct {
@@ -103,6 +105,14 @@
 }
 
 func (n *node) Send(name string, kind peers.Kind, payload []byte) bool {
+	if n.network.noRoom {
+		return false
+	}
+	n.SendUrgent(name, kind, payload)
+	return true
+}
+
+func (n *node) SendUrgent(name string, kind peers.Kind, payload []byte) {
 	n.network.datagrams[n.name]++
 	n.network.bytes[n.name] += len(payload)
 	if other, ok := n.reaches(name); ok && kind == peers.KindStreams {
@@ -110,7 +120,6 @@
 	} else if ok {
 		other.keeper.archive.HandleDatagram(n.name, payload)
 	}
-	return true
 }
 
 func (n *node) Handle(peers.Kind, peers.Handler) {}
@@ -212,6 +221,20 @@
 	}
 }
 
+// TestVersionOfAStreamIsToldWithoutRoomInTheByteBudget guards against streams that nobody can go on with after the end of their
+// instance, since other datagrams had taken its byte budget when they began.
+func TestVersionOfAStreamIsToldWithoutRoomInTheByteBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(8)
+		net.observeAll(versions("v1", "v2")...)
+		net.pass(life)
+		net.noRoom = true
+		net.nodes["i0"].keeper.Began("stream", v1, life)
+		net.nodes["i0"].dead.Store(true)
+		wantOrigin(t, net.nodes["i1"], "stream", v1)
+	})
+}
+
 // TestVersionIsNeverGuessed guards against a stream that goes on at a version that may not have begun it:
 // its record is lost, several versions serve or have served, an instance is cut off or has just started.
 func TestVersionIsNeverGuessed(t *testing.T) {
