--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -93,6 +93,10 @@
 	passOnPending chan struct{}
 	// versionNotices limits the bytes of notices of versions, and departureNotices those of servers that leave.
 	versionNotices, departureNotices *notices.Limiter
+	// loadRotation and earlyLoadRotation say to which peer the last load digest, and the last early one, came.
+	loadRotation, earlyLoadRotation cluster.Rotation
+	// traffic counts the digests.
+	traffic digestTraffic
 }
 
 var _ peers.Handler = (*exchange)(nil)
@@ -141,7 +145,7 @@
 			time.Sleep(earlyLoadPause)
 		case <-e.noticesPending:
 			e.sendNotices(false)
-			e.sendToHolder()
+			e.sendToHolder(false)
 			// Notices of the pause are sent together.
 			time.Sleep(noticePause)
 		case <-ticker.C:
@@ -181,13 +185,14 @@
 
 func (e *exchange) sendRound() {
 	e.rounds++
-	if perLoad := roundsPerLoad(len(e.cluster.Members())); e.rounds%perLoad == 0 {
-		e.sendLoad(e.rounds%roundsPerEmptyDigest < perLoad)
+	if e.rounds%e.roundsPerHolderDigest == 0 {
+		e.sendToHolder(true)
 	}
 	e.sendNotices(true)
-	if e.rounds%e.roundsPerHolderDigest == 0 {
-		e.sendToHolder()
+	if perLoad := roundsPerLoad(len(e.cluster.Members())); e.rounds%perLoad == 0 {
+		e.sendLoad(e.rounds%roundsPerEmptyDigest < perLoad)
 	}
+	e.traffic.log(time.Now(), e.cluster.Stats(), e.cluster.Room(), e.logger)
 }
 
 // roundsPerLoad returns the number of rounds per load digest.
@@ -203,7 +208,7 @@
 	if len(d.Loads) == 0 && !alsoEmpty {
 		return // Peers need no digest to learn that load has ended: they discard load that isn't sent again.
 	}
-	e.broadcast(d)
+	e.broadcast(d, &e.loadRotation)
 }
 
 // loadDigest returns a digest of this instance's load on all servers.
@@ -212,17 +217,19 @@
 	return digest.FromServerDigests(e.cluster.Self(), e.sequence, e.dispatcher.Digest())
 }
 
-// broadcast sends a digest to all peers as far as the cluster's byte budget allows. What
+// broadcast sends load to all peers as far as the cluster's byte budget allows. What
 // exceeds the budget is dropped.
-func (e *exchange) broadcast(d digest.Digest) {
+func (e *exchange) broadcast(d digest.Digest, rotation *cluster.Rotation) {
 	for _, payload := range e.encode(d) {
-		e.cluster.Broadcast(peers.KindDigest, payload)
+		sent, dropped := e.cluster.Broadcast(peers.KindDigest, payload, rotation)
+		e.traffic.record(contentLoad, sent, dropped, cluster.DatagramBytes(payload))
 	}
 }
 
 // sendToHolder sends the extension's counters to the placement holder only, since no other
-// instance decides on placement.
-func (e *exchange) sendToHolder() {
+// instance decides on placement. Urgent ones are sent regardless of the byte budget: load, which takes all that is left of
+// it, would leave them no room.
+func (e *exchange) sendToHolder(urgent bool) {
 	holder := e.holder()
 	all := holder != e.lastHolder || e.rounds%(e.roundsPerHolderDigest*holderDigestsPerFull) == 0
 	e.lastHolder = holder
@@ -236,8 +243,18 @@
 	}
 	d.Instance, d.Process, d.Sequence = e.cluster.Self(), e.process, e.sequence
 	for _, payload := range e.encode(d) {
-		e.cluster.Send(holder, peers.KindDigest, payload)
+		e.sendCounts(holder, payload, urgent)
+	}
+}
+
+func (e *exchange) sendCounts(holder string, payload []byte, urgent bool) {
+	sent, dropped := 1, 0
+	if urgent {
+		e.cluster.SendUrgent(holder, peers.KindDigest, payload)
+	} else if !e.cluster.Send(holder, peers.KindDigest, payload) {
+		sent, dropped = 0, 1
 	}
+	e.traffic.record(contentCounts, sent, dropped, cluster.DatagramBytes(payload))
 }
 
 func (e *exchange) takeEarlyLoadServers() []string {
@@ -251,7 +268,7 @@
 // sendServerLoads sends the load of only some servers to all peers.
 func (e *exchange) sendServerLoads(servers []string) {
 	e.sequence++
-	e.broadcast(digest.FromServerDigests(e.cluster.Self(), e.sequence, e.dispatcher.DigestOf(servers)))
+	e.broadcast(digest.FromServerDigests(e.cluster.Self(), e.sequence, e.dispatcher.DigestOf(servers)), &e.earlyLoadRotation)
 }
 
 // sendNotices sends the notices of the extension ahead of other digests, because they can't wait: the lease to all peers,
@@ -272,20 +289,21 @@
 	}
 	departures, versions := header, header
 	departures.Leaving, departures.Removed, versions.Residencies = d.Leaving, d.Removed, d.Residencies
-	e.sendWithin(e.departureNotices, departures, neighbors)
-	e.sendWithin(e.versionNotices, versions, neighbors)
+	e.sendWithin(e.departureNotices, contentDepartures, departures, neighbors)
+	e.sendWithin(e.versionNotices, contentVersions, versions, neighbors)
 }
 
 func (e *exchange) sendLease(d digest.Digest, lease *digest.Lease) {
 	d.Lease = lease
 	for _, payload := range e.encode(d) {
-		e.cluster.BroadcastUrgent(peers.KindDigest, payload)
+		sent := e.cluster.BroadcastUrgent(peers.KindDigest, payload)
+		e.traffic.record(contentLease, sent, 0, cluster.DatagramBytes(payload))
 	}
 }
 
 // sendWithin sends notices to the neighbors, and what this instance itself found out also to as many others as the limit has
 // room for.
-func (e *exchange) sendWithin(limit *notices.Limiter, d digest.Digest, neighbors []membership.Member) {
+func (e *exchange) sendWithin(limit *notices.Limiter, content digestContent, d digest.Digest, neighbors []membership.Member) {
 	if len(d.Leaving)+len(d.Removed)+len(d.Residencies) == 0 {
 		return
 	}
@@ -303,6 +321,7 @@
 		for _, payload := range payloads {
 			limit.Charge(now, cluster.DatagramBytes(payload))
 			e.cluster.SendUrgent(target.Name, peers.KindDigest, payload)
+			e.traffic.record(content, 1, 0, cluster.DatagramBytes(payload))
 		}
 	}
 }
--- a/internal/daemon/passed_on_notices_test.go
+++ b/internal/daemon/passed_on_notices_test.go
@@ -54,13 +54,7 @@
 	c := cluster.New(cluster.Options{
 		Self: membership.Identity{Name: peer.name, PeerAddress: address, FailureDomain: "zone"}, Transport: transport, Lister: p, Seed: seed,
 	})
-	scheduler, err := scheduling.New(scheduling.Options{Instance: peer.name, Document: &site.Document{
-		Classes: []site.Class{{Name: "c", TimeoutMillis: 1000, Weight: 1, QueueLimit: 10}},
-	}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	dispatcher := dispatch.New(dispatch.Options{Scheduler: scheduler, Logger: logging.Discard(), Now: time.Now})
+	dispatcher := dispatch.New(dispatch.Options{Scheduler: newNoticeScheduler(t, peer.name), Logger: logging.Discard(), Now: time.Now})
 	manager, err := residency.New(residency.Options{
 		Instance: peer.name, Control: noControl{}, Document: func() *site.Document { return &site.Document{} },
 		Lease: lease.Config{TTL: 3 * time.Second, Margin: time.Second / 2, Jitter: time.Second / 3}, Now: time.Now, Logger: logging.Discard(),
@@ -83,6 +77,24 @@
 	return i
 }
 
+func newNoticeScheduler(t *testing.T, instance string) scheduling.Scheduler {
+	t.Helper()
+	scheduler, err := scheduling.New(scheduling.Options{Instance: instance, Document: &site.Document{
+		Classes: []site.Class{{Name: "c", TimeoutMillis: 1000, Weight: 1, QueueLimit: 10}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return scheduler
+}
+
+// replaceScheduler gives the instance a scheduler in place of the one that it was made with.
+func (i *noticeInstance) replaceScheduler(s scheduling.Scheduler) {
+	i.dispatcher.Close()
+	i.dispatcher = dispatch.New(dispatch.Options{Scheduler: s, Logger: logging.Discard(), Now: time.Now})
+	i.exchange.dispatcher = i.dispatcher
+}
+
 func (i *noticeInstance) run(ctx context.Context) {
 	go func() {
 		_ = i.cluster.Run(ctx)
@@ -91,6 +103,13 @@
 	go i.exchange.loop(ctx)
 }
 
+// leaveRoomForNeighborsOnly takes so much of a limit that no notice is sent to others than the neighbors.
+func leaveRoomForNeighborsOnly(now time.Time, limit *notices.Limiter) {
+	for limit.MorePeers(now, 1, 1) > 0 {
+		limit.Charge(now, 100)
+	}
+}
+
 // TestNoticesReachAllInstances guards against instances that aren't told of a version or of a server that leaves, though another one
 // that has been told could pass it on.
 func TestNoticesReachAllInstances(t *testing.T) {
@@ -121,12 +140,10 @@
 				first.extension.AddDepartureNotice(discovery.Departure{Server: "s", RemovedAt: 7})
 			},
 		}
-		all[0].exchange.departureNotices.Charge(time.Now(), 45_000)
 		for name, f := range tell {
 			start := time.Now()
-			// No more room than for the neighbors.
-			all[0].exchange.versionNotices.Charge(start, 10_000)
-			all[0].exchange.departureNotices.Charge(start, 8_000)
+			leaveRoomForNeighborsOnly(start, all[0].exchange.versionNotices)
+			leaveRoomForNeighborsOnly(start, all[0].exchange.departureNotices)
 			f(all[0])
 			all[0].exchange.TriggerSend()
 			time.Sleep(notices.VersionLifetime)
