Metrics: what is asked for and never served, by version and by prompt, with its cause

Package unserved keeps, for each model or adapter and for the longest part of a prompt that other requests have too (by class), since when requests have ended without success on this instance, how many, and the code of the last. It holds 4,096 of each kind at most; an entry goes with the next success, or two minutes after its last request. On the metrics address: how many there are, how many of them were asked for four times or more over 8 s or more by cause, and the five of each kind that have waited for longest by name. A line is logged once for each of the latter, 20 in 10 s at most. A refusal for a workspace's quota counts too.

No behaviour of requests changes.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -40,6 +40,7 @@
 	"limpethub/internal/storecall"
 	"limpethub/internal/storecontact"
 	"limpethub/internal/streamversion"
+	"limpethub/internal/unserved"
 	"limpethub/internal/workspace"
 	"limpethub/internal/workspacequota"
 )
@@ -81,6 +82,7 @@
 	manager      *residency.Manager
 	extension    *residencyExtension
 	quotas       *workspacequota.Quotas
+	unserved     *unserved.Tracker
 	inForce      atomic.Pointer[front.ConfigurationInForce]
 }
 
@@ -92,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	h := &hosted{extension: newResidencyExtension()}
+	h := &hosted{extension: newResidencyExtension(), unserved: unserved.New(d.log(logging.Routing), time.Now)}
 	if h.front, err = plugin.Load[front.Front](d.settings.Plugins.Front.Plugin(), environment); err != nil {
 		return err
 	}
@@ -161,15 +163,16 @@
 	})
 	d.directory = &callerDirectory{cluster: d.cluster, configuration: d.confsync, failureDomain: d.settings.FailureDomain, seed: d.seed, conditions: []func(string) bool{h.peersReach.Reaches, h.peersInTouch.Reaches}}
 	h.front.SetServices(front.Services{
-		Relay:         h.relay,
-		Admitter:      quotaAdmitter{h.quotas},
-		Configuration: h.inForce.Load,
-		Entries:       d.hostedEntries,
-		Identities:    h.identities.Hasher,
-		Authorizer:    h.authorizer,
-		Observe:       d.requestMetrics.ObserveRequest,
-		Logger:        d.log(logging.Gateway),
-		Now:           time.Now,
+		Relay:          h.relay,
+		Admitter:       quotaAdmitter{h.quotas},
+		Configuration:  h.inForce.Load,
+		Entries:        d.hostedEntries,
+		Identities:     h.identities.Hasher,
+		Authorizer:     h.authorizer,
+		Observe:        d.requestMetrics.ObserveRequest,
+		ObserveService: h.unserved.Observe,
+		Logger:         d.log(logging.Gateway),
+		Now:            time.Now,
 
 		NewerConfigurationExists: d.confsync.NewerExists,
 	})
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -95,7 +95,7 @@
 	}
 	d.registry.MustRegister(d.reachMetrics()...)
 	d.registry.MustRegister(d.authorizationMetrics()...)
-	d.registry.MustRegister(d.hosted.quotas)
+	d.registry.MustRegister(d.hosted.quotas, d.hosted.unserved)
 	d.registry.MustRegister(d.hosted.watcher.Collectors()...)
 	d.registry.MustRegister(
 		gauge("limpethub_residency_holding", "1 while this instance holds the placement lease and sends load and unload orders to discovered servers, otherwise 0.", func() float64 {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -16,6 +16,7 @@
 	"limpethub/internal/peerrelay"
 	"limpethub/internal/request"
 	"limpethub/internal/site"
+	"limpethub/internal/verdict"
 	"limpethub/internal/workspace"
 )
 
@@ -62,8 +63,11 @@
 	Authorizer *workspace.Authorizer
 	// Observe reports the end of a request, for metrics.
 	Observe func(end gateway.RequestOutcome)
-	Logger  *logrus.Entry
-	Now     func() time.Time
+	// ObserveService reports whether a request was served, for what is known of versions and prompts that aren't: cause is
+	// empty if a server answered it with success. It may be nil.
+	ObserveService func(r *request.Request, cause verdict.Code)
+	Logger         *logrus.Entry
+	Now            func() time.Time
 }
 
 // Front serves callers over a platform's protocol.
