The slot of an adapter that is still in use isn't given away

A server that is ordered to unload an adapter in use answers 202 and unloads it once its requests have ended; only an unused one goes at once (200). The holder took both for done, so the next plan could load another adapter into a slot that isn't free: more adapters than slots, at which a server falls over.

An unload that was done at once frees the slot at once, as before.

The simulated server now answers like the protocol: 200 for an unused adapter, 202 for one in use.

--- a/internal/residency/results.go
+++ b/internal/residency/results.go
@@ -127,7 +127,7 @@
 	case r.answer == engine.OrderAlreadySatisfied && isAdapter && order.Action == engine.ActionUnload:
 		// The adapter is gone. This also counts the order as accepted, so that states with a
 		// lower sequence number are ignored from now on.
-		srv.recordAccepted(now, order, isAdapter, 0)
+		srv.recordUnloadedAdapter(order)
 	default:
 		srv.requireStateRead(now)
 	}
@@ -171,6 +171,7 @@
 		if c.adapters[adapter].Base == base {
 			delete(srv.adapters, adapter)
 			delete(srv.usableFrom, adapter)
+			delete(srv.unloadingUntil, adapter)
 		}
 	}
 }
--- a/internal/residency/tracked_server.go
+++ b/internal/residency/tracked_server.go
@@ -66,6 +66,9 @@
 	adapters  map[modelref.Ref]engine.HoldingState
 	// usableFrom holds, for each adapter being loaded, the time from which it can be used.
 	usableFrom map[modelref.Ref]time.Time
+	// unloadingUntil holds, for each adapter whose unload the server has accepted and not shown yet, until when it may take:
+	// such an adapter is in use, and keeps its slot until its requests have ended.
+	unloadingUntil map[modelref.Ref]time.Time
 	// toldGone are the versions of which all instances were told last that they aren't usable here.
 	toldGone map[modelref.Ref]bool
 	// inMemory and onDisk are the models whose weights the server has in memory or on disk,
@@ -102,6 +105,7 @@
 	s.models = map[modelref.Ref]engine.HoldingState{}
 	s.adapters = map[modelref.Ref]engine.HoldingState{}
 	s.usableFrom = map[modelref.Ref]time.Time{}
+	s.unloadingUntil = map[modelref.Ref]time.Time{}
 	s.toldGone = map[modelref.Ref]bool{}
 	s.inMemory = map[modelref.Ref]bool{}
 	s.onDisk = map[modelref.Ref]bool{}
@@ -156,6 +160,9 @@
 	s.inMemory, s.onDisk = setOf(state.InMemory), setOf(state.OnDisk)
 	s.updateAdapters(now, state)
 	s.nextReadAt = now.Add(stateRefreshPeriod)
+	if len(s.unloadingUntil) > 0 {
+		s.nextReadAt = now.Add(openOrderPollPeriod)
+	}
 	switch {
 	case !state.Busy:
 		s.openOrder = nil
@@ -186,6 +193,13 @@
 		s.adapters[ref] = engine.StateLoading
 		s.usableFrom[ref] = now.Add(adapterReadyDelay)
 	}
+	for ref, until := range s.unloadingUntil {
+		if _, held := s.adapters[ref]; !held || now.After(until) {
+			delete(s.unloadingUntil, ref)
+			continue
+		}
+		s.adapters[ref] = engine.StateUnloading
+	}
 }
 
 // readDue reports whether the server's state should be read now.
@@ -213,13 +227,22 @@
 
 func (s *trackedServer) recordAcceptedAdapter(now time.Time, order engine.SequencedOrder) {
 	if order.Action == engine.ActionUnload {
-		delete(s.adapters, order.Ref)
+		s.adapters[order.Ref] = engine.StateUnloading
+		s.unloadingUntil[order.Ref] = now.Add(lateOrderWindow)
+		s.nextReadAt = now.Add(stateReadDelay)
 		return
 	}
 	s.adapters[order.Ref] = engine.StateLoading
 	s.usableFrom[order.Ref] = now.Add(adapterReadyDelay)
 }
 
+// recordUnloadedAdapter records that the server has unloaded an adapter as an order said.
+func (s *trackedServer) recordUnloadedAdapter(order engine.SequencedOrder) {
+	s.sequence = order.ExpectedOrders + 1
+	delete(s.adapters, order.Ref)
+	delete(s.unloadingUntil, order.Ref)
+}
+
 // takeUsableAdapters marks the adapters that have become usable as resident and returns them.
 func (s *trackedServer) takeUsableAdapters(now time.Time) []modelref.Ref {
 	var out []modelref.Ref
--- a/internal/residency/world_test.go
+++ b/internal/residency/world_test.go
@@ -40,6 +40,9 @@
 	models   map[modelref.Ref]bool
 	adapters map[modelref.Ref]bool
 	onDisk   map[modelref.Ref]bool
+	// inUseUntil is until when requests use an adapter. An order to unload it takes effect then.
+	inUseUntil map[modelref.Ref]time.Time
+	unloading  map[modelref.Ref]bool
 	// running is the order for a model in progress, which ends at runningUntil.
 	running      *engine.SequencedOrder
 	runningUntil time.Time
@@ -126,6 +129,7 @@
 	s := &simServer{
 		known:  discovery.KnownServer{Server: discovery.Server{ID: id, Service: "svc", Address: id + ":1", StartMillis: sim.now.UnixMilli()}, LastAnnouncedAt: sim.now},
 		models: map[modelref.Ref]bool{}, adapters: map[modelref.Ref]bool{}, onDisk: map[modelref.Ref]bool{},
+		inUseUntil: map[modelref.Ref]time.Time{}, unloading: map[modelref.Ref]bool{},
 	}
 	if old != nil {
 		s.onDisk = old.onDisk
@@ -155,8 +159,11 @@
 		s.running, s.runningUntil = &order, sim.now.Add(sim.orderDuration(s, order))
 	case order.Action == engine.ActionLoad:
 		s.adapters[order.Ref] = true
+	case sim.now.Before(s.inUseUntil[order.Ref]):
+		s.unloading[order.Ref] = true
 	default:
 		delete(s.adapters, order.Ref)
+		return engine.OrderAlreadySatisfied
 	}
 	sim.checkCapacity(id, s, order)
 	return engine.OrderAccepted
@@ -197,6 +204,7 @@
 // from the weight store.
 func (sim *simulation) finishOrdersAndCheckLoadRate() {
 	for _, s := range sim.servers {
+		s.unloadUnusedAdapters(sim.now)
 		if s.running == nil || sim.now.Before(s.runningUntil) {
 			continue
 		}
@@ -219,6 +227,16 @@
 	}
 }
 
+// unloadUnusedAdapters carries out the orders to unload adapters whose requests have ended.
+func (s *simServer) unloadUnusedAdapters(now time.Time) {
+	for ref := range s.unloading {
+		if !now.Before(s.inUseUntil[ref]) {
+			delete(s.adapters, ref)
+			delete(s.unloading, ref)
+		}
+	}
+}
+
 func (sim *simulation) state(s *simServer) engine.SequencedState {
 	state := engine.SequencedState{Sequence: s.sequence, Busy: s.running != nil}
 	for ref := range s.models {
