A waiting adapter takes the slot of an idle one on any server that holds its base

Cause: placement chose one server for an adapter, by its free slots and requests, and looked for an idle adapter on that one only. With all slots taken it was the server with the fewest requests: if those of its adapters were all used within the last 500 ms, nothing was ordered, though others were idle elsewhere. Callers got no_server after they had waited.

Change: a server with space is looked for first, then, on all servers with the base, the adapter that was unused for longest. A slot that an order on its way will free is counted on, so that a plan a moment later doesn't unload another adapter for the same request.

Test: TestAdapterTakesTheSlotOfAnIdleOneOnAnyServer; before: nothing planned, and then another unload while the first was on its way.

--- a/internal/residency/adapters.go
+++ b/internal/residency/adapters.go
@@ -49,35 +49,65 @@
 }
 
 // provideAdapter orders the load of an adapter on the server with the most free slots and, if
-// several have equally many, the fewest requests. If that server has no space and requests
-// wait for the adapter, it orders the unload of an unused adapter there instead.
+// several have equally many, the fewest requests. If no server has space or frees some, and requests
+// wait for the adapter, it orders the unload of another adapter instead; see adapterEviction.
 func (p *planner) provideAdapter(a Adapter) {
+	need := p.Needs[a.Ref]
+	if srv := p.serverWithSpace(a); srv != nil {
+		srv.freeSlots--
+		srv.freeMB -= a.MemoryMB
+		p.addMove(srv, Move{Action: engine.ActionLoad, Ref: a.Ref,
+			Reason: fmt.Sprintf("adapter without a copy, demand for %.1f copies, %d requests waiting", need.Load, need.Waiting)})
+		return
+	}
+	if need.Waiting == 0 || p.countOnSlot(a, func(srv *plannedServer) *int { return &srv.freeingSlots }) {
+		return
+	}
+	srv, victim := p.adapterEviction(a)
+	if srv == nil {
+		return
+	}
+	p.addMove(srv, Move{Action: engine.ActionUnload, Ref: victim, Reason: fmt.Sprintf("frees a slot for %s", a.Ref)})
+}
+
+// serverWithSpace returns the server that provideAdapter loads an adapter on; nil if none has space.
+func (p *planner) serverWithSpace(a Adapter) *plannedServer {
 	var best *plannedServer
 	for _, srv := range p.residentOn[a.Base] {
-		if !canLoadAdapter(a, srv) {
+		if !canLoadAdapter(a, srv) || srv.freeSlots <= 0 || srv.freeMB < a.MemoryMB {
 			continue
 		}
 		if best == nil || srv.freeSlots > best.freeSlots || (srv.freeSlots == best.freeSlots && srv.Requests < best.Requests) {
 			best = srv
 		}
 	}
-	if best == nil {
-		return
-	}
-	need := p.Needs[a.Ref]
-	if best.freeSlots > 0 && best.freeMB >= a.MemoryMB {
-		best.freeSlots--
-		best.freeMB -= a.MemoryMB
-		p.addMove(best, Move{Action: engine.ActionLoad, Ref: a.Ref,
-			Reason: fmt.Sprintf("adapter without a copy, demand for %.1f copies, %d requests waiting", need.Load, need.Waiting)})
-		return
-	}
-	if need.Waiting == 0 {
-		return
+	return best
+}
+
+// countOnSlot reports whether a server is about to free a slot that the adapter can have, and takes it off the count.
+func (p *planner) countOnSlot(a Adapter, count func(*plannedServer) *int) bool {
+	for _, srv := range p.residentOn[a.Base] {
+		if _, has := srv.Adapters[a.Ref]; !has && *count(srv) > 0 {
+			*count(srv)--
+			return true
+		}
 	}
-	if victim, ok := p.adapterVictim(best); ok {
-		p.addMove(best, Move{Action: engine.ActionUnload, Ref: victim, Reason: fmt.Sprintf("frees a slot for %s", a.Ref)})
+	return false
+}
+
+// adapterEviction returns the adapter to unload for another one, and its server: of all servers that could load the other one
+// then, the adapter that was unused for longest. The server is nil if there is none.
+func (p *planner) adapterEviction(a Adapter) (best *plannedServer, victim modelref.Ref) {
+	for _, srv := range p.residentOn[a.Base] {
+		if !canLoadAdapter(a, srv) {
+			continue
+		}
+		candidate, ok := p.adapterVictim(a, srv)
+		if ok && (best == nil || p.Needs[candidate].LastUsed.Before(p.Needs[victim].LastUsed)) {
+			best, victim = srv, candidate
+		}
 	}
+	return best, victim
 }
 
 // canLoadAdapter reports whether a server that holds the base accepts orders and doesn't have
@@ -87,15 +117,18 @@
 	return srv.Ready && !has
 }
 
-// adapterVictim returns the adapter to unload from a server: of the resident adapters without
-// waiting requests that have been idle for minAdapterIdleForEviction, the one idle for longest.
+// adapterVictim returns the adapter to unload from a server for another one: of the resident adapters without
+// waiting requests that make enough space and have been idle for minAdapterIdleForEviction, the one idle for longest.
 // ok is false if there is none.
-func (p *planner) adapterVictim(srv *plannedServer) (victim modelref.Ref, ok bool) {
+func (p *planner) adapterVictim(a Adapter, srv *plannedServer) (victim modelref.Ref, ok bool) {
 	for _, ref := range sortedRefs(srv.Adapters) {
 		need := p.Needs[ref]
 		if srv.Adapters[ref] != engine.StateResident || need.Waiting > 0 || p.Now.Sub(need.LastUsed) < minAdapterIdleForEviction {
 			continue
 		}
+		if srv.freeSlots < 0 || srv.freeMB+p.adapters[ref].MemoryMB < a.MemoryMB {
+			continue
+		}
 		if !ok || need.LastUsed.Before(p.Needs[victim].LastUsed) {
 			victim, ok = ref, true
 		}
--- a/internal/residency/core_orders.go
+++ b/internal/residency/core_orders.go
@@ -135,6 +135,7 @@
 	}
 	srv.sendingOrder = true
 	if _, isAdapter := c.adapters[m.Ref]; isAdapter && m.Action == engine.ActionUnload {
+		srv.adapters[m.Ref] = engine.StateUnloading
 		c.recordChange(srv, m.Ref, false)
 	}
 	c.log("Order", map[string]any{
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -85,13 +85,16 @@
 	// freeMB is the uncommitted memory; freeingMB is what unloads in progress will free.
 	freeMB, freeingMB int64
 	freeSlots         int
+	// freeingSlots is how many slots the orders to unload adapters will free at once, without those that this plan counts on.
+	freeingSlots int
 }
 
 // planner is the state of one run of Plan.
 type planner struct {
 	Snapshot
-	models  map[modelref.Ref]Model
-	servers []*plannedServer
+	models   map[modelref.Ref]Model
+	adapters map[modelref.Ref]Adapter
+	servers  []*plannedServer
 	// activeCopies counts the copies that serve, are being loaded or were planned in this run,
 	// without those chosen for eviction.
 	activeCopies map[modelref.Ref]int
@@ -117,6 +120,7 @@
 	p := &planner{
 		Snapshot:      s,
 		models:        make(map[modelref.Ref]Model, len(s.Models)),
+		adapters:      make(map[modelref.Ref]Adapter, len(s.Adapters)),
 		activeCopies:  map[modelref.Ref]int{},
 		servingCopies: map[modelref.Ref]int{},
 		residentOn:    map[modelref.Ref][]*plannedServer{},
@@ -127,12 +131,11 @@
 	for _, m := range s.Models {
 		p.models[m.Ref] = m
 	}
-	adapters := make(map[modelref.Ref]Adapter, len(s.Adapters))
 	for _, a := range s.Adapters {
-		adapters[a.Ref] = a
+		p.adapters[a.Ref] = a
 	}
 	for i := range s.Servers {
-		p.servers = append(p.servers, p.newPlannedServer(&s.Servers[i], adapters))
+		p.servers = append(p.servers, p.newPlannedServer(&s.Servers[i]))
 	}
 	for _, m := range s.Models {
 		p.wantedCopies[m.Ref] = p.demandedCopies(m.Ref)
@@ -140,7 +143,7 @@
 	return p
 }
 
-func (p *planner) newPlannedServer(view *ServerView, adapters map[modelref.Ref]Adapter) *plannedServer {
+func (p *planner) newPlannedServer(view *ServerView) *plannedServer {
 	srv := &plannedServer{ServerView: *view, freeMB: view.MemoryMB - view.ReservedMB, freeSlots: view.AdapterSlots}
 	for ref, state := range view.Models {
 		size := p.models[ref].MemoryMB
@@ -156,9 +159,12 @@
 		}
 	}
 	for ref, state := range view.Adapters {
-		adapter := adapters[ref]
+		adapter := p.adapters[ref]
 		srv.freeMB -= adapter.MemoryMB
 		srv.freeSlots--
+		if state == engine.StateUnloading && !view.InUse[ref] {
+			srv.freeingSlots++
+		}
 		if state != engine.StateUnloading && view.Models[adapter.Base] == engine.StateResident {
 			p.adapterCopies[ref]++
 		}
--- a/internal/residency/plan_snapshot.go
+++ b/internal/residency/plan_snapshot.go
@@ -46,6 +46,8 @@
 	AdapterSlots         int
 	// Models and Adapters hold the state of each version on the server.
 	Models, Adapters map[modelref.Ref]engine.HoldingState
+	// InUse are the adapters being unloaded that the server keeps until their requests have ended.
+	InUse map[modelref.Ref]bool
 	// InMemory and OnDisk are the models whose weights the server has in memory or on disk.
 	InMemory, OnDisk map[modelref.Ref]bool
 	// Requests is the number of requests on the server.
--- a/internal/residency/plan_test.go
+++ b/internal/residency/plan_test.go
@@ -344,3 +344,31 @@
 		t.Errorf("planned %s, want the eviction on s1, which is idle", got)
 	}
 }
+
+// TestAdapterTakesTheSlotOfAnIdleOneOnAnyServer guards against an adapter that isn't loaded, since all those on the server that would
+// be the best for it are in use, although others are idle on another server.
+func TestAdapterTakesTheSlotOfAnIdleOneOnAnyServer(t *testing.T) {
+	f := newPlanFixture(1)
+	for i := range 5 {
+		f.snapshot.Adapters = append(f.snapshot.Adapters, Adapter{Ref: modelref.Ref(fmt.Sprintf("a%d@1", i)), Base: model(0), MemoryMB: 1})
+	}
+	f.addServer(0)
+	f.addServer(0)
+	inUse, idle := &f.snapshot.Servers[0], &f.snapshot.Servers[1]
+	inUse.Adapters["a0@1"], inUse.Adapters["a1@1"] = engine.StateResident, engine.StateResident
+	idle.Adapters["a2@1"], idle.Adapters["a3@1"] = engine.StateResident, engine.StateResident
+	idle.Requests = 5
+	for _, ref := range []modelref.Ref{"a0@1", "a1@1", "a2@1"} {
+		f.snapshot.Needs[ref] = Need{Load: 0.05, HeldLoad: 0.05, LastUsed: f.snapshot.Now}
+	}
+	f.snapshot.Needs["a4@1"] = Need{Load: 0.05, HeldLoad: 0.05, Waiting: 1, LastUsed: f.snapshot.Now}
+	if got := f.plan(); got != "[s1 unload a3@1]" {
+		t.Errorf("planned %s, want the unload of a3, which is idle", got)
+	}
+	// The order is on its way, and the server accepts no other one.
+	idle.Adapters["a3@1"], idle.Ready = engine.StateUnloading, false
+	f.snapshot.Needs["a1@1"] = Need{}
+	if got := f.plan(); got != "[]" {
+		t.Errorf("while a3 is being unloaded: planned %s, want nothing", got)
+	}
+}
