An adapter that has waited unserved goes first, and takes a slot from one that was served just now

Cause: with more adapters in use than slots, a waiting adapter got a slot only from one that nobody had asked for in 500 ms, and those with the most waiting requests were planned first. How long an adapter had waited counted for nothing, so the rare ones never came to have a turn.

Change: placement keeps since when the requests for a version wait without a copy and none was seen running (Need.UnservedSince). From a second on the version is overdue: overdue ones are planned first, the longest unserved first, and take the slot of any adapter without a request at this moment; after three seconds also of one in use, which the server unloads once its requests have ended. A slot that such an adapter will leave is counted on before another one is asked to go.

--- a/internal/residency/adapters.go
+++ b/internal/residency/adapters.go
@@ -15,10 +15,13 @@
 const adapterDemandRetention = 10 * time.Second
 
 // planAdapters gives each adapter in use a copy on a server that holds its base. Since many
-// adapters share few slots, those with waiting requests come first and replace unused ones.
+// adapters share few slots, those with waiting requests come first and replace unused ones. Overdue ones go before all others.
 func (p *planner) planAdapters() {
 	inUse := p.adaptersInUse()
 	sort.SliceStable(inUse, func(i, j int) bool {
+		if before, differ := p.overdueFirst(inUse[i].Ref, inUse[j].Ref); differ {
+			return before
+		}
 		x, y := p.Needs[inUse[i].Ref], p.Needs[inUse[j].Ref]
 		if x.Waiting != y.Waiting {
 			return x.Waiting > y.Waiting
@@ -67,6 +70,10 @@
 	if srv == nil {
 		return
 	}
+	inUse := p.Now.Sub(p.Needs[victim].LastUsed) < idleNow
+	if inUse && p.countOnSlot(a, func(srv *plannedServer) *int { return &srv.drainingSlots }) {
+		return
+	}
 	p.addMove(srv, Move{Action: engine.ActionUnload, Ref: victim, Reason: fmt.Sprintf("frees a slot for %s", a.Ref)})
 }
 
@@ -118,12 +125,13 @@
 }
 
 // adapterVictim returns the adapter to unload from a server for another one: of the resident adapters without
-// waiting requests that make enough space and have been idle for minAdapterIdleForEviction, the one idle for longest.
+// waiting requests that make enough space and have been idle for long enough, the one idle for longest.
 // ok is false if there is none.
 func (p *planner) adapterVictim(a Adapter, srv *plannedServer) (victim modelref.Ref, ok bool) {
+	minIdle := p.minIdleFor(a.Ref, minAdapterIdleForEviction)
 	for _, ref := range sortedRefs(srv.Adapters) {
 		need := p.Needs[ref]
-		if srv.Adapters[ref] != engine.StateResident || need.Waiting > 0 || p.Now.Sub(need.LastUsed) < minAdapterIdleForEviction {
+		if srv.Adapters[ref] != engine.StateResident || need.Waiting > 0 || p.Now.Sub(need.LastUsed) < minIdle {
 			continue
 		}
 		if srv.freeSlots < 0 || srv.freeMB+p.adapters[ref].MemoryMB < a.MemoryMB {
--- a/internal/residency/needs.go
+++ b/internal/residency/needs.go
@@ -75,6 +75,12 @@
 		if count > 0 {
 			need.LastUsed = now
 		}
+		switch {
+		case current.Running > 0:
+			need.UnservedSince = time.Time{}
+		case current.Waiting > 0 && need.UnservedSince.IsZero():
+			need.UnservedSince = now
+		}
 		if now.Sub(need.LastUsed) > forgetAfter {
 			delete(t.needs, ref)
 		}
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -85,8 +85,9 @@
 	// freeMB is the uncommitted memory; freeingMB is what unloads in progress will free.
 	freeMB, freeingMB int64
 	freeSlots         int
-	// freeingSlots is how many slots the orders to unload adapters will free at once, without those that this plan counts on.
-	freeingSlots int
+	// freeingSlots is how many slots the orders to unload adapters will free at once, and drainingSlots how many once requests
+	// have ended; both without those that this plan counts on.
+	freeingSlots, drainingSlots int
 }
 
 // planner is the state of one run of Plan.
@@ -162,7 +163,11 @@
 		adapter := p.adapters[ref]
 		srv.freeMB -= adapter.MemoryMB
 		srv.freeSlots--
-		if state == engine.StateUnloading && !view.InUse[ref] {
+		switch {
+		case state != engine.StateUnloading:
+		case view.InUse[ref]:
+			srv.drainingSlots++
+		default:
 			srv.freeingSlots++
 		}
 		if state != engine.StateUnloading && view.Models[adapter.Base] == engine.StateResident {
--- a/internal/residency/plan_snapshot.go
+++ b/internal/residency/plan_snapshot.go
@@ -33,6 +33,9 @@
 	Waiting int
 	// LastUsed is when a request was last seen.
 	LastUsed time.Time
+	// UnservedSince is since when requests have waited without a copy to run on, while none was seen running; zero if none has.
+	// It stays over times without requests.
+	UnservedSince time.Time
 }
 
 // ServerView is the state of one server as the plan sees it.
