A model that has waited unserved goes first, and takes memory from one that was used just now

A waiting model got memory only from a model with other copies or from one that nobody had asked for in 2 s, and waiting models were planned by the demand for each copy. With more models in use than places, those outside stayed outside.

Change: overdue models are planned first, the longest unserved first. Such a model may take the last copy of any other one without a request at this moment, and after three seconds of one in use, if requests don't wait for that; the costs of options still prefer every other way. The weight store's rate and the memory are checked as before.

Test: TestModelsAskedForAgainAndAgainAreServed, 14 models for 12 places, weights on the servers' disks, virtual time. Before: two models unserved for all of the play, 29.95 s, in both cases; want 8 s at most. Passes now, 100 draws a case. The simulation checks memory, slots, the weight store's rate and the order of fencing numbers throughout. With weights that aren't on disk (4 s a load there) the longest wait in the second case was 8.55 s: that time is the loads', so the test leaves it out.

--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -237,7 +237,7 @@
 }
 
 // missingCopies returns the copies that models should have in addition, the most urgent first:
-// those with waiting requests, then first copies, then by the demand for each copy.
+// those with waiting requests, of these the overdue ones, then first copies, then by the demand for each copy.
 func (p *planner) missingCopies() []missingCopy {
 	var out []missingCopy
 	for _, m := range p.Models {
@@ -255,6 +255,9 @@
 		if x.waiting != y.waiting {
 			return x.waiting
 		}
+		if before, differ := p.overdueFirst(x.model.Ref, y.model.Ref); x.waiting && differ {
+			return before
+		}
 		if x.firstCopy != y.firstCopy {
 			return x.firstCopy
 		}
--- a/internal/residency/plan_option.go
+++ b/internal/residency/plan_option.go
@@ -132,7 +132,8 @@
 // Without the second part, the loss of a server under overload lets the busiest model lose the
 // copies that it needs most, if their servers happen to accept orders first. Any other model may
 // lose a copy, even its last one, only if requests wait for the missing copy and the model has been
-// idle for minIdleForEviction. The longer it has been idle, the lower that cost.
+// idle for minIdleForEviction, or less if the missing copy is overdue; see minIdleFor. The longer it has been idle, the lower
+// that cost.
 func (p *planner) evictionCost(missing missingCopy, ref modelref.Ref) (evictable bool, cost float64) {
 	demandPerCopy := missing.demandPerCopy
 	if missing.firstCopy {
@@ -147,7 +148,7 @@
 			return true, min(remainingDemand+costPerDisplacedDemand*displaced, maxEvictionCost)
 		}
 	}
-	idle := need.Waiting == 0 && p.Now.Sub(need.LastUsed) >= minIdleForEviction
+	idle := need.Waiting == 0 && p.Now.Sub(need.LastUsed) >= p.minIdleFor(missing.model.Ref, minIdleForEviction)
 	if missing.waiting && idle {
 		return true, costLastCopy + 1/(1+p.Now.Sub(need.LastUsed).Seconds())
 	}
