The placement holder tells an instance that waits for a version where it is usable

Callers saw: requests for an adapter waited for 2.4 s and were refused (no_server), while the adapter was usable on a server.

Cause: notices of versions are dropped when there is no room for them within a second, as the announcement tells then. A server doesn't announce itself for an adapter, so that the instance learned of it seconds later, with the next regular announcement. More room isn't to be had.

If a peer's counts have named a version as waited for during 200 ms and it is usable on a server, the holder sends a notice to that peer alone, again after half a second, within 6,000 bytes a second in all. It is ordered like any other notice and old enough that nobody passes it on; no change of the messages.

--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -93,6 +93,8 @@
 	passOnPending chan struct{}
 	// versionNotices limits the bytes of notices of versions, and departureNotices those of servers that leave.
 	versionNotices, departureNotices *notices.Limiter
+	// answers limits the bytes of notices to peers that wait for versions.
+	answers *notices.Limiter
 }
 
 var _ peers.Handler = (*exchange)(nil)
@@ -105,6 +107,7 @@
 		logger: logger, sequence: uint64(time.Now().UnixNano()),
 		noticesPending: make(chan struct{}, 1), earlyLoadPending: make(chan struct{}, 1), roundsPerHolderDigest: defaultRoundsPerHolderDigest,
 		passOnPending: make(chan struct{}, 1), versionNotices: notices.NewVersionLimiter(), departureNotices: notices.NewDepartureLimiter(),
+		answers: notices.NewAnswerLimiter(),
 	}
 	transport.Handle(peers.KindDigest, e)
 	c.OnChange(e.memberChanged)
@@ -307,6 +310,19 @@
 	}
 }
 
+// sendAnswer sends notices of versions to a peer that waits for them, if there is room for all, and reports whether it did.
+func (e *exchange) sendAnswer(peer string, told []digest.Residency) bool {
+	now := time.Now()
+	if e.answers.Notices(now, 1) < len(told) {
+		return false
+	}
+	for _, payload := range e.encode(digest.Digest{Instance: e.cluster.Self(), Residencies: told}) {
+		e.answers.Charge(now, cluster.DatagramBytes(payload))
+		e.cluster.SendUrgent(peer, peers.KindDigest, payload)
+	}
+	return true
+}
+
 // isFirstHand reports whether a digest carries a notice of what this instance itself found out, for the first time.
 func isFirstHand(d digest.Digest) bool {
 	return slices.ContainsFunc(d.Leaving, func(l digest.ServerLeaving) bool { return l.FirstHand }) ||
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -27,6 +27,7 @@
 	"limpethub/internal/modelref"
 	"limpethub/internal/notices"
 	"limpethub/internal/peerrelay"
+	"limpethub/internal/peers/digest"
 	"limpethub/internal/plugin"
 	"limpethub/internal/quarantine"
 	"limpethub/internal/reachability"
@@ -182,6 +183,7 @@
 	d.exchange.holder = func() string { return h.manager.Holder() }
 	h.extension.onNotices = d.exchange.TriggerPassOn
 	h.extension.watcher = h.watcher
+	h.extension.answer = d.exchange.sendAnswer
 	return nil
 }
 
@@ -417,6 +419,12 @@
 	counts     map[string]peerCounts
 	versions   *notices.Versions
 	departures *notices.Departures
+	// copies tells where versions are usable, if this instance holds the placement lease.
+	copies copyFinder
+	// waits are the versions that peers wait for. answer sends a peer notices of versions as far as there is room, and reports
+	// whether it did; it must not block.
+	waits  *notices.Waits
+	answer func(peer string, told []digest.Residency) bool
 	// leaseTold is the revision of the lease in the last digest that carried it.
 	leaseTold store.Revision
 }
--- a/internal/daemon/hosted_placement.go
+++ b/internal/daemon/hosted_placement.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return fmt.Errorf("daemon: %w", err)
 	}
-	h.extension.refLoads, h.extension.manager = d.dispatcher.RefLoads, h.manager
+	h.extension.refLoads, h.extension.manager, h.extension.copies = d.dispatcher.RefLoads, h.manager, h.manager
 	d.cluster.OnChange(func(t membership.Transition) {
 		if t.Member.State != membership.Alive && t.Member.Name == h.manager.Holder() {
 			h.manager.HolderGone()
--- a/internal/daemon/residency_feed.go
+++ b/internal/daemon/residency_feed.go
@@ -25,7 +25,7 @@
 var _ digestExtension = (*residencyExtension)(nil)
 
 func newResidencyExtension() *residencyExtension {
-	return &residencyExtension{counts: map[string]peerCounts{}, versions: notices.NewVersions(), departures: notices.NewDepartures()}
+	return &residencyExtension{counts: map[string]peerCounts{}, versions: notices.NewVersions(), departures: notices.NewDepartures(), waits: notices.NewWaits()}
 }
 
 // ForHolder implements digestExtension. It always returns all counts.
@@ -149,6 +149,68 @@
 	}
 	if x.recordCounts(d) {
 		x.manager.Wake()
+		x.answerWaiting(d)
+	}
+}
+
+// copyFinder is the part of residency.Manager that answers need.
+type copyFinder interface {
+	Holding() bool
+	UsableCopies(ref modelref.Ref, most int) []residency.ResidencyChange
+}
+
+var _ copyFinder = (*residency.Manager)(nil)
+
+// copiesPerAnswer is how many copies of a version a peer that waits for it is told of.
+const copiesPerAnswer = 2
+
+// answerWaiting tells a peer where the versions are usable that it has waited for, if this instance holds the placement lease. See
+// docs/design/notices-to-waiting.md.
+func (x *residencyExtension) answerWaiting(d digest.Digest) {
+	if x.answer == nil || !x.copies.Holding() {
+		return
+	}
+	now := time.Now()
+	var told []digest.Residency
+	var refs []modelref.Ref
+	for _, ref := range x.dueAnswers(now, d) {
+		copies := x.copies.UsableCopies(ref, copiesPerAnswer)
+		for _, c := range copies {
+			told = append(told, x.noticeFor(c))
+		}
+		if len(copies) > 0 {
+			refs = append(refs, ref)
+		}
+	}
+	if len(told) > 0 && x.answer(d.Instance, told) {
+		x.recordAnswers(now, d.Instance, refs)
+	}
+}
+
+// dueAnswers returns the versions that a peer waits for and should be told of.
+func (x *residencyExtension) dueAnswers(now time.Time, d digest.Digest) []modelref.Ref {
+	var waiting []modelref.Ref
+	for _, load := range d.RefLoads {
+		if load.Waiting > 0 {
+			waiting = append(waiting, load.Ref)
+		}
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.waits.Observe(now, d.Instance, waiting)
+}
+
+func (x *residencyExtension) noticeFor(c residency.ResidencyChange) digest.Residency {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.versions.Answer(c.Term, digest.Residency{Server: c.Server, StartMillis: c.StartMillis, Ref: c.Ref, Present: c.Present})
+}
+
+func (x *residencyExtension) recordAnswers(now time.Time, peer string, refs []modelref.Ref) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, ref := range refs {
+		x.waits.Answered(now, peer, ref)
 	}
 }
 
@@ -179,6 +241,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	delete(x.counts, instance)
+	x.waits.Forget(instance)
 }
 
 // RequestCounts returns the request counts of all instances by version.
--- a/internal/notices/limiter.go
+++ b/internal/notices/limiter.go
@@ -14,6 +14,9 @@
 	// departureBytesPerSecond and departureBurstBytes are the same for notices of servers that leave.
 	departureBytesPerSecond = 8_000
 	departureBurstBytes     = 100_000
+	// answerBytesPerSecond and answerBurstBytes are the same for notices of versions to peers that wait for them.
+	answerBytesPerSecond = 6_000
+	answerBurstBytes     = 12_000
 	// versionBytes and departureBytes are about what one notice takes in a full datagram, and datagramBytes what a datagram
 	// takes besides.
 	versionBytes   = 90
@@ -38,6 +41,11 @@
 	return &Limiter{bytes: rate.NewLimiter(departureBytesPerSecond, departureBurstBytes), noticeBytes: departureBytes}
 }
 
+// NewAnswerLimiter returns a Limiter for notices of versions to peers that wait for them, with all its room.
+func NewAnswerLimiter() *Limiter {
+	return &Limiter{bytes: rate.NewLimiter(answerBytesPerSecond, answerBurstBytes), noticeBytes: versionBytes}
+}
+
 // Notices returns how many notices there is room for, if each is sent to the given number of peers.
 func (l *Limiter) Notices(now time.Time, peers int) int {
 	perPeer := int(l.bytes.TokensAt(now)) / max(1, peers)
--- a/internal/notices/versions.go
+++ b/internal/notices/versions.go
@@ -58,6 +58,14 @@
 	v.outbox.put(now, subjectOf(notice), &entry[digest.Residency]{value: notice, madeAt: now, firstHand: true, urgent: !notice.Present})
 }
 
+// Answer returns a notice for one peer that waits for the version: it is ordered after all others of this instance, and so old that
+// its receiver doesn't pass it on. This instance doesn't send it to others.
+func (v *Versions) Answer(term uint64, notice digest.Residency) digest.Residency {
+	v.count++
+	notice.Term, notice.Count, notice.AgeMillis = term, v.count, VersionLifetime.Milliseconds()
+	return notice
+}
+
 // Receive records a peer's notice. It reports whether the notice says something newer than what is known, and so has to be
 // applied, and whether it is to be passed on. A notice without an order comes from a holder of an earlier build, which
 // sends it to all instances itself.
--- a/internal/residency/core_view.go
+++ b/internal/residency/core_view.go
@@ -74,6 +74,25 @@
 	return view
 }
 
+// usableCopies returns up to most copies of a version that requests may use: resident ones of which nobody was told otherwise, on
+// servers that aren't leaving.
+func (c *core) usableCopies(ref modelref.Ref, most int) []ResidencyChange {
+	if !c.holdsLease {
+		return nil
+	}
+	var out []ResidencyChange
+	for _, srv := range c.servers {
+		if len(out) >= most {
+			break
+		}
+		if srv.server.Leaving || srv.toldGone[ref] || !srv.isResident(ref) {
+			continue
+		}
+		out = append(out, ResidencyChange{Server: srv.server.ID, StartMillis: srv.server.StartMillis, Ref: ref, Present: true, Term: c.lease.Term()})
+	}
+	return out
+}
+
 // reservedOn returns what late orders may still take on a server.
 func (c *core) reservedOn(now time.Time, srv *trackedServer) reservation {
 	return srv.reserved(now, c.sizeMB, func(ref modelref.Ref) bool {
--- a/internal/residency/manager.go
+++ b/internal/residency/manager.go
@@ -158,6 +158,13 @@
 	return record, m.core.lease.Revision(), ok
 }
 
+// UsableCopies returns up to most servers on which a version is usable, as changes of the present term; none on an instance that
+// doesn't hold the lease.
+func (m *Manager) UsableCopies(ref modelref.Ref, most int) (copies []ResidencyChange) {
+	m.withCore(func(c *core) { copies = c.usableCopies(ref, most) })
+	return copies
+}
+
 // RecentLoads returns how many loads from the weight store this instance ordered in the last
 // seconds or may still take effect, also right after it has released the lease. Its successor
 // counts them as its own.
--- a/internal/residency/results.go
+++ b/internal/residency/results.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"slices"
 	"time"
 
 	"limpethub/internal/engine"
@@ -80,6 +81,14 @@
 	return out
 }
 
+// isResident reports whether a version is in StateResident, as residentVersions says.
+func (s *trackedServer) isResident(ref modelref.Ref) bool {
+	if !s.stateRead {
+		return slices.Contains(s.server.Resident, ref)
+	}
+	return s.models[ref] == engine.StateResident || s.adapters[ref] == engine.StateResident
+}
+
 // recordDifferences records how the server's new state differs from the one known before, so
 // that all instances are told.
 func (c *core) recordDifferences(srv *trackedServer, before map[modelref.Ref]bool) {
