--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -27,6 +27,7 @@
 	"limpethub/internal/modelref"
 	"limpethub/internal/notices"
 	"limpethub/internal/peerrelay"
+	"limpethub/internal/peers/digest"
 	"limpethub/internal/plugin"
 	"limpethub/internal/quarantine"
 	"limpethub/internal/reachability"
@@ -40,6 +41,7 @@
 	"limpethub/internal/storecall"
 	"limpethub/internal/storecontact"
 	"limpethub/internal/streamversion"
+	"limpethub/internal/unserved"
 	"limpethub/internal/workspace"
 	"limpethub/internal/workspacequota"
 )
@@ -81,6 +83,7 @@
 	manager      *residency.Manager
 	extension    *residencyExtension
 	quotas       *workspacequota.Quotas
+	unserved     *unserved.Tracker
 	inForce      atomic.Pointer[front.ConfigurationInForce]
 }
 
@@ -92,7 +95,7 @@
 	if err != nil {
 		return err
 	}
-	h := &hosted{extension: newResidencyExtension()}
+	h := &hosted{extension: newResidencyExtension(), unserved: unserved.New(d.log(logging.Routing), time.Now)}
 	if h.front, err = plugin.Load[front.Front](d.settings.Plugins.Front.Plugin(), environment); err != nil {
 		return err
 	}
@@ -161,15 +164,16 @@
 	})
 	d.directory = &callerDirectory{cluster: d.cluster, configuration: d.confsync, failureDomain: d.settings.FailureDomain, seed: d.seed, conditions: []func(string) bool{h.peersReach.Reaches, h.peersInTouch.Reaches}}
 	h.front.SetServices(front.Services{
-		Relay:         h.relay,
-		Admitter:      quotaAdmitter{h.quotas},
-		Configuration: h.inForce.Load,
-		Entries:       d.hostedEntries,
-		Identities:    h.identities.Hasher,
-		Authorizer:    h.authorizer,
-		Observe:       d.requestMetrics.ObserveRequest,
-		Logger:        d.log(logging.Gateway),
-		Now:           time.Now,
+		Relay:          h.relay,
+		Admitter:       quotaAdmitter{h.quotas},
+		Configuration:  h.inForce.Load,
+		Entries:        d.hostedEntries,
+		Identities:     h.identities.Hasher,
+		Authorizer:     h.authorizer,
+		Observe:        d.requestMetrics.ObserveRequest,
+		ObserveService: h.unserved.Observe,
+		Logger:         d.log(logging.Gateway),
+		Now:            time.Now,
 
 		NewerConfigurationExists: d.confsync.NewerExists,
 	})
@@ -179,6 +183,7 @@
 	d.exchange.holder = func() string { return h.manager.Holder() }
 	h.extension.onNotices = d.exchange.TriggerPassOn
 	h.extension.watcher = h.watcher
+	h.extension.answer = d.exchange.sendAnswer
 	return nil
 }
 
@@ -414,6 +419,12 @@
 	counts     map[string]peerCounts
 	versions   *notices.Versions
 	departures *notices.Departures
+	// copies tells where versions are usable, if this instance holds the placement lease.
+	copies copyFinder
+	// waits are the versions that peers wait for. answer sends a peer notices of versions as far as there is room, and reports
+	// whether it did; it must not block.
+	waits  *notices.Waits
+	answer func(peer string, told []digest.Residency) bool
 	// leaseTold is the revision of the lease in the last digest that carried it.
 	leaseTold store.Revision
 }
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -85,13 +85,17 @@
 	// freeMB is the uncommitted memory; freeingMB is what unloads in progress will free.
 	freeMB, freeingMB int64
 	freeSlots         int
+	// freeingSlots is how many slots the orders to unload adapters will free at once, and drainingSlots how many once requests
+	// have ended; both without those that this plan counts on.
+	freeingSlots, drainingSlots int
 }
 
 // planner is the state of one run of Plan.
 type planner struct {
 	Snapshot
-	models  map[modelref.Ref]Model
-	servers []*plannedServer
+	models   map[modelref.Ref]Model
+	adapters map[modelref.Ref]Adapter
+	servers  []*plannedServer
 	// activeCopies counts the copies that serve, are being loaded or were planned in this run,
 	// without those chosen for eviction.
 	activeCopies map[modelref.Ref]int
@@ -117,6 +121,7 @@
 	p := &planner{
 		Snapshot:      s,
 		models:        make(map[modelref.Ref]Model, len(s.Models)),
+		adapters:      make(map[modelref.Ref]Adapter, len(s.Adapters)),
 		activeCopies:  map[modelref.Ref]int{},
 		servingCopies: map[modelref.Ref]int{},
 		residentOn:    map[modelref.Ref][]*plannedServer{},
@@ -127,12 +132,11 @@
 	for _, m := range s.Models {
 		p.models[m.Ref] = m
 	}
-	adapters := make(map[modelref.Ref]Adapter, len(s.Adapters))
 	for _, a := range s.Adapters {
-		adapters[a.Ref] = a
+		p.adapters[a.Ref] = a
 	}
 	for i := range s.Servers {
-		p.servers = append(p.servers, p.newPlannedServer(&s.Servers[i], adapters))
+		p.servers = append(p.servers, p.newPlannedServer(&s.Servers[i]))
 	}
 	for _, m := range s.Models {
 		p.wantedCopies[m.Ref] = p.demandedCopies(m.Ref)
@@ -140,7 +144,7 @@
 	return p
 }
 
-func (p *planner) newPlannedServer(view *ServerView, adapters map[modelref.Ref]Adapter) *plannedServer {
+func (p *planner) newPlannedServer(view *ServerView) *plannedServer {
 	srv := &plannedServer{ServerView: *view, freeMB: view.MemoryMB - view.ReservedMB, freeSlots: view.AdapterSlots}
 	for ref, state := range view.Models {
 		size := p.models[ref].MemoryMB
@@ -156,9 +160,16 @@
 		}
 	}
 	for ref, state := range view.Adapters {
-		adapter := adapters[ref]
+		adapter := p.adapters[ref]
 		srv.freeMB -= adapter.MemoryMB
 		srv.freeSlots--
+		switch {
+		case state != engine.StateUnloading:
+		case view.InUse[ref]:
+			srv.drainingSlots++
+		default:
+			srv.freeingSlots++
+		}
 		if state != engine.StateUnloading && view.Models[adapter.Base] == engine.StateResident {
 			p.adapterCopies[ref]++
 		}
@@ -226,7 +237,7 @@
 }
 
 // missingCopies returns the copies that models should have in addition, the most urgent first:
-// those with waiting requests, then first copies, then by the demand for each copy.
+// those with waiting requests, of these the overdue ones, then first copies, then by the demand for each copy.
 func (p *planner) missingCopies() []missingCopy {
 	var out []missingCopy
 	for _, m := range p.Models {
@@ -244,6 +255,9 @@
 		if x.waiting != y.waiting {
 			return x.waiting
 		}
+		if before, differ := p.overdueFirst(x.model.Ref, y.model.Ref); x.waiting && differ {
+			return before
+		}
 		if x.firstCopy != y.firstCopy {
 			return x.firstCopy
 		}
--- a/internal/residency/plan_snapshot.go
+++ b/internal/residency/plan_snapshot.go
@@ -33,6 +33,9 @@
 	Waiting int
 	// LastUsed is when a request was last seen.
 	LastUsed time.Time
+	// UnservedSince is since when requests have waited without a copy to run on, while none was seen running; zero if none has.
+	// It stays over times without requests.
+	UnservedSince time.Time
 }
 
 // ServerView is the state of one server as the plan sees it.
@@ -46,6 +49,8 @@
 	AdapterSlots         int
 	// Models and Adapters hold the state of each version on the server.
 	Models, Adapters map[modelref.Ref]engine.HoldingState
+	// InUse are the adapters being unloaded that the server keeps until their requests have ended.
+	InUse map[modelref.Ref]bool
 	// InMemory and OnDisk are the models whose weights the server has in memory or on disk.
 	InMemory, OnDisk map[modelref.Ref]bool
 	// Requests is the number of requests on the server.
--- a/internal/residency/results.go
+++ b/internal/residency/results.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"slices"
 	"time"
 
 	"limpethub/internal/engine"
@@ -80,6 +81,14 @@
 	return out
 }
 
+// isResident reports whether a version is in StateResident, as residentVersions says.
+func (s *trackedServer) isResident(ref modelref.Ref) bool {
+	if !s.stateRead {
+		return slices.Contains(s.server.Resident, ref)
+	}
+	return s.models[ref] == engine.StateResident || s.adapters[ref] == engine.StateResident
+}
+
 // recordDifferences records how the server's new state differs from the one known before, so
 // that all instances are told.
 func (c *core) recordDifferences(srv *trackedServer, before map[modelref.Ref]bool) {
@@ -127,7 +136,7 @@
 	case r.answer == engine.OrderAlreadySatisfied && isAdapter && order.Action == engine.ActionUnload:
 		// The adapter is gone. This also counts the order as accepted, so that states with a
 		// lower sequence number are ignored from now on.
-		srv.recordAccepted(now, order, isAdapter, 0)
+		srv.recordUnloadedAdapter(order)
 	default:
 		srv.requireStateRead(now)
 	}
@@ -171,6 +180,7 @@
 		if c.adapters[adapter].Base == base {
 			delete(srv.adapters, adapter)
 			delete(srv.usableFrom, adapter)
+			delete(srv.unloadingUntil, adapter)
 		}
 	}
 }
