A step of the placement manager asks for reach without its lock

What callers see: an instance that hangs for good. Requests that it has read get no answer, it takes none in for peers, and if it holds the placement lease no more orders are given. Candidates: each instance whose reach of the servers changes.

The class: a callback that is called with a lock held, into a part that calls back.

The goroutines of the run: 15470, 15750 and 14887 hold one lock each and wait for the next one's.

This edge was enough to break the cycle. The monitor's own callbacks come next.

--- a/internal/residency/manager.go
+++ b/internal/residency/manager.go
@@ -69,7 +69,7 @@
 	// RequestCounts counts the requests of all instances, by version and by server.
 	RequestCounts func() (byRef map[modelref.Ref]RequestCounts, byServer map[string]int)
 	// ReachesServers reports whether this instance reaches the servers, which a holder must; nil means that it
-	// does.
+	// does. It is called without a lock.
 	ReachesServers func() bool
 	// OnResidencyChange is called with the versions that became or ceased to be usable on
 	// servers. It must not block.
@@ -278,8 +278,9 @@
 	servers, now := m.options.KnownServers(), m.options.Now()
 	convertTimes(servers, time.Now(), now)
 	o := observation{document: m.options.Document(), servers: servers, requestCounts: byRef, requestsByServer: byServer}
+	reach := m.reachShare()
 	m.mu.Lock()
-	m.core.lease.SetReach(now, m.reachShare())
+	m.core.lease.SetReach(now, reach)
 	m.core.step(now, o)
 	effects, changes, logLines := m.core.effects, m.core.changes, m.core.logLines
 	m.core.effects, m.core.changes, m.core.logLines = nil, nil, nil
