--- a/internal/notices/limiter.go
+++ b/internal/notices/limiter.go
@@ -9,11 +9,11 @@
 const (
 	// versionBytesPerSecond and versionBurstBytes limit what notices of versions take of an instance's link, to all peers
 	// together, with the headers and acknowledgments of the network.
-	versionBytesPerSecond = 3_000
-	versionBurstBytes     = 8_000
+	versionBytesPerSecond = 10_000
+	versionBurstBytes     = 20_000
 	// departureBytesPerSecond and departureBurstBytes are the same for notices of servers that leave.
-	departureBytesPerSecond = 4_000
-	departureBurstBytes     = 30_000
+	departureBytesPerSecond = 8_000
+	departureBurstBytes     = 100_000
 	// versionBytes and departureBytes are about what one notice takes in a full datagram, and datagramBytes what a datagram
 	// takes besides.
 	versionBytes   = 90
