--- a/internal/notices/limiter.go
+++ b/internal/notices/limiter.go
@@ -12,7 +12,7 @@
 	versionBytesPerSecond = 10_000
 	versionBurstBytes     = 20_000
 	// departureBytesPerSecond and departureBurstBytes are the same for notices of servers that leave.
-	departureBytesPerSecond = 8_000
+	departureBytesPerSecond = 5_000
 	departureBurstBytes     = 100_000
 	// versionBytes and departureBytes are about what one notice takes in a full datagram, and datagramBytes what a datagram
 	// takes besides.
