Metric: connections that end without a complete answer, by cause, beside a change of the configuration and at other times

The rule compares how often an instance cuts then with other times, and neither metrics nor logs told either: limpethub_requests_total has the code of a failure, but not whether its answer had begun, and an answer whose bytes found no reader counted as delivered, as net/http writes small answers after the handler has returned.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -168,6 +168,7 @@
 		Identities:    h.identities.Hasher,
 		Authorizer:    h.authorizer,
 		Observe:       d.requestMetrics.ObserveRequest,
+		Cuts:          metrics.NewCuts(d.registry),
 		Logger:        d.log(logging.Gateway),
 		Now:           time.Now,
 
@@ -348,7 +349,7 @@
 
 // putInForce applies a new configuration to the front, the watcher and the manager.
 func (h *hosted) putInForce(accepted site.Accepted) {
-	inForce := &front.ConfigurationInForce{Accepted: accepted}
+	inForce := &front.ConfigurationInForce{Accepted: accepted, Since: time.Now()}
 	inForce.Routes = site.NewRouteTable(&inForce.Document)
 	inForce.Workspaces = workspace.NewTable(&inForce.Accepted)
 	h.inForce.Store(inForce)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -13,6 +13,7 @@
 	"limpethub/internal/engine"
 	"limpethub/internal/forward"
 	"limpethub/internal/gateway"
+	"limpethub/internal/metrics"
 	"limpethub/internal/peerrelay"
 	"limpethub/internal/request"
 	"limpethub/internal/site"
@@ -31,6 +32,8 @@
 	site.Accepted
 	Routes     *site.RouteTable
 	Workspaces *workspace.Table
+	// Since is when it was put in force here.
+	Since time.Time
 }
 
 // Admitter keeps the limits of workspaces.
@@ -62,8 +65,10 @@
 	Authorizer *workspace.Authorizer
 	// Observe reports the end of a request, for metrics.
 	Observe func(end gateway.RequestOutcome)
-	Logger  *logrus.Entry
-	Now     func() time.Time
+	// Cuts counts connections that end without a complete answer; nil if that isn't needed.
+	Cuts   *metrics.Cuts
+	Logger *logrus.Entry
+	Now    func() time.Time
 }
 
 // Front serves callers over a platform's protocol.
