A panic in the scheduler leaves no lock held

After a panic while the dispatcher's lock was held, net/http recovered the panic and all later requests waited for the lock: they got neither an answer nor a refusal, not even at their deadlines, and the process stayed. The lock is now released as the panic passes.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -268,15 +268,7 @@
 // withLock runs f under the lock. After it releases the lock, it calls onUrgentUpdates and
 // writes the pending logs.
 func (d *Dispatcher) withLock(f func()) {
-	d.mu.Lock()
-	f()
-	logs := d.pendingLogs
-	d.pendingLogs = nil
-	var changedServers []string
-	if d.onUrgentUpdates != nil {
-		changedServers = d.scheduler.TakeUrgentUpdates()
-	}
-	d.mu.Unlock()
+	logs, changedServers := d.runLocked(f)
 	if len(changedServers) > 0 {
 		d.onUrgentUpdates(changedServers)
 	}
@@ -285,6 +277,19 @@
 	}
 }
 
+// runLocked runs f under the lock, and returns the pending logs and the servers of which peers should be told. The lock is
+// released also if f panics: otherwise no other request would get an answer.
+func (d *Dispatcher) runLocked(f func()) (logs []decisionLog, changedServers []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f()
+	logs, d.pendingLogs = d.pendingLogs, nil
+	if d.onUrgentUpdates != nil {
+		changedServers = d.scheduler.TakeUrgentUpdates()
+	}
+	return logs, changedServers
+}
+
 // apply carries out decisions and sets the timer for the scheduler's next tick. The lock is
 // held.
 func (d *Dispatcher) apply(decisions []scheduling.Decision) {
