A request that displaces another one in a class above its limit is queued

After a configuration that lowers the limit of a class, or drops a class whose waiting requests move to another one, a class holds more than its limit. A new request of a workspace with fewer waiting ones displaced one of the others, the class was still full, Push refused the new one, and nobody looked: it got the decision to wait, and no queue had it.

Cause: the check of the limit stands twice, and only one of them knows of the displaced request.

--- a/internal/scheduling/decide.go
+++ b/internal/scheduling/decide.go
@@ -115,7 +115,10 @@
 	if last := c.queue.GivesWay(item); last != nil {
 		out = append(out, c.refuseDisplaced(now, last))
 	}
-	c.queue.Push(t.lane, item)
+	if !c.queue.Push(t.lane, item) {
+		// The class holds more than its limit since a new configuration, and is full without the displaced request as well.
+		c.queue.Restore(t.lane, item)
+	}
 	c.observeWaiting(now, &item.Request)
 	if len(t.copies) == 0 {
 		return append(out, Decision{ID: item.Request.ID, Action: Queue, Reason: "no server holds what it needs yet"})
