--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -171,6 +171,7 @@
 		Identities:     h.identities.Hasher,
 		Authorizer:     h.authorizer,
 		Observe:        d.requestMetrics.ObserveRequest,
+		Cuts:           metrics.NewCuts(d.registry),
 		ObserveService: h.unserved.Observe,
 		Logger:         d.log(logging.Gateway),
 		Now:            time.Now,
@@ -353,7 +354,7 @@
 
 // putInForce applies a new configuration to the front, the watcher and the manager.
 func (h *hosted) putInForce(accepted site.Accepted) {
-	inForce := &front.ConfigurationInForce{Accepted: accepted}
+	inForce := &front.ConfigurationInForce{Accepted: accepted, Since: time.Now()}
 	inForce.Routes = site.NewRouteTable(&inForce.Document)
 	inForce.Workspaces = workspace.NewTable(&inForce.Accepted)
 	h.inForce.Store(inForce)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -13,6 +13,7 @@
 	"limpethub/internal/engine"
 	"limpethub/internal/forward"
 	"limpethub/internal/gateway"
+	"limpethub/internal/metrics"
 	"limpethub/internal/peerrelay"
 	"limpethub/internal/request"
 	"limpethub/internal/site"
@@ -32,6 +33,8 @@
 	site.Accepted
 	Routes     *site.RouteTable
 	Workspaces *workspace.Table
+	// Since is when it was put in force here.
+	Since time.Time
 }
 
 // Admitter keeps the limits of workspaces.
@@ -66,8 +69,10 @@
 	// ObserveService reports whether a request was served, for what is known of versions and prompts that aren't: cause is
 	// empty if a server answered it with success. It may be nil.
 	ObserveService func(r *request.Request, cause verdict.Code)
-	Logger         *logrus.Entry
-	Now            func() time.Time
+	// Cuts counts connections that end without a complete answer; nil if that isn't needed.
+	Cuts   *metrics.Cuts
+	Logger *logrus.Entry
+	Now    func() time.Time
 }
 
 // Front serves callers over a platform's protocol.
