Probes of servers are counted and logged, and the soak says what reached a limited server

Whether probes, reports or requests went beyond a server's limit couldn't be told: the limit's violation now says how many of the arrivals are probes, reports and orders, a debug line names each probed server with its outcome, and limpethub_server_probes_total counts by outcome. Nothing else changes.

--- a/internal/daemon/reach.go
+++ b/internal/daemon/reach.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -124,7 +125,12 @@
 func (d *Daemon) reachMetrics() []prometheus.Collector {
 	passedOn := newRelayCollectors("limpethub_requests_passed_on_total", "Requests that this instance passed on to another one, by outcome.", &d.hosted.passedOn.Counts)
 	takenIn := newRelayCollectors("limpethub_requests_taken_in_total", "Requests that another instance passed on to this one, by outcome.", &d.hosted.takenIn.Counts)
-	return append(append(passedOn, takenIn...),
+	probes := []prometheus.Collector{
+		probeCounter("answered", func() uint64 { return d.hosted.reach.Probes().Answered }),
+		probeCounter("silent", func() uint64 { return d.hosted.reach.Probes().Silent }),
+		probeCounter("unsent", func() uint64 { return d.hosted.reach.Probes().Unsent }),
+	}
+	return append(slices.Concat(passedOn, takenIn, probes),
 		gauge("limpethub_requests_taken_in_open", "Requests that another instance passed on to this one and that are in progress.", func() float64 {
 			return float64(d.hosted.takenIn.InProgress())
 		}),
@@ -140,6 +146,14 @@
 	)
 }
 
+// probeCounter returns the counter of probes with an outcome.
+func probeCounter(outcome string, value func() uint64) prometheus.Collector {
+	return prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "limpethub_server_probes_total", Help: "Probes by which this instance found out which servers it reaches, by outcome.",
+		ConstLabels: prometheus.Labels{"outcome": outcome},
+	}, func() float64 { return float64(value()) })
+}
+
 // newRelayCollectors returns a counter for each outcome.
 func newRelayCollectors(name, help string, counts *peerrelay.Counts) []prometheus.Collector {
 	counter := func(outcome string, value func() uint64) prometheus.Collector {
--- a/internal/reachability/monitor.go
+++ b/internal/reachability/monitor.go
@@ -42,6 +42,7 @@
 	// heardAt and askedAt are when each server was heard and probed last. They hold known servers only.
 	heardAt, askedAt map[string]time.Time
 	silent           silentServers
+	probes           ProbeCounts
 	// forgotAt is when heardAt and askedAt were last rid of servers that aren't known any more.
 	forgotAt time.Time
 }
@@ -167,6 +168,13 @@
 	return len(m.silent)
 }
 
+// Probes returns how many probes were sent, by what became of them.
+func (m *Monitor) Probes() ProbeCounts {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.probes
+}
+
 // Run sends probes when they are due until ctx ends.
 func (m *Monitor) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickPeriod)
--- a/internal/reachability/probing.go
+++ b/internal/reachability/probing.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"limpethub/internal/engine"
 )
 
@@ -16,6 +18,26 @@
 	ProbeAnew(ctx context.Context, server engine.Server) error
 }
 
+// ProbeCounts counts probes by their outcome.
+type ProbeCounts struct {
+	// Answered counts those that were answered, Silent those whose server took the connection but didn't answer in time,
+	// and Unsent those for which there was no connection.
+	Answered, Silent, Unsent uint64
+}
+
+func (c *ProbeCounts) count(err error) (outcome string) {
+	switch {
+	case err == nil:
+		c.Answered++
+		return "answered"
+	case engine.IsUnsent(err):
+		c.Unsent++
+		return "unsent"
+	}
+	c.Silent++
+	return "silent"
+}
+
 // lately is how long ago a server may have been heard for its silence to say something of this instance.
 const lately = 10 * time.Second
 
@@ -62,6 +84,8 @@
 func (m *Monitor) probed(server engine.Server, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	outcome := m.probes.count(err)
+	m.options.Logger.WithFields(logrus.Fields{"server": server.Name, "outcome": outcome}).Debug("Probed a server")
 	if err != nil {
 		m.connectFailed(server)
 		return
--- a/internal/soak/judge_servers.go
+++ b/internal/soak/judge_servers.go
@@ -137,6 +137,8 @@
 	// toldAt holds when each process passed on an answer with the limit first.
 	toldAt   map[processID]time.Duration
 	arrivals []time.Duration
+	// calls are the arrivals that are no requests of callers: orders, requests for reports, and probes.
+	calls []time.Duration
 }
 
 // LimitNamed records that a server's answers name a limit from now on.
@@ -174,9 +176,13 @@
 		return
 	}
 	l.arrivals = append(dropBefore(l.arrivals, at-j.limits.LimitWindow), at)
+	l.calls = dropBefore(l.calls, at-j.limits.LimitWindow)
+	if id == "" {
+		l.calls = append(l.calls, at)
+	}
 	allowed := int(j.limits.LimitFactor*l.perSecond*j.limits.LimitWindow.Seconds()) + j.limits.LimitSlack
 	if len(l.arrivals) > allowed {
-		j.addViolation(ServerLimit, at, "server %s, which takes %v a second, got %d requests within %s, %d are allowed", server, l.perSecond, len(l.arrivals), j.limits.LimitWindow, allowed)
+		j.addViolation(ServerLimit, at, "server %s, which takes %v a second, got %d requests within %s, %d are allowed; %d of them are probes, reports and orders", server, l.perSecond, len(l.arrivals), j.limits.LimitWindow, allowed, len(l.calls))
 	}
 }
 
