Probes of instances that hear no server sum to no more than a limit allows

A server that names 1.5 requests a second got 15 to 26 within 4 s, 14 allowed, while all instances were cut off in a way that only answers get lost: all of them were probes. An instance keeps a limit that it knows; one that gets no answers and can't be told doesn't know it, and nothing bounded what the instances ask together.

Now instances take turns at servers that don't answer: each second of a server belongs to one of them, by a hash that all compute alike, without a message. Where there are more instances than servers, each asks without a turn once in instances / servers seconds, 2 to 10 s, at times that are spread. Free are the rounds that decide: the confirming one asks others than the first, and the one that concludes a cut in which connections open. Until a round is answered, silent servers get no probes of their own. An empty round no longer begins the silence anew.

Ruled out: orders, reports (the instances' logs have as many probes as arrived) and requests (no ids). The begin of a cut isn't bounded: each instance asks up to 14 servers to know it.

--- a/internal/daemon/reach.go
+++ b/internal/daemon/reach.go
@@ -25,6 +25,7 @@
 	d.cluster.OnFact(gossip.TopicReach, h.peersReach.HandleFact)
 	h.reach = reachability.New(reachability.Options{
 		Prober: d.plugins.relayer, Servers: h.probeableServers, OnChange: d.reachChanged,
+		Self: d.settings.Instance, Instances: d.sharingInstances,
 		OnSilent: d.serverIsSilent, OnHeard: d.serverIsHeard,
 		PeersReaching: func() int { return len(d.peersThatReach()) },
 		Logger:        d.log(logging.Routing), Now: time.Now,
--- a/internal/reachability/monitor.go
+++ b/internal/reachability/monitor.go
@@ -18,6 +18,9 @@
 	Prober Prober
 	// Servers returns the servers that may be probed now.
 	Servers func() []engine.Server
+	// Self is the name of this instance. Instances returns those that share the servers; nil means that there are no others.
+	Self      string
+	Instances func() []string
 	// OnChange is called after each change of the state; nil means no call.
 	OnChange func(State)
 	// OnSilent is called when a server takes no connection and sends nothing, and OnHeard when it does again. The calls
@@ -43,6 +46,8 @@
 	heardAt, askedAt map[string]time.Time
 	silent           silentServers
 	probes           ProbeCounts
+	// pickedAt is when the last round that asked servers began.
+	pickedAt time.Time
 	// forgotAt is when heardAt and askedAt were last rid of servers that aren't known any more.
 	forgotAt time.Time
 }
@@ -54,6 +59,9 @@
 	if options.OnSilent == nil {
 		options.OnSilent = func(string) {}
 	}
+	if options.Instances == nil {
+		options.Instances = func() []string { return nil }
+	}
 	if options.OnHeard == nil {
 		options.OnHeard = func(string) {}
 	}
--- a/internal/reachability/probing.go
+++ b/internal/reachability/probing.go
@@ -1,6 +1,7 @@
 package reachability
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -93,10 +94,15 @@
 	m.heard(m.options.Now(), server.Name)
 }
 
-// silentToProbe returns the silent servers whose probe is due. Those that may not be probed any more get requests again.
+// silentToProbe returns the silent servers whose probe is due. Those that may not be probed any more get requests again. After a
+// round without an answer only rounds ask: all servers seem to be silent to an instance that is cut off.
 func (m *Monitor) silentToProbe() (probes []engine.Server) {
+	now := m.options.Now()
 	m.mu.Lock()
-	due := m.silent.due(m.options.Now())
+	var due []engine.Server
+	if m.tracker.failedRounds == 0 {
+		due = m.silent.due(now)
+	}
 	m.mu.Unlock()
 	if len(due) == 0 {
 		return nil
@@ -109,6 +115,7 @@
 	defer m.mu.Unlock()
 	for _, s := range due {
 		if probeable[s] {
+			m.askedAt[s.Name] = now
 			probes = append(probes, s)
 			continue
 		}
@@ -136,13 +143,14 @@
 // round that confirms the first one without an answer.
 func (m *Monitor) pickServers(servers []engine.Server) ([]engine.Server, Round) {
 	now := m.options.Now()
+	turns := newTurns(m.options.Self, m.options.Instances())
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
 	slices.SortStableFunc(servers, func(a, b engine.Server) int { return m.askedAt[a.Name].Compare(m.askedAt[b.Name]) })
 	var heard, others []engine.Server
-	for _, s := range servers {
-		if now.Sub(m.heardAt[s.Name]) <= lately && len(heard) < ProbesPerRound-1 {
+	for _, s := range m.mayAsk(now, turns, servers) {
+		if m.wasHeardLately(now, s.Name) && len(heard) < ProbesPerRound-1 {
 			heard = append(heard, s)
 			continue
 		}
@@ -156,9 +164,62 @@
 	for _, s := range picked {
 		m.askedAt[s.Name] = now
 	}
+	if len(picked) > 0 {
+		m.pickedAt = now
+	}
 	return picked, Round{BeganAt: now, Tried: len(picked), HeardLately: len(heard), Known: len(servers)}
 }
 
+// mayAsk returns which of the servers, those asked longest ago first, the round that begins now may ask. The lock is held.
+func (m *Monitor) mayAsk(now time.Time, turns turns, servers []engine.Server) []engine.Server {
+	switch {
+	case m.tracker.confirms():
+		return m.notJustAsked(now, servers)
+	case m.tracker.isDecisive(now):
+		return servers
+	}
+	isSuspect := m.tracker.failedRounds > 0 || m.tracker.State() != Direct
+	var out []engine.Server
+	for _, s := range servers {
+		if !isSuspect && m.hasAnswered(s.Name) || turns.mayAsk(now, s.Name, m.askedAt[s.Name]) {
+			out = append(out, s)
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
+	index, ok := turns.without(now, m.pickedAt, len(servers))
+	if !ok {
+		return nil
+	}
+	slices.SortFunc(servers, func(a, b engine.Server) int { return cmp.Compare(a.Name, b.Name) })
+	return servers[index : index+1]
+}
+
+// hasAnswered reports whether something has come from a server since it was asked last. The lock is held.
+func (m *Monitor) hasAnswered(name string) bool { return !m.heardAt[name].Before(m.askedAt[name]) }
+
+// notJustAsked returns the servers that the last round didn't ask, or all if none of these was heard lately. The lock is held.
+func (m *Monitor) notJustAsked(now time.Time, servers []engine.Server) []engine.Server {
+	var out []engine.Server
+	speaks := false
+	for _, s := range servers {
+		if m.askedAt[s.Name].Before(m.pickedAt) {
+			out = append(out, s)
+			speaks = speaks || m.wasHeardLately(now, s.Name)
+		}
+	}
+	if !speaks {
+		return servers
+	}
+	return out
+}
+
+// wasHeardLately reports whether the silence of a server says something of this instance. The lock is held.
+func (m *Monitor) wasHeardLately(now time.Time, name string) bool {
+	return now.Sub(m.heardAt[name]) <= lately
+}
+
 // forgetPeriod is how often servers that aren't known any more are forgotten.
 const forgetPeriod = time.Minute
 
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -136,13 +136,27 @@
 // confirms reports whether the next round confirms the first one without an answer.
 func (t *Tracker) confirms() bool { return t.state == Direct && t.failedRounds == 1 }
 
+// isDecisive reports whether a round that begins now may be the last one before a change of the state.
+func (t *Tracker) isDecisive(now time.Time) bool {
+	switch {
+	case t.state != Direct && t.goodRounds > 0:
+		return true
+	case t.state == OpenOnly:
+		return now.Sub(t.heardAt) >= openSilence
+	}
+	return t.state == Direct && t.failedRounds >= failedRoundsForChange && now.Sub(t.failingSince) >= soundSilence
+}
+
 // RoundEnded takes the outcome of a round and reports whether the state has changed.
 func (t *Tracker) RoundEnded(now time.Time, r Round) bool {
 	if t.failedRounds == 0 || r.BeganAt.Sub(t.roundEndedAt) > quietRoundPeriod {
 		t.failingSince = r.BeganAt
 	}
 	t.probing, t.roundEndedAt = false, now
-	if r.Tried == 0 || r.Answered == 0 && now.Sub(r.BeganAt) > maxRoundTime {
+	if r.Tried == 0 {
+		return false
+	}
+	if r.Answered == 0 && now.Sub(r.BeganAt) > maxRoundTime {
 		t.failingSince = now
 		return false
 	}
