A limit of a process that has ended doesn't hold for its successor

Instances repeat what they know to each other, and each word of the old process's limit was applied to the server's name; answers of the new process, which name none, ended nothing, as they are about another process. Now an answer of a later process ends the limit of the one before and tells the others, and what is applied to a name is the limit of its latest process. The same code keeps the rejections that brittle servers announce.

TestLimitOfAProcessThatHasEndedDoesntHoldForItsSuccessor failed before, at both instances. Ruled out: the scheduler, which drops a limit with its process (TestLimitEndsWithTheProcess) and then hears of it again. Run: ./internal/serverlimits.

--- a/internal/serverlimits/limits.go
+++ b/internal/serverlimits/limits.go
@@ -46,7 +46,9 @@
 
 	mu sync.Mutex
 	// known holds what was last heard of a server's process, by its number.
-	known    map[uint64]*known
+	known map[uint64]*known
+	// limited holds, by the name of the server, its process whose limit is in force.
+	limited  map[string]*known
 	reported map[uint64]bool
 }
 
@@ -67,7 +69,7 @@
 
 // New returns Limits without any.
 func New(options Options) *Limits {
-	return &Limits{options: options, known: map[uint64]*known{}, reported: map[uint64]bool{}}
+	return &Limits{options: options, known: map[uint64]*known{}, limited: map[string]*known{}, reported: map[uint64]bool{}}
 }
 
 // Observe takes what an answer says; see engine.AnswerObserver.ServerLimit.
@@ -75,6 +77,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.options.Now()
+	if before := l.limited[server.Name]; before != nil && before.server.StartMillis < server.StartMillis {
+		l.end(before, now, "the server has started again")
+		l.tell(before, now)
+	}
 	switch {
 	case invalid != nil:
 		l.reportInvalid(server, invalid)
@@ -121,6 +127,9 @@
 // begin puts a limit in force. The lock is held.
 func (l *Limits) begin(k *known, perSecond float64, since time.Time) {
 	k.inForce, k.perSecond, k.since, k.toldAt = true, perSecond, since, time.Time{}
+	if other := l.limited[k.server.Name]; other == nil || other.server.StartMillis <= k.server.StartMillis {
+		l.limited[k.server.Name] = k
+	}
 	l.options.Logger.WithFields(logrus.Fields{
 		"server": k.server.Name, "address": k.server.Address, "per_second": perSecond, "kind": l.options.Kind,
 	}).Info("Server names a limit")
@@ -157,20 +166,24 @@
 func (l *Limits) end(k *known, at time.Time, reason string) {
 	k.inForce, k.heardAt = false, at
 	k.expiry.Stop()
+	if l.limited[k.server.Name] == k {
+		delete(l.limited, k.server.Name)
+	}
 	l.options.Logger.WithFields(logrus.Fields{"server": k.server.Name, "reason": reason, "kind": l.options.Kind}).Info("The limit of a server ends")
 	l.apply(k)
 }
 
-// apply passes on what holds for a server now. The lock is held.
+// apply passes on what holds for the server of a process now. The lock is held.
 func (l *Limits) apply(k *known) {
 	if l.options.OnChange == nil {
 		return
 	}
-	if !k.inForce {
+	limited := l.limited[k.server.Name]
+	if limited == nil {
 		l.options.OnChange(k.server.Name, nil)
 		return
 	}
-	l.options.OnChange(k.server.Name, &quota.Limit{Process: k.server.ProcessNumber(), PerSecond: k.perSecond, Since: k.since})
+	l.options.OnChange(k.server.Name, &quota.Limit{Process: limited.server.ProcessNumber(), PerSecond: limited.perSecond, Since: limited.since})
 }
 
 // reportInvalid logs an invalid limit once for each process. The lock is held.
--- a/internal/serverlimits/limits_test.go
+++ b/internal/serverlimits/limits_test.go
@@ -159,3 +159,34 @@
 		}
 	})
 }
+
+// TestLimitOfAProcessThatHasEndedDoesntHoldForItsSuccessor guards against a server that starts again under its name, names no limit, and
+// still gets few requests for many seconds.
+func TestLimitOfAProcessThatHasEndedDoesntHoldForItsSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newInstances(2)
+		f.all[0].Observe(testServer, number(2), nil, time.Now())
+		time.Sleep(time.Second)
+		repeated, ok := f.all[0].fact(f.all[0].known[testServer.ProcessNumber()])
+		if !ok {
+			t.Fatal("no fact about the limit")
+		}
+		successor := testServer
+		successor.StartMillis++
+		f.all[1].Observe(successor, nil, nil, time.Now())
+		time.Sleep(100 * time.Millisecond)
+		for n, l := range f.all {
+			l.HandleFact(time.Now(), repeated)
+			if l.Count() > 0 || f.applied[n]["s"] != nil {
+				t.Errorf("instance %d: the limit %+v of the process that has ended is in force", n, f.applied[n]["s"])
+			}
+		}
+		f.all[0].Observe(successor, number(3), nil, time.Now())
+		synctest.Wait()
+		for n := range f.all {
+			if limit := f.applied[n]["s"]; limit == nil || limit.PerSecond != 3 {
+				t.Errorf("instance %d has %+v in force, want the successor's 3 a second", n, limit)
+			}
+		}
+	})
+}
