A limit ends a lifetime after the last answer that named it, whatever peers repeat

The lifetime counts from the answer now.

TestRepeatedWordOfALimitDoesntProlongIt failed before: in force 11 s after the answer at the instance that was told. Run: ./internal/serverlimits.

--- a/internal/serverlimits/fact.go
+++ b/internal/serverlimits/fact.go
@@ -86,7 +86,7 @@
 		l.begin(k, perSecond, at.Add(-inForce))
 	}
 	k.heardAt = at
-	l.restartExpiry(k)
+	l.restartExpiry(k, now)
 	// The server may have become known only after the limit did.
 	l.apply(k)
 	if !isNew && now.Sub(k.toldAt) < confirmPeriod/2 {
--- a/internal/serverlimits/limits.go
+++ b/internal/serverlimits/limits.go
@@ -138,19 +138,21 @@
 // confirm records that an answer has named the limit, and now and then tells others. It applies the limit
 // each time, since the server may have become known only after the limit did. The lock is held.
 func (l *Limits) confirm(k *known, now time.Time) {
-	l.restartExpiry(k)
+	l.restartExpiry(k, now)
 	l.apply(k)
 	if now.Sub(k.toldAt) >= confirmPeriod {
 		l.tell(k, now)
 	}
 }
 
-func (l *Limits) restartExpiry(k *known) {
+// restartExpiry has the limit end a lifetime after the last answer that named it. The lock is held.
+func (l *Limits) restartExpiry(k *known, now time.Time) {
+	left := lifetime - now.Sub(k.heardAt)
 	if k.expiry != nil {
-		k.expiry.Reset(lifetime)
+		k.expiry.Reset(left)
 		return
 	}
-	k.expiry = time.AfterFunc(lifetime, func() { l.expire(k) })
+	k.expiry = time.AfterFunc(left, func() { l.expire(k) })
 }
 
 func (l *Limits) expire(k *known) {
--- a/internal/serverlimits/limits_test.go
+++ b/internal/serverlimits/limits_test.go
@@ -190,3 +190,26 @@
 		}
 	})
 }
+
+// TestRepeatedWordOfALimitDoesntProlongIt guards against a limit that lasts for longer than its lifetime although no answer names it any
+// more, since peers repeat what they know.
+func TestRepeatedWordOfALimitDoesntProlongIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newInstances(2)
+		f.all[0].Observe(testServer, number(2), nil, time.Now())
+		named := time.Now()
+		for time.Since(named) < lifetime-time.Second {
+			time.Sleep(time.Second)
+			fact, _ := f.all[0].fact(f.all[0].known[testServer.ProcessNumber()])
+			// Each message rounds the age of what it carries.
+			fact.At = fact.At.Add(time.Duration(time.Since(named).Seconds()) * 100 * time.Microsecond)
+			f.all[1].HandleFact(time.Now(), fact)
+		}
+		time.Sleep(2 * time.Second)
+		for n, l := range f.all {
+			if l.Count() > 0 {
+				t.Errorf("instance %d: the limit is in force %v after an answer named it last, want at most %v", n, time.Since(named), lifetime)
+			}
+		}
+	})
+}
