A part that is in all prompts isn't quarantined before peers told of the last crash

A conclusion waits for 0.6 s after the first crash for proofs, but not at all for what other instances had on the server that ended last. The instance whose request crashed no server judged with its own part of the evidence: the common part on three crashes, the one that crashes servers on two.

Now a part waits, undecided, until 0.25 s after the last crash if another one that the request lacks would explain the crashes as well, had it been on the recent ones too. Nothing with the part is sent meanwhile. Where nothing may explain them, the part is quarantined at once, as before.

TestPartOfAllPromptsWaitsForWhatPeersHadOnTheLastServer failed before: quarantined at the last crash. Run: ./internal/quarantine, ./internal/crashguard.

--- a/internal/quarantine/culprits.go
+++ b/internal/quarantine/culprits.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 const (
@@ -148,6 +149,22 @@
 	return own >= needed
 }
 
+// mayBeExplained reports whether another part, which the request doesn't have, explains the crashes that speak against a part of
+// it as well if it was on the last of them too: another instance may have had the request with it, and hasn't told so yet.
+func (c *culprits) mayBeExplained(now time.Time, s Subject, against, own []int) bool {
+	if s.Kind != PromptPart {
+		return false
+	}
+	state := c.state(s)
+	recent := func(crash int) bool { return now.Sub(c.crashes[crash].At) < reportDelay }
+	fresh := len(slices.DeleteFunc(slices.Clone(against), func(crash int) bool { return !recent(crash) }))
+	told := slices.DeleteFunc(slices.Clone(against), recent)
+	unexplained := c.unexplained(told, own, func(other *subjectState) bool {
+		return other.subject.Kind == PromptPart && (state.proven || !other.proven) && len(other.crashes)+fresh >= len(state.crashes)
+	})
+	return len(unexplained) < len(told) && !c.isEnough(s, state.crashes, unexplained)
+}
+
 func (c *culprits) pick(numbers []int) []*Crash {
 	out := make([]*Crash, len(numbers))
 	for i, n := range numbers {
--- a/internal/quarantine/finding.go
+++ b/internal/quarantine/finding.go
@@ -56,6 +56,8 @@
 	// itself again.
 	proofDelay         = 600 * time.Millisecond
 	proofDelayIfProven = time.Second
+	// reportDelay is how long after a crash other instances may take to tell what they had on the server.
+	reportDelay = 250 * time.Millisecond
 	// sameEvent is the time within which crashes count as one. Servers that lose power together end
 	// together, whatever is on them.
 	sameEvent = 20 * time.Millisecond
@@ -74,7 +76,7 @@
 var requestHolds = [...]time.Duration{firstHold, maxHold, requestCrashMemory}
 
 // Delays returns how long after a crash the state Undecided of its subjects may end.
-func Delays() []time.Duration { return []time.Duration{proofDelay, proofDelayIfProven} }
+func Delays() []time.Duration { return []time.Duration{reportDelay, proofDelay, proofDelayIfProven} }
 
 // Find returns the strictest conclusion about a request with the given subjects.
 //
@@ -132,6 +134,10 @@
 	})
 	if needed, delay := record.needed(); state.found && c.isEnough(subject, crashes, against) {
 		f := e.finding(subject, c.pick(against))
+		if reported := f.Last.Add(reportDelay); now.Before(reported) && c.mayBeExplained(now, subject, against, own) {
+			f.State, f.Until = Undecided, reported
+			return f
+		}
 		return f.decide(now, delay, record.holdEnd(f, needed))
 	}
 	// A suspicion needs less: a culprit that has been on just the same crashes doesn't end it.
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -320,3 +320,37 @@
 		}
 	})
 }
+
+// TestPartOfAllPromptsWaitsForWhatPeersHadOnTheLastServer guards against a sound part that is taken for the cause at the moment of the
+// last crash, since the instance that had the request which ended the server hasn't told of it yet.
+func TestPartOfAllPromptsWaitsForWhatPeersHadOnTheLastServer(t *testing.T) {
+	e := NewEvidence()
+	crash(e, 1, 0, "first", "dead")
+	crash(e, 2, second, "first", "dead")
+	crash(e, 3, 2*second, "first")
+	if f := wantState(t, e, 2*second, Undecided, "first", "sound"); !f.Until.Equal(at(2*second + reportDelay)) {
+		t.Errorf("undecided until %v, want %v", f.Until, at(2*second+reportDelay))
+	}
+	e.AddCrash(at(2*second+100*time.Millisecond), Crash{Process: 3, At: at(2 * second), Subjects: parts("dead")})
+	for _, when := range []time.Duration{100 * time.Millisecond, second, 10 * second} {
+		if f := e.Find(at(2*second+when), parts("first", "sound")); f.State >= Trial {
+			t.Errorf("%v after the last crash: got %+v, want no refusal", when, f)
+		}
+	}
+	wantState(t, e, 3*second, Quarantined, "first", "dead")
+}
+
+// TestPartIsQuarantinedIfPeersTellNothingMore guards against a conclusion that is put off for good, or for a part that nothing may explain.
+func TestPartIsQuarantinedIfPeersTellNothingMore(t *testing.T) {
+	e := NewEvidence()
+	crash(e, 1, 0, "dead", "popular")
+	crash(e, 2, second, "dead", "popular")
+	crash(e, 3, 2*second, "dead")
+	wantState(t, e, 2*second, Undecided, "dead")
+	wantState(t, e, 2*second+reportDelay, Quarantined, "dead")
+	e = NewEvidence()
+	for n := range 3 {
+		crash(e, uint64(n), time.Duration(n)*second, "dead", fmt.Sprint("rare", n))
+	}
+	wantState(t, e, 2*second, Quarantined, "dead")
+}
