Each listener may have a share of the descriptors, and who waits longest without a request yields

What callers saw: clients that open many connections and send nothing, half a head or half a body took all 600 descriptors of a process; no ordinary caller was answered in two minutes, and no readiness check or query of the directory.

Cause: the listeners of callers, readiness and directory had no limit, and the gateway's waited at its limit for somebody to leave.

Change: internal/connlimit. Callers' requests may take a third of the descriptors less 200, each other listener a sixteenth (setting descriptors, by default the resource limit). At the share, the connection that has waited longest without a whole request, 20 ms at least, ends for the new one. It ends softly: its next read fails, so that a request that was read whole by then is answered. If all others have whole requests in progress, the new connection is closed at once. Operators, metrics and the gateway keep their bounds, and yield too (netutil.LimitListener goes). A half body gets 503 with Retry-After; its log line is at debug, and one line in ten seconds tells of it.

Evidence, each test alone beside other work: TestCrowdOfSilentConnections, HalfHeads, HalfBodies, ConnectionsKeptAfterAnAnswer: 600 of 600 descriptors and nobody answered on; at most 156 now, all answered, 31 to 37 MiB. The four at the directory and at readiness: 600 of 600 (the silent ones; half heads not run there before); 48 now. TestSlowBodyIsServedInCalm passes.

Not covered: a connection whose answer lingers unread counts no more, for 5 s at most.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 
 	"limpethub/internal/cluster"
 	"limpethub/internal/confsync"
+	"limpethub/internal/connlimit"
 	"limpethub/internal/dispatch"
 	"limpethub/internal/forward"
 	"limpethub/internal/gateway"
@@ -66,6 +67,8 @@
 	requestMetrics   *metrics.Requests
 	demand           *demandTracker
 	placer           *placer.Placer
+	connections      *connectionMetrics
+	connectionShares connlimit.Shares
 	callerListener   *listener
 	operatorListener *listener
 	metricsListener  *listener
@@ -97,9 +100,13 @@
 		drained:   make(chan struct{}),
 	}
 	d.lateness = lateness.New(d.log(logging.Daemon))
+	d.connections = newConnectionMetrics(d.log(logging.Daemon))
 	d.configSteps = newConfigSteps()
 	d.bootNow = bootClock(d.log(logging.Daemon))
 	d.loopContext, d.stopLoops = context.WithCancel(context.Background())
+	if d.connectionShares, err = connlimit.SharesOf(s.Descriptors); err != nil {
+		return nil, err
+	}
 	for _, warning := range s.Warnings() {
 		d.log(logging.Daemon).Warn(warning)
 	}
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -168,8 +168,13 @@
 		Identities:    h.identities.Hasher,
 		Authorizer:    h.authorizer,
 		Observe:       d.requestMetrics.ObserveRequest,
-		Logger:        d.log(logging.Gateway),
-		Now:           time.Now,
+		Connections: front.ConnectionLimits{
+			Callers:   d.connections.limit("callers", d.connectionShares.Callers),
+			Directory: d.connections.limit("directory", d.connectionShares.Other),
+			Ready:     d.connections.limit("ready", d.connectionShares.Other),
+		},
+		Logger: d.log(logging.Gateway),
+		Now:    time.Now,
 
 		NewerConfigurationExists: d.confsync.NewerExists,
 	})
--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -8,8 +8,7 @@
 	"net"
 	"net/http"
 
-	"golang.org/x/net/netutil"
-
+	"limpethub/internal/connlimit"
 	"limpethub/internal/keys"
 	"limpethub/internal/settings"
 )
@@ -21,20 +20,33 @@
 	server      *http.Server
 }
 
-// listen opens a listener. Its handler is set later, by serve. onError is called when
-// changed key files can't be read.
-func listen(s settings.Listener, clients keys.ClientCertificates, onError func(error)) (*listener, error) {
+// listenOptions is what a listener is made of.
+type listenOptions struct {
+	settings settings.Listener
+	clients  keys.ClientCertificates
+	// onError is called when changed key files can't be read.
+	onError func(error)
+	// limit is the limit of its connections, besides that of the settings.
+	limit connlimit.Options
+}
+
+// listen opens a listener. Its handler is set later, by serve.
+func listen(o listenOptions) (*listener, error) {
+	s := o.settings
 	opened, err := net.Listen("tcp", s.Address)
 	if err != nil {
 		return nil, fmt.Errorf("daemon: listen on %s: %w", s.Address, err)
 	}
-	wrapped := netutil.LimitListener(opened, s.Bounds.MaxConnections)
+	if o.limit.MaxConnections == 0 || s.Bounds.MaxConnections < o.limit.MaxConnections {
+		o.limit.MaxConnections = s.Bounds.MaxConnections
+	}
+	wrapped := connlimit.Wrap(opened, o.limit)
 	if !s.Plaintext {
-		source, err := openKeys(s.TLS, onError)
+		source, err := openKeys(s.TLS, o.onError)
 		if err != nil {
 			return nil, errors.Join(err, opened.Close())
 		}
-		wrapped = tls.NewListener(wrapped, source.Server(clients, "h2", "http/1.1"))
+		wrapped = tls.NewListener(wrapped, source.Server(o.clients, "h2", "http/1.1"))
 	}
 	return &listener{
 		netListener: wrapped,
@@ -42,6 +54,7 @@
 			ReadHeaderTimeout: s.Bounds.ReadTimeout(),
 			IdleTimeout:       s.Bounds.IdleTimeout(),
 			MaxHeaderBytes:    s.Bounds.MaxHeaderBytes,
+			ConnContext:       connlimit.Context,
 			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: s.Bounds.MaxStreams},
 		},
 	}, nil
@@ -53,7 +66,7 @@
 
 // serve accepts connections in the background until shutdown or close.
 func (l *listener) serve(handler http.Handler, bounds settings.Bounds) {
-	l.server.Handler = limitHeaders(handler, bounds.MaxHeaders)
+	l.server.Handler = connlimit.Handler(limitHeaders(handler, bounds.MaxHeaders))
 	go func() { _ = l.server.Serve(l.netListener) }()
 }
 
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -42,6 +42,7 @@
 	)
 	d.registry.MustRegister(d.configSteps.seconds)
 	d.registry.MustRegister(d.lateness.Collectors()...)
+	d.registry.MustRegister(d.connections.Collectors()...)
 	for _, part := range []collectorProvider{d.dispatcher, d.confsync, d.cluster} {
 		d.registry.MustRegister(part.Collectors()...)
 	}
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -180,14 +180,18 @@
 func (d *Daemon) PeerAddress() string { return d.plugins.peerAddress }
 
 func (d *Daemon) buildListeners() error {
+	shares := d.connectionShares
+	listeners := d.settings.Listeners
 	var err error
-	if !d.settings.Listeners.Callers.Disabled {
-		if d.callerListener, err = listen(d.settings.Listeners.Callers, keys.NoClientCertificate, d.fileError); err != nil {
+	if !listeners.Callers.Disabled {
+		d.callerListener, err = listen(d.listenOptions(listeners.Callers, keys.NoClientCertificate, "callers", shares.Callers))
+		if err != nil {
 			return err
 		}
 	}
-	if !d.settings.Listeners.Operators.Disabled {
-		if d.operatorListener, err = listen(d.settings.Listeners.Operators, keys.OptionalClientCertificate, d.fileError); err != nil {
+	if !listeners.Operators.Disabled {
+		d.operatorListener, err = listen(d.listenOptions(listeners.Operators, keys.OptionalClientCertificate, "operators", shares.Other))
+		if err != nil {
 			return err
 		}
 	}
@@ -195,11 +199,15 @@
 		// The settings give no limits for the metrics listener; the defaults of the operators'
 		// listener apply, here and in listenersPart.Start.
 		plain := settings.Listener{Address: address, Plaintext: true, Bounds: settings.Default().Listeners.Operators.Bounds}
-		d.metricsListener, err = listen(plain, keys.NoClientCertificate, d.fileError)
+		d.metricsListener, err = listen(d.listenOptions(plain, keys.NoClientCertificate, "metrics", shares.Other))
 	}
 	return err
 }
 
+func (d *Daemon) listenOptions(s settings.Listener, clients keys.ClientCertificates, name string, maxConnections int) listenOptions {
+	return listenOptions{settings: s, clients: clients, onError: d.fileError, limit: d.connections.limit(name, maxConnections)}
+}
+
 func (d *Daemon) closeListeners() {
 	for _, l := range []*listener{d.callerListener, d.operatorListener, d.metricsListener} {
 		if l != nil {
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -81,7 +81,7 @@
 // connection as idle, also if it has read the next request already. It then begins with that
 // one, and without one it reads on.
 func (c *Conns) onStateChange(raw net.Conn, state http.ConnState) {
-	connection, ok := raw.(*conn)
+	connection, ok := trackedConn(raw)
 	if !ok {
 		return
 	}
@@ -100,6 +100,20 @@
 	}
 }
 
+// trackedConn returns the tracked connection that a connection is or wraps.
+func trackedConn(raw net.Conn) (*conn, bool) {
+	for {
+		if connection, ok := raw.(*conn); ok {
+			return connection, true
+		}
+		wrapping, ok := raw.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil, false
+		}
+		raw = wrapping.NetConn()
+	}
+}
+
 type trackedListener struct {
 	net.Listener
 	conns     *Conns
--- a/internal/drain/presence.go
+++ b/internal/drain/presence.go
@@ -18,7 +18,7 @@
 
 // withClient is the ConnContext hook of the server.
 func withClient(ctx context.Context, raw net.Conn) context.Context {
-	connection, ok := raw.(*conn)
+	connection, ok := trackedConn(raw)
 	if !ok {
 		return ctx
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"limpethub/internal/connlimit"
 	"limpethub/internal/engine"
 	"limpethub/internal/forward"
 	"limpethub/internal/gateway"
@@ -62,8 +63,15 @@
 	Authorizer *workspace.Authorizer
 	// Observe reports the end of a request, for metrics.
 	Observe func(end gateway.RequestOutcome)
-	Logger  *logrus.Entry
-	Now     func() time.Time
+	// Connections limits the connections of the listeners.
+	Connections ConnectionLimits
+	Logger      *logrus.Entry
+	Now         func() time.Time
+}
+
+// ConnectionLimits are the limits of the connections of a front's listeners.
+type ConnectionLimits struct {
+	Callers, Directory, Ready connlimit.Options
 }
 
 // Front serves callers over a platform's protocol.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,9 @@
 	// MemoryMB is the soft memory limit of the process, in MB; 0 means no limit. The
 	// process collects garbage more often the closer it gets to the limit.
 	MemoryMB int64 `json:"memory_mb,omitempty" validate:"gte=0"`
+	// Descriptors is how many file descriptors the process may have open; 0 means its resource limit. Each listener has a
+	// share of them.
+	Descriptors int `json:"descriptors,omitempty" validate:"omitempty,gte=400"`
 	// Processor is the processor capacity of the instance.
 	Processor Processor `json:"processor,omitzero"`
 	// EntriesTTLMillis is how long callers may cache an answer of /v1/entries, the list of
