--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -173,8 +173,13 @@
 		Observe:        d.requestMetrics.ObserveRequest,
 		Cuts:           metrics.NewCuts(d.registry),
 		ObserveService: h.unserved.Observe,
-		Logger:         d.log(logging.Gateway),
-		Now:            time.Now,
+		Connections: front.ConnectionLimits{
+			Callers:   d.connections.limit("callers", d.connectionShares.Callers),
+			Directory: d.connections.limit("directory", d.connectionShares.Other),
+			Ready:     d.connections.limit("ready", d.connectionShares.Other),
+		},
+		Logger: d.log(logging.Gateway),
+		Now:    time.Now,
 
 		NewerConfigurationExists: d.confsync.NewerExists,
 	})
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"limpethub/internal/connlimit"
 	"limpethub/internal/engine"
 	"limpethub/internal/forward"
 	"limpethub/internal/gateway"
@@ -70,9 +71,16 @@
 	// empty if a server answered it with success. It may be nil.
 	ObserveService func(r *request.Request, cause verdict.Code)
 	// Cuts counts connections that end without a complete answer; nil if that isn't needed.
-	Cuts   *metrics.Cuts
-	Logger *logrus.Entry
-	Now    func() time.Time
+	Cuts *metrics.Cuts
+	// Connections limits the connections of the listeners.
+	Connections ConnectionLimits
+	Logger      *logrus.Entry
+	Now         func() time.Time
+}
+
+// ConnectionLimits are the limits of the connections of a front's listeners.
+type ConnectionLimits struct {
+	Callers, Directory, Ready connlimit.Options
 }
 
 // Front serves callers over a platform's protocol.
