One budget of memory for all that callers make an instance hold

What callers saw: with many bodies of legal size that stop just short of their end, or whole bodies at slow servers, an instance took several times the memory of its machine, which ends it.

Cause: each body was read whole with io.ReadAll, with no bound on the sum of all bodies and connections, for up to 30 s and then until the answer, and was copied once more for each attempt.

The memory is now one budget in bytes (callers.max_bytes, a quarter of memory_mb by default). Each connection has an account. Heads and bodies are charged as their buffers grow, before the memory is taken, so that an announcement reserves nothing; an open connection is charged 16 KiB. When the budget is used up, the one yields that moved the fewest bytes in the last second, new ones last, whole requests never; a body that yields gets 503 with Retry-After, and nothing more of it is read. An eighth is kept for requests of up to 16 KiB. rawhttp sends a body without copying it. With room in the budget nobody yields, however slow.

Not mended here: answers that nobody reads.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"limpethub/internal/callerload"
 	"limpethub/internal/crashguard"
 	"limpethub/internal/crashwatch"
 	"limpethub/internal/discovery"
@@ -81,6 +82,7 @@
 	manager      *residency.Manager
 	extension    *residencyExtension
 	quotas       *workspacequota.Quotas
+	callerLoad   *callerload.Budget
 	inForce      atomic.Pointer[front.ConfigurationInForce]
 }
 
@@ -144,6 +146,7 @@
 		}).Ask,
 		Logger: d.log(logging.Routing),
 	})
+	h.callerLoad = callerload.New(callerload.Options{Limit: d.settings.CallerBytes(), Report: d.reportCallerLoad, Now: time.Now})
 	d.buildLimits(h)
 	if err := d.buildReach(h); err != nil {
 		return err
@@ -167,6 +170,7 @@
 		Entries:       d.hostedEntries,
 		Identities:    h.identities.Hasher,
 		Authorizer:    h.authorizer,
+		CallerLoad:    h.callerLoad,
 		Observe:       d.requestMetrics.ObserveRequest,
 		Logger:        d.log(logging.Gateway),
 		Now:           time.Now,
@@ -182,6 +186,14 @@
 	return nil
 }
 
+// reportCallerLoad logs that the memory for callers is used up.
+func (d *Daemon) reportCallerLoad(since callerload.Counts) {
+	d.log(logging.Gateway).WithFields(logrus.Fields{
+		"limit_bytes": d.hosted.callerLoad.Limit(), "held_bytes": d.hosted.callerLoad.Held(),
+		"refused": since.Refused, "bodies_ended": since.BodiesEnded, "connections_closed": since.ConnectionsClosed,
+	}).Warn("The memory for requests of callers is used up: those that send least give way")
+}
+
 // leavingBound returns the bound of the settings, and warns of one that instances can't keep.
 func (d *Daemon) leavingBound() time.Duration {
 	bound := time.Duration(d.settings.LeavingBoundMillis) * time.Millisecond
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"sync"
 
+	"limpethub/internal/callerload"
 	"limpethub/internal/intake"
 )
 
@@ -24,6 +25,8 @@
 	lingering int
 	// gate limits how many new connections and requests use the processor at once.
 	gate *intake.Gate
+	// budget bounds what the connections hold; nil means no bound.
+	budget *callerload.Budget
 }
 
 // Attach makes c track the connections of a server and returns the listener on which the
@@ -88,6 +91,7 @@
 	if state == http.StateIdle || state == http.StateClosed || state == http.StateHijacked {
 		connection.turn.End()
 	}
+	connection.account(state)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
@@ -137,11 +141,15 @@
 	return connection, nil
 }
 
-// conn is a tracked connection. The mutex of its Conns guards all fields but Conn, conns, turn and endOnce.
+// conn is a tracked connection. The mutex of its Conns guards all fields but Conn, conns, turn, load and endOnce.
 type conn struct {
 	net.Conn
 	conns *Conns
 	turn  *intake.Turn
+	// load is the account of what the connection holds; nil if there is no bound.
+	load *callerload.Account
+	// yields is true once the connection has to yield: nothing more is read from it.
+	yields bool
 	// busy is true from the first byte of a request until the server reads on after its answer.
 	// Once closed is true, the drain closes the connection, and no more bytes are passed to the server.
 	busy, closed bool
@@ -193,6 +201,9 @@
 	if closed {
 		return 0, io.EOF
 	}
+	if loadErr := c.received(n, begins); loadErr != nil {
+		return 0, loadErr
+	}
 	if begins {
 		c.turn.Take()
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"limpethub/internal/callerload"
 	"limpethub/internal/engine"
 	"limpethub/internal/forward"
 	"limpethub/internal/gateway"
@@ -60,6 +61,8 @@
 	// Authorizer decides which workspace a request belongs to and whether it may run, where the configuration
 	// requires keys.
 	Authorizer *workspace.Authorizer
+	// CallerLoad bounds what callers make this instance hold; nil means no bound.
+	CallerLoad *callerload.Budget
 	// Observe reports the end of a request, for metrics.
 	Observe func(end gateway.RequestOutcome)
 	Logger  *logrus.Entry
--- a/internal/rawhttp/exchange.go
+++ b/internal/rawhttp/exchange.go
@@ -103,39 +103,41 @@
 // send writes a short request, or writes the first part of a long one and leaves the rest
 // to a goroutine.
 func (r *Response) send(request *Request) error {
-	data := encode(request)
-	if len(data) <= maxSyncWriteBytes {
-		n, err := r.conn.Write(data)
-		if err != nil {
-			return &Error{Sent: n > 0, Err: err}
-		}
-		r.requestWritten = true
-		return nil
-	}
-	n, err := r.conn.Write(data[:maxSyncWriteBytes])
+	// The first part of a long body goes into the same packets as the head. The rest isn't copied.
+	data := encodeHead(request, maxSyncWriteBytes)
+	inFirst := min(len(request.Body), max(0, maxSyncWriteBytes-len(data)))
+	data = append(data, request.Body[:inFirst]...)
+	first := data[:min(len(data), maxSyncWriteBytes)]
+	n, err := r.conn.Write(first)
 	if err != nil {
 		return &Error{Sent: n > 0, Err: err}
 	}
+	rest := net.Buffers{data[len(first):], request.Body[inFirst:]}
+	if len(rest[0])+len(rest[1]) == 0 {
+		r.requestWritten = true
+		return nil
+	}
 	r.restSent = make(chan struct{})
-	go r.sendRest(data[maxSyncWriteBytes:])
+	go r.sendRest(rest)
 	return nil
 }
 
 // sendRest writes the rest of a long request. A write error is not reported here: the
 // server then answers early, or reading the answer fails.
-func (r *Response) sendRest(data []byte) {
+func (r *Response) sendRest(rest net.Buffers) {
 	defer close(r.restSent)
-	_, err := r.conn.Write(data)
+	_, err := rest.WriteTo(r.conn.Conn)
 	r.restErr = err
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.requestWritten = err == nil
 }
 
-func encode(request *Request) []byte {
+// encodeHead encodes a request without its body, with room for a short body.
+func encodeHead(request *Request, maxBodyBytes int) []byte {
 	var b bytes.Buffer
 	// 512 bytes are room for the request line and the headers.
-	b.Grow(len(request.Body) + 512)
+	b.Grow(min(len(request.Body), maxBodyBytes) + 512)
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", request.Method, request.Target, request.Host)
 	// A bytes.Buffer returns no errors.
 	_ = request.Header.Write(&b)
@@ -145,7 +147,6 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(request.Body)
 	return b.Bytes()
 }
 
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -32,6 +32,7 @@
 	c := &checker{index: strictjson.NewIndex(node), problems: problems}
 	c.add(strictjson.Read(node, &s, c.index)...)
 	c.checkListeners(&s)
+	c.checkCallers(&s)
 	c.checkUpstreams(&s)
 	c.checkPlugins(&s.Plugins)
 	if err := c.problems.Err(); err != nil {
@@ -40,6 +41,9 @@
 	return s, nil
 }
 
+// minCallerBytes is the least bound on what callers make the process hold.
+const minCallerBytes = 1 * mib
+
 // checker collects problems that depend on more than one field; the validate tags
 // cover those of a single field.
 type checker struct {
@@ -64,6 +68,17 @@
 	c.checkSharedAddress(s)
 }
 
+// checkCallers requires that callers may send something, and that they hold less than the process.
+func (c *checker) checkCallers(s *Settings) {
+	bytes := s.Callers.MaxBytes
+	if bytes > 0 && bytes < minCallerBytes {
+		c.addAt("callers.max_bytes", fmt.Sprintf("write %d or more, or leave it out", minCallerBytes), "%d bytes are too few for the requests of callers", bytes)
+	}
+	if s.MemoryMB > 0 && bytes >= s.MemoryMB*mib {
+		c.addAt("callers.max_bytes", "write less than memory_mb, or leave it out", "%d bytes are as much as the whole process may take", bytes)
+	}
+}
+
 func (c *checker) checkListener(path string, l Listener) {
 	if l.Disabled {
 		return
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,8 @@
 	// MemoryMB is the soft memory limit of the process, in MB; 0 means no limit. The
 	// process collects garbage more often the closer it gets to the limit.
 	MemoryMB int64 `json:"memory_mb,omitempty" validate:"gte=0"`
+	// Callers bounds what callers make the process hold.
+	Callers Callers `json:"callers,omitzero"`
 	// Processor is the processor capacity of the instance.
 	Processor Processor `json:"processor,omitzero"`
 	// EntriesTTLMillis is how long callers may cache an answer of /v1/entries, the list of
@@ -73,6 +75,24 @@
 	Slack float64 `json:"slack" validate:"gte=0"`
 }
 
+// Callers bounds what callers make an instance hold.
+type Callers struct {
+	// MaxBytes is how many bytes the heads and bodies of requests may take at the same time, with the buffers of their connections; 0
+	// means a quarter of Settings.MemoryMB.
+	MaxBytes int64 `json:"max_bytes,omitempty" validate:"gte=0"`
+}
+
+// callersShare is the part of the memory that callers may make a process hold unless the settings say otherwise.
+const callersShare = 4
+
+// CallerBytes returns how many bytes callers may make the process hold; 0 means no limit.
+func (s Settings) CallerBytes() int64 {
+	if s.Callers.MaxBytes > 0 {
+		return s.Callers.MaxBytes
+	}
+	return s.MemoryMB * mib / callersShare
+}
+
 // Processor is the processor capacity of an instance. Instances with little of it
 // leave placement to instances with more.
 type Processor struct {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -84,6 +84,8 @@
 	// CodeQueueFull means that this instance holds as many requests as it may: in total, of a
 	// class, or in its record of non-idempotent requests.
 	CodeQueueFull Code = "queue_full"
+	// CodeCallersMemory means that what callers have sent takes as much memory as it may.
+	CodeCallersMemory Code = "callers_memory"
 	// CodeNoServer means that no server can take the request.
 	CodeNoServer Code = "no_server"
 	// CodeServersPaused means that every server that could run the request has asked this
