Metrics of the memory that callers make an instance hold

Bytes held and their bound, and connections that gave way by how they did: limpethub_callers_held_bytes, limpethub_callers_max_bytes and limpethub_callers_gave_way_total. TestEveryMetricIsDocumented passes.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -94,6 +94,7 @@
 		return
 	}
 	d.registry.MustRegister(d.reachMetrics()...)
+	d.registry.MustRegister(d.callerLoadMetrics()...)
 	d.registry.MustRegister(d.authorizationMetrics()...)
 	d.registry.MustRegister(d.hosted.quotas)
 	d.registry.MustRegister(d.hosted.watcher.Collectors()...)
