Bodies that peers pass on draw on the memory for callers

A peer's request was bounded only by 32 MiB for all of them, on machines of 184 MB and more beside what this instance's own callers make it hold. It is now charged to the same budget, and a peer that has no room says so at once (peer_busy, not run), so that another one gets the request. The buffer has the length of the body in place of what append makes of it.

--- a/internal/daemon/reach.go
+++ b/internal/daemon/reach.go
@@ -38,7 +38,7 @@
 		Logger: d.log(logging.Routing), Now: time.Now, Seed: d.seed,
 	})
 	h.takenIn = peerrelay.NewServer(peerrelay.ServerOptions{
-		Runner: h.front, MayTakeIn: h.mayTakeIn, Lateness: d.lateness, Logger: d.log(logging.Routing), Now: time.Now,
+		Runner: h.front, MayTakeIn: h.mayTakeIn, Lateness: d.lateness, CallerLoad: h.callerLoad, Logger: d.log(logging.Routing), Now: time.Now,
 	})
 	streamer.HandleStreams(peers.KindRelay, h.takenIn)
 	return nil
--- a/internal/peerrelay/server.go
+++ b/internal/peerrelay/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"limpethub/internal/callerload"
 	"limpethub/internal/engine"
 	"limpethub/internal/forward"
 	"limpethub/internal/lateness"
@@ -77,8 +78,10 @@
 	MayTakeIn func() *verdict.Error
 	// Lateness measures by how much this process is late.
 	Lateness *lateness.Meter
-	Logger   *logrus.Entry
-	Now      func() time.Time
+	// CallerLoad is the memory that the bodies draw on together with those of this instance's own callers; nil means no bound.
+	CallerLoad *callerload.Budget
+	Logger     *logrus.Entry
+	Now        func() time.Time
 }
 
 // Server takes in requests that peers pass on. It is safe for concurrent use.
@@ -166,6 +169,13 @@
 	if s.bytes.Add(taken) > maxTakenInBytes {
 		return r, release, busy("the bodies of the requests that were taken in are as long as they may be")
 	}
+	if !s.options.CallerLoad.Hold(taken) {
+		return r, release, busy("the requests of callers take as much memory here as they may")
+	}
+	release = func() {
+		s.bytes.Add(-taken)
+		s.options.CallerLoad.Return(taken)
+	}
 	body, err := readBody(reader, head.BodyBytes)
 	if err != nil {
 		return r, release, malformed(err)
@@ -194,7 +204,7 @@
 }
 
 func readBody(r io.Reader, length int) ([]byte, error) {
-	var body []byte
+	body := make([]byte, 0, length)
 	for len(body) < length {
 		kind, part, err := readFrame(r)
 		if err != nil {
