Check callers.max_bytes, and warn of bodies for which there is no room

callers.max_bytes under 1 MiB, or as much as memory_mb, is refused by the check of the settings (TestCallerBytes). With each configuration whose max_body_bytes doesn't fit twice into what a single request may hold, as its buffers may while they grow, the instance logs a warning. No test plays the warning itself.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -83,6 +83,7 @@
 	extension    *residencyExtension
 	quotas       *workspacequota.Quotas
 	callerLoad   *callerload.Budget
+	logger       *logrus.Entry
 	inForce      atomic.Pointer[front.ConfigurationInForce]
 }
 
@@ -94,7 +95,7 @@
 	if err != nil {
 		return err
 	}
-	h := &hosted{extension: newResidencyExtension()}
+	h := &hosted{extension: newResidencyExtension(), logger: d.log(logging.Gateway)}
 	if h.front, err = plugin.Load[front.Front](d.settings.Plugins.Front.Plugin(), environment); err != nil {
 		return err
 	}
@@ -365,11 +366,24 @@
 	inForce.Workspaces = workspace.NewTable(&inForce.Accepted)
 	h.inForce.Store(inForce)
 	h.streams.ObserveRoutes(inForce.Document.Routes)
+	h.warnOfLongBodies(&inForce.Document)
 	h.quotas.SetDocument(&inForce.Document)
 	h.watcher.Refresh()
 	h.manager.Wake()
 }
 
+// bodyGrowth is by how much the buffers of a body exceed it at most while it is read.
+const bodyGrowth = 2
+
+// warnOfLongBodies logs that the configuration allows bodies for which there is no room.
+func (h *hosted) warnOfLongBodies(document *site.Document) {
+	most, longest := h.callerLoad.MostForOne(), document.CallerLimits.MaxBodyBytes
+	if most > 0 && bodyGrowth*longest > most {
+		h.logger.WithFields(logrus.Fields{"max_body_bytes": longest, "limit_bytes": h.callerLoad.Limit()}).
+			Warn("The longest bodies that the configuration allows don't fit the memory for requests of callers")
+	}
+}
+
 func (h *hosted) document() *site.Document {
 	if inForce := h.inForce.Load(); inForce != nil {
 		return &inForce.Document
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/sebdah/goldie/v2"
+
+	"limpethub/internal/strictjson"
 )
 
 // TestLoadValidFiles loads each valid file and compares the complete result, defaults
@@ -122,7 +124,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, value := range []any{Settings{}, Listeners{}, Listener{}, Files{}, Bounds{}, Operators{}, Upstream{}, Plugins{}, Plugin{}, OptionalPlugin{}, MetricsListener{}, Log{}, WorkspaceQuota{}} {
+	for _, value := range []any{Settings{}, Listeners{}, Listener{}, Files{}, Bounds{}, Operators{}, Upstream{}, Plugins{}, Plugin{}, OptionalPlugin{}, MetricsListener{}, Log{}, WorkspaceQuota{}, Callers{}} {
 		structType := reflect.TypeOf(value)
 		for i := range structType.NumField() {
 			name, _, _ := strings.Cut(structType.Field(i).Tag.Get("json"), ",")
@@ -151,3 +153,23 @@
 		}
 	})
 }
+
+// TestCallerBytes guards against callers that may take all of the process's memory, or so little that nobody is served.
+func TestCallerBytes(t *testing.T) {
+	if got := (Settings{MemoryMB: 128}).CallerBytes(); got != 32*mib {
+		t.Errorf("%d bytes without a setting, want a quarter of the memory", got)
+	}
+	if got := (Settings{}).CallerBytes(); got != 0 {
+		t.Errorf("%d bytes without a limit of the memory, want no limit", got)
+	}
+	if got := (Settings{MemoryMB: 128, Callers: Callers{MaxBytes: 5 * mib}}).CallerBytes(); got != 5*mib {
+		t.Errorf("%d bytes with a setting of 5 MiB", got)
+	}
+	for value, ok := range map[int64]bool{0: true, mib - 1: false, mib: true, 128*mib - 1: true, 128 * mib: false} {
+		c := &checker{index: strictjson.NewIndex(&strictjson.Node{})}
+		c.checkCallers(&Settings{MemoryMB: 128, Callers: Callers{MaxBytes: value}})
+		if got := c.problems.Err() == nil; got != ok {
+			t.Errorf("callers.max_bytes %d of 128 MiB: accepted %v, want %v", value, got, ok)
+		}
+	}
+}
