--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"limpethub/internal/callerload"
 	"limpethub/internal/crashguard"
 	"limpethub/internal/crashwatch"
 	"limpethub/internal/discovery"
@@ -84,6 +85,8 @@
 	extension    *residencyExtension
 	quotas       *workspacequota.Quotas
 	unserved     *unserved.Tracker
+	callerLoad   *callerload.Budget
+	logger       *logrus.Entry
 	inForce      atomic.Pointer[front.ConfigurationInForce]
 }
 
@@ -95,7 +98,7 @@
 	if err != nil {
 		return err
 	}
-	h := &hosted{extension: newResidencyExtension(), unserved: unserved.New(d.log(logging.Routing), time.Now)}
+	h := &hosted{extension: newResidencyExtension(), unserved: unserved.New(d.log(logging.Routing), time.Now), logger: d.log(logging.Gateway)}
 	if h.front, err = plugin.Load[front.Front](d.settings.Plugins.Front.Plugin(), environment); err != nil {
 		return err
 	}
@@ -147,6 +150,7 @@
 		}).Ask,
 		Logger: d.log(logging.Routing),
 	})
+	h.callerLoad = callerload.New(callerload.Options{Limit: d.settings.CallerBytes(), Report: d.reportCallerLoad, Now: time.Now})
 	d.buildLimits(h)
 	if err := d.buildReach(h); err != nil {
 		return err
@@ -170,6 +174,7 @@
 		Entries:        d.hostedEntries,
 		Identities:     h.identities.Hasher,
 		Authorizer:     h.authorizer,
+		CallerLoad:     h.callerLoad,
 		Observe:        d.requestMetrics.ObserveRequest,
 		Cuts:           metrics.NewCuts(d.registry),
 		ObserveService: h.unserved.Observe,
@@ -193,6 +198,14 @@
 	return nil
 }
 
+// reportCallerLoad logs that the memory for callers is used up.
+func (d *Daemon) reportCallerLoad(since callerload.Counts) {
+	d.log(logging.Gateway).WithFields(logrus.Fields{
+		"limit_bytes": d.hosted.callerLoad.Limit(), "held_bytes": d.hosted.callerLoad.Held(),
+		"refused": since.Refused, "bodies_ended": since.BodiesEnded, "connections_closed": since.ConnectionsClosed,
+	}).Warn("The memory for requests of callers is used up: those that send least give way")
+}
+
 // leavingBound returns the bound of the settings, and warns of one that instances can't keep.
 func (d *Daemon) leavingBound() time.Duration {
 	bound := time.Duration(d.settings.LeavingBoundMillis) * time.Millisecond
@@ -364,11 +377,24 @@
 	inForce.Workspaces = workspace.NewTable(&inForce.Accepted)
 	h.inForce.Store(inForce)
 	h.streams.ObserveRoutes(inForce.Document.Routes)
+	h.warnOfLongBodies(&inForce.Document)
 	h.quotas.SetDocument(&inForce.Document)
 	h.watcher.Refresh()
 	h.manager.Wake()
 }
 
+// bodyGrowth is by how much the buffers of a body exceed it at most while it is read.
+const bodyGrowth = 2
+
+// warnOfLongBodies logs that the configuration allows bodies for which there is no room.
+func (h *hosted) warnOfLongBodies(document *site.Document) {
+	most, longest := h.callerLoad.MostForOne(), document.CallerLimits.MaxBodyBytes
+	if most > 0 && bodyGrowth*longest > most {
+		h.logger.WithFields(logrus.Fields{"max_body_bytes": longest, "limit_bytes": h.callerLoad.Limit()}).
+			Warn("The longest bodies that the configuration allows don't fit the memory for requests of callers")
+	}
+}
+
 func (h *hosted) document() *site.Document {
 	if inForce := h.inForce.Load(); inForce != nil {
 		return &inForce.Document
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -96,6 +96,7 @@
 		return
 	}
 	d.registry.MustRegister(d.reachMetrics()...)
+	d.registry.MustRegister(d.callerLoadMetrics()...)
 	d.registry.MustRegister(d.authorizationMetrics()...)
 	d.registry.MustRegister(d.hosted.quotas, d.hosted.unserved)
 	d.registry.MustRegister(d.hosted.watcher.Collectors()...)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"limpethub/internal/callerload"
 	"limpethub/internal/connlimit"
 	"limpethub/internal/engine"
 	"limpethub/internal/forward"
@@ -65,6 +66,8 @@
 	// Authorizer decides which workspace a request belongs to and whether it may run, where the configuration
 	// requires keys.
 	Authorizer *workspace.Authorizer
+	// CallerLoad bounds what callers make this instance hold; nil means no bound.
+	CallerLoad *callerload.Budget
 	// Observe reports the end of a request, for metrics.
 	Observe func(end gateway.RequestOutcome)
 	// ObserveService reports whether a request was served, for what is known of versions and prompts that aren't: cause is
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,6 +45,8 @@
 	// Descriptors is how many file descriptors the process may have open; 0 means its resource limit. Each listener has a
 	// share of them.
 	Descriptors int `json:"descriptors,omitempty" validate:"omitempty,gte=400"`
+	// Callers bounds what callers make the process hold.
+	Callers Callers `json:"callers,omitzero"`
 	// Processor is the processor capacity of the instance.
 	Processor Processor `json:"processor,omitzero"`
 	// EntriesTTLMillis is how long callers may cache an answer of /v1/entries, the list of
@@ -76,6 +78,24 @@
 	Slack float64 `json:"slack" validate:"gte=0"`
 }
 
+// Callers bounds what callers make an instance hold.
+type Callers struct {
+	// MaxBytes is how many bytes the heads and bodies of requests may take at the same time, with the buffers of their connections; 0
+	// means a quarter of Settings.MemoryMB.
+	MaxBytes int64 `json:"max_bytes,omitempty" validate:"gte=0"`
+}
+
+// callersShare is the part of the memory that callers may make a process hold unless the settings say otherwise.
+const callersShare = 4
+
+// CallerBytes returns how many bytes callers may make the process hold; 0 means no limit.
+func (s Settings) CallerBytes() int64 {
+	if s.Callers.MaxBytes > 0 {
+		return s.Callers.MaxBytes
+	}
+	return s.MemoryMB * mib / callersShare
+}
+
 // Processor is the processor capacity of an instance. Instances with little of it
 // leave placement to instances with more.
 type Processor struct {
