--- a/internal/residency/adapters.go
+++ b/internal/residency/adapters.go
@@ -68,7 +68,6 @@
 	}
 	srv, victim := p.adapterEviction(a)
 	if srv == nil {
-		p.noteWithoutSlot(a)
 		return
 	}
 	inUse := p.Now.Sub(p.Needs[victim].LastUsed) < idleNow
@@ -78,16 +77,6 @@
 	p.addMove(srv, Move{Action: engine.ActionUnload, Ref: victim, Reason: fmt.Sprintf("frees a slot for %s", a.Ref)})
 }
 
-// noteWithoutSlot records that an overdue adapter gets no slot on the servers that hold its base, so that the base gets another
-// copy. One that is being loaded already will bring slots.
-func (p *planner) noteWithoutSlot(a Adapter) {
-	isLoading := p.servingCopies[a.Base] != p.activeCopies[a.Base]
-	if p.overdueFor(a.Ref) >= anotherBaseAfter && p.servingCopies[a.Base] > 0 && !isLoading {
-		p.needsSlots[a.Base] = true
-		p.wantedCopies[a.Base] = max(p.wantedCopies[a.Base], min(p.activeCopies[a.Base]+1, len(p.servers)))
-	}
-}
-
 // serverWithSpace returns the server that provideAdapter loads an adapter on; nil if none has space.
 func (p *planner) serverWithSpace(a Adapter) *plannedServer {
 	var best *plannedServer
--- a/internal/residency/overdue.go
+++ b/internal/residency/overdue.go
@@ -13,9 +13,6 @@
 	// busyVictimAfter is for how long a version must have been overdue so that one that is in use may give way to it.
 	// Versions that are all in use all the time then have their turns.
 	busyVictimAfter = 3 * time.Second
-	// anotherBaseAfter is for how long an adapter must have been overdue so that its base gets another copy, with its slots. By
-	// then a slot would have become free on the others, if fewer adapters were in use than they have slots.
-	anotherBaseAfter = 2 * time.Second
 )
 
 // overdueFor returns for how long requests have waited for a version without being served; 0 if it isn't overdue.
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -108,8 +108,6 @@
 	adapterCopies map[modelref.Ref]int
 	// wantedCopies is the number of copies that each model should have.
 	wantedCopies map[modelref.Ref]int
-	// needsSlots holds the models that need another copy for the slots of its server.
-	needsSlots map[modelref.Ref]bool
 	// loadsReservedForWaiting is the number of loads from the weight store reserved for models
 	// with waiting requests whose load can't be ordered yet.
 	loadsReservedForWaiting int
@@ -130,7 +128,6 @@
 		wantedCopies:  map[modelref.Ref]int{},
 
 		adapterCopies: map[modelref.Ref]int{},
-		needsSlots:    map[modelref.Ref]bool{},
 	}
 	for _, m := range s.Models {
 		p.models[m.Ref] = m
@@ -194,8 +191,8 @@
 type missingCopy struct {
 	model Model
 	// firstCopy is true for the first copy of a model that has no active copy. waiting is true
-	// if requests wait for the model; missingCopies sets it for a first copy, and for one whose slots
-	// adapters wait for, startNextLoads for any copy.
+	// if requests wait for the model; missingCopies sets it for a first copy only,
+	// startNextLoads for any copy.
 	firstCopy, waiting bool
 	// demandPerCopy is the demand for each copy of the model if it had the new one.
 	demandPerCopy float64
@@ -248,7 +245,7 @@
 		existing := p.activeCopies[m.Ref]
 		for n := existing; n < p.wantedCopies[m.Ref]; n++ {
 			out = append(out, missingCopy{
-				model: m, firstCopy: n == 0, waiting: n == 0 && need.Waiting > 0 || n == existing && p.needsSlots[m.Ref],
+				model: m, firstCopy: n == 0, waiting: n == 0 && need.Waiting > 0,
 				demandPerCopy: need.Load / float64(n+1),
 			})
 		}
