--- a/internal/dispatch/panic_test.go
+++ b/internal/dispatch/panic_test.go
@@ -37,3 +37,16 @@
 		}
 	}
 }
+
+// TestRequestWhosePanicIsRecoveredDoesNotCountAsWaiting guards against a request that is gone and waits forever by the counts that a
+// drain and the metrics read.
+func TestRequestWhosePanicIsRecoveredDoesNotCountAsWaiting(t *testing.T) {
+	d := New(Options{Scheduler: panickingScheduler{newDispatcher(t).scheduler}, Logger: logging.Discard(), Now: time.Now})
+	func() {
+		defer func() { _ = recover() }()
+		_, _ = d.Admit(context.Background(), request.Request{ID: "r", Model: "m@1", Deadline: time.Now().Add(time.Second)})
+	}()
+	if n := d.Waiting(); n != 0 {
+		t.Errorf("%d requests wait after the panic, want 0", n)
+	}
+}
