A request with the id of one that waits leaves the decision to that one

What callers saw: a request that waits for a server gets no answer until its deadline though a server is free, once another request with the same Request-Id has come and was refused, from whichever caller. Its slot stays taken for a while.

Cause: await and AdmitAtOnce put their waiter in place of the one under the same id before the scheduler refuses the duplicate, and then took it away. The decision about the first request found nobody.

Change: beginWait refuses the second one at once and leaves the first one's waiter alone.

Whether the users' LOST was of this kind isn't known: it needs an id that comes twice while the first request waits.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -122,15 +122,16 @@
 	if d.observer != nil {
 		d.observer.ObserveArrival(r)
 	}
-	w := &waiter{request: r, queuedAt: d.now(), ready: make(chan scheduling.Decision, 1)}
+	w := newWaiter(r, d.now())
 	d.withLock(func() {
-		d.waiters[r.ID] = w
-		d.apply(d.scheduler.Arrive(d.now(), r))
+		isOnly := d.beginWait(w, func(now time.Time) []scheduling.Decision { return d.scheduler.Arrive(now, r) })
 		select {
 		case decision = <-w.ready:
 		default:
-			delete(d.waiters, r.ID)
-			d.apply(d.scheduler.Cancel(d.now(), r.ID))
+			if isOnly {
+				delete(d.waiters, r.ID)
+				d.apply(d.scheduler.Cancel(d.now(), r.ID))
+			}
 		}
 	})
 	return decision, decision.Action == scheduling.Dispatch || decision.Action == scheduling.PassOn
@@ -146,11 +147,8 @@
 
 // await passes an event of the request to the scheduler and waits for the decision.
 func (d *Dispatcher) await(ctx context.Context, r request.Request, event func(time.Time) []scheduling.Decision) (scheduling.Decision, error) {
-	w := &waiter{request: r, queuedAt: d.now(), ready: make(chan scheduling.Decision, 1)}
-	d.withLock(func() {
-		d.waiters[r.ID] = w
-		d.apply(event(d.now()))
-	})
+	w := newWaiter(r, d.now())
+	d.withLock(func() { d.beginWait(w, event) })
 
 	if len(w.ready) == 0 {
 		intake.Leave(ctx)
@@ -163,6 +161,24 @@
 	}
 }
 
+func newWaiter(r request.Request, now time.Time) *waiter {
+	return &waiter{request: r, queuedAt: now, ready: make(chan scheduling.Decision, 1)}
+}
+
+// beginWait passes an event of a request to the scheduler, with a waiter for the decision. It reports false, and refuses the request, if
+// another one with the same ID waits: the decision about that one would find nobody. The lock is held.
+func (d *Dispatcher) beginWait(w *waiter, event func(time.Time) []scheduling.Decision) bool {
+	id := w.request.ID
+	if d.waiters[id] == nil {
+		d.waiters[id] = w
+		d.apply(event(d.now()))
+		return true
+	}
+	refused := verdict.Unclear(verdict.CodeDuplicate, nil, "a request with the ID %s is in progress", id)
+	w.ready <- scheduling.Decision{Action: scheduling.Refuse, ID: id, Err: refused}
+	return false
+}
+
 // abandon ends the wait of a request whose context has ended. If it was dispatched in the
 // meantime, the dispatch is released, because nothing was sent.
 func (d *Dispatcher) abandon(w *waiter) (scheduling.Decision, error) {
