A version whose requests have a copy to run on isn't overdue

Cause: only requests with an event of a stream count as running, so that a version that serves whole answers, or streams that are shorter than the 250 ms between two counts, stayed unserved from its first wait on, up to 10 minutes. Its next wait went first and displaced versions in use.

Change: requests that can run, with none beside them that waits for a copy, end the age as well.

--- a/internal/residency/needs.go
+++ b/internal/residency/needs.go
@@ -76,7 +76,8 @@
 			need.LastUsed = now
 		}
 		switch {
-		case current.Running > 0:
+		case current.Running > 0, current.Unstarted > 0 && current.Waiting == 0:
+			// Requests with an answer in one piece never count as running. One that no other waits beside has a copy to run on.
 			need.UnservedSince = time.Time{}
 		case current.Waiting > 0 && need.UnservedSince.IsZero():
 			need.UnservedSince = now
