Of versions that are all in use, the one with the least load gives way to an overdue one

Cause: once a version has been overdue for 3 s, all others in use rate alike, and the first by name was chosen, also with 90 times the load.

Change: the cost of a last copy grows with the demand that it serves; of adapters last used at the same time the one with less load goes.

--- a/internal/residency/adapters.go
+++ b/internal/residency/adapters.go
@@ -124,6 +124,14 @@
 	return srv.Ready && !has
 }
 
+// idlerThan reports whether a version was used less lately than another, or if both are in use, is used less.
+func idlerThan(x, y Need) bool {
+	if x.LastUsed.Equal(y.LastUsed) {
+		return x.Load < y.Load
+	}
+	return x.LastUsed.Before(y.LastUsed)
+}
+
 // adapterVictim returns the adapter to unload from a server for another one: of the resident adapters without
 // waiting requests that make enough space and have been idle for long enough, the one idle for longest.
 // ok is false if there is none.
@@ -137,7 +145,7 @@
 		if srv.freeSlots < 0 || srv.freeMB+p.adapters[ref].MemoryMB < a.MemoryMB {
 			continue
 		}
-		if !ok || need.LastUsed.Before(p.Needs[victim].LastUsed) {
+		if !ok || idlerThan(need, p.Needs[victim]) {
 			victim, ok = ref, true
 		}
 	}
--- a/internal/residency/plan_option.go
+++ b/internal/residency/plan_option.go
@@ -133,7 +133,7 @@
 // copies that it needs most, if their servers happen to accept orders first. Any other model may
 // lose a copy, even its last one, only if requests wait for the missing copy and the model has been
 // idle for minIdleForEviction, or less if the missing copy is overdue; see minIdleFor. The longer it has been idle, the lower
-// that cost.
+// that cost, and the more of its demand is displaced, the higher.
 func (p *planner) evictionCost(missing missingCopy, ref modelref.Ref) (evictable bool, cost float64) {
 	demandPerCopy := missing.demandPerCopy
 	if missing.firstCopy {
@@ -150,7 +150,7 @@
 	}
 	idle := need.Waiting == 0 && p.Now.Sub(need.LastUsed) >= p.minIdleFor(missing.model.Ref, minIdleForEviction)
 	if missing.waiting && idle {
-		return true, costLastCopy + 1/(1+p.Now.Sub(need.LastUsed).Seconds())
+		return true, costLastCopy + 1/(1+p.Now.Sub(need.LastUsed).Seconds()) + costPerDisplacedDemand*need.Load
 	}
 	return false, 0
 }
