--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -171,7 +171,15 @@
 	id := w.request.ID
 	if d.waiters[id] == nil {
 		d.waiters[id] = w
+		returned := false
+		defer func() {
+			if !returned {
+				// The event panics, and nobody waits for the decision any more.
+				delete(d.waiters, id)
+			}
+		}()
 		d.apply(event(d.now()))
+		returned = true
 		return true
 	}
 	refused := verdict.Unclear(verdict.CodeDuplicate, nil, "a request with the ID %s is in progress", id)
