--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -145,7 +145,7 @@
 // Broadcast sends a datagram to all peers that aren't dead, as far as the byte budget
 // allows, and returns to how many peers it was sent and how many were skipped. It begins with
 // the peer after the one to which the last Broadcast with the same rotation came, so that an exhausted
-// budget affects all peers alike, and each one is reached again as soon as it can be.
+// budget affects all peers alike, and the longest pause between two broadcasts to one peer is as short as it can be.
 func (c *Cluster) Broadcast(kind peers.Kind, payload []byte, rotation *Rotation) (sent, skipped int) {
 	targets := c.reachablePeersAfter(rotation.last)
 	for sent, target := range targets {
--- a/internal/reachability/turns.go
+++ b/internal/reachability/turns.go
@@ -12,7 +12,7 @@
 	// turnsValid is how many turns, the present one included, an instance can still use.
 	turnsValid = 2
 	// minAskPeriod and maxAskPeriod bound the time after which an instance asks a server without a turn, so that it learns
-	// soon that it isn't cut off any more, however few turns it has.
+	// within some seconds that it isn't cut off any more, however few turns it has.
 	minAskPeriod = 2 * time.Second
 	maxAskPeriod = 10 * time.Second
 )
