--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -125,6 +126,15 @@
 // NetConn returns the connection below.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
+// SetLinger is net.TCPConn.SetLinger.
+func (c *Conn) SetLinger(seconds int) error {
+	below, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return below.SetLinger(seconds)
+}
+
 // yieldedError says that a connection is closed for another one. It counts as a timeout, so that an HTTP server closes the
 // connection without an answer if it waits for a head.
 type yieldedError struct{}
@@ -276,7 +286,10 @@
 		if r.Body == nil || r.Body == http.NoBody {
 			whole.begin()
 		} else {
-			r.Body = &body{ReadCloser: r.Body, whole: whole}
+			// The server looks at the type of the body that it made, so that its own request stays as it is.
+			read := *r
+			read.Body = &body{ReadCloser: r.Body, whole: whole}
+			r = &read
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/internal/connlimit/listener_test.go
+++ b/internal/connlimit/listener_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -114,3 +116,44 @@
 		t.Errorf("a new caller got status %d beside a kept connection, want 200", status)
 	}
 }
+
+// TestRefusalOfABodyThatWaitsForA100IsAnswered guards against a server that waits, before its answer, for a body that the handler doesn't
+// want and that its caller only sends once it is told to.
+func TestRefusalOfABodyThatWaitsForA100IsAnswered(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.NotFoundHandler()}
+	limited := Attach(server, l, Options{Name: "test", MaxConnections: 1})
+	go func() { _ = server.Serve(limited) }()
+	t.Cleanup(func() { _ = server.Close() })
+	c := dial(t, l.Addr().String())
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	send(t, c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\nExpect: 100-continue\r\n\r\n")
+	if status := statusFrom(c); status != http.StatusNotFound {
+		t.Errorf("got status %d, want 404", status)
+	}
+}
+
+// TestConnectionCanBeReset guards against a stream that breaks off and looks complete to a caller of HTTP/1.0.
+func TestConnectionCanBeReset(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	limited := Wrap(l, Options{Name: "test", MaxConnections: 1, Observer: noObserver{}})
+	t.Cleanup(func() { _ = limited.Close() })
+	client := dial(t, l.Addr().String())
+	accepted, err := limited.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := accepted.(*Conn).SetLinger(0); err != nil {
+		t.Fatal(err)
+	}
+	_ = accepted.Close()
+	if _, err := client.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("got %v, want a reset", err)
+	}
+}
