Review: case 7 with eight shorter rounds

The store is listed at a moment that the backoff decides, so that about half of the rounds hold. Rounds are now 14 s (1 s of calm, 4 s watched after the cut) and eight in 118 s.

--- a/review/cmd-2/restarted-peers/main.go
+++ b/review/cmd-2/restarted-peers/main.go
@@ -22,7 +22,7 @@
 	machines = 3
 	servers  = 12
 	// rounds is how often all of it comes, each time with another machine and another server.
-	rounds = 6
+	rounds = 8
 	// heartbeat is how often servers write to the store.
 	heartbeat = 1200 * time.Millisecond
 	// cutFor is how long the cut lasts, and forgetsAfter when the store forgets its history.
@@ -34,8 +34,8 @@
 	// leavesBefore is how long before the end of the cut the server leaves.
 	leavesBefore = 2500 * time.Millisecond
 	// judgedFor is how long after the end of the cut the server that leaves is watched.
-	judgedFor    = 4500 * time.Millisecond
-	calm         = 3 * time.Second
+	judgedFor    = 4 * time.Second
+	calm         = time.Second
 	requestPause = 8 * time.Millisecond
 	limit        = 118 * time.Second
 )
