--- a/internal/discovery/absence.go
+++ b/internal/discovery/absence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"limpethub/internal/pause"
@@ -21,6 +22,11 @@
 	Since, Until time.Time
 }
 
+// describe returns the contact as ages, for a log line.
+func (c Contact) describe(now time.Time) string {
+	return fmt.Sprintf("%v to %v ago", now.Sub(c.Since).Round(time.Millisecond), now.Sub(c.Until).Round(time.Millisecond))
+}
+
 // absence is a time in which this instance didn't reach the store. servers were missing from the listing
 // that ended it.
 type absence struct {
@@ -75,8 +81,16 @@
 	ctx, cancel := context.WithDeadline(ctx, a.until.Add(outageGracePeriod))
 	defer cancel()
 	log := w.options.Logger.WithField("servers", a.servers).WithField("away_ms", a.until.Sub(a.since).Milliseconds())
+	var told []string
 	for ctx.Err() == nil {
-		for _, c := range w.options.PeerContacts(ctx) {
+		contacts := w.options.PeerContacts(ctx)
+		now := time.Now()
+		told = nil
+		for _, c := range contacts {
+			told = append(told, c.describe(now))
+		}
+		log.WithField("contacts", told).WithField("listed_ms", now.Sub(a.until).Milliseconds()).Debug("Other instances told when they have read the store")
+		for _, c := range contacts {
 			if !a.coveredBy(c) {
 				continue
 			}
@@ -86,5 +100,5 @@
 		}
 		pause.For(ctx, askPause)
 	}
-	log.Info("Servers were kept: no other instance has read the store all the while")
+	log.WithField("contacts", told).Info("Servers were kept: no other instance has read the store all the while")
 }
--- a/internal/discovery/reading.go
+++ b/internal/discovery/reading.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"limpethub/internal/pause"
 	"limpethub/internal/store"
 )
@@ -193,17 +195,25 @@
 		w.contactSince = now
 	}
 	if w.failing {
-		// away_ms is the time since the last successful call.
-		w.options.Logger.WithField("away_ms", gap.Milliseconds()).Info("Announcements can be read again")
+		// away_ms is the time since the last successful call, last_failure_ms the time since the end of the last failed one.
+		w.options.Logger.WithFields(logrus.Fields{
+			"away_ms": gap.Milliseconds(), "failed": w.failed, "last_failure_ms": now.Sub(w.lastFailureAt).Milliseconds(),
+		}).Info("Announcements can be read again")
 	}
-	w.lastAnswerAt, w.failing = now, false
+	w.lastAnswerAt, w.failing, w.failed = now, false, 0
 	return outage
 }
 
 func (w *Watcher) recordFailure(ctx context.Context, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.failing || ctx.Err() != nil {
+	if ctx.Err() != nil {
+		return
+	}
+	w.failed++
+	w.lastFailureAt = time.Now()
+	if w.failing {
+		w.options.Logger.WithError(err).Debug("Announcements still can't be read")
 		return
 	}
 	w.failing = true
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -67,6 +67,9 @@
 	// contactSince is when the first of the calls succeeded between which there was no outage.
 	lastAnswerAt, contactSince time.Time
 	failing                    bool
+	// failed counts the failed calls since the last answer. lastFailureAt is when the last one ended.
+	failed        int
+	lastFailureAt time.Time
 	// absences are those about which peers are to be asked.
 	absences chan absence
 	// unusable holds the servers whose unusable announcement has been logged.
