A server that left during a cut is dropped though all peers were restarted

What a process had read ended with it, and no living process had seen all of the absence.

Fix: instances keep the spans in which the store was in service, by their own reads and by what others told, and ask for those of others at their start and after each absence. Spans that overlap count as one; an absence is covered if they leave out at most minOutage of it, all gaps together (two gaps, one at each end, counted as one before). The answer keeps the fields that the earlier build reads and sends.

Beside it: without any proof the grace counts from the store's first answer (the 410), not from the listing, and is 2.2 s (2.5); a read comes right before missing servers are given up; a process that stood still for longer than its pause and 1.5 s counts that time as unknown (before: 5 s in all).

TestMalformedContactIsRefused has its three and four more.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -146,7 +146,7 @@
 		OnRead:      d.confirmVersions,
 		PeerContacts: storecontact.New(storecontact.Options{
 			Members: d.cluster.Members, Self: d.cluster.Self(), Transport: d.plugins.peers,
-			Own: func() discovery.Contact { return h.watcher.Contact() }, Logger: d.log(logging.Peers),
+			Known: func() []discovery.Contact { return h.watcher.Contacts() }, Logger: d.log(logging.Peers),
 		}).Ask,
 		Logger: d.log(logging.Routing),
 	})
--- a/internal/discovery/absence.go
+++ b/internal/discovery/absence.go
@@ -2,103 +2,120 @@
 
 import (
 	"context"
-	"fmt"
+	"slices"
+	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"limpethub/internal/pause"
 )
 
 const (
-	// maxContactGap is the longest time between two successful reads of one Contact, also if no read
-	// between them failed. It is above the pause between two reads.
-	maxContactGap = maxBatchPause + 2*time.Second
-	// askPause is the time between two questions to peers about their contact with the store.
-	askPause = 200 * time.Millisecond
+	// askPause is the time between two questions to peers about their contacts with the store while servers are
+	// missing, and learnPause if none are.
+	askPause   = 200 * time.Millisecond
+	learnPause = 500 * time.Millisecond
 )
 
-// Contact is a time in which an instance has read the store without a longer gap. Both are zero if it
-// has not read it yet.
-type Contact struct {
-	Since, Until time.Time
-}
-
-// describe returns the contact as ages, for a log line.
-func (c Contact) describe(now time.Time) string {
-	return fmt.Sprintf("%v to %v ago", now.Sub(c.Since).Round(time.Millisecond), now.Sub(c.Until).Round(time.Millisecond))
-}
-
-// absence is a time in which this instance didn't reach the store. servers were missing from the listing
-// that ended it.
+// absence is a time in which this instance didn't reach the store. since is zero if it has just started. servers
+// were missing from the listing that ended it.
 type absence struct {
 	since, until time.Time
 	servers      int
 }
 
-// coveredBy reports whether a peer reached the store during the whole absence: the store was in service, so
-// that entries which are missing now were removed or had expired as in calm.
-func (a absence) coveredBy(c Contact) bool {
-	if c.Until.IsZero() {
-		return false
+// coveredBy reports whether the store was in service during the absence: entries that are missing now were removed or
+// had expired as in calm. Gaps of minOutage, all together, are too short for an entry to expire.
+func (a absence) coveredBy(known contacts) bool {
+	return !a.since.IsZero() && known.gapsWithin(a.since, a.until) <= minOutage
+}
+
+// askPause returns the time between two questions about the absence.
+func (a absence) askPause() time.Duration {
+	if a.servers == 0 {
+		return learnPause
 	}
-	return !c.Since.After(a.since.Add(minOutage)) && !c.Until.Before(a.until.Add(-minOutage))
+	return askPause
 }
 
-// Contact returns the time up to now in which this instance has read the store.
-func (w *Watcher) Contact() Contact {
+// Contacts returns the times in which the store is known here to have been in service, in ascending order.
+func (w *Watcher) Contacts() []Contact {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return Contact{Since: w.contactSince, Until: w.lastAnswerAt}
+	return slices.Clone(w.contacts)
 }
 
-// noteAbsence lets peers be asked about an absence, if servers were missing when it ended. The caller holds
-// the lock.
+// noteAbsence lets peers be asked about an absence. The caller holds the lock.
 func (w *Watcher) noteAbsence(since, until time.Time) {
-	missing := w.registry.Missing(until)
-	if missing == 0 || w.options.PeerContacts == nil {
+	if w.options.PeerContacts == nil {
 		return
 	}
 	select {
-	case w.absences <- absence{since: since, until: until, servers: missing}:
-	default: // Peers are still being asked about an earlier one; its servers are kept for outageGracePeriod.
+	case w.absences <- absence{since: since, until: until, servers: w.registry.Missing(until)}:
+	default: // An earlier absence hasn't been looked at yet. The servers that are missing now are kept for outageGracePeriod.
 	}
 }
 
 // absenceLoop asks peers about absences until ctx ends.
 func (w *Watcher) absenceLoop(ctx context.Context) {
+	var questions sync.WaitGroup
+	defer questions.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case a := <-w.absences:
-			w.resolveAbsence(ctx, a)
+			questions.Go(func() { w.resolveAbsence(ctx, a) })
 		}
 	}
 }
 
-// resolveAbsence drops the servers that were missing after an absence once a peer shows that the store was in
-// service meanwhile. It gives up when the registry drops them anyway.
+// resolveAbsence learns from peers when the store was in service during an absence, and drops the servers that were
+// missing after it once that was all the while. It gives up when the registry drops them anyway. Also if none are missing, what
+// peers know is asked for: they may have ended when another instance needs it.
 func (w *Watcher) resolveAbsence(ctx context.Context, a absence) {
 	ctx, cancel := context.WithDeadline(ctx, a.until.Add(outageGracePeriod))
 	defer cancel()
-	log := w.options.Logger.WithField("servers", a.servers).WithField("away_ms", a.until.Sub(a.since).Milliseconds())
-	var told []string
+	log := w.options.Logger.WithField("servers", a.servers)
+	if !a.since.IsZero() {
+		log = log.WithField("away_ms", a.until.Sub(a.since).Milliseconds())
+	}
 	for ctx.Err() == nil {
-		contacts := w.options.PeerContacts(ctx)
-		now := time.Now()
-		told = nil
-		for _, c := range contacts {
-			told = append(told, c.describe(now))
-		}
-		log.WithField("contacts", told).WithField("listed_ms", now.Sub(a.until).Milliseconds()).Debug("Other instances told when they have read the store")
-		for _, c := range contacts {
-			if !a.coveredBy(c) {
-				continue
-			}
-			log.Info("Servers are gone: another instance has read the store all the while")
-			w.update(cause{origin: originAbsence}, func(r *Registry) { r.DropMissing(time.Now(), a.until) })
+		known := w.learn(w.options.PeerContacts(ctx), log)
+		if a.coveredBy(known) {
+			w.dropMissing(a, log)
 			return
 		}
-		pause.For(ctx, askPause)
+		pause.For(ctx, a.askPause())
+	}
+	if a.servers > 0 {
+		log.WithField("contacts", describe(w.Contacts(), time.Now())).Info("Servers were kept: no other instances have read the store all the while")
+	}
+}
+
+// learn adds what peers told to the contacts, and returns these.
+func (w *Watcher) learn(told []Contact, log *logrus.Entry) contacts {
+	log.WithField("contacts", describe(told, time.Now())).Debug("Other instances told when the store was in service")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range told {
+		w.contacts.add(c)
+	}
+	return slices.Clone(w.contacts)
+}
+
+func (w *Watcher) dropMissing(a absence, log *logrus.Entry) {
+	if a.servers == 0 {
+		return
+	}
+	log.Info("Servers are gone: other instances have read the store all the while")
+	w.update(cause{origin: originAbsence}, func(r *Registry) { r.DropMissing(time.Now(), a.until) })
+}
+
+func describe(all []Contact, now time.Time) (out []string) {
+	for _, c := range all {
+		out = append(out, c.describe(now))
 	}
-	log.WithField("contacts", told).Info("Servers were kept: no other instance has read the store all the while")
+	return out
 }
--- a/internal/discovery/reading.go
+++ b/internal/discovery/reading.go
@@ -15,12 +15,17 @@
 )
 
 const (
-	// minRetryDelay and maxRetryDelay bound the delay before a retry after a failure.
+	// minRetryDelay and maxRetryDelay bound the delay before a retry after a failure. After a call without an
+	// answer it counts from the call's beginning.
 	minRetryDelay = 50 * time.Millisecond
-	maxRetryDelay = 500 * time.Millisecond
+	maxRetryDelay = 400 * time.Millisecond
 	// minOutage is how long calls of the store must have failed, counted from the last success,
 	// for servers that are missing afterwards to get a grace period.
 	minOutage = 1500 * time.Millisecond
+	// returnTime is what the first call after an absence may take.
+	returnTime = 250 * time.Millisecond
+	// lastLook is how long before missing servers are given up the announcements are read once more.
+	lastLook = 200 * time.Millisecond
 	// tickPeriod is how often the registry removes what has expired.
 	tickPeriod = 100 * time.Millisecond
 	// batchPause is how long changes are collected before the next watch. Each watch that
@@ -43,6 +48,10 @@
 // MinLeavingBound is the shortest Options.LeavingBound that an instance can keep.
 const MinLeavingBound = minBatchPause + readTime
 
+// MinInTouchDelay is the shortest time after the end of a cut from the store by which an instance has given up the servers that left
+// meanwhile, also if no other instance can tell what happened.
+const MinInTouchDelay = maxRetryDelay + returnTime + outageGracePeriod + tickPeriod
+
 // Run reads announcements until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	var loops sync.WaitGroup
@@ -53,6 +62,7 @@
 	var revision store.Revision
 	listed := false
 	for ctx.Err() == nil {
+		began := time.Now()
 		var err error
 		if listed {
 			revision, err = w.watch(ctx, revision)
@@ -64,29 +74,49 @@
 			retryDelay, listed = minRetryDelay, true
 			// Instances that start or recover together mustn't go on reading together: a change right after
 			// their read would stay unknown to all of them.
-			pause.For(ctx, rand.N(w.batchPause()))
+			w.pauseBeforeRead(ctx, rand.N(w.batchPause()))
 			continue
 		case err == nil:
 			retryDelay = minRetryDelay
-			pause.For(ctx, w.batchPause())
+			w.pauseBeforeRead(ctx, w.batchPause())
 			continue
 		case errors.Is(err, store.ErrCompacted):
 			w.options.Logger.WithField("revision", revision).Info("History of announcements is gone, listing again")
 			// The store is in service: earlier failures are no reason to wait before the listing.
 			listed, retryDelay = false, minRetryDelay
-			w.setRestored(errors.Is(err, store.ErrRestored))
+			w.recordCompacted(time.Now(), errors.Is(err, store.ErrRestored))
 		default:
 			w.recordFailure(ctx, err)
 		}
-		pause.For(ctx, retryDelay)
+		wait := retryDelay
+		if !errors.Is(err, store.ErrThrottled) {
+			wait -= time.Since(began)
+		}
+		pause.For(ctx, wait)
 		retryDelay = min(2*retryDelay, maxRetryDelay)
 	}
 }
 
-func (w *Watcher) setRestored(restored bool) {
+// pauseBeforeRead waits before the next read, for a shorter time if servers are missing that would otherwise be given up before it.
+func (w *Watcher) pauseBeforeRead(ctx context.Context, wait time.Duration) {
+	w.mu.Lock()
+	if giveUpAt, missing := w.registry.MissingUntil(); missing {
+		if left := time.Until(giveUpAt) - lastLook; left > 0 {
+			wait = min(wait, left)
+		}
+	}
+	w.lastPause = wait
+	w.mu.Unlock()
+	pause.For(ctx, wait)
+}
+
+// recordCompacted records an answer of the store which says that the history is gone. restored says that the store came back
+// from an older copy.
+func (w *Watcher) recordCompacted(now time.Time, restored bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.restored = restored
+	w.recordAnswer(now)
 }
 
 // batchPause returns the pause before the next watch.
@@ -115,15 +145,10 @@
 	}
 	now := time.Now()
 	w.update(cause{origin: originList, revision: update.Revision}, func(r *Registry) {
-		lastAnswerAt, restored := w.lastAnswerAt, w.restored
-		outage := w.recordAnswer(now)
-		w.restored = false
-		// In an older copy, servers that announced themselves lately are missing until they do
-		// so again, as after an outage.
-		r.Listed(now, update.Announced, outage || restored)
-		if outage && !restored {
-			w.noteAbsence(lastAnswerAt, now)
-		}
+		w.recordAnswer(now)
+		ended, restored := w.ended, w.restored
+		w.ended, w.restored = nil, false
+		w.listed(r, now, update.Announced, ended, restored)
 		w.markUnusable(now, update)
 		r.Confirmed(now)
 	})
@@ -132,6 +157,21 @@
 	return update.Revision, nil
 }
 
+// listed applies a listing. ended is the absence that it ends, nil if there was none. The caller holds the lock.
+func (w *Watcher) listed(r *Registry, now time.Time, announced []Server, ended *absence, restored bool) {
+	switch {
+	case restored:
+		// In an older copy, servers that announced themselves lately are missing until they do
+		// so again, as after an outage.
+		r.Listed(now, announced, true)
+	case ended != nil:
+		r.Listed(ended.until, announced, true)
+		w.noteAbsence(ended.since, ended.until)
+	default:
+		r.Listed(now, announced, false)
+	}
+}
+
 func (w *Watcher) watch(ctx context.Context, after store.Revision) (store.Revision, error) {
 	succeeded := w.options.OnRead()
 	began := time.Now()
@@ -184,15 +224,17 @@
 	}
 }
 
-// recordAnswer records a successful call of the store, and reports whether the store may have been away
-// before it: calls had been failing and none had succeeded for longer than minOutage, or this instance hadn't
-// called it for longer than maxContactGap, as a process that stood still. It logs the end of a failure, with the time
-// since the last success before it. The caller holds the lock.
-func (w *Watcher) recordAnswer(now time.Time) bool {
+// recordAnswer records an answer of the store. If the store may have been away before it, that is an absence until the
+// next listing: calls had been failing and none had been answered for longer than minOutage, or this instance had called it
+// later than it wanted to, as a process that stood still. It logs the end of a failure, with the time since the last answer before
+// it. The caller holds the lock.
+func (w *Watcher) recordAnswer(now time.Time) {
 	gap := now.Sub(w.lastAnswerAt)
-	outage := w.failing && gap > minOutage || gap > maxContactGap
-	if outage {
-		w.contactSince = now
+	if w.failing && gap > minOutage || gap > w.lastPause+minOutage {
+		w.contacts.add(Contact{Since: now, Until: now})
+		w.noteReturn(now)
+	} else {
+		w.contacts.add(Contact{Since: w.lastAnswerAt, Until: now})
 	}
 	if w.failing {
 		// away_ms is the time since the last successful call, last_failure_ms the time since the end of the last failed one.
@@ -201,7 +243,15 @@
 		}).Info("Announcements can be read again")
 	}
 	w.lastAnswerAt, w.failing, w.failed = now, false, 0
-	return outage
+}
+
+// noteReturn notes the absence that an answer ends, together with an earlier one that no listing has followed.
+func (w *Watcher) noteReturn(now time.Time) {
+	since := w.lastAnswerAt
+	if w.ended != nil {
+		since = w.ended.since
+	}
+	w.ended = &absence{since: since, until: now}
 }
 
 func (w *Watcher) recordFailure(ctx context.Context, err error) {
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -14,8 +14,9 @@
 
 const (
 	// outageGracePeriod is how long a server that is missing after an outage of the store may
-	// take to announce itself again.
-	outageGracePeriod = 2500 * time.Millisecond
+	// take to announce itself again, counted from the store's first answer. The platform's servers are back
+	// within about two seconds.
+	outageGracePeriod = 2200 * time.Millisecond
 	// overrideLifetime is how long a peer's message about a single version takes precedence
 	// over the server's announcements, which may be older. After that, the override ends with
 	// the server's next announcement or with the next answer of the store. It doesn't end
@@ -145,6 +146,20 @@
 	return n
 }
 
+// MissingUntil returns when the first of the missing servers is given up, and whether any is missing.
+func (r *Registry) MissingUntil() (giveUpAt time.Time, missing bool) {
+	for _, entry := range r.servers {
+		if entry.missingSince.IsZero() {
+			continue
+		}
+		at := entry.missingSince.Add(outageGracePeriod)
+		if !missing || at.Before(giveUpAt) {
+			giveUpAt, missing = at, true
+		}
+	}
+	return giveUpAt, missing
+}
+
 // DropMissing removes the servers that were first found missing at the given time and haven't announced
 // themselves since. There was no outage of the store in which their announcements could have expired.
 func (r *Registry) DropMissing(now, since time.Time) {
--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -112,6 +112,8 @@
 	compacted store.Revision
 	// missesChanges makes watches return no changes, as broken watches do.
 	missesChanges bool
+	// stallNextWatch is for how long the next watch stands still before it reads anything.
+	stallNextWatch time.Duration
 }
 
 func (s *fakeSource) change(f func()) {
@@ -131,6 +133,11 @@
 }
 
 func (s *fakeSource) Watch(ctx context.Context, after store.Revision) (Update, error) {
+	s.mu.Lock()
+	stall := s.stallNextWatch
+	s.stallNextWatch = 0
+	s.mu.Unlock()
+	time.Sleep(stall)
 	const looks = 10
 	for look := range looks + 1 {
 		if look > 0 {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -43,7 +43,7 @@
 	// leaving or gone, but not if a peer has told it before. It must neither block nor call the Watcher; nil means
 	// no call.
 	OnDeparture func(Departure)
-	// PeerContacts asks some other instances for their contact with the store, and returns what they have answered
+	// PeerContacts asks some other instances when the store was in service, and returns what they have answered
 	// within a part of a second, in times of this instance. nil means that there are none.
 	PeerContacts func(ctx context.Context) []Contact
 	Logger       *logrus.Entry
@@ -62,11 +62,15 @@
 	registry *Registry
 	// lastLogged holds, for each known server, what the last update has logged of it.
 	lastLogged map[string]loggedServer
-	// lastAnswerAt is when a call of the store last succeeded. failing is true from a failed
-	// call until the next success. One that fails with store.ErrCompacted doesn't count: the store has answered.
-	// contactSince is when the first of the calls succeeded between which there was no outage.
-	lastAnswerAt, contactSince time.Time
-	failing                    bool
+	// lastAnswerAt is when the store last answered a call, also if with store.ErrCompacted. failing is true from a
+	// call without an answer until the next answer. lastPause is the pause that was chosen before the last read.
+	lastAnswerAt time.Time
+	lastPause    time.Duration
+	failing      bool
+	// contacts are the times in which the store is known to have been in service.
+	contacts contacts
+	// ended is the absence after which nothing has been listed yet; nil if there is none.
+	ended *absence
 	// failed counts the failed calls since the last answer. lastFailureAt is when the last one ended.
 	failed        int
 	lastFailureAt time.Time
--- a/internal/storecontact/storecontact.go
+++ b/internal/storecontact/storecontact.go
@@ -1,5 +1,5 @@
-// Package storecontact asks other instances from when until when they have read the key-value store, so that an
-// instance which didn't reach the store can tell whether the store was away.
+// Package storecontact asks other instances when the key-value store was in service, by their own reads and by what they were
+// told, so that an instance which didn't reach the store can tell whether the store was away.
 package storecontact
 
 import (
@@ -25,7 +25,7 @@
 	askTimeout = 400 * time.Millisecond
 )
 
-var errMalformed = errors.New("storecontact: malformed answer: a negative age, or a contact that ended before it began")
+var errMalformed = errors.New("storecontact: malformed answer: a negative age, a contact that ended before it began, or too many contacts")
 
 // Options configures an Asker.
 type Options struct {
@@ -34,12 +34,12 @@
 	Members func() []membership.Member
 	// Transport carries the questions. New registers the handler for KindContact.
 	Transport peers.Transport
-	// Own returns this instance's contact with the store.
-	Own    func() discovery.Contact
+	// Known returns the times in which the store is known here to have been in service, in ascending order.
+	Known  func() []discovery.Contact
 	Logger *logrus.Entry
 }
 
-// Asker asks other instances for their contact with the store, and answers their questions. It is safe for
+// Asker asks other instances when the store was in service, and answers their questions. It is safe for
 // concurrent use.
 type Asker struct{ options Options }
 
@@ -50,34 +50,70 @@
 	return a
 }
 
-// answer tells a contact by its ages. Instances of different versions exchange it, so the numbers may not
-// change or be used again. Without a contact, both are nil.
+// answer tells contacts by their ages. Instances of different versions exchange it, so the numbers may not
+// change or be used again.
 type answer struct {
-	// SinceMillis is how long ago the contact began, UntilMillis how long ago the last read succeeded.
+	// SinceMillis and UntilMillis are the ages of the latest contact, which is all that earlier versions tell and
+	// read. Without a contact, both are nil.
 	SinceMillis *int64 `cbor:"1,keyasint,omitempty"`
 	UntilMillis *int64 `cbor:"2,keyasint,omitempty"`
+	// Contacts are all contacts. Earlier versions don't send them.
+	Contacts []contactAges `cbor:"3,keyasint,omitempty"`
 }
 
-func answerOf(now time.Time, c discovery.Contact) answer {
-	if c.Until.IsZero() {
-		return answer{}
+// contactAges is how long ago a contact began and ended.
+type contactAges struct {
+	_           struct{} `cbor:",toarray"`
+	SinceMillis int64
+	UntilMillis int64
+}
+
+// agesOf returns the ages of a contact, rounded so that it gets shorter.
+func agesOf(now time.Time, c discovery.Contact) contactAges {
+	return contactAges{
+		SinceMillis: now.Sub(c.Since).Milliseconds(),
+		UntilMillis: (now.Sub(c.Until) + time.Millisecond - 1).Milliseconds(),
+	}
+}
+
+func answerOf(now time.Time, known []discovery.Contact) (out answer) {
+	for _, c := range known {
+		if ages := agesOf(now, c); ages.isValid() {
+			out.Contacts = append(out.Contacts, ages)
+		}
+	}
+	if n := len(out.Contacts); n > 0 {
+		latest := out.Contacts[n-1]
+		out.SinceMillis, out.UntilMillis = &latest.SinceMillis, &latest.UntilMillis
 	}
-	since, until := now.Sub(c.Since).Milliseconds(), now.Sub(c.Until).Milliseconds()
-	return answer{SinceMillis: &since, UntilMillis: &until}
+	return out
 }
 
-// contact converts an answer to times of this instance. A delay on the way makes the contact shorter,
-// never longer. ok is false if the peer has had none.
-func (a answer) contact(sentAt, receivedAt time.Time) (c discovery.Contact, ok bool, err error) {
-	if a.SinceMillis == nil || a.UntilMillis == nil {
-		return discovery.Contact{}, false, nil
+func (c contactAges) isValid() bool { return c.UntilMillis >= 0 && c.SinceMillis >= c.UntilMillis }
+
+// contacts converts an answer to times of this instance. A delay on the way makes a contact shorter, never longer;
+// one of which nothing is left is omitted.
+func (a answer) contacts(sentAt, receivedAt time.Time) (out []discovery.Contact, err error) {
+	told := a.Contacts
+	if len(told) == 0 && a.SinceMillis != nil && a.UntilMillis != nil {
+		told = []contactAges{{SinceMillis: *a.SinceMillis, UntilMillis: *a.UntilMillis}}
 	}
-	if *a.UntilMillis < 0 || *a.SinceMillis < *a.UntilMillis {
-		return discovery.Contact{}, false, errMalformed
+	if len(told) > discovery.MaxContacts {
+		return nil, errMalformed
 	}
-	c.Since = receivedAt.Add(-time.Duration(*a.SinceMillis) * time.Millisecond)
-	c.Until = sentAt.Add(-time.Duration(*a.UntilMillis) * time.Millisecond)
-	return c, true, nil
+	for _, ages := range told {
+		if !ages.isValid() {
+			return nil, errMalformed
+		}
+		c := discovery.Contact{
+			Since: receivedAt.Add(-time.Duration(ages.SinceMillis) * time.Millisecond),
+			Until: sentAt.Add(-time.Duration(ages.UntilMillis) * time.Millisecond),
+		}
+		if !c.Until.Before(c.Since) {
+			out = append(out, c)
+		}
+	}
+	return out, nil
 }
 
 // Ask asks some instances, drawn at random, and returns the contacts of those that have answered within
@@ -90,16 +126,14 @@
 	var calls sync.WaitGroup
 	for _, peer := range a.draw() {
 		calls.Go(func() {
-			c, ok, err := a.askOne(ctx, peer.PeerAddress)
+			told, err := a.askOne(ctx, peer.PeerAddress)
 			if err != nil {
 				a.options.Logger.WithField("peer", peer.Name).WithError(err).Debug("A peer didn't tell its contact with the store")
 				return
 			}
-			if ok {
-				mu.Lock()
-				defer mu.Unlock()
-				out = append(out, c)
-			}
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, told...)
 		})
 	}
 	calls.Wait()
@@ -126,25 +160,26 @@
 	return all[:min(askedPeers, len(all))]
 }
 
-func (a *Asker) askOne(ctx context.Context, address string) (c discovery.Contact, ok bool, err error) {
+func (a *Asker) askOne(ctx context.Context, address string) ([]discovery.Contact, error) {
 	sentAt := time.Now()
 	body, err := a.options.Transport.Call(ctx, address, peers.KindContact, nil)
 	if err != nil {
-		return discovery.Contact{}, false, fmt.Errorf("storecontact: ask: %w", err)
+		return nil, fmt.Errorf("storecontact: ask: %w", err)
 	}
+	receivedAt := time.Now()
 	var said answer
 	if err := cbor.Unmarshal(body, &said); err != nil {
-		return discovery.Contact{}, false, fmt.Errorf("storecontact: decode answer: %w", err)
+		return nil, fmt.Errorf("storecontact: decode answer: %w", err)
 	}
-	return said.contact(sentAt, time.Now())
+	return said.contacts(sentAt, receivedAt)
 }
 
 // HandleDatagram implements peers.Handler. It does nothing: questions are calls.
 func (a *Asker) HandleDatagram(string, []byte) {}
 
-// HandleCall implements peers.Handler. It answers with this instance's contact.
+// HandleCall implements peers.Handler. It answers with the contacts that are known here.
 func (a *Asker) HandleCall(context.Context, string, []byte) ([]byte, error) {
-	data, err := cbor.Marshal(answerOf(time.Now(), a.options.Own()))
+	data, err := cbor.Marshal(answerOf(time.Now(), a.options.Known()))
 	if err != nil {
 		return nil, fmt.Errorf("storecontact: encode answer: %w", err)
 	}
--- a/internal/storecontact/storecontact_test.go
+++ b/internal/storecontact/storecontact_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"limpethub/internal/discovery"
 	"limpethub/internal/logging"
 	"limpethub/internal/membership"
@@ -43,7 +45,7 @@
 		time.Sleep(10 * time.Second)
 		told := discovery.Contact{Since: start.Add(2 * time.Second), Until: start.Add(9 * time.Second)}
 		transport := &slowPeers{delay: map[string]time.Duration{"b:1": 300 * time.Millisecond}, handlers: map[string]peers.Handler{}}
-		transport.handlers["b:1"] = New(Options{Transport: transport, Own: func() discovery.Contact { return told }})
+		transport.handlers["b:1"] = New(Options{Transport: transport, Known: func() []discovery.Contact { return []discovery.Contact{told} }})
 		var members []membership.Member
 		for _, name := range []string{"a", "b", "c"} {
 			members = append(members, membership.Member{Identity: membership.Identity{Name: name, PeerAddress: name + ":1"}, State: membership.Dead})
@@ -66,12 +68,57 @@
 func TestMalformedContactIsRefused(t *testing.T) {
 	millis := func(n int64) *int64 { return &n }
 	now := time.Now()
-	for _, a := range []answer{{millis(5), millis(-1)}, {millis(-5), millis(-6)}, {millis(1), millis(2)}} {
-		if _, _, err := a.contact(now, now); !errors.Is(err, errMalformed) {
-			t.Errorf("%v: error %v, want %v", fmt.Sprint(*a.SinceMillis, *a.UntilMillis), err, errMalformed)
+	for _, a := range []answer{
+		{SinceMillis: millis(5), UntilMillis: millis(-1)}, {SinceMillis: millis(-5), UntilMillis: millis(-6)},
+		{SinceMillis: millis(1), UntilMillis: millis(2)},
+		{Contacts: []contactAges{{SinceMillis: 5, UntilMillis: -1}}}, {Contacts: []contactAges{{SinceMillis: -5, UntilMillis: -6}}},
+		{Contacts: []contactAges{{SinceMillis: 9, UntilMillis: 8}, {SinceMillis: 1, UntilMillis: 2}}},
+		{Contacts: make([]contactAges, discovery.MaxContacts+1)},
+	} {
+		if _, err := a.contacts(now, now); !errors.Is(err, errMalformed) {
+			t.Errorf("%+v: error %v, want %v", a, err, errMalformed)
 		}
 	}
-	if _, ok, err := (answer{}).contact(now, now); ok || err != nil {
-		t.Errorf("a peer without a contact: contact %v, error %v, want neither", ok, err)
+	if got, err := (answer{}).contacts(now, now); len(got) > 0 || err != nil {
+		t.Errorf("a peer without a contact: contacts %v, error %v, want neither", got, err)
+	}
+}
+
+// earlierAnswer is an answer as an earlier build sends and reads it.
+type earlierAnswer struct {
+	SinceMillis *int64 `cbor:"1,keyasint,omitempty"`
+	UntilMillis *int64 `cbor:"2,keyasint,omitempty"`
+}
+
+// TestContactsPassBetweenBuilds guards against an upgrade during which instances of two builds can't tell each other when the
+// store was in service.
+func TestContactsPassBetweenBuilds(t *testing.T) {
+	now := time.Now()
+	ago := func(seconds int) time.Time { return now.Add(-time.Duration(seconds) * time.Second) }
+	known := []discovery.Contact{{Since: ago(60), Until: ago(40)}, {Since: ago(30), Until: ago(1)}}
+	data, err := cbor.Marshal(answerOf(now, known))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var earlier earlierAnswer
+	if err := cbor.Unmarshal(data, &earlier); err != nil || *earlier.SinceMillis != 30_000 || *earlier.UntilMillis != 1000 {
+		t.Errorf("an earlier build reads %+v, error %v, want the latest contact", earlier, err)
+	}
+	var current answer
+	if err := cbor.Unmarshal(data, &current); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := current.contacts(now, now); err != nil || !slices.Equal(got, known) {
+		t.Errorf("got %v, error %v, want %v", got, err, known)
+	}
+	if data, err = cbor.Marshal(earlier); err != nil {
+		t.Fatal(err)
+	}
+	current = answer{}
+	if err := cbor.Unmarshal(data, &current); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := current.contacts(now, now); err != nil || !slices.Equal(got, known[1:]) {
+		t.Errorf("of an earlier build: got %v, error %v, want %v", got, err, known[1:])
 	}
 }
