The store is read soon after it is reached again

Causes: TCP sends a lost connection attempt again after a second; a watch was read once more only once; after a call that had waited 1.2 s and longer, two pauses followed, of the watcher (0.5 s) and of the store's client (0.4 s).

TestBackOffIsBoundedAndJittered passes the additional argument.

--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -206,7 +206,8 @@
 	}).Warn("The memory for requests of callers is used up: those that send least give way")
 }
 
-// leavingBound returns the bound of the settings, and warns of one that instances can't keep.
+// leavingBound returns the bound of the settings. It warns of one that instances can't keep, or can't keep as soon after a cut as the
+// settings say.
 func (d *Daemon) leavingBound() time.Duration {
 	bound := time.Duration(d.settings.LeavingBoundMillis) * time.Millisecond
 	if bound > 0 && bound < discovery.MinLeavingBound {
@@ -214,6 +215,12 @@
 			"bound_ms": bound.Milliseconds(), "least_ms": discovery.MinLeavingBound.Milliseconds(),
 		}).Warn("Requests may reach leaving servers for longer than the settings allow")
 	}
+	inTouch := time.Duration(d.settings.InTouchMillis) * time.Millisecond
+	if inTouch > 0 && inTouch < discovery.MinInTouchDelay {
+		d.log(logging.Routing).WithFields(logrus.Fields{
+			"in_touch_ms": inTouch.Milliseconds(), "least_ms": discovery.MinInTouchDelay.Milliseconds(),
+		}).Warn("Requests may reach servers that left during a cut for longer than the settings allow")
+	}
 	return bound
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,6 +60,9 @@
 	// request may still reach the server, in milliseconds. 0 means that nobody says, and that an instance
 	// takes up to some 3 s.
 	LeavingBoundMillis int64 `json:"leaving_bound_ms,omitempty" validate:"gte=0"`
+	// InTouchMillis is how long after the end of a cut from the key-value store LeavingBoundMillis holds again, in
+	// milliseconds. 0 means that nobody says.
+	InTouchMillis int64 `json:"in_touch_ms,omitempty" validate:"gte=0"`
 	// ServerSpeed says for which backend servers the speed is learned: "always", "never", or, if empty, those of
 	// services whose servers state how long work takes at the moment.
 	ServerSpeed string `json:"server_speed,omitempty" validate:"omitempty,oneof=always never"`
--- a/internal/storecall/backoff.go
+++ b/internal/storecall/backoff.go
@@ -23,11 +23,11 @@
 // reset ends the back-off and keeps its bound.
 func (b *backOff) reset() { *b = backOff{maxWait: b.maxWait} }
 
-// fail doubles waitBound, up to maxWait. The next call is allowed after a random time
-// between half of waitBound and waitBound, so that the instances of a site don't call
+// fail doubles waitBound, up to maxWait. The next call is allowed a random time
+// between half of waitBound and waitBound after from, so that the instances of a site don't call
 // again all at the same moment. A failure during the back-off changes nothing, so that
 // calls that were in progress together count as one failure.
-func (b *backOff) fail(now time.Time, r *rand.Rand) {
+func (b *backOff) fail(now, from time.Time, r *rand.Rand) {
 	if now.Before(b.notBefore) {
 		return
 	}
@@ -37,5 +37,5 @@
 	}
 	b.waitBound = min(max(2*b.waitBound, initialBackOff), maxWait)
 	half := b.waitBound / 2
-	b.notBefore = now.Add(half + time.Duration(r.Int64N(int64(half)+1)))
+	b.notBefore = from.Add(half + time.Duration(r.Int64N(int64(half)+1)))
 }
--- a/internal/storecall/stale_failure_test.go
+++ b/internal/storecall/stale_failure_test.go
@@ -96,3 +96,18 @@
 		}
 	})
 }
+
+// TestCallWithoutAnAnswerIsFollowedByTheNextAtOnce guards against an instance that notices late that the store is reached again: a call
+// without an answer has taken longer than the back-off, which isn't added to it.
+func TestCallWithoutAnAnswerIsFollowedByTheNextAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Options{Store: &scriptedStore{outcomes: []outcome{{5 * time.Second, errUnavailable}, {5 * time.Second, errUnavailable}, {0, nil}}}})
+		began := time.Now()
+		for range 3 {
+			_, _ = s.Get(context.Background(), "key")
+		}
+		if waited := time.Since(began) - 10*time.Second; waited > 0 {
+			t.Errorf("the calls waited %v beside the 10 s that two of them took, want not at all", waited)
+		}
+	})
+}
--- a/internal/storecall/storecall.go
+++ b/internal/storecall/storecall.go
@@ -301,11 +301,21 @@
 		s.endBackOff()
 		s.shared.health = Health{Reachable: true, LastAnswer: s.options.Now()}
 	case !ignoreFailure && (errors.Is(err, store.ErrThrottled) || !began.Before(s.shared.health.LastAnswer)):
-		s.shared.backOff.fail(s.options.Now(), s.shared.rand)
+		s.shared.backOff.fail(s.options.Now(), s.backOffFrom(began, err), s.shared.rand)
 		s.shared.health = Health{LastAnswer: s.shared.health.LastAnswer, Err: err}
 	}
 }
 
+// backOffFrom returns the time from which the back-off after a failed call counts: a refusal of the store, or the beginning of a
+// call without an answer. Such a call has often taken longer than the back-off, and a store that is reached again must be
+// noticed soon.
+func (s *Store) backOffFrom(began time.Time, err error) time.Time {
+	if errors.Is(err, store.ErrThrottled) {
+		return s.options.Now()
+	}
+	return began
+}
+
 // answered reports whether the store answered the call; an error such as ErrConflict is
 // an answer, too. ErrThrottled is not, so that the instance backs off.
 func answered(err error) bool {
--- a/internal/storecall/storecall_test.go
+++ b/internal/storecall/storecall_test.go
@@ -176,7 +176,7 @@
 		var b backOff
 		for range 20 {
 			now = now.Add(time.Minute)
-			b.fail(now, r)
+			b.fail(now, now, r)
 		}
 		wait := b.notBefore.Sub(now)
 		if wait < maxBackOff/2 || wait > maxBackOff {
