A status that no final answer has is a broken connection

What callers saw: a server's status 600 or 999 as their answer, and with 000 to 099 nothing until their deadline (504 after 2.0 s). The same elsewhere: a cancel, a drain and a release counted as done, an order's or a write's answer as a refusal (httpengine, operatorapi, etcdstore), and a peer's answer was taken with any status.

Cause: a status was compared with one end of a range only; Go's reader takes any three digits. Now internal/httpanswer: 200 to 599, 1xx as before, anything else ends the connection at once, with the verdict that the request may have run.

--- a/internal/engine/httpengine/exchange.go
+++ b/internal/engine/httpengine/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"limpethub/internal/engine"
+	"limpethub/internal/httpanswer"
 	"limpethub/internal/verdict"
 )
 
@@ -83,6 +84,10 @@
 	if err != nil {
 		return nil, transportError(r.Context(), tracker.sealIfNotRun(), err)
 	}
+	if err := httpanswer.CheckStatus(answer.StatusCode); err != nil {
+		_ = answer.Body.Close()
+		return nil, transportError(r.Context(), false, err)
+	}
 	if reason := answer.Header.Get(HeaderNotRun); reason != "" && answer.StatusCode >= http.StatusBadRequest {
 		return nil, refusalError(r, answer, reason)
 	}
--- a/internal/operatorapi/client.go
+++ b/internal/operatorapi/client.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strings"
 
+	"limpethub/internal/httpanswer"
 	"limpethub/internal/site"
 )
 
@@ -123,6 +124,9 @@
 	if err != nil {
 		return &UnreachableError{URL: c.base, Sent: true, Err: err}
 	}
+	if err := checkAnswered(response.StatusCode); err != nil {
+		return &UnreachableError{URL: c.base, Sent: true, Err: err}
+	}
 	if response.StatusCode >= http.StatusBadRequest {
 		return errorFromAnswer(response, data)
 	}
@@ -135,6 +139,14 @@
 	return nil
 }
 
+// checkAnswered returns an error unless a status tells whether the call has succeeded. An instance redirects no call.
+func checkAnswered(status int) error {
+	if status >= http.StatusMultipleChoices && status < http.StatusBadRequest {
+		return &httpanswer.InvalidStatusError{Status: status}
+	}
+	return httpanswer.CheckStatus(status)
+}
+
 func (c *Client) request(ctx context.Context, method, path string, in any) (*http.Request, error) {
 	var body io.Reader
 	if in != nil {
--- a/internal/peerrelay/client.go
+++ b/internal/peerrelay/client.go
@@ -17,6 +17,7 @@
 
 	"limpethub/internal/engine"
 	"limpethub/internal/forward"
+	"limpethub/internal/httpanswer"
 	"limpethub/internal/peers"
 	"limpethub/internal/request"
 	"limpethub/internal/verdict"
@@ -267,6 +268,9 @@
 		if err := decode(data, &head); err != nil {
 			return a.cut(err)
 		}
+		if err := httpanswer.CheckStatus(head.Status); err != nil {
+			return a.cut(err)
+		}
 		a.head, a.err = head.engineHead(), errOpen
 		return nil
 	}
--- a/internal/rawhttp/exchange.go
+++ b/internal/rawhttp/exchange.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"limpethub/internal/httpanswer"
 	"limpethub/internal/intake"
 )
 
@@ -168,7 +169,7 @@
 		r.client.Stats.ForeignAnswers.Add(1)
 		// The server closes the connection after this answer, either because it says so
 		// (Close) or to mark the end of a body without a length. No other answer can follow.
-		if answer.Close || isUnframed(answer) {
+		if answer.Close || httpanswer.IsUnframed(answer) {
 			return errForeign
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxForeignBodyBytes))
@@ -181,7 +182,7 @@
 
 // bodyOf returns the body of an answer, whose reader ends only with a complete body.
 func (r *Response) bodyOf(answer *http.Response) io.ReadCloser {
-	if isUnframed(answer) && answer.Body != http.NoBody {
+	if httpanswer.IsUnframed(answer) && answer.Body != http.NoBody {
 		return &unframedBody{ReadCloser: answer.Body, response: r}
 	}
 	return answer.Body
@@ -213,7 +214,7 @@
 	return false
 }
 
-// readFinalHead reads response heads and skips informational (1xx) ones.
+// readFinalHead reads response heads and skips informational (1xx) ones. Another status that no final answer has is an error.
 func (r *Response) readFinalHead(request *Request) (*http.Response, error) {
 	// What is already buffered doesn't count; it is at most readerBytes.
 	r.conn.bounded.left = r.headBytesLeft
@@ -226,13 +227,15 @@
 		if err != nil {
 			return nil, err
 		}
-		if answer.StatusCode >= http.StatusOK {
-			return answer, nil
+		if !isInformational(answer.StatusCode) {
+			return answer, httpanswer.CheckStatus(answer.StatusCode)
 		}
 	}
 	return nil, errInformational
 }
 
+func isInformational(status int) bool { return status >= http.StatusContinue && status < http.StatusOK }
+
 // errTooManyBuffered is the error of a body that can't be held beside the others.
 var errTooManyBuffered = errors.New("rawhttp: the answers that are being read don't fit the memory for them")
 
--- a/internal/rawhttp/unframed.go
+++ b/internal/rawhttp/unframed.go
@@ -4,16 +4,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
-	"os"
-	"syscall"
 	"time"
-)
 
-// isUnframed reports whether an answer has neither a length nor chunks, so that its body ends with the connection.
-func isUnframed(answer *http.Response) bool {
-	return answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
-}
+	"limpethub/internal/httpanswer"
+)
 
 // unframedBody is the body of an answer that ends with its connection. It ends only if the server has closed the connection:
 // the system reports a reset to a single call, and if that is the one that sends the rest of the request, the next read
@@ -28,18 +22,12 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if sendErr := b.response.stopSending(); isBroken(sendErr) {
+	if sendErr := b.response.stopSending(); httpanswer.IsBroken(sendErr) {
 		return n, fmt.Errorf("rawhttp: the connection broke before the end of the answer: %w", sendErr)
 	}
 	return n, io.EOF
 }
 
-// isBroken reports whether an error of a write means that the connection ended otherwise than by the server closing it. After
-// the server has closed it, the error is EPIPE, also if a reset follows.
-func isBroken(err error) bool {
-	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded)
-}
-
 // stopSending ends the sending of the request, and returns its error.
 func (r *Response) stopSending() error {
 	if r.restSent == nil {
--- a/internal/store/etcdstore/call.go
+++ b/internal/store/etcdstore/call.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 
+	"limpethub/internal/httpanswer"
 	"limpethub/internal/store"
 )
 
@@ -59,6 +60,10 @@
 	}
 	if response.StatusCode != http.StatusOK {
 		defer func() { _ = response.Body.Close() }()
+		if err := httpanswer.CheckStatus(response.StatusCode); err != nil {
+			s.nextEndpoint()
+			return nil, fmt.Errorf("etcdstore: %s: %w", path, err)
+		}
 		return nil, s.responseError(path, response)
 	}
 	return response.Body, nil
