--- a/internal/engine/httpengine/conn.go
+++ b/internal/engine/httpengine/conn.go
@@ -2,8 +2,13 @@
 
 import (
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"sync"
+	"time"
+
+	"limpethub/internal/httpanswer"
 )
 
 // errSealed is returned by writes to a sealed connection.
@@ -17,6 +22,10 @@
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
+
+	// writing is held during a write. It guards writeErr, the error of the last write.
+	writing  sync.Mutex
+	writeErr error
 }
 
 // Write counts the write before it passes the bytes on, so that a write in progress counts
@@ -29,7 +38,20 @@
 	}
 	c.writes++
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	c.writeErr = err
+	return n, err
+}
+
+// stopWriting ends a write that is under way, and returns the error of the last one. The connection can't be used any more.
+func (c *trackedConn) stopWriting() error {
+	// An error means that the connection is closed, which ends the write too.
+	_ = c.SetWriteDeadline(time.Now())
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeErr
 }
 
 // writeCount returns the number of writes that have started.
@@ -61,3 +83,21 @@
 	t, _ := conn.(*trackedConn)
 	return t
 }
+
+// unframedBody is the body of an answer that ends with its connection. It ends only if the server has closed the connection; see
+// httpanswer.IsBroken.
+type unframedBody struct {
+	io.ReadCloser
+	conn *trackedConn
+}
+
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if writeErr := b.conn.stopWriting(); httpanswer.IsBroken(writeErr) {
+		return n, fmt.Errorf("httpengine: the connection broke before the end of the answer: %w", writeErr)
+	}
+	return n, io.EOF
+}
--- a/internal/engine/httpengine/exchange.go
+++ b/internal/engine/httpengine/exchange.go
@@ -88,6 +88,9 @@
 		_ = answer.Body.Close()
 		return nil, transportError(r.Context(), false, err)
 	}
+	if conn := tracker.connection(); conn != nil && httpanswer.IsUnframed(answer) {
+		answer.Body = &unframedBody{ReadCloser: answer.Body, conn: conn}
+	}
 	if reason := answer.Header.Get(HeaderNotRun); reason != "" && answer.StatusCode >= http.StatusBadRequest {
 		return nil, refusalError(r, answer, reason)
 	}
--- a/internal/engine/httpengine/send_tracker.go
+++ b/internal/engine/httpengine/send_tracker.go
@@ -71,3 +71,13 @@
 	s.ended = true
 	return s.sealUnwrittenLocked()
 }
+
+// connection returns the connection that the request was sent on; nil if it isn't tracked.
+func (s *sendTracker) connection() *trackedConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.untracked {
+		return nil
+	}
+	return s.conn
+}
--- a/internal/engine/httpengine/status_test.go
+++ b/internal/engine/httpengine/status_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"limpethub/internal/engine"
 	"limpethub/internal/engine/httpengine"
 	"limpethub/internal/lab/fixedanswer"
+	"limpethub/internal/request"
 	"limpethub/internal/verdict"
 )
 
@@ -34,6 +38,32 @@
 	}
 }
 
+// TestResetAnswerWithoutLengthIsNeverWhole guards against a reset that only the sending of a long request notices: the reader of the answer then
+// sees its end, as if the server had closed the connection after the last byte.
+func TestResetAnswerWithoutLengthIsNeverWhole(t *testing.T) {
+	const longBodyBytes = 16 << 20
+	for _, delay := range []time.Duration{0, 2 * time.Millisecond, 40 * time.Millisecond} {
+		s := listen(t, fixedanswer.Options{
+			Answer: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\na part", Unread: true,
+			End: func(connection *net.TCPConn) {
+				time.Sleep(delay)
+				_ = connection.SetLinger(0)
+				_ = connection.Close()
+			},
+		})
+		e := httpengine.New(httpengine.Options{SilentAfter: time.Minute})
+		for n := range 20 {
+			call := engine.Call{
+				Request: request.Request{ID: request.ID(fmt.Sprint(n))}, Method: http.MethodPost, Path: "/forms", Header: http.Header{},
+				Body: []byte(strings.Repeat("x", longBodyBytes)),
+			}
+			if answer, err := e.Invoke(t.Context(), serverAt(s.Address()), call); err == nil {
+				t.Errorf("reset after %v: got status %d with the body %q, want an error", delay, answer.Status, answer.Body)
+			}
+		}
+	}
+}
+
 func listen(t *testing.T, options fixedanswer.Options) *fixedanswer.Server {
 	t.Helper()
 	s, err := fixedanswer.Listen(options)
