Answers that callers don't read draw on the memory for callers

Cause: a whole answer belonged to no bound once it was read (rawhttp returns its 64 MiB bound then), until the caller had taken it; and the request kept its place at the server meanwhile.

Now an answer is charged to its caller's account (callerload) until it is delivered, also at both ends of a request that is passed on. The one that is read least yields, after its first second; its connection is reset. The place at the server ends when the answer is read.

In tests: Open's function has a parameter; fakePassthrough has a mutex, as requests of one test run at the same time now.

--- a/internal/callerload/account.go
+++ b/internal/callerload/account.go
@@ -11,8 +11,10 @@
 	// head and body mean that a part of a request is being read.
 	head
 	body
-	// whole means that a request was read and has no answer yet. It never yields.
+	// whole means that a request was read and has no whole answer yet. It never yields.
 	whole
+	// answer means that an answer is written, for which the caller may be slow.
+	answer
 )
 
 const (
@@ -22,12 +24,22 @@
 	window = time.Second
 )
 
+// Yield says what ends when a connection yields.
+type Yield uint8
+
+const (
+	// YieldReading ends what is being read from the connection, or closes it if that is nothing.
+	YieldReading Yield = iota
+	// YieldAnswer ends the answer that is being written to the connection.
+	YieldAnswer
+)
+
 // Account is what the instance holds for one connection of a caller. Its methods are safe for concurrent use. A nil account has no
 // bound.
 type Account struct {
 	budget *Budget
-	// yield closes the connection, or ends what is being read from it.
-	yield func()
+	// yield closes the connection, or ends what is being read from it or written to it.
+	yield func(Yield)
 	// The mutex of the budget guards all fields below.
 
 	// index is the position among the accounts of the budget; -1 after Close.
@@ -63,9 +75,15 @@
 func (a *Account) isNew(now time.Time) bool { return now.Sub(a.since) < grace }
 
 // mayYield reports whether the account can be told to yield. A new connection that holds nothing of a request can't: little is gained
-// by closing it before its first bytes were read.
+// by closing it before its first bytes were read. Neither can one to which an answer is written only now.
 func (a *Account) mayYield(now time.Time) bool {
-	return a.phase != whole && !a.yielding && (a.request > 0 || !a.isNew(now))
+	switch {
+	case a.yielding || a.phase == whole:
+		return false
+	case a.phase == answer:
+		return !a.isNew(now)
+	}
+	return a.request > 0 || !a.isNew(now)
 }
 
 // movedBytes counts the bytes that a connection has moved, in windows that follow each other.
--- a/internal/callerload/body.go
+++ b/internal/callerload/body.go
@@ -5,7 +5,7 @@
 // firstBodyBytes is the size of the first buffer for a body that isn't known to be shorter.
 const firstBodyBytes = 4 << 10
 
-// ReadBody reads a body of at most limit bytes. announced is its length, or -1. The buffer grows as bytes come, and each growth is
+// ReadBody reads the body of a request or an answer, of at most limit bytes. announced is its length, or -1. The buffer grows as bytes come, and each growth is
 // charged first. What is charged for the body stays so until the end of the request, or is returned with an error. An error of the
 // reader is returned as it is; it is the reader's part to fail after limit bytes.
 func ReadBody(r io.Reader, announced, limit int64, account *Account) ([]byte, error) {
--- a/internal/callerload/budget.go
+++ b/internal/callerload/budget.go
@@ -1,9 +1,10 @@
-// Package callerload bounds the memory that callers make an instance hold: the heads and bodies of their requests, and what each of
-// their connections takes. Bytes are charged to the account of a connection as buffers grow, never as announced.
+// Package callerload bounds the memory that callers make an instance hold: the heads and bodies of their requests, the whole answers that
+// wait for them, and what each of their connections takes. Bytes are charged to the account of a connection as buffers grow, never as
+// announced.
 //
 // When the budget is used up, the connection yields that has moved the fewest bytes lately, rather than the next one that comes:
-// otherwise callers that stop in the middle of their requests would lock out all others. A request that was read whole never yields.
-// While there is room nobody yields, however slow.
+// otherwise callers that stop in the middle of their requests or answers would lock out all others. A request that was read whole never
+// yields until its answer is written. While there is room nobody yields, however slow.
 package callerload
 
 import (
@@ -24,9 +25,10 @@
 
 // Counts says how many connections didn't get what they asked for.
 type Counts struct {
-	// Refused counts requests that found no room, BodiesEnded those that yielded while their bodies were read, and ConnectionsClosed
-	// the connections that yielded while there was no whole head.
-	Refused, BodiesEnded, ConnectionsClosed uint64
+	// Refused counts requests and answers that found no room, BodiesEnded the requests that yielded while their bodies were read,
+	// AnswersEnded those whose answers were being written, and ConnectionsClosed the connections that yielded while there was no
+	// whole head.
+	Refused, BodiesEnded, AnswersEnded, ConnectionsClosed uint64
 }
 
 // Options configures a Budget.
@@ -87,9 +89,8 @@
 	return b.state.counts
 }
 
-// Open returns the account of a new connection. yield is called if the connection has to yield, once at most: it ends what is being
-// read from the connection. It mustn't block.
-func (b *Budget) Open(yield func()) *Account {
+// Open returns the account of a new connection. yield is called if the connection has to yield, once at most. It mustn't block.
+func (b *Budget) Open(yield func(Yield)) *Account {
 	if b == nil {
 		return nil
 	}
@@ -150,6 +151,26 @@
 	return true
 }
 
+// Sent records that n bytes were written to the connection.
+func (a *Account) Sent(n int) {
+	if a == nil {
+		return
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.moved.add(a.budget.options.Now(), int64(n))
+}
+
+// BeginAnswer records that an answer is written to the connection from now on.
+func (a *Account) BeginAnswer() {
+	if a == nil {
+		return
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.enter(a.budget.options.Now(), answer)
+}
+
 // EndRequest returns all that the request holds.
 func (a *Account) EndRequest() {
 	if a == nil {
@@ -171,7 +192,7 @@
 	decision := b.state.ask(b.options.Now(), a, n)
 	b.mu.Unlock()
 	for _, v := range decision.victims {
-		v.yield()
+		v.account.yield(v.ends)
 	}
 	granted := decision.granted || decision.waiter != nil && b.await(decision.waiter)
 	if !granted || len(decision.victims) > 0 {
@@ -242,7 +263,7 @@
 	if due {
 		b.options.Report(Counts{
 			Refused: counts.Refused - last.Refused, BodiesEnded: counts.BodiesEnded - last.BodiesEnded,
-			ConnectionsClosed: counts.ConnectionsClosed - last.ConnectionsClosed,
+			AnswersEnded: counts.AnswersEnded - last.AnswersEnded, ConnectionsClosed: counts.ConnectionsClosed - last.ConnectionsClosed,
 		})
 	}
 }
--- a/internal/callerload/budget_test.go
+++ b/internal/callerload/budget_test.go
@@ -18,7 +18,7 @@
 	for range 100 {
 		all.Go(func() {
 			for range 20 {
-				a := b.Open(func() {})
+				a := b.Open(func(Yield) {})
 				_ = a.Received(100, true)
 				a.BeginBody()
 				if _, err := ReadBody(strings.NewReader(strings.Repeat("x", 100*kib)), -1, 200*kib, a); err == nil && a.EndBody() {
@@ -38,7 +38,7 @@
 // Guards against a budget that isn't there.
 func TestNoLimit(t *testing.T) {
 	b := New(Options{Now: time.Now})
-	a := b.Open(func() {})
+	a := b.Open(func(Yield) {})
 	a.BeginBody()
 	if err := a.Charge(1 << 40); err != nil {
 		t.Errorf("got %v without a limit", err)
@@ -55,7 +55,7 @@
 	sent := bytes.Repeat([]byte("0123456789abcdef"), 1000)
 	for _, announced := range []int64{-1, int64(len(sent))} {
 		b := New(Options{Limit: 8 << 20, Now: time.Now})
-		a := b.Open(func() {})
+		a := b.Open(func(Yield) {})
 		a.BeginBody()
 		got, err := ReadBody(iotest.OneByteReader(bytes.NewReader(sent)), announced, 1<<20, a)
 		if err != nil || !bytes.Equal(got, sent) {
@@ -66,7 +66,7 @@
 		}
 	}
 	b := New(Options{Limit: 8 << 20, Now: time.Now})
-	a := b.Open(func() {})
+	a := b.Open(func(Yield) {})
 	a.BeginBody()
 	most := int64(0)
 	_, err := ReadBody(io.MultiReader(strings.NewReader("abc"), readerFunc(func([]byte) (int, error) {
@@ -90,10 +90,10 @@
 	now, reports := start, []Counts(nil)
 	b := New(Options{Limit: 1 << 20, Now: func() time.Time { return now }, Report: func(c Counts) { reports = append(reports, c) }})
 	for range 3 {
-		_ = b.Open(func() {}).Charge(2 << 20)
+		_ = b.Open(func(Yield) {}).Charge(2 << 20)
 	}
 	now = now.Add(reportInterval)
-	_ = b.Open(func() {}).Charge(2 << 20)
+	_ = b.Open(func(Yield) {}).Charge(2 << 20)
 	if len(reports) != 2 || reports[0].Refused != 1 || reports[1].Refused != 3 {
 		t.Errorf("reported %+v, want 1 refusal and then 3", reports)
 	}
--- a/internal/callerload/state.go
+++ b/internal/callerload/state.go
@@ -41,11 +41,18 @@
 	granted bool
 }
 
-// answer is what becomes of a charge: it is granted, refused, or waits for the victims.
-type answer struct {
+// outcome is what becomes of a charge: it is granted, refused, or waits for the victims or, without any, for those that end by
+// themselves.
+type outcome struct {
 	granted bool
 	waiter  *waiter
-	victims []*Account
+	victims []victim
+}
+
+// victim is an account that has to yield, and what ends with that.
+type victim struct {
+	account *Account
+	ends    Yield
 }
 
 func (s *state) open(now time.Time, a *Account) {
@@ -127,66 +134,73 @@
 	return true
 }
 
-// ask decides about a charge.
-func (s *state) ask(now time.Time, a *Account, n int64) answer {
+// ask decides about a charge. The bytes of an answer wait for others also if none of them yields: the answers before it may be
+// delivered soon.
+func (s *state) ask(now time.Time, a *Account, n int64) outcome {
 	if a.yielding || a.index < 0 {
-		return answer{}
+		return outcome{}
 	}
 	small := a.isSmall(n)
 	if n <= s.room(small) && (small || len(s.waiters) == 0) {
 		s.take(a, n)
-		return answer{granted: true}
+		return outcome{granted: true}
 	}
-	victims, ok := s.victimsFor(now, a, n+s.wanted-s.room(small)-s.yielding)
-	if !ok {
+	chosen, ok := s.victimsFor(now, a, n+s.wanted-s.room(small)-s.yielding)
+	if !ok && a.phase != whole {
 		s.refuse(a)
-		return answer{}
-	}
-	for _, v := range victims {
-		s.evict(v)
+		return outcome{}
 	}
 	w := &waiter{account: a, bytes: n, decided: make(chan struct{})}
+	out := outcome{waiter: w}
+	for _, v := range chosen {
+		out.victims = append(out.victims, s.evict(v))
+	}
 	a.waiter = w
 	s.waiters = append(s.waiters, w)
 	s.wanted += n
-	return answer{waiter: w, victims: victims}
+	return out
 }
 
-// victimsFor returns the accounts that yield to free a number of bytes. It reports false if those that yield before a can't free
-// them.
-func (s *state) victimsFor(now time.Time, a *Account, missing int64) (victims []*Account, ok bool) {
+// victimsFor returns the accounts that yield to free a number of bytes. It reports false, and returns none, if those that yield
+// before a can't free them.
+func (s *state) victimsFor(now time.Time, a *Account, missing int64) (chosen []*Account, ok bool) {
 	for missing > 0 {
-		v := s.next(now, victims)
-		if v == nil || v == a || len(victims) == maxVictims {
+		v := s.next(now, chosen)
+		if v == nil || v == a || len(chosen) == maxVictims {
 			return nil, false
 		}
-		victims = append(victims, v)
+		chosen = append(chosen, v)
 		missing -= v.held
 	}
-	return victims, true
+	return chosen, true
 }
 
 // next returns the account that yields next, apart from those that were chosen.
-func (s *state) next(now time.Time, chosen []*Account) (victim *Account) {
+func (s *state) next(now time.Time, chosen []*Account) (first *Account) {
 	for _, a := range s.accounts {
-		if a.mayYield(now) && !slices.Contains(chosen, a) && (victim == nil || a.yieldsBefore(now, victim)) {
-			victim = a
+		if a.mayYield(now) && !slices.Contains(chosen, a) && (first == nil || a.yieldsBefore(now, first)) {
+			first = a
 		}
 	}
-	return victim
+	return first
 }
 
 // evict makes an account yield.
-func (s *state) evict(a *Account) {
+func (s *state) evict(a *Account) victim {
 	s.markYielding(a)
-	if a.phase == body {
-		s.counts.BodiesEnded++
-	} else {
-		s.counts.ConnectionsClosed++
-	}
 	if a.waiter != nil {
 		s.decide(a.waiter, false)
 	}
+	switch a.phase {
+	case answer:
+		s.counts.AnswersEnded++
+		return victim{a, YieldAnswer}
+	case body:
+		s.counts.BodiesEnded++
+	default:
+		s.counts.ConnectionsClosed++
+	}
+	return victim{a, YieldReading}
 }
 
 // refuse records that an account gets no bytes.
--- a/internal/callerload/state_test.go
+++ b/internal/callerload/state_test.go
@@ -26,9 +26,9 @@
 	return a
 }
 
-func wantVictim(t *testing.T, got answer, want *Account) {
+func wantVictim(t *testing.T, got outcome, want *Account) {
 	t.Helper()
-	if len(got.victims) != 1 || got.victims[0] != want || got.waiter == nil {
+	if len(got.victims) != 1 || got.victims[0].account != want || got.waiter == nil {
 		t.Fatalf("got %d victims, waits %v; want the one", len(got.victims), got.waiter != nil)
 	}
 }
@@ -181,3 +181,43 @@
 		t.Errorf("%d bytes of two windows, want 90", got)
 	}
 }
+
+// answering opens an account to which an answer is written since the given time.
+func answering(t *testing.T, s *state, at time.Time, n int64) *Account {
+	t.Helper()
+	a := reading(t, s, at, n)
+	a.enter(at, answer)
+	return a
+}
+
+// Guards against callers that don't read their answers and lock out all others: the one that reads least yields, with its answer.
+func TestTheAnswerThatIsReadLeastYields(t *testing.T) {
+	s := newState(1000 * kib)
+	read, unread := answering(t, s, start, 400*kib), answering(t, s, start, 400*kib)
+	read.moved.add(later, 1)
+	next := &Account{}
+	s.open(later, next)
+	next.enter(later, whole)
+	got := s.ask(later, next, 100*kib)
+	wantVictim(t, got, unread)
+	if got.victims[0].ends != YieldAnswer || s.counts != (Counts{AnswersEnded: 1}) {
+		t.Errorf("ends %v, counted %+v, want an answer", got.victims[0].ends, s.counts)
+	}
+}
+
+// Guards against an answer that is ended before its caller could read it, and against one that is refused though those before it
+// will soon be delivered.
+func TestAnswersWaitForThoseThatAreNew(t *testing.T) {
+	s := newState(1000 * kib)
+	before := answering(t, s, later, 700*kib)
+	next := &Account{}
+	s.open(later, next)
+	next.enter(later, whole)
+	got := s.ask(later, next, 300*kib)
+	if len(got.victims) != 0 || got.waiter == nil {
+		t.Fatalf("%d victims, waits %v; want a wait without any", len(got.victims), got.waiter != nil)
+	}
+	if s.close(before); !got.waiter.granted {
+		t.Error("not granted after the answer before it was delivered")
+	}
+}
--- a/internal/daemon/callerload_metrics.go
+++ b/internal/daemon/callerload_metrics.go
@@ -16,10 +16,11 @@
 		}, func() float64 { return float64(value(budget.Counts())) })
 	}
 	return []prometheus.Collector{
-		gauge("limpethub_callers_held_bytes", "Bytes that callers make this instance hold: heads and bodies of requests, and their connections.", func() float64 { return float64(budget.Held()) }),
+		gauge("limpethub_callers_held_bytes", "Bytes that callers make this instance hold: heads and bodies of requests, whole answers, and their connections.", func() float64 { return float64(budget.Held()) }),
 		gauge("limpethub_callers_max_bytes", "Bytes that callers may make this instance hold; 0 means no limit.", func() float64 { return float64(budget.Limit()) }),
 		counter("refused", func(c callerload.Counts) uint64 { return c.Refused }),
 		counter("body_ended", func(c callerload.Counts) uint64 { return c.BodiesEnded }),
+		counter("answer_ended", func(c callerload.Counts) uint64 { return c.AnswersEnded }),
 		counter("connection_closed", func(c callerload.Counts) uint64 { return c.ConnectionsClosed }),
 	}
 }
--- a/internal/daemon/hosted.go
+++ b/internal/daemon/hosted.go
@@ -202,8 +202,8 @@
 func (d *Daemon) reportCallerLoad(since callerload.Counts) {
 	d.log(logging.Gateway).WithFields(logrus.Fields{
 		"limit_bytes": d.hosted.callerLoad.Limit(), "held_bytes": d.hosted.callerLoad.Held(),
-		"refused": since.Refused, "bodies_ended": since.BodiesEnded, "connections_closed": since.ConnectionsClosed,
-	}).Warn("The memory for requests of callers is used up: those that send least give way")
+		"refused": since.Refused, "bodies_ended": since.BodiesEnded, "answers_ended": since.AnswersEnded, "connections_closed": since.ConnectionsClosed,
+	}).Warn("The memory for requests of callers is used up: those that send or read least give way")
 }
 
 // leavingBound returns the bound of the settings. It warns of one that instances can't keep, or can't keep as soon after a cut as the
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -162,8 +162,9 @@
 	turn  *intake.Turn
 	// load is the account of what the connection holds; nil if there is no bound.
 	load *callerload.Account
-	// yields is true once the connection has to yield: nothing more is read from it.
-	yields bool
+	// yields is true once the connection has to yield: nothing more is read from it. With yieldsAnswer, nothing more is written
+	// either.
+	yields, yieldsAnswer bool
 	// busy is true from the first byte of a request until the server reads on after its answer.
 	// Once closed is true, the drain closes the connection, and no more bytes are passed to the server.
 	busy, closed bool
--- a/internal/drain/load.go
+++ b/internal/drain/load.go
@@ -46,8 +46,17 @@
 // longAgo is a deadline that has passed.
 var longAgo = time.Unix(1, 0)
 
-// yield ends the connection if no request is being read on it, and else what is being read. The server closes the connection then.
-func (c *conn) yield() {
+// yield ends what the account says. The server closes the connection then.
+func (c *conn) yield(ends callerload.Yield) {
+	if ends == callerload.YieldAnswer {
+		c.yieldAnswer()
+		return
+	}
+	c.yieldReading()
+}
+
+// yieldReading ends the connection if no request is being read on it, and else what is being read.
+func (c *conn) yieldReading() {
 	c.conns.mu.Lock()
 	c.yields = true
 	idle := !c.busy
@@ -61,6 +70,41 @@
 	_ = c.Conn.SetReadDeadline(longAgo)
 }
 
+// yieldAnswer ends the answer that is being written. The connection is reset, as what is still to be sent takes memory too.
+func (c *conn) yieldAnswer() {
+	c.conns.mu.Lock()
+	c.yields, c.yieldsAnswer = true, true
+	c.conns.mu.Unlock()
+	// Both fail only on a connection that is closed, or that is none of TCP.
+	_ = c.SetLinger(0)
+	_ = c.Conn.SetWriteDeadline(longAgo)
+}
+
+// SetWriteDeadline implements net.Conn. No deadline lets an answer that yields go on.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	if c.yieldsAnswer {
+		t = longAgo
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// writeBytes is how much is written at once, so that the account knows how fast a client reads.
+const writeBytes = 64 << 10
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (written int, err error) {
+	for {
+		n, err := c.Conn.Write(b[written:min(len(b), written+writeBytes)])
+		written += n
+		c.load.Sent(n)
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
 // SetReadDeadline implements net.Conn. No deadline lets a connection that yields read on.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.conns.mu.Lock()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -18,6 +18,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"limpethub/internal/callerload"
 	"limpethub/internal/modelref"
 	"limpethub/internal/request"
 )
@@ -178,6 +179,8 @@
 	// CallerLeft reports whether the caller has left, also if the context of the request hasn't ended yet. nil means that this
 	// isn't known.
 	CallerLeft func() bool
+	// Account is charged for the whole answer while it is held for the caller. A nil account has no bound.
+	Account *callerload.Account
 }
 
 // Event is one event of a streamed answer, decoded. RawEvent is the same in undecoded form.
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"limpethub/internal/callerload"
 	"limpethub/internal/crashguard"
 	"limpethub/internal/crashwatch"
 	"limpethub/internal/dispatch"
@@ -141,6 +142,9 @@
 	// if no other attempt is made.
 	serverFailure     *engine.AnswerHead
 	serverFailureBody []byte
+	// whole is the head of an answer that was read whole and isn't delivered yet, with wholeBody; nil if there is none.
+	whole     *engine.AnswerHead
+	wholeBody []byte
 }
 
 // Relay runs a request. The caller already has the events up to lastEventID; noEventID (-1)
@@ -184,7 +188,7 @@
 			relayed.ticket.AttemptEnded()
 		}
 		if err == nil {
-			return nil
+			return r.deliverWhole(ctx, relayed)
 		}
 		combinedVerdict = verdict.Combine(combinedVerdict, outcome.Verdict)
 		failure = r.errorMapper.verdictError(ctx, err).With(combinedVerdict)
@@ -213,6 +217,8 @@
 	switch {
 	case ctx.Err() != nil || failure.Code == verdict.CodeCanceled:
 		return "nobody waits any more"
+	case failure.Code == verdict.CodeCallersMemory:
+		return "there is no room for its answer"
 	case failure.Code == verdict.CodeUnauthorized || failure.Code == verdict.CodeStaleConfiguration || failure.Code == verdict.CodeStopping:
 		return "not sent to a server"
 	case request.Deadline.Sub(r.options.Now()) < minTimeLeft:
@@ -238,6 +244,7 @@
 func (r *Relay) endFailed(relayed *relayedRequest, failure *verdict.Error, reason string) error {
 	if relayed.serverFailure != nil && !relayed.headDelivered && !(impliesNotRun(relayed.serverFailure.Status) && !relayed.call.Request.Idempotent) {
 		relayed.result.Status = relayed.serverFailure.Status
+		relayed.call.Account.BeginAnswer()
 		return relayed.sink.WholeAnswer(relayed.serverFailure, relayed.serverFailureBody)
 	}
 	failure.Message += "; " + reason
@@ -391,11 +398,15 @@
 		RetryAfter: r.options.Dispatcher.RetryAfter(relayed.call.Request)}
 }
 
-// relayWhole relays an answer that isn't a stream. It delivers nothing before the whole
+// relayWhole reads an answer that isn't a stream, which deliverWhole then delivers. Nothing is delivered before the whole
 // answer has arrived, so that the request can still be retried if the answer breaks off.
 func (r *Relay) relayWhole(relayed *relayedRequest, answer engine.Answer, run *crashwatch.Run, outcome *scheduling.Outcome) error {
 	head := answer.Head()
 	body, err := answer.Body()
+	if errors.Is(err, callerload.ErrNoRoom) {
+		outcome.Verdict = verdict.Ran
+		return noRoomForAnswer(err)
+	}
 	if err != nil {
 		return &brokenAnswerError{err: verdict.Unclear(verdict.CodeServerFailed, err, "the answer was cut")}
 	}
@@ -413,8 +424,30 @@
 	if head.Succeeded() {
 		relayed.answerBegun(run)
 	}
-	relayed.result.Status = head.Status
-	return wrapSinkError(relayed.sink.WholeAnswer(head, body))
+	relayed.whole, relayed.wholeBody = head, body
+	return nil
+}
+
+// noRoomForAnswer returns the error of an answer that can't be held beside those of other callers. The server isn't at fault.
+func noRoomForAnswer(cause error) *verdict.Error {
+	return &verdict.Error{
+		Verdict: verdict.Ran, Code: verdict.CodeCallersMemory, Err: cause,
+		Message: "the requests and answers of callers take as much memory as they may",
+	}
+}
+
+// deliverWhole delivers the answer that relayWhole has read, if there is one. The request has ended at the server by then, however
+// slowly its caller reads.
+func (r *Relay) deliverWhole(ctx context.Context, relayed *relayedRequest) error {
+	if relayed.whole == nil {
+		return nil
+	}
+	relayed.result.Status = relayed.whole.Status
+	relayed.call.Account.BeginAnswer()
+	if err := wrapSinkError(relayed.sink.WholeAnswer(relayed.whole, relayed.wholeBody)); err != nil {
+		return r.errorMapper.verdictError(ctx, err).With(verdict.Ran)
+	}
+	return nil
 }
 
 // wrapSinkError marks an error as a failure on the caller's side.
--- a/internal/forward/relay_peer.go
+++ b/internal/forward/relay_peer.go
@@ -221,7 +221,11 @@
 		tried = append(tried, peer)
 		relayed.result.Peer = peer
 		if err == nil {
-			return r.endPassedOn(ctx, relayed, earlier, r.relayFromPeer(relayed, answer))
+			err := r.relayFromPeer(relayed, answer)
+			if err == nil {
+				return r.deliverWhole(ctx, relayed)
+			}
+			return r.endPassedOn(ctx, relayed, earlier, err)
 		}
 		if !again || ctx.Err() != nil {
 			return r.endPassedOn(ctx, relayed, earlier, err)
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -7,9 +7,11 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"limpethub/internal/callerload"
 	"limpethub/internal/dispatch"
 	"limpethub/internal/engine"
 	"limpethub/internal/logging"
@@ -35,6 +37,7 @@
 // fakePassthrough answers requests with its replies in order, and records to which servers
 // and with which last event IDs they were sent.
 type fakePassthrough struct {
+	mu           sync.Mutex
 	replies      []serverReply
 	servers      []string
 	lastEventIDs []int64
@@ -42,6 +45,8 @@
 }
 
 func (p *fakePassthrough) Open(_ context.Context, server engine.Server, _ engine.Call, lastEventID int64) (engine.Answer, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if len(p.replies) == 0 {
 		return nil, errors.New("fakePassthrough has no reply left for this request")
 	}
@@ -81,7 +86,11 @@
 	return engine.RawEvent{ID: id, Data: fmt.Appendf(nil, "e%d ", id)}, nil
 }
 
-func (a *fakeAnswer) Close() { a.plane.closed++ }
+func (a *fakeAnswer) Close() {
+	a.plane.mu.Lock()
+	defer a.plane.mu.Unlock()
+	a.plane.closed++
+}
 
 // recordingCaller is an AnswerSink that records what is delivered.
 type recordingCaller struct {
@@ -281,3 +290,58 @@
 		t.Errorf("sent to %v, ended with %v, want one attempt and an error", plane.servers, err)
 	}
 }
+
+// slowCaller is an AnswerSink whose caller reads its answer only once it is released.
+type slowCaller struct {
+	recordingCaller
+	reads chan struct{}
+}
+
+func (c *slowCaller) WholeAnswer(head *engine.AnswerHead, body []byte) error {
+	<-c.reads
+	return c.recordingCaller.WholeAnswer(head, body)
+}
+
+// TestCallerThatReadsSlowlyTakesNoPlaceAtAServer guards against requests that wait for a server whose places are taken by answers which it has
+// long given, and which their callers don't read.
+func TestCallerThatReadsSlowlyTakesNoPlaceAtAServer(t *testing.T) {
+	const places = 400 // more than the three servers have, waiting ones included
+	replies := make([]serverReply, places+1)
+	for n := range replies {
+		replies[n] = serverReply{status: http.StatusOK, body: "ok"}
+	}
+	relay, _ := newTestRelay(t, replies...)
+	reads := make(chan struct{})
+	var ended sync.WaitGroup
+	for n := range places {
+		call := relayCall(true, 1)
+		call.Request.ID = request.ID(fmt.Sprint("slow", n))
+		sink := &slowCaller{reads: reads}
+		begun := make(chan struct{})
+		ended.Go(func() {
+			close(begun)
+			if _, err := relay.Relay(t.Context(), call, noEventID, sink); err != nil {
+				t.Error(err)
+			}
+		})
+		<-begun
+		time.Sleep(time.Millisecond)
+	}
+	caller := &recordingCaller{}
+	if _, err := relay.Relay(t.Context(), relayCall(true, 1), noEventID, caller); err != nil || caller.status != http.StatusOK {
+		t.Errorf("beside callers that don't read: status %d, error %v, want 200", caller.status, err)
+	}
+	close(reads)
+	ended.Wait()
+}
+
+// TestAnswerWithoutRoomIsNotTriedAgain guards against a server that counts as faulty, and a request that runs again, because there is no memory
+// for its answer.
+func TestAnswerWithoutRoomIsNotTriedAgain(t *testing.T) {
+	relay, plane := newTestRelay(t, serverReply{status: http.StatusOK, bodyErr: fmt.Errorf("read: %w", callerload.ErrNoRoom)}, serverReply{status: http.StatusOK})
+	_, err := relay.Relay(t.Context(), relayCall(true, 3), noEventID, &recordingCaller{})
+	var failed *verdict.Error
+	if !errors.As(err, &failed) || failed.Code != verdict.CodeCallersMemory || failed.Verdict != verdict.Ran || len(plane.servers) != 1 {
+		t.Errorf("got %v after %d attempts, want %s with the verdict ran after one", err, len(plane.servers), verdict.CodeCallersMemory)
+	}
+}
--- a/internal/peerrelay/caller_memory_test.go
+++ b/internal/peerrelay/caller_memory_test.go
@@ -40,3 +40,32 @@
 		t.Errorf("%d bytes are held after the answers, want none", held)
 	}
 }
+
+// TestAnswersOfPeersDrawOnTheMemoryForCallers guards against answers that a peer passes back, or that this instance holds for a peer, and
+// that no bound counts.
+func TestAnswersOfPeersDrawOnTheMemoryForCallers(t *testing.T) {
+	const limit, answerBytes = 1 << 20, 1 << 21
+	here := callerload.New(callerload.Options{Limit: limit, Now: time.Now})
+	there := callerload.New(callerload.Options{Limit: limit, Now: time.Now})
+	var chargedThere error
+	server := newServer(nil, func(_ context.Context, r Request, sink forward.AnswerSink) error {
+		chargedThere = r.Account.Charge(answerBytes)
+		return sink.WholeAnswer(&engine.AnswerHead{Status: 200}, make([]byte, answerBytes))
+	})
+	server.options.CallerLoad = there
+	client, _ := newClient(map[string]*Server{"p": server})
+	p := passedOn("x")
+	p.Call.Account = here.Open(func(callerload.Yield) {})
+	p.Call.Account.EndBody()
+	answer, _, _, err := client.PassOn(t.Context(), p, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Close()
+	if _, err := answer.Body(); !errors.Is(err, callerload.ErrNoRoom) {
+		t.Errorf("an answer of %d bytes beside a bound of %d gave %v, want %v", answerBytes, limit, err, callerload.ErrNoRoom)
+	}
+	if !errors.Is(chargedThere, callerload.ErrNoRoom) {
+		t.Errorf("at the peer: %v, want %v", chargedThere, callerload.ErrNoRoom)
+	}
+}
--- a/internal/peerrelay/client.go
+++ b/internal/peerrelay/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"limpethub/internal/callerload"
 	"limpethub/internal/engine"
 	"limpethub/internal/forward"
 	"limpethub/internal/httpanswer"
@@ -167,7 +168,7 @@
 		return nil, &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeNoServer, Message: "peer " + peer.Name + " can't be reached", Err: err}
 	}
 	stop := context.AfterFunc(ctx, stream.Cancel)
-	answer := &peerAnswer{client: c, peer: peer.Name, stream: stream, stop: stop, reader: bufio.NewReaderSize(stream, readerBytes)}
+	answer := &peerAnswer{client: c, peer: peer.Name, stream: stream, stop: stop, account: p.Call.Account, reader: bufio.NewReaderSize(stream, readerBytes)}
 	// The request is written beside, as the peer may refuse it before it has read all.
 	go c.send(stream, p)
 	if err := answer.readHead(); err != nil {
@@ -239,6 +240,8 @@
 	done   func()
 	reader *bufio.Reader
 	head   engine.AnswerHead
+	// account is charged for a whole answer.
+	account *callerload.Account
 	// err is the outcome of an answer that has ended; errOpen before.
 	err error
 }
@@ -311,20 +314,35 @@
 
 // Body implements engine.Answer.
 func (a *peerAnswer) Body() ([]byte, error) {
-	var body []byte
-	for {
-		part, err := a.next(frameBody)
-		switch {
-		case errors.Is(err, io.EOF):
-			return body, nil
-		case err != nil:
-			return nil, err
-		case len(body)+len(part) > maxAnswerBytes:
-			a.err = a.cut(fmt.Errorf("the body is longer than %d bytes", maxAnswerBytes))
-			return nil, a.err
+	body, err := callerload.ReadBody(&bodyReader{answer: a}, unknownLength, maxAnswerBytes, a.account)
+	if errors.Is(err, io.ErrShortBuffer) {
+		a.err = a.cut(fmt.Errorf("the body is longer than %d bytes", maxAnswerBytes))
+		return nil, a.err
+	}
+	return body, err
+}
+
+// unknownLength is the length of a body that isn't announced.
+const unknownLength = -1
+
+// bodyReader reads the frames of a body.
+type bodyReader struct {
+	answer *peerAnswer
+	// rest is what is left of the last frame.
+	rest []byte
+}
+
+func (r *bodyReader) Read(p []byte) (int, error) {
+	for len(r.rest) == 0 {
+		part, err := r.answer.next(frameBody)
+		if err != nil {
+			return 0, err
 		}
-		body = append(body, part...)
+		r.rest = part
 	}
+	n := copy(p, r.rest)
+	r.rest = r.rest[n:]
+	return n, nil
 }
 
 // Next implements engine.Answer.
--- a/internal/peerrelay/server.go
+++ b/internal/peerrelay/server.go
@@ -64,6 +64,8 @@
 	Workspace string
 	// Revision is that of the configuration by which the peer routed the request; 0 if it isn't known.
 	Revision uint64
+	// Account is charged for a whole answer until it is passed back.
+	Account *callerload.Account
 }
 
 // Runner runs a request that was taken in, and passes its answer to the sink.
@@ -137,6 +139,10 @@
 	if err != nil {
 		return err
 	}
+	account := s.options.CallerLoad.Open(func(callerload.Yield) { stream.Cancel() })
+	defer account.Close()
+	account.EndBody()
+	r.Account, sink.account = account, account
 	ctx, cancel := context.WithDeadline(stream.Context(), r.Deadline)
 	defer cancel()
 	return s.options.Runner.RunForPeer(ctx, r, sink)
@@ -219,7 +225,11 @@
 }
 
 // streamSink passes an answer back to the peer.
-type streamSink struct{ stream peers.Stream }
+type streamSink struct {
+	stream peers.Stream
+	// account is told how much the peer has taken.
+	account *callerload.Account
+}
 
 var _ forward.AnswerSink = (*streamSink)(nil)
 
@@ -228,7 +238,19 @@
 	if err := s.Begin(head); err != nil {
 		return err
 	}
-	return writeBody(s.stream, body)
+	return writeBody(accountedWriter{s.stream, s.account}, body)
+}
+
+// accountedWriter tells an account what is written.
+type accountedWriter struct {
+	io.Writer
+	account *callerload.Account
+}
+
+func (w accountedWriter) Write(p []byte) (int, error) {
+	n, err := w.Writer.Write(p)
+	w.account.Sent(n)
+	return n, err
 }
 
 // Begin implements forward.AnswerSink.
--- a/internal/rawhttp/exchange.go
+++ b/internal/rawhttp/exchange.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"limpethub/internal/callerload"
 	"limpethub/internal/httpanswer"
 	"limpethub/internal/intake"
 )
@@ -87,7 +88,9 @@
 	headBytesLeft     int64
 	stopCloseOnCancel func() bool
 	body              io.ReadCloser
-	events            *eventReader
+	// length is that of the body; -1 if it isn't known.
+	length int64
+	events *eventReader
 	// bodyComplete is true once the body was read to its end; closeAfter is true if the
 	// connection can't carry another request.
 	bodyComplete, closeAfter bool
@@ -162,7 +165,8 @@
 			return errJoined
 		}
 		if r.matchesRequest(answer) {
-			r.Status, r.Header, r.body = answer.StatusCode, answer.Header, r.bodyOf(answer)
+			r.Status, r.Header = answer.StatusCode, answer.Header
+			r.body, r.length = r.bodyOf(answer), lengthOf(answer)
 			r.closeAfter = answer.Close || request.Connections == OnlyNew
 			return nil
 		}
@@ -188,6 +192,15 @@
 	return answer.Body
 }
 
+// lengthOf returns the length of an answer's body; -1 if it isn't known. The answer to HEAD names the length of a body that
+// doesn't follow.
+func lengthOf(answer *http.Response) int64 {
+	if answer.Body == http.NoBody {
+		return 0
+	}
+	return answer.ContentLength
+}
+
 // matchesRequest reports whether an answer has the request's ID, or none if the request has none. Without
 // Options.IDHeader, any answer matches.
 func (r *Response) matchesRequest(answer *http.Response) bool {
@@ -241,20 +254,31 @@
 
 // Body reads the rest of the answer. A truncated answer is an error, and so is a body longer than
 // maxBytes, or one that exceeds Options.MaxBufferedBytes together with those being read.
-func (r *Response) Body(maxBytes int64) ([]byte, error) {
+func (r *Response) Body(maxBytes int64) ([]byte, error) { return r.BodyFor(nil, maxBytes) }
+
+// BodyFor is Body for a caller, whose account is charged for the bytes. Its error is callerload.ErrNoRoom if they don't fit
+// beside those of others.
+func (r *Response) BodyFor(account *callerload.Account, maxBytes int64) ([]byte, error) {
+	if r.length > maxBytes {
+		return nil, errTooLong(maxBytes)
+	}
 	held := &heldBytes{client: r.client}
 	defer held.release()
-	data, err := io.ReadAll(io.TeeReader(io.LimitReader(r.body, maxBytes+1), held))
+	data, err := callerload.ReadBody(io.TeeReader(r.body, held), r.length, maxBytes, account)
+	if errors.Is(err, io.ErrShortBuffer) {
+		return nil, errTooLong(maxBytes)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("rawhttp: read the answer: %w", err)
 	}
-	if int64(len(data)) > maxBytes {
-		return nil, fmt.Errorf("rawhttp: the answer is longer than %d bytes", maxBytes)
-	}
 	r.bodyComplete = true
 	return data, nil
 }
 
+func errTooLong(maxBytes int64) error {
+	return fmt.Errorf("rawhttp: the answer is longer than %d bytes", maxBytes)
+}
+
 // heldBytes counts the bytes of one body among those that are being read.
 type heldBytes struct {
 	client *Client
