A retried request keeps its class when a configuration changes their order

A request that was waiting or at a server when the classes changed their order came again with its former number: an urgent one waited in the least urgent class. The scheduler now notes the new number of such requests until their deadline.

--- a/internal/scheduling/document.go
+++ b/internal/scheduling/document.go
@@ -12,13 +12,13 @@
 	if document == nil || len(document.Classes) == 0 {
 		return c.advance(now)
 	}
-	c.applyDocument(document)
+	c.applyDocument(now, document)
 	return c.advance(now)
 }
 
 // applyDocument takes over the classes, adapters and budgets of a document. The queue is
 // rebuilt for the new classes; each waiting request moves to the class with the same name.
-func (c *core) applyDocument(document *site.Document) {
+func (c *core) applyDocument(now time.Time, document *site.Document) {
 	old := c.document
 	c.document = document
 	for _, b := range c.budgets {
@@ -29,6 +29,9 @@
 	if c.queue != nil {
 		waiting = c.queue.All()
 	}
+	if old != nil {
+		c.noteMovedClasses(now, old, document, waiting)
+	}
 	c.queue, c.floor = newQueue(document.Classes)
 	clear(c.urgencies)
 	for _, t := range c.targets {
--- a/internal/scheduling/finish.go
+++ b/internal/scheduling/finish.go
@@ -136,7 +136,7 @@
 		return []Decision{refuse(&attempt{request: r, mayHaveRun: true}, verdict.CodeDuplicate, 0,
 			"a request with this ID is in progress")}
 	}
-	r.Class = min(max(r.Class, 0), len(c.document.Classes)-1)
+	r.Class = c.presentClass(&r)
 	a := attempt{request: r, mayHaveRun: last.Verdict != verdict.NotRun, avoid: last.Server}
 	if !retry.MayRetry(last.Verdict, r.Idempotent) {
 		return []Decision{c.refuseRetry(now, &a, last, "the request may have run and must not repeat")}
@@ -160,7 +160,7 @@
 func (c *core) takeRetry(now time.Time, r *request.Request) bool {
 	b := c.budgetOf(c.target(keyOf(r)))
 	if c.document.RequireKeys {
-		return b.TakeFor(now, r.Class)
+		return b.TakeFor(now, c.presentClass(r))
 	}
 	return b.Take(now)
 }
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -33,7 +33,9 @@
 	targets map[targetKey]*target
 	// dispatched holds this instance's requests that are on a server.
 	dispatched map[request.ID]*dispatchedRequest
-	queue      *flowcontrol.Queue
+	// movedClasses holds the requests whose class has another number now than when they arrived.
+	movedClasses map[request.ID]movedClass
+	queue        *flowcontrol.Queue
 	// aggregate holds what was learned of all targets together.
 	aggregate *predict.Target
 	// floor guarantees each class a minimum share of the dispatches. The floor of a class is
@@ -118,6 +120,7 @@
 		servers:          map[string]*server{},
 		targets:          map[targetKey]*target{},
 		dispatched:       map[request.ID]*dispatchedRequest{},
+		movedClasses:     map[request.ID]movedClass{},
 		peers:            map[string]time.Time{},
 		digestsLeft:      map[*server]int{},
 		aggregate:        predict.NewTarget(nil),
@@ -127,7 +130,7 @@
 		urgencies:        map[string]*urgency{},
 		shareBuffer:      map[*target]float64{},
 	}
-	c.applyDocument(options.Document)
+	c.applyDocument(time.Time{}, options.Document)
 	return c, nil
 }
 
