An answer about a version doesn't overrule a later removal

The holder's answer to an instance that waits got its place in the order of notices after its account had been read, so that a removal in between was ordered before it and ignored by the receiver. The place is taken before the account is read now.

--- a/internal/daemon/residency_feed.go
+++ b/internal/daemon/residency_feed.go
@@ -174,9 +174,10 @@
 	var told []digest.Residency
 	var refs []modelref.Ref
 	for _, ref := range x.dueAnswers(now, d) {
+		count := x.beginAnswer()
 		copies := x.copies.UsableCopies(ref, copiesPerAnswer)
 		for _, c := range copies {
-			told = append(told, x.noticeFor(c))
+			told = append(told, x.noticeFor(c, count))
 		}
 		if len(copies) > 0 {
 			refs = append(refs, ref)
@@ -200,10 +201,16 @@
 	return x.waits.Observe(now, d.Instance, waiting)
 }
 
-func (x *residencyExtension) noticeFor(c residency.ResidencyChange) digest.Residency {
+func (x *residencyExtension) beginAnswer() (count uint64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.versions.Answer(c.Term, digest.Residency{Server: c.Server, StartMillis: c.StartMillis, Ref: c.Ref, Present: c.Present})
+	return x.versions.BeginAnswer()
+}
+
+func (x *residencyExtension) noticeFor(c residency.ResidencyChange, count uint64) digest.Residency {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.versions.Answer(c.Term, count, digest.Residency{Server: c.Server, StartMillis: c.StartMillis, Ref: c.Ref, Present: c.Present})
 }
 
 func (x *residencyExtension) recordAnswers(now time.Time, peer string, refs []modelref.Ref) {
--- a/internal/notices/versions.go
+++ b/internal/notices/versions.go
@@ -58,11 +58,17 @@
 	v.outbox.put(now, subjectOf(notice), &entry[digest.Residency]{value: notice, madeAt: now, firstHand: true, urgent: !notice.Present})
 }
 
-// Answer returns a notice for one peer that waits for the version: it is ordered after all others of this instance, and so old that
-// its receiver doesn't pass it on. This instance doesn't send it to others.
-func (v *Versions) Answer(term uint64, notice digest.Residency) digest.Residency {
+// BeginAnswer returns the place of an answer in the order of this instance's notices. It is taken before what the answer tells is read, so
+// that the notice of a later change is ordered after it.
+func (v *Versions) BeginAnswer() (count uint64) {
 	v.count++
-	notice.Term, notice.Count, notice.AgeMillis = term, v.count, VersionLifetime.Milliseconds()
+	return v.count
+}
+
+// Answer returns a notice for one peer that waits for the version, with the place that BeginAnswer returned. It is so old that its
+// receiver doesn't pass it on. This instance doesn't send it to others.
+func (v *Versions) Answer(term, count uint64, notice digest.Residency) digest.Residency {
+	notice.Term, notice.Count, notice.AgeMillis = term, count, VersionLifetime.Milliseconds()
 	return notice
 }
 
--- a/internal/notices/waiting_test.go
+++ b/internal/notices/waiting_test.go
@@ -52,7 +52,7 @@
 	now := time.Unix(1000, 0)
 	holder, peer := NewVersions(), NewVersions()
 	notice := digest.Residency{Server: "s", Ref: "a@1", Present: true}
-	answer := holder.Answer(7, notice)
+	answer := holder.Answer(7, holder.BeginAnswer(), notice)
 	if isNew, passOn := peer.Receive(now, answer); !isNew || passOn {
 		t.Errorf("an answer is new: %v, passed on: %v; want true, false", isNew, passOn)
 	}
