An absence that a watch ends is over

Found in reading the diff: an absence was noted until the next listing, though a watch that goes on from the revision before it ends it as well. A later absence was joined with it, so that nobody could prove that the store had been in service during both. TestAnEarlierOutageIsNoPartOfALaterAbsence failed before (1.55 s too long).

--- a/internal/discovery/reading.go
+++ b/internal/discovery/reading.go
@@ -182,6 +182,11 @@
 	now := time.Now()
 	w.update(cause{origin: originWatch, revision: update.Revision}, func(r *Registry) {
 		w.recordAnswer(now)
+		if w.ended != nil {
+			// The watch goes on from the revision before the absence, so that nothing is missing after it.
+			w.noteAbsence(w.ended.since, w.ended.until)
+			w.ended = nil
+		}
 		for _, removal := range update.Removed {
 			known, _ := r.Server(removal.ID)
 			if r.Removed(now, removal.ID, removal.Revision) {
--- a/internal/discovery/restarts_test.go
+++ b/internal/discovery/restarts_test.go
@@ -119,6 +119,32 @@
 	})
 }
 
+// TestAnEarlierOutageIsNoPartOfALaterAbsence guards against an instance that keeps a server which left during its cut, because nobody can tell of an
+// outage that all instances had long before, and that ended with a watch.
+func TestAnEarlierOutageIsNoPartOfALaterAbsence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		f := startCutFleet(ctx, 3)
+		f.sources[0].reconnects = true
+		time.Sleep(6 * time.Second)
+		f.store.change(func() { f.store.unreachable = true })
+		time.Sleep(3 * time.Second)
+		f.store.change(func() { f.store.unreachable = false })
+		time.Sleep(6 * time.Second)
+		f.cut(1, true)
+		time.Sleep(5500 * time.Millisecond)
+		f.leaveAndForget()
+		time.Sleep(2500 * time.Millisecond)
+		f.cut(1, false)
+		// With a proof the server is gone as soon as the listing is there.
+		time.Sleep(time.Second)
+		if longest := f.awaitServers("[a]", 1); longest > 0 {
+			t.Errorf("the server that left is known for another %v", longest)
+		}
+	})
+}
+
 // TestServerThatLeftDuringACutIsGoneWithoutAnyProof guards against the same requests where nobody can tell what happened: a
 // single instance, or instances that were cut off alike. The end of the cut falls at each point of a series of attempts.
 func TestServerThatLeftDuringACutIsGoneWithoutAnyProof(t *testing.T) {
