Answers have room beside the bodies of requests in progress

Answers may now use half of the part that is kept for small requests, and wait for a second. TestAnswersHaveRoomBesideWholeRequests failed before.

--- a/internal/callerload/budget.go
+++ b/internal/callerload/budget.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// maxWait is how long a charge waits for the bytes of those that yield.
-	maxWait = 200 * time.Millisecond
+	// maxWait is how long a charge waits for the bytes of those that yield, and maxAnswerWait how long that of an answer does, which
+	// would be lost otherwise.
+	maxWait       = 200 * time.Millisecond
+	maxAnswerWait = time.Second
 	// reportInterval is the least time between two reports.
 	reportInterval = 10 * time.Second
 )
@@ -237,7 +239,7 @@
 
 // await waits until a charge is decided.
 func (b *Budget) await(w *waiter) (granted bool) {
-	timer := time.NewTimer(maxWait)
+	timer := time.NewTimer(w.longest)
 	defer timer.Stop()
 	select {
 	case <-w.decided:
--- a/internal/callerload/state.go
+++ b/internal/callerload/state.go
@@ -16,6 +16,9 @@
 	// of the limit.
 	smallBytes = 16 << 10
 	keptShare  = 8
+	// keptFromAnswers is the part of the limit that isn't for the answers of larger requests either. They may use the other half of what is
+	// kept: requests that have run mustn't lose their answers because the bodies of others leave no room.
+	keptFromAnswers = 2 * keptShare
 	// maxVictims is how many accounts yield for one charge at most. A charge that would need more is refused.
 	maxVictims = 8
 )
@@ -36,6 +39,8 @@
 type waiter struct {
 	account *Account
 	bytes   int64
+	// longest is how long it waits at most.
+	longest time.Duration
 	// decided is closed once the charge was granted or refused, and granted says which.
 	decided chan struct{}
 	granted bool
@@ -117,17 +122,21 @@
 // isSmall reports whether a request stays small with n bytes more.
 func (a *Account) isSmall(n int64) bool { return a.request+n <= smallBytes }
 
-// room returns how many bytes are free for a request.
-func (s *state) room(small bool) int64 {
-	if small {
-		return s.limit - s.held
+// room returns how many bytes are free for n bytes more of an account.
+func (s *state) room(a *Account, n int64) int64 {
+	free := s.limit - s.held
+	switch {
+	case a.isSmall(n):
+		return free
+	case a.phase == whole:
+		return free - s.limit/keptFromAnswers
 	}
-	return s.limit - s.limit/keptShare - s.held
+	return free - s.limit/keptShare
 }
 
 // hold charges bytes that belong to no connection of a caller, if there is room.
 func (s *state) hold(n int64) bool {
-	if n > s.room(n <= smallBytes) {
+	if n > s.room(&Account{}, n) {
 		return false
 	}
 	s.held += n
@@ -140,17 +149,20 @@
 	if a.yielding || a.index < 0 {
 		return outcome{}
 	}
-	small := a.isSmall(n)
-	if n <= s.room(small) && (small || len(s.waiters) == 0) {
+	room := s.room(a, n)
+	if n <= room && (a.isSmall(n) || len(s.waiters) == 0) {
 		s.take(a, n)
 		return outcome{granted: true}
 	}
-	chosen, ok := s.victimsFor(now, a, n+s.wanted-s.room(small)-s.yielding)
-	if !ok && a.phase != whole {
+	chosen, ok := s.victimsFor(now, a, n+s.wanted-room-s.yielding)
+	w := &waiter{account: a, bytes: n, longest: maxWait, decided: make(chan struct{})}
+	switch {
+	case a.phase == whole:
+		w.longest = maxAnswerWait
+	case !ok:
 		s.refuse(a)
 		return outcome{}
 	}
-	w := &waiter{account: a, bytes: n, decided: make(chan struct{})}
 	out := outcome{waiter: w}
 	for _, v := range chosen {
 		out.victims = append(out.victims, s.evict(v))
@@ -218,7 +230,7 @@
 func (s *state) grant() {
 	for len(s.waiters) > 0 {
 		w := s.waiters[0]
-		if w.bytes > s.room(w.account.isSmall(w.bytes)) {
+		if w.bytes > s.room(w.account, w.bytes) {
 			return
 		}
 		s.take(w.account, w.bytes)
--- a/internal/callerload/state_test.go
+++ b/internal/callerload/state_test.go
@@ -221,3 +221,20 @@
 		t.Error("not granted after the answer before it was delivered")
 	}
 }
+
+// Guards against requests that have run and lose their answers, because the bodies of others that are in progress take all memory.
+func TestAnswersHaveRoomBesideWholeRequests(t *testing.T) {
+	s := newState(1600 * kib)
+	for range 14 {
+		running := reading(t, s, start, 84*kib)
+		running.enter(start, whole)
+	}
+	if got := s.ask(later, s.accounts[0], 84*kib); !got.granted {
+		t.Error("an answer waits for the bodies of others")
+	}
+	next := &Account{}
+	s.open(later, next)
+	if got := s.ask(later, next, 84*kib); got.granted {
+		t.Error("a body takes the room of answers")
+	}
+}
