A process that starts after a removal counts, also in an older copy of the store

Traced by its logs: it had a peer's notice that llm-5 was removed, then missed the store until it came back from an older copy. llm-5's two later processes wrote their announcements from sequence 1 on, which was below the last one of the removed process, so that they were ignored for a minute. Sequences are compared within a process now. TestProcessThatStartedAfterARemovalIsKnownInAnOlderCopyOfTheStore failed before.

--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -214,15 +214,19 @@
 }
 
 // isAfter reports whether an announcement was written before the removal, as far as both revisions are known. A store
-// that came back from an older copy gives old announcements new revisions: there, the sequence tells.
+// that came back from an older copy gives old announcements new revisions: there, process and sequence tell, and a later process
+// counts from the beginning again.
 func (gone removedServer) isAfter(s Server) bool {
 	if gone.revision == 0 || s.Revision == 0 {
 		return false
 	}
-	if s.Revision.Epoch() > gone.revision.Epoch() {
-		return s.Sequence <= gone.last.Sequence
+	if s.Revision.Epoch() <= gone.revision.Epoch() {
+		return s.Revision < gone.revision
 	}
-	return s.Revision < gone.revision
+	if s.StartMillis > gone.last.StartMillis {
+		return false
+	}
+	return s.Sequence <= gone.last.Sequence
 }
 
 // Unusable removes a server because its announcement can't be parsed. The server gets no work until
--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -459,3 +459,28 @@
 		t.Errorf("after a new announcement: got %s, want [a]", ids(r))
 	}
 }
+
+// TestProcessThatStartedAfterARemovalIsKnownInAnOlderCopyOfTheStore guards against a sound server that gets no requests for a minute, because its
+// new process has written less often than the one before it, which was removed before the store came back from a copy.
+func TestProcessThatStartedAfterARemovalIsKnownInAnOlderCopyOfTheStore(t *testing.T) {
+	now := time.Now()
+	r := NewRegistry()
+	before := server("a", 1000, 9)
+	before.Revision = store.NewRevision(1, 50)
+	r.Announced(now, before)
+	r.Removed(now, "a", store.NewRevision(1, 60))
+	earlier := server("a", 500, 20)
+	earlier.Revision = store.NewRevision(2, 39)
+	r.Announced(now, earlier)
+	before.Revision = store.NewRevision(2, 40)
+	r.Announced(now, before)
+	if ids(r) != "[]" {
+		t.Errorf("with the announcements of an older copy: got %s, want none", ids(r))
+	}
+	after := server("a", 2000, 1)
+	after.Revision = store.NewRevision(2, 70)
+	r.Announced(now, after)
+	if ids(r) != "[a]" {
+		t.Errorf("after the announcement of a new process: got %s, want [a]", ids(r))
+	}
+}
