An accepted unload of an adapter holds until the adapter is gone

What callers saw: requests for an adapter that its server was unloading were sent to that server, which refuses them, once the unload had lasted longer than 14 s.

Cause: a server unloads an adapter once its last request has ended, and lists it until then like any other. Only the holder knows that the unload was accepted, and it forgot that after the time within which a late order may arrive. An accepted order is no late order: it holds until the state no longer lists the adapter, the process ended, or a load of it was accepted after it.

Open: the next holder of the placement lease doesn't know of the unload.

--- a/internal/residency/core_view.go
+++ b/internal/residency/core_view.go
@@ -54,10 +54,10 @@
 		InMemory: srv.inMemory, OnDisk: srv.onDisk,
 		Requests: c.requestsByServer[srv.server.ID],
 	}
-	if len(srv.unloadingUntil) > 0 {
+	if len(srv.unloading) > 0 {
 		view.InUse = map[modelref.Ref]bool{}
 	}
-	for ref := range srv.unloadingUntil {
+	for ref := range srv.unloading {
 		view.InUse[ref] = true
 	}
 	if now.Before(srv.nextLoadUntil) {
--- a/internal/residency/results.go
+++ b/internal/residency/results.go
@@ -180,7 +180,7 @@
 		if c.adapters[adapter].Base == base {
 			delete(srv.adapters, adapter)
 			delete(srv.usableFrom, adapter)
-			delete(srv.unloadingUntil, adapter)
+			delete(srv.unloading, adapter)
 		}
 	}
 }
--- a/internal/residency/tracked_server.go
+++ b/internal/residency/tracked_server.go
@@ -66,9 +66,9 @@
 	adapters  map[modelref.Ref]engine.HoldingState
 	// usableFrom holds, for each adapter being loaded, the time from which it can be used.
 	usableFrom map[modelref.Ref]time.Time
-	// unloadingUntil holds, for each adapter whose unload the server has accepted and not shown yet, until when it may take:
-	// such an adapter is in use, and keeps its slot until its requests have ended.
-	unloadingUntil map[modelref.Ref]time.Time
+	// unloading holds the adapters whose unload the server has accepted and not carried out yet: such an adapter is in use,
+	// and keeps its slot until its requests have ended, however long they last. The server's state lists it like any other.
+	unloading map[modelref.Ref]bool
 	// toldGone are the versions of which all instances were told last that they aren't usable here.
 	toldGone map[modelref.Ref]bool
 	// inMemory and onDisk are the models whose weights the server has in memory or on disk,
@@ -105,7 +105,7 @@
 	s.models = map[modelref.Ref]engine.HoldingState{}
 	s.adapters = map[modelref.Ref]engine.HoldingState{}
 	s.usableFrom = map[modelref.Ref]time.Time{}
-	s.unloadingUntil = map[modelref.Ref]time.Time{}
+	s.unloading = map[modelref.Ref]bool{}
 	s.toldGone = map[modelref.Ref]bool{}
 	s.inMemory = map[modelref.Ref]bool{}
 	s.onDisk = map[modelref.Ref]bool{}
@@ -160,7 +160,7 @@
 	s.inMemory, s.onDisk = setOf(state.InMemory), setOf(state.OnDisk)
 	s.updateAdapters(now, state)
 	s.nextReadAt = now.Add(stateRefreshPeriod)
-	if len(s.unloadingUntil) > 0 {
+	if len(s.unloading) > 0 {
 		s.nextReadAt = now.Add(openOrderPollPeriod)
 	}
 	switch {
@@ -193,9 +193,9 @@
 		s.adapters[ref] = engine.StateLoading
 		s.usableFrom[ref] = now.Add(adapterReadyDelay)
 	}
-	for ref, until := range s.unloadingUntil {
-		if _, held := s.adapters[ref]; !held || now.After(until) {
-			delete(s.unloadingUntil, ref)
+	for ref := range s.unloading {
+		if _, held := s.adapters[ref]; !held {
+			delete(s.unloading, ref)
 			continue
 		}
 		s.adapters[ref] = engine.StateUnloading
@@ -228,10 +228,11 @@
 func (s *trackedServer) recordAcceptedAdapter(now time.Time, order engine.SequencedOrder) {
 	if order.Action == engine.ActionUnload {
 		s.adapters[order.Ref] = engine.StateUnloading
-		s.unloadingUntil[order.Ref] = now.Add(lateOrderWindow)
+		s.unloading[order.Ref] = true
 		s.nextReadAt = now.Add(stateReadDelay)
 		return
 	}
+	delete(s.unloading, order.Ref)
 	s.adapters[order.Ref] = engine.StateLoading
 	s.usableFrom[order.Ref] = now.Add(adapterReadyDelay)
 }
@@ -240,7 +241,7 @@
 func (s *trackedServer) recordUnloadedAdapter(order engine.SequencedOrder) {
 	s.sequence = order.ExpectedOrders + 1
 	delete(s.adapters, order.Ref)
-	delete(s.unloadingUntil, order.Ref)
+	delete(s.unloading, order.Ref)
 }
 
 // takeUsableAdapters marks the adapters that have become usable as resident and returns them.
