A new instance asks for the facts of the fleet until one that knows them answers

Cause: an instance asked once. If it found no peer within 0.3 s, it never asked again; the answer of a peer that had itself just started counted like any other; and one silent peer took all of the time. Facts then come with the heartbeats one by one, so that crashes are known seconds or minutes before the proofs that clear a part of them.

Fix: an answer says whether its instance is still learning; a new one goes on asking for up to 5 s while it serves, three peers a round, and a call takes 0.25 s at most.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -51,7 +51,11 @@
 	n.isCut[address] = cut
 }
 
-func (e *endpoint) Handle(kind peers.Kind, handler peers.Handler) { e.handlers[kind] = handler }
+func (e *endpoint) Handle(kind peers.Kind, handler peers.Handler) {
+	e.net.mu.Lock()
+	defer e.net.mu.Unlock()
+	e.handlers[kind] = handler
+}
 
 func (e *endpoint) Datagram(address string, kind peers.Kind, payload []byte) {
 	e.net.mu.Lock()
@@ -61,11 +65,14 @@
 	if kind == peers.KindDigest {
 		e.net.digestsAt[address] = append(e.net.digestsAt[address], time.Now())
 	}
+	var handler peers.Handler
+	if to != nil && !lost {
+		handler = to.handlers[kind]
+	}
 	e.net.mu.Unlock()
-	if to == nil || lost || to.handlers[kind] == nil {
-		return
+	if handler != nil {
+		time.AfterFunc(time.Millisecond, func() { handler.HandleDatagram(e.name, payload) })
 	}
-	time.AfterFunc(time.Millisecond, func() { to.handlers[kind].HandleDatagram(e.name, payload) })
 }
 
 func (e *endpoint) Call(context.Context, string, peers.Kind, []byte) ([]byte, error) {
--- a/internal/cluster/facts.go
+++ b/internal/cluster/facts.go
@@ -19,9 +19,19 @@
 	// messageReserveBytes is what the encoding of the facts' list adds to a message.
 	messageReserveBytes = 8
 	// fetchFactsTimeout limits the time that an instance which has just started takes to learn the
-	// facts from another one, and fetchFactsPause is the time between two tries.
-	fetchFactsTimeout = 800 * time.Millisecond
-	fetchFactsPause   = 50 * time.Millisecond
+	// facts from another one before it serves, fetchFactsCallTimeout that of one call, so that a silent
+	// peer leaves time to ask others. fetchFactsPause is the time between two tries.
+	fetchFactsTimeout     = 800 * time.Millisecond
+	fetchFactsCallTimeout = 250 * time.Millisecond
+	fetchFactsPause       = 50 * time.Millisecond
+	// completeFactsTimeout limits how long an instance goes on asking while it serves, until a peer has
+	// answered that isn't still learning the facts itself, and completeFactsPause is the time between two
+	// rounds.
+	completeFactsTimeout = 5 * time.Second
+	completeFactsPause   = 300 * time.Millisecond
+	// maxPeersAsked is how many peers are asked for the facts in one round. When a whole fleet starts, all
+	// of them are still learning.
+	maxPeersAsked = 3
 	// aloneAfter is how long after its start an instance that has found no other one takes itself for
 	// the first.
 	aloneAfter = 300 * time.Millisecond
@@ -37,6 +47,8 @@
 	mu       sync.Mutex
 	spreader *gossip.Spreader
 	handlers map[gossip.Topic]FactHandler
+	// learned is true once a peer that had learned the facts has told them, or none was found in time.
+	learned bool
 }
 
 // OnFact sets the handler of a topic. It must be called before Run.
@@ -109,11 +121,18 @@
 // HandleDatagram implements peers.Handler. It does nothing: facts are sent with membership messages.
 func (h factsHandler) HandleDatagram(string, []byte) {}
 
-// HandleCall implements peers.Handler. It answers with all facts.
+// HandleCall implements peers.Handler. It answers with all facts, and says so while there may be others that
+// this instance has still to learn.
 func (h factsHandler) HandleCall(context.Context, string, []byte) ([]byte, error) {
-	h.cluster.facts.mu.Lock()
-	defer h.cluster.facts.mu.Unlock()
-	data, err := cbor.Marshal(h.cluster.facts.spreader.All(h.cluster.options.Now()))
+	f := &h.cluster.facts
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := h.cluster.options.Now()
+	answer := f.spreader.All(now)
+	if !f.learned {
+		answer = append(answer, gossip.Timed{Topic: gossip.TopicStillLearning, At: now}.Fact(now))
+	}
+	data, err := cbor.Marshal(answer)
 	if err != nil {
 		return nil, fmt.Errorf("cluster: encode facts: %w", err)
 	}
@@ -123,29 +142,76 @@
 // errNoPeer is the error of FetchFacts if there was no peer to ask.
 var errNoPeer = errors.New("cluster: no other instance is known")
 
+// errStillLearning is the error of a call to a peer that has answered, but is still learning the facts itself.
+var errStillLearning = errors.New("cluster: the peer is still learning the facts")
+
 // FetchFacts learns the facts that the fleet knows from one of the peers that are alive. It returns
-// an error if none answered in time; the facts then come with the heartbeats.
+// an error if none answered in time. CompleteFacts has to be called after it.
 func (c *Cluster) FetchFacts(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchFactsTimeout)
 	defer cancel()
 	start := c.options.Now()
-	err := errNoPeer
 	for {
-		for _, peer := range c.reachablePeers() {
-			if err = c.fetchFactsFrom(ctx, peer.PeerAddress); err == nil {
-				return nil
-			}
-		}
-		if errors.Is(err, errNoPeer) && c.options.Now().Sub(start) >= aloneAfter {
+		err := c.fetchFactsFromAny(ctx)
+		switch {
+		case err == nil, errors.Is(err, errStillLearning):
+			return nil
+		case errors.Is(err, errNoPeer) && c.options.Now().Sub(start) >= aloneAfter:
 			return err
-		}
-		if !pause.For(ctx, fetchFactsPause) {
+		case !pause.For(ctx, fetchFactsPause):
 			return err
 		}
 	}
 }
 
+// CompleteFacts goes on asking peers, while this instance serves already, until one has answered that isn't still
+// learning the facts itself. Facts that were spread before the start of this instance come with the heartbeats
+// one by one: a crash of a server can arrive long before the proof that clears a part of a prompt of it.
+func (c *Cluster) CompleteFacts(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, completeFactsTimeout)
+	defer cancel()
+	for !c.factsLearned() && c.fetchFactsFromAny(ctx) != nil && pause.For(ctx, completeFactsPause) {
+	}
+	c.setFactsLearned()
+}
+
+func (c *Cluster) factsLearned() bool {
+	c.facts.mu.Lock()
+	defer c.facts.mu.Unlock()
+	return c.facts.learned
+}
+
+func (c *Cluster) setFactsLearned() {
+	c.facts.mu.Lock()
+	defer c.facts.mu.Unlock()
+	c.facts.learned = true
+}
+
+// fetchFactsFromAny asks up to maxPeersAsked of the peers that are alive, one after the other, until one has answered that isn't still
+// learning the facts itself. Its error is errStillLearning if only others have answered.
+func (c *Cluster) fetchFactsFromAny(ctx context.Context) error {
+	result := errNoPeer
+	peers := c.reachablePeers()
+	for _, peer := range peers[:min(len(peers), maxPeersAsked)] {
+		err := c.fetchFactsFrom(ctx, peer.PeerAddress)
+		if err == nil {
+			c.setFactsLearned()
+			return nil
+		}
+		if !errors.Is(result, errStillLearning) {
+			result = err
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return result
+}
+
+// fetchFactsFrom learns what one peer knows. Its error is errStillLearning if that may not be all.
 func (c *Cluster) fetchFactsFrom(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchFactsCallTimeout)
+	defer cancel()
 	answer, err := c.options.Transport.Call(ctx, address, peers.KindFacts, nil)
 	if err != nil {
 		return fmt.Errorf("cluster: fetch facts: %w", err)
@@ -154,11 +220,16 @@
 	if err := cbor.Unmarshal(answer, &received); err != nil {
 		return fmt.Errorf("cluster: decode facts: %w", err)
 	}
+	stillLearning := false
 	for _, f := range received {
 		if !f.Valid() {
 			return errors.New("cluster: a fact exceeds the limits")
 		}
+		stillLearning = stillLearning || f.Topic == gossip.TopicStillLearning
 	}
 	c.receiveFacts(received)
+	if stillLearning {
+		return errStillLearning
+	}
 	return nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -208,6 +208,7 @@
 	if err := d.cluster.FetchFacts(ctx); err != nil {
 		d.log(logging.Membership).WithError(err).Info("No other instance told what the fleet knows; it comes with the heartbeats")
 	}
+	d.run(d.cluster.CompleteFacts)
 	if d.hosted != nil {
 		d.hosted.identities.Announce()
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -39,6 +39,9 @@
 	TopicBrittle
 	// TopicOutOfTouch is for instances whose configuration isn't proven to be the newest one.
 	TopicOutOfTouch
+	// TopicStillLearning stands in an answer with all facts if the instance may not have learned all of
+	// them yet, since it has just started. It is about that answer only and isn't spread.
+	TopicStillLearning
 )
 
 // Fact is a fact as it is sent. Instances' clocks differ, so it carries its age.
