A proof that clears a part of a late crash is told

What callers could see: a sound part that counts as unproven, or as proven before the last crash only, at an instance that serves few requests.

Cause: an instance tells of a proof when it hears of a crash, at most once in 10 s for each part. If it heard late of another crash, it had proven the part since and had told of an earlier proof just before, then it told nothing, and the other instances held the second crash against the part until they proved it themselves.

Evidence: TestProofThatClearsALateCrashIsTold, "told [], want a proof after the crash" before. It sees a later proof now; a crash that the told proof clears tells nothing.

--- a/internal/crashguard/facts.go
+++ b/internal/crashguard/facts.go
@@ -70,7 +70,7 @@
 	defer g.mu.Unlock()
 	isNew := g.evidence.AddProof(now, subject, f.At)
 	if isNew {
-		g.told[subject] = now
+		g.told[subject] = toldProof{toldAt: now, provenAt: f.At}
 		g.recheck(now)
 	}
 	return f, isNew
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -23,7 +23,8 @@
 	recentProof = time.Second
 	// maxProven is how many subjects of each kind that were proven before an instance tells of one crash.
 	maxProven = 8
-	// toldPeriod is how long an instance doesn't repeat a proof that it has told.
+	// toldPeriod is how long an instance doesn't repeat a proof that was told, unless a later one clears a
+	// subject of another crash.
 	toldPeriod = 10 * time.Second
 	// forgetPeriod is the time between two times at which old evidence is dropped.
 	forgetPeriod = 10 * time.Second
@@ -49,8 +50,8 @@
 	tickets map[*Ticket]struct{}
 	// changed is closed and replaced when a waiting request has to look again.
 	changed chan struct{}
-	// told is when this instance last told the others of a proof.
-	told map[quarantine.Subject]time.Time
+	// told are the proofs that the others were told last, by this instance or a peer.
+	told map[quarantine.Subject]toldProof
 	// listed holds the findings of the last recheck, by subject.
 	listed       map[quarantine.Subject]quarantine.Finding
 	lastForgetAt time.Time
@@ -58,11 +59,16 @@
 	refusals map[quarantine.Kind]uint64
 }
 
+// toldProof is a proof that the other instances were told of.
+type toldProof struct {
+	toldAt, provenAt time.Time
+}
+
 // New returns a Guard.
 func New(options Options) *Guard {
 	return &Guard{
 		options: options, evidence: quarantine.NewEvidence(), tickets: map[*Ticket]struct{}{},
-		changed: make(chan struct{}), told: map[quarantine.Subject]time.Time{}, listed: map[quarantine.Subject]quarantine.Finding{},
+		changed: make(chan struct{}), told: map[quarantine.Subject]toldProof{}, listed: map[quarantine.Subject]quarantine.Finding{},
 		refusals: map[quarantine.Kind]uint64{},
 	}
 }
@@ -151,7 +157,7 @@
 		g.publishCrash(c, joined)
 	}
 	for _, subject := range c.Subjects {
-		if provenAt := g.evidence.ProvenAt(subject); !provenAt.IsZero() && now.Sub(g.told[subject]) > toldPeriod {
+		if provenAt := g.evidence.ProvenAt(subject); g.mustTell(now, subject, provenAt, c.At) {
 			g.tell(subject, provenAt)
 		}
 	}
@@ -162,9 +168,20 @@
 	return joined, true
 }
 
+// mustTell reports whether the others have to be told of the last proof of a subject, now that a crash is known: if they
+// weren't told of any lately, or if that proof clears the subject of the crash, and the one told before it doesn't. The
+// lock is held.
+func (g *Guard) mustTell(now time.Time, subject quarantine.Subject, provenAt, crashAt time.Time) bool {
+	if provenAt.IsZero() {
+		return false
+	}
+	told := g.told[subject]
+	return now.Sub(told.toldAt) > toldPeriod || provenAt.After(crashAt) && !told.provenAt.After(crashAt)
+}
+
 // tell tells the other instances of a proof. The lock is held.
 func (g *Guard) tell(subject quarantine.Subject, at time.Time) {
-	g.told[subject] = g.options.Now()
+	g.told[subject] = toldProof{toldAt: g.options.Now(), provenAt: at}
 	g.options.Publish(proofFact(subject, at))
 }
 
@@ -245,8 +262,8 @@
 	}
 	g.lastForgetAt = now
 	g.evidence.Forget(now)
-	for subject, at := range g.told {
-		if now.Sub(at) > toldPeriod {
+	for subject, told := range g.told {
+		if now.Sub(told.toldAt) > toldPeriod {
 			delete(g.told, subject)
 		}
 	}
--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -123,6 +123,36 @@
 	})
 }
 
+// TestProofThatClearsALateCrashIsTold guards against an instance that learns late of a crash, has proven a part of it since, and
+// doesn't tell, because it told of an earlier proof just before: others would hold the crash against the part.
+func TestProofThatClearsALateCrashIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		f.Proven(provenParts("root"))
+		time.Sleep(2 * recentProof)
+		f.crash("root")
+		time.Sleep(time.Second)
+		f.Proven(provenParts("root")) // It clears the first crash, so that the others are told.
+
+		crash := quarantine.Crash{Process: 9, At: time.Now(), Subjects: []quarantine.Subject{partSubject("root")}}
+		time.Sleep(time.Second)
+		f.Proven(provenParts("root"))
+		time.Sleep(time.Second)
+		f.published = nil
+		f.HandleCrash(time.Now(), crashFact(crash, quarantine.PromptPart))
+		if len(f.published) != 1 || f.published[0].Topic != gossip.TopicProof || !f.published[0].At.After(crash.At) {
+			t.Errorf("told %v, want a proof after the crash at %v", f.published, crash.At)
+		}
+
+		f.published = nil
+		crash.Process = 10
+		f.HandleCrash(time.Now(), crashFact(crash, quarantine.PromptPart))
+		if len(f.published) != 0 {
+			t.Errorf("told %v again, want nothing", f.published)
+		}
+	})
+}
+
 // TestEndWhileWaitingIsNotRun guards against a verdict that a request may have run although it only
 // waited for another one.
 func TestEndWhileWaitingIsNotRun(t *testing.T) {
