--- a/internal/discovery/restarts_test.go
+++ b/internal/discovery/restarts_test.go
@@ -3,25 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 )
 
-// rollAllBut restarts all instances but the first ones, within a time. Each is away for a part of a second.
-func (f *cutFleet) rollAllBut(instances int, within time.Duration) {
-	rest := len(f.sources) - instances
-	var restarts sync.WaitGroup
-	for n := range rest {
-		restarts.Go(func() {
-			time.Sleep(within * time.Duration(n) / time.Duration(rest))
-			f.restart(instances+n, 400*time.Millisecond)
-		})
-	}
-	restarts.Wait()
-}
-
 // TestServerThatLeftDuringACutIsGoneThoughThePeersWereRestarted guards against an instance that goes on sending requests to a server
 // whose entry was removed during a cut, because all other instances were restarted meanwhile, so that no process by itself has
 // read the store all the while.
@@ -34,30 +20,21 @@
 		}
 		for offset := time.Duration(0); offset < readTime+maxRetryDelay; offset += step {
 			t.Run(fmt.Sprint(size, offset), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { testLeavingBehindRestarts(t, size.instances, size.cut, offset) })
+				withCutFleet(t, size.instances, func(t *testing.T, f *cutFleet) { testLeavingBehindRestarts(t, f, size.cut, offset) })
 			})
 		}
 	}
 }
 
-func testLeavingBehindRestarts(t *testing.T, instances, cut int, offset time.Duration) {
-	ctx, stop := context.WithCancel(t.Context())
-	defer stop()
-	f := startCutFleet(ctx, instances)
-	time.Sleep(6 * time.Second)
-	for _, s := range f.sources {
-		s.reconnects = true
-	}
+func testLeavingBehindRestarts(t *testing.T, f *cutFleet, cut int, offset time.Duration) {
+	f.setReconnects(len(f.sources))
 	f.cut(cut, true)
 	time.Sleep(2*time.Second + offset)
 	f.rollAllBut(cut, 4*time.Second)
 	f.leaveAndForget()
 	time.Sleep(2500 * time.Millisecond)
 	f.cut(cut, false)
-	time.Sleep(stableWindow)
-	if longest := f.awaitServers("[a]", cut); longest > 0 {
-		t.Errorf("the server that left is known for another %v", longest)
-	}
+	f.wantServerGone(t, stableWindow, cut)
 }
 
 // TestServersAreKeptAfterAnOutageBesideRestarts guards against servers that are given up after an outage in which their entries
@@ -65,29 +42,13 @@
 func TestServersAreKeptAfterAnOutageBesideRestarts(t *testing.T) {
 	for _, size := range []struct{ instances, stay int }{{1, 1}, {3, 1}, {8, 2}, {86, 20}, {295, 30}} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, stop := context.WithCancel(t.Context())
-				defer stop()
-				f := startCutFleet(ctx, size.instances)
-				time.Sleep(6 * time.Second)
+			withCutFleet(t, size.instances, func(t *testing.T, f *cutFleet) {
 				f.rollAllBut(size.stay, 4*time.Second)
 				f.store.change(func() { f.store.unreachable = true })
 				time.Sleep(8 * time.Second)
-				f.store.change(func() { f.store.unreachable, f.store.servers, f.store.compacted = false, nil, f.store.revision })
+				f.loseEntries()
 				go f.rollAllBut(size.stay, time.Second)
-				for range 20 {
-					time.Sleep(100 * time.Millisecond)
-					for n, sink := range f.sinks[:size.stay] {
-						if got := sink.names(); got != "[a b]" {
-							t.Fatalf("instance %d knows %s within 2 s of the outage, want [a b]", n, got)
-						}
-					}
-				}
-				f.store.change(func() { f.store.servers = []Server{server("a", 1, 9), server("b", 1, 9)} })
-				time.Sleep(5 * time.Second)
-				if longest := f.awaitServers("[a b]", size.stay); longest > 0 {
-					t.Error("servers that announced themselves again after an outage aren't known")
-				}
+				f.wantServersKept(t, size.stay)
 			})
 		})
 	}
@@ -96,11 +57,7 @@
 // TestServerThatLeftDuringACutIsGoneThoughEachPeerMissedReads guards against the same requests where each other instance had
 // a cut of its own, at another time.
 func TestServerThatLeftDuringACutIsGoneThoughEachPeerMissedReads(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, stop := context.WithCancel(t.Context())
-		defer stop()
-		f := startCutFleet(ctx, 3)
-		time.Sleep(6 * time.Second)
+	withCutFleet(t, 3, func(t *testing.T, f *cutFleet) {
 		f.cut(1, true)
 		for _, peer := range f.sources[1:] {
 			time.Sleep(500 * time.Millisecond)
@@ -112,22 +69,15 @@
 		f.leaveAndForget()
 		time.Sleep(2500 * time.Millisecond)
 		f.cut(1, false)
-		time.Sleep(stableWindow)
-		if longest := f.awaitServers("[a]", 1); longest > 0 {
-			t.Errorf("the server that left is known for another %v", longest)
-		}
+		f.wantServerGone(t, stableWindow, 1)
 	})
 }
 
 // TestAnEarlierOutageIsNoPartOfALaterAbsence guards against an instance that keeps a server which left during its cut, because nobody can tell of an
 // outage that all instances had long before, and that ended with a watch.
 func TestAnEarlierOutageIsNoPartOfALaterAbsence(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, stop := context.WithCancel(t.Context())
-		defer stop()
-		f := startCutFleet(ctx, 3)
-		f.sources[0].reconnects = true
-		time.Sleep(6 * time.Second)
+	withCutFleet(t, 3, func(t *testing.T, f *cutFleet) {
+		f.setReconnects(1)
 		f.store.change(func() { f.store.unreachable = true })
 		time.Sleep(3 * time.Second)
 		f.store.change(func() { f.store.unreachable = false })
@@ -138,10 +88,7 @@
 		time.Sleep(2500 * time.Millisecond)
 		f.cut(1, false)
 		// With a proof the server is gone as soon as the listing is there.
-		time.Sleep(time.Second)
-		if longest := f.awaitServers("[a]", 1); longest > 0 {
-			t.Errorf("the server that left is known for another %v", longest)
-		}
+		f.wantServerGone(t, time.Second, 1)
 	})
 }
 
@@ -152,23 +99,14 @@
 		for offset := range 15 {
 			cutFor := 6*time.Second + time.Duration(offset)*100*time.Millisecond
 			t.Run(fmt.Sprintf("%d instances, cut for %v", instances, cutFor), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					ctx, stop := context.WithCancel(t.Context())
-					defer stop()
-					f := startCutFleet(ctx, instances)
-					for _, s := range f.sources {
-						s.reconnects = true
-					}
-					time.Sleep(6 * time.Second)
+				withCutFleet(t, instances, func(t *testing.T, f *cutFleet) {
+					f.setReconnects(len(f.sources))
 					f.cut(instances, true)
 					time.Sleep(cutFor - 2500*time.Millisecond)
 					f.leaveAndForget()
 					time.Sleep(2500 * time.Millisecond)
 					f.cut(instances, false)
-					time.Sleep(stableWindow)
-					if longest := f.awaitServers("[a]", instances); longest > 0 {
-						t.Errorf("the server that left is known for another %v", longest)
-					}
+					f.wantServerGone(t, stableWindow, instances)
 				})
 			})
 		}
@@ -178,15 +116,11 @@
 // TestServerThatReturnsLateIsReadBeforeItIsGivenUp guards against a server that announces itself again within two seconds of
 // an outage, and is given up unread, because the instance pauses for longer between reads.
 func TestServerThatReturnsLateIsReadBeforeItIsGivenUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, stop := context.WithCancel(t.Context())
-		defer stop()
-		const instances = 86 // pause for two seconds
-		f := startCutFleet(ctx, instances)
-		time.Sleep(6 * time.Second)
+	const instances = 86 // pause for two seconds
+	withCutFleet(t, instances, func(t *testing.T, f *cutFleet) {
 		f.store.change(func() { f.store.unreachable = true })
 		time.Sleep(8 * time.Second)
-		f.store.change(func() { f.store.unreachable, f.store.servers, f.store.compacted = false, nil, f.store.revision })
+		f.loseEntries()
 		time.Sleep(1900 * time.Millisecond)
 		f.store.change(func() { f.store.servers = []Server{server("a", 1, 9), server("b", 1, 9)} })
 		for range 20 {
