Streams are told to their archivist whatever room load digests leave

Cause: batches to the archivist were sent only within the byte budget. Load digests take what is left of it, so that under load some instances told nothing for up to 5.5 s.

Evidence: TestStreamsAreArchivedWithoutRoomForLoad failed before (nobody knows which version began the stream) at 8 and 60 instances.

Fix: the first two batches of a round are sent regardless of the budget and charged to it, as the copies of the same streams for memory are. Ruled out: the period of the writes.

--- a/internal/streamversion/archive.go
+++ b/internal/streamversion/archive.go
@@ -26,6 +26,9 @@
 	writeTimeout = 2 * time.Second
 	// tellPeriod is how often archivists are told of new streams.
 	tellPeriod = 250 * time.Millisecond
+	// urgentBatchesPerRound is how many batches of such a round are sent whatever room the byte budget has: load, which takes
+	// all that is left of it, would leave them none. They take 9 KB a second at most, in a rush of streams.
+	urgentBatchesPerRound = 2
 	// choosePeriod is how often the archivists are chosen again, which takes 2 ms with 3,000 instances.
 	choosePeriod = time.Second
 	// settleTime is how long after the start no archivist is told. Until an instance knows the others it holds itself to be
@@ -167,10 +170,14 @@
 		return
 	}
 	self := a.options.Cluster.Self()
+	sent := 0
 	for _, n := range a.due(now) {
-		if n.archivist != self && !a.send(n) {
-			// It is due again in the next round.
-			continue
+		if n.archivist != self {
+			if !a.send(n, sent < urgentBatchesPerRound) {
+				// It is due again in the next round.
+				continue
+			}
+			sent++
 		}
 		a.mu.Lock()
 		n.told()
@@ -195,12 +202,17 @@
 	return a.chosen
 }
 
-func (a *archive) send(n *batchToSend) bool {
+// send sends a batch to its archivist, if it is urgent also where the byte budget has no room, and reports whether it did.
+func (a *archive) send(n *batchToSend, urgent bool) bool {
 	payload, err := n.batch.encode()
 	if err != nil {
 		a.options.Logger.WithField("archivist", n.archivist).WithError(err).Error("The software versions of streams can't be told to their archivist: encoding failed")
 		return false
 	}
+	if urgent {
+		a.options.Cluster.SendUrgent(n.archivist, peers.KindArchive, payload)
+		return true
+	}
 	return a.options.Cluster.Send(n.archivist, peers.KindArchive, payload)
 }
 
--- a/internal/streamversion/archive_test.go
+++ b/internal/streamversion/archive_test.go
@@ -180,6 +180,21 @@
 	}
 }
 
+// TestStreamsAreArchivedWithoutRoomForLoad guards against streams that are never archived on an instance whose byte budget is used up all
+// the time, as under load, so that nobody knows them after all instances ended.
+func TestStreamsAreArchivedWithoutRoomForLoad(t *testing.T) {
+	for _, size := range []int{8, 60} {
+		synctest.Test(t, func(t *testing.T) {
+			net := newArchiveNetwork(size, versions("v1", "v2")...)
+			net.noRoom = true
+			net.begin("s", v1)
+			net.passArchiving(3 * time.Second)
+			net.restartAll(versions("v1", "v2")...)
+			net.wantAll(t, "s", v1)
+		})
+	}
+}
+
 // TestStreamsOfAnArchivistThatEndsAreArchived guards against streams that were told to an archivist which ended before it
 // wrote them.
 func TestStreamsOfAnArchivistThatEndsAreArchived(t *testing.T) {
