A new instance admits requests once all of its parts have the configuration

Cause: the gateway and /readyz looked at the accepted configuration. The dispatcher has it only after the facts of the fleet were fetched, up to 0.8 s later, and until then the scheduler has no classes and no room in its queue.

Fix: the gateway answers by the configuration that all parts have, as the platform's front does already.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,10 +54,12 @@
 
 	configSteps *configSteps
 
-	plugins          plugins
-	lifecycle        kernel.Lifecycle
-	cluster          *cluster.Cluster
-	confsync         *confsync.Sync
+	plugins   plugins
+	lifecycle kernel.Lifecycle
+	cluster   *cluster.Cluster
+	confsync  *confsync.Sync
+	// inForce is what the gateway answers by: a request that is admitted needs all parts.
+	inForce          configurationInForce
 	dispatcher       *dispatch.Dispatcher
 	monitor          *servers.Monitor
 	forwarder        *forward.Forwarder
@@ -226,7 +228,7 @@
 }
 
 // putInForce applies a configuration to the dispatcher, to the parts that follow the backend
-// servers, and to the budget of store calls.
+// servers, to the budget of store calls, and then to the gateway.
 func (d *Daemon) putInForce(accepted site.Accepted) {
 	document := &accepted.Document
 	began := time.Now()
@@ -241,6 +243,7 @@
 	}
 	d.configSteps.observe(stepAllParts, time.Since(began))
 	d.plugins.store.SetCallsPerSecond(document.Budgets.StoreCallsPerSecond)
+	d.inForce.set(accepted)
 	d.log(logging.Config).WithFields(logrus.Fields{"revision": accepted.Revision, "ms": time.Since(began).Milliseconds()}).Info("configuration in force")
 }
 
--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -68,7 +68,7 @@
 		Instance:      d.settings.Instance,
 		Forwarder:     d.forwarder,
 		Repeats:       d.newRepeatGuard(),
-		Configuration: d.confsync,
+		Configuration: &d.inForce,
 		Directory:     d.directory,
 		Observer:      d.requestMetrics,
 		Limits:        d.gatewayLimits(),
--- a/internal/integration/rolling_test.go
+++ b/internal/integration/rolling_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -81,3 +82,25 @@
 		}
 	}
 }
+
+// TestFirstRequestsOfANewInstanceAreServed guards against an instance that counts as ready, and refuses requests for which it has no queue
+// yet, before all of its parts have the configuration.
+func TestFirstRequestsOfANewInstanceAreServed(t *testing.T) {
+	r := newRig(t)
+	first := r.start("entry-1", domains[0])
+	r.eventually("the instance serves alpha", func() bool { return r.complete(first, "alpha", 1).status == http.StatusOK })
+	if err := first.Drain(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	// Nobody tells the second one what the fleet knows, which takes it a moment.
+	second := r.start("entry-2", domains[1])
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	for range 4 {
+		callers.Go(func() {
+			if answer := r.complete(second, "alpha", 1); answer.status != http.StatusOK {
+				t.Errorf("one of the first requests of an instance that is ready: status %d, error %v, body %s, want 200", answer.status, answer.err, answer.body)
+			}
+		})
+	}
+}
