--- a/internal/cluster/facts.go
+++ b/internal/cluster/facts.go
@@ -25,10 +25,11 @@
 	fetchFactsCallTimeout = 250 * time.Millisecond
 	fetchFactsPause       = 50 * time.Millisecond
 	// completeFactsTimeout limits how long an instance goes on asking while it serves, until a peer has
-	// answered that isn't still learning the facts itself, and completeFactsPause is the time between two
-	// rounds.
-	completeFactsTimeout = 5 * time.Second
-	completeFactsPause   = 300 * time.Millisecond
+	// answered that isn't still learning the facts itself, completeFactsCallTimeout limits one call, and
+	// completeFactsPause is the time between two rounds.
+	completeFactsTimeout     = 5 * time.Second
+	completeFactsCallTimeout = 800 * time.Millisecond
+	completeFactsPause       = 300 * time.Millisecond
 	// maxPeersAsked is how many peers are asked for the facts in one round. When a whole fleet starts, all
 	// of them are still learning.
 	maxPeersAsked = 3
@@ -152,7 +153,7 @@
 	defer cancel()
 	start := c.options.Now()
 	for {
-		err := c.fetchFactsFromAny(ctx)
+		err := c.fetchFactsFromAny(ctx, fetchFactsCallTimeout)
 		switch {
 		case err == nil, errors.Is(err, errStillLearning):
 			return nil
@@ -170,9 +171,12 @@
 func (c *Cluster) CompleteFacts(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, completeFactsTimeout)
 	defer cancel()
-	for !c.factsLearned() && c.fetchFactsFromAny(ctx) != nil && pause.For(ctx, completeFactsPause) {
+	for !c.factsLearned() {
+		err := c.fetchFactsFromAny(ctx, completeFactsCallTimeout)
+		if err != nil && !pause.For(ctx, completeFactsPause) {
+			c.setFactsLearned() // Nobody else may know more.
+		}
 	}
-	c.setFactsLearned()
 }
 
 func (c *Cluster) factsLearned() bool {
@@ -187,13 +191,13 @@
 	c.facts.learned = true
 }
 
-// fetchFactsFromAny asks up to maxPeersAsked of the peers that are alive, one after the other, until one has answered that isn't still
-// learning the facts itself. Its error is errStillLearning if only others have answered.
-func (c *Cluster) fetchFactsFromAny(ctx context.Context) error {
+// fetchFactsFromAny asks up to maxPeersAsked of the peers that are alive, one after the other, until one has answered
+// that isn't still learning the facts itself. Its error is errStillLearning if only others have answered.
+func (c *Cluster) fetchFactsFromAny(ctx context.Context, callTimeout time.Duration) error {
 	result := errNoPeer
-	peers := c.reachablePeers()
-	for _, peer := range peers[:min(len(peers), maxPeersAsked)] {
-		err := c.fetchFactsFrom(ctx, peer.PeerAddress)
+	asked := c.reachablePeers()
+	for _, peer := range asked[:min(len(asked), maxPeersAsked)] {
+		err := c.fetchFactsFrom(ctx, peer.PeerAddress, callTimeout)
 		if err == nil {
 			c.setFactsLearned()
 			return nil
@@ -209,8 +213,8 @@
 }
 
 // fetchFactsFrom learns what one peer knows. Its error is errStillLearning if that may not be all.
-func (c *Cluster) fetchFactsFrom(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, fetchFactsCallTimeout)
+func (c *Cluster) fetchFactsFrom(ctx context.Context, address string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	answer, err := c.options.Transport.Call(ctx, address, peers.KindFacts, nil)
 	if err != nil {
